Read settings and documents by field tables, all faults in one run

Cause: operators need every fault of a file at once, with file, line and path, and the tool and the daemon must not disagree about what is valid. Ruled out: hand-written checks beside a hand-written reference page, which drift apart. Change: one table of fields for each structure, read by one function; the same tables make the reference pages.

--- /dev/null
+++ b/src/config/DocumentParser.cpp
@@ -0,0 +1,299 @@
+//===- DocumentParser.cpp - Reads and validates a document ----------------===//
+
+#include "config/DocumentParser.h"
+#include "config/Reference.h"
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace pollenspool {
+
+namespace {
+
+constexpr double MaxInstances = 100000;
+constexpr double MaxTimeoutMs = 600000;
+
+void readClass(const YAML::Node &Node, const FieldRule &,
+               const std::string &Path, Service &Out, FaultSink &Sink) {
+  std::string Text;
+  if (!detail::readText(Node, Path, Text, Sink))
+    return;
+  for (std::size_t I = 0; I < UrgencyClassCount; ++I) {
+    auto Class = static_cast<UrgencyClass>(I);
+    if (urgencyName(Class) != Text)
+      continue;
+    Out.m_Class = Class;
+    return;
+  }
+  Sink.add(Node, Path, "expected urgent, normal or nightly");
+}
+
+const auto &dataCentreFields() {
+  static const std::array<FieldSpec<DataCentre>, 2> Fields = {{
+      {{"name", "text", true, -NoLimit, NoLimit, "", "name of the data centre"},
+       readTextField<&DataCentre::m_Name>},
+      {{"region", "text", true, -NoLimit, NoLimit, "",
+        "region that it lies in"},
+       readTextField<&DataCentre::m_Region>},
+  }};
+  return Fields;
+}
+
+const auto &poolFields() {
+  static const std::array<FieldSpec<Pool>, 5> Fields = {{
+      {{"name", "text", true, -NoLimit, NoLimit, "", "name of the pool"},
+       readTextField<&Pool::m_Name>},
+      {{"instances", "integer", true, 0, MaxInstances, "instances",
+        "instances that the pool starts with"},
+       readNumberField<&Pool::m_Instances>},
+      {{"promised", "integer", true, 0, MaxInstances, "instances",
+        "serving instances kept at all times"},
+       readNumberField<&Pool::m_Promised>},
+      {{"availability_budget", "integer", true, 0, MaxInstances, "instances",
+        "instances that may be away at once, planned and unplanned together"},
+       readNumberField<&Pool::m_AvailabilityBudget>},
+      {{"spare", "boolean", false, -NoLimit, NoLimit, "",
+        "true for the one pool that lends instances; default false"},
+       readBoolField<&Pool::m_Spare>},
+  }};
+  return Fields;
+}
+
+const auto &serviceFields() {
+  static const std::array<FieldSpec<Service>, 4> Fields = {{
+      {{"name", "text", true, -NoLimit, NoLimit, "",
+        "name of the service, as in the request's path"},
+       readTextField<&Service::m_Name>},
+      {{"pool", "text", true, -NoLimit, NoLimit, "", "pool that runs it"},
+       readTextField<&Service::m_Pool>},
+      {{"class", "text", false, -NoLimit, NoLimit, "",
+        "urgency where a request names none: urgent, normal or nightly; "
+        "default normal"},
+       readClass},
+      {{"timeout_ms", "integer", false, 1, MaxTimeoutMs, "ms",
+        "deadline where a request names none; default 10000"},
+       readNumberField<&Service::m_Timeout>},
+  }};
+  return Fields;
+}
+
+const auto &teamFields() {
+  static const std::array<FieldSpec<Team>, 2> Fields = {{
+      {{"name", "text", true, -NoLimit, NoLimit, "", "name of the team"},
+       readTextField<&Team::m_Name>},
+      {{"requests_per_second", "number", true, 0, 1e6, "requests/s",
+        "quota of the team"},
+       readNumberField<&Team::m_RequestsPerSecond>},
+  }};
+  return Fields;
+}
+
+const auto &weightFields() {
+  static const std::array<FieldSpec<Weights>, 3> Fields = {{
+      {{"buffer", "number", true, 0, 1e6, "", "price of an idle instance"},
+       readNumberField<&Weights::m_Buffer>},
+      {{"rollout", "number", true, 0, 1e6, "", "price of roll-out time"},
+       readNumberField<&Weights::m_Rollout>},
+      {{"moves", "number", true, 0, 1e6, "", "price of a move"},
+       readNumberField<&Weights::m_Moves>},
+  }};
+  return Fields;
+}
+
+const auto &policyFields() {
+  static const std::array<FieldSpec<RequestPolicy>, 6> Fields = {{
+      {{"slots_per_instance", "integer", false, 1, 1024, "slots",
+        "requests that an instance runs at once; default 8"},
+       readNumberField<&RequestPolicy::m_SlotsPerInstance>},
+      {{"connections_per_instance", "integer", false, 1, 65536, "connections",
+        "connections that an instance accepts; default 64"},
+       readNumberField<&RequestPolicy::m_ConnectionsPerInstance>},
+      {{"max_attempts", "integer", false, 1, 16, "tries",
+        "tries of one request; default 3"},
+       readNumberField<&RequestPolicy::m_MaxAttempts>},
+      {{"retry_budget", "number", false, 0, 1, "share",
+        "retries as a share of first tries, per service; default 0.1"},
+       readNumberField<&RequestPolicy::m_RetryBudget>},
+      {{"max_ejected_share", "number", false, 0, 1, "share",
+        "largest share of a pool ejected as failing; default 0.3"},
+       readNumberField<&RequestPolicy::m_MaxEjectedShare>},
+      {{"queue_per_instance", "integer", false, 1, 10000, "requests",
+        "queued requests per serving instance; default 32"},
+       readNumberField<&RequestPolicy::m_QueuePerInstance>},
+  }};
+  return Fields;
+}
+
+const auto &documentFields() {
+  static const std::array<FieldSpec<Document>, 7> Fields = {{
+      {{"customer", "text", true, -NoLimit, NoLimit, "",
+        "the customer that the document belongs to"},
+       readTextField<&Document::m_Customer>},
+      {{"weights", "map", false, -NoLimit, NoLimit, "",
+        "the customer's prices; only ratios matter"},
+       readMapField<&Document::m_Weights, weightFields>},
+      {{"data_centres", "list", true, -NoLimit, NoLimit, "",
+        "data centres of the deployment"},
+       readListField<&Document::m_DataCentres, dataCentreFields>},
+      {{"pools", "list", true, -NoLimit, NoLimit, "", "pools of instances"},
+       readListField<&Document::m_Pools, poolFields>},
+      {{"services", "list", true, -NoLimit, NoLimit, "",
+        "services that the pools run"},
+       readListField<&Document::m_Services, serviceFields>},
+      {{"teams", "list", false, -NoLimit, NoLimit, "", "teams with quotas"},
+       readListField<&Document::m_Teams, teamFields>},
+      {{"policy", "map", false, -NoLimit, NoLimit, "",
+        "limits of the request path"},
+       readMapField<&Document::m_Policy, policyFields>},
+  }};
+  return Fields;
+}
+
+/// Reports items of the list at \p Path whose name stands twice or is not fit
+/// for a path segment.
+template <typename Item>
+void checkNames(const std::vector<Item> &Items, const YAML::Node &List,
+                const std::string &Path, FaultSink &Sink) {
+  std::set<std::string> Seen;
+  for (std::size_t I = 0; I < Items.size(); ++I) {
+    const std::string &Text = Items[I].m_Name.m_Text;
+    std::string At = Path + "[" + std::to_string(I) + "].name";
+    if (Text.empty())
+      continue;
+    if (!Seen.insert(Text).second)
+      Sink.add(List[I]["name"], At, "\"" + Text + "\" stands twice");
+    bool Fit = std::all_of(Text.begin(), Text.end(), [](unsigned char C) {
+      return std::islower(C) || std::isdigit(C) || C == '-' || C == '_';
+    });
+    if (!Fit)
+      Sink.add(List[I]["name"], At,
+               "may hold lowercase letters, digits, '-' and '_' only");
+  }
+}
+
+void checkPools(const Document &Doc, const YAML::Node &Root, FaultSink &Sink) {
+  std::size_t Spares = 0;
+  for (std::size_t I = 0; I < Doc.m_Pools.size(); ++I) {
+    const Pool &P = Doc.m_Pools[I];
+    std::string At = "pools[" + std::to_string(I) + "]";
+    YAML::Node Node = Root["pools"][I];
+    Spares += P.m_Spare ? 1 : 0;
+    if (P.m_Spare && Spares > 1)
+      Sink.add(Node, At + ".spare", "only one pool can be the spare pool");
+    if (P.m_Promised > P.m_Instances)
+      Sink.add(Node, At + ".promised",
+               "promises more instances than the pool starts with");
+  }
+  if (Doc.m_Pools.empty())
+    Sink.add(Root["pools"], "pools", "at least one pool is needed");
+}
+
+void checkServices(const Document &Doc, const YAML::Node &Root,
+                   FaultSink &Sink) {
+  for (std::size_t I = 0; I < Doc.m_Services.size(); ++I) {
+    const Service &S = Doc.m_Services[I];
+    if (S.m_Pool.empty() || Doc.findPool(S.m_Pool))
+      continue;
+    Sink.add(Root["services"][I]["pool"],
+             "services[" + std::to_string(I) + "].pool",
+             "no pool is named \"" + S.m_Pool.m_Text + "\"");
+  }
+}
+
+void checkWhole(const Document &Doc, const YAML::Node &Root, FaultSink &Sink) {
+  checkNames(Doc.m_DataCentres, Root["data_centres"], "data_centres", Sink);
+  checkNames(Doc.m_Pools, Root["pools"], "pools", Sink);
+  checkNames(Doc.m_Services, Root["services"], "services", Sink);
+  checkNames(Doc.m_Teams, Root["teams"], "teams", Sink);
+  checkPools(Doc, Root, Sink);
+  checkServices(Doc, Root, Sink);
+}
+
+std::vector<std::string> splitLines(const std::string &Text) {
+  std::vector<std::string> Lines;
+  std::string Line;
+  for (char C : Text) {
+    if (C != '\n') {
+      Line += C;
+      continue;
+    }
+    Lines.push_back(std::move(Line));
+    Line.clear();
+  }
+  if (!Line.empty())
+    Lines.push_back(std::move(Line));
+  return Lines;
+}
+
+/// Lengths of the longest common subsequences of the tails of two texts.
+class CommonTails {
+public:
+  CommonTails(const std::vector<std::string> &A,
+              const std::vector<std::string> &B)
+      : m_Width(B.size() + 1), m_Lengths((A.size() + 1) * m_Width, 0) {
+    for (std::size_t I = A.size(); I-- > 0;)
+      for (std::size_t J = B.size(); J-- > 0;)
+        cell(I, J) = A[I] == B[J] ? cell(I + 1, J + 1) + 1
+                                  : std::max(cell(I + 1, J), cell(I, J + 1));
+  }
+  std::size_t &cell(std::size_t I, std::size_t J) {
+    return m_Lengths[I * m_Width + J];
+  }
+
+private:
+  std::size_t m_Width;
+  std::vector<std::size_t> m_Lengths;
+};
+
+} // namespace
+
+Checked<Document> parseDocument(const std::string &File,
+                                const std::string &Text) {
+  FaultSink Sink(File);
+  Checked<Document> Result;
+  try {
+    YAML::Node Root = YAML::Load(Text);
+    readMap(Root, documentFields(), "", Result.m_Value, Sink);
+    if (Root.IsMap())
+      checkWhole(Result.m_Value, Root, Sink);
+  } catch (const YAML::Exception &Bad) {
+    Sink.addAtLine(Bad.mark.line + 1, "", Bad.msg);
+  }
+  Result.m_Faults = Sink.takeFaults();
+  return Result;
+}
+
+std::string diffText(const std::string &Before, const std::string &After) {
+  std::vector<std::string> A = splitLines(Before);
+  std::vector<std::string> B = splitLines(After);
+  CommonTails Tails(A, B);
+  std::string Text;
+  std::size_t I = 0;
+  std::size_t J = 0;
+  while (I < A.size() || J < B.size()) {
+    if (I < A.size() && J < B.size() && A[I] == B[J]) {
+      ++I;
+      ++J;
+    } else if (J == B.size() ||
+               (I < A.size() && Tails.cell(I + 1, J) >= Tails.cell(I, J + 1))) {
+      Text += "-" + std::to_string(I + 1) + ": " + A[I] + "\n";
+      ++I;
+    } else {
+      Text += "+" + std::to_string(J + 1) + ": " + B[J] + "\n";
+      ++J;
+    }
+  }
+  return Text;
+}
+
+std::string documentReference() {
+  return referenceHead() + referenceRows("", documentFields()) +
+         referenceRows("weights", weightFields()) +
+         referenceRows("data_centres[]", dataCentreFields()) +
+         referenceRows("pools[]", poolFields()) +
+         referenceRows("services[]", serviceFields()) +
+         referenceRows("teams[]", teamFields()) +
+         referenceRows("policy", policyFields());
+}
+
+} // namespace pollenspool
