--- /dev/null
+++ b/src/retry/RetryRules.cpp
@@ -0,0 +1,20 @@
+//===- RetryRules.cpp - Which tries may be repeated -----------------------===//
+
+#include "retry/RetryRules.h"
+
+namespace pollenspool {
+
+bool mayRetry(TryResult Result, bool Repeatable) {
+  switch (Result) {
+  case TryResult::Answered:
+    return false;
+  case TryResult::NotRun:
+    return true;
+  case TryResult::AnsweredError:
+  case TryResult::Unknown:
+    return Repeatable;
+  }
+  return false;
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/routing/InstanceTable.cpp
@@ -0,0 +1,201 @@
+//===- InstanceTable.cpp - The instances of the own data centre -----------===//
+
+#include "routing/InstanceTable.h"
+#include "routing/Ejection.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+bool contains(const std::vector<InstanceId> *Ids, const InstanceId &Id) {
+  return Ids && std::find(Ids->begin(), Ids->end(), Id) != Ids->end();
+}
+
+} // namespace
+
+InstanceTable::InstanceTable(std::unique_ptr<RoutingStrategy> Strategy,
+                             std::uint64_t Seed)
+    : m_Strategy(std::move(Strategy)), m_Random(Seed) {}
+
+void InstanceTable::setMaxEjectedShare(double Share) {
+  m_MaxEjectedShare = Share;
+  for (auto &Entry : m_Groups)
+    enforceEjectionBound(Entry.second, Share);
+}
+
+void InstanceTable::setTargets(std::vector<InstanceTarget> Targets) {
+  for (auto &Entry : m_States)
+    Entry.second->m_Listed = false;
+  for (InstanceTarget &Target : Targets)
+    applyTarget(std::move(Target));
+  dropUnused();
+  rebuildGroups();
+}
+
+void InstanceTable::applyTarget(InstanceTarget Target) {
+  std::unique_ptr<InstanceState> &State = m_States[Target.m_Id];
+  if (!State) {
+    State = std::make_unique<InstanceState>();
+    for (const auto &Peer : m_PeerLoads)
+      for (const InstanceLoad &Load : Peer.second)
+        if (Load.m_Instance == Target.m_Id)
+          State->m_PeersInFlight += Load.m_InFlight;
+  }
+  State->m_Listed = true;
+  if (Target.m_Epoch >= State->m_Target.m_Epoch)
+    State->m_Target = std::move(Target);
+}
+
+void InstanceTable::dropUnused() {
+  for (auto It = m_States.begin(); It != m_States.end();) {
+    const InstanceState &State = *It->second;
+    bool Unused = !State.m_Listed && State.m_InFlight == 0;
+    It = Unused ? m_States.erase(It) : std::next(It);
+  }
+}
+
+void InstanceTable::rebuildGroups() {
+  m_Groups.clear();
+  for (auto &Entry : m_States)
+    if (Entry.second->m_Listed)
+      m_Groups[Entry.second->m_Target.m_Pool].push_back(Entry.second.get());
+  for (auto &Entry : m_Groups) {
+    std::sort(Entry.second.begin(), Entry.second.end(),
+              [](const InstanceState *A, const InstanceState *B) {
+                return A->m_Target.m_Id < B->m_Target.m_Id;
+              });
+    enforceEjectionBound(Entry.second, m_MaxEjectedShare);
+  }
+}
+
+void InstanceTable::onPeerLoads(const PeerLoads &Loads) {
+  std::vector<InstanceLoad> &Known = m_PeerLoads[Loads.m_Peer];
+  addPeerLoad(Known, false);
+  Known = Loads.m_Report.m_Instances;
+  addPeerLoad(Known, true);
+  if (Known.empty())
+    m_PeerLoads.erase(Loads.m_Peer);
+}
+
+void InstanceTable::addPeerLoad(const std::vector<InstanceLoad> &Loads,
+                                bool Add) {
+  for (const InstanceLoad &Load : Loads) {
+    InstanceState *State = find(Load.m_Instance);
+    if (!State)
+      continue;
+    if (Add)
+      State->m_PeersInFlight += Load.m_InFlight;
+    else
+      State->m_PeersInFlight -=
+          std::min(State->m_PeersInFlight, Load.m_InFlight);
+  }
+}
+
+InstanceChoice InstanceTable::choose(const PoolName &Pool,
+                                     const TryRequest &Request) {
+  InstanceChoice Choice;
+  m_Free.clear();
+  for (InstanceState *State : group(Pool)) {
+    if (!State->acceptsWork() ||
+        contains(Request.m_Tried, State->m_Target.m_Id))
+      continue;
+    if (State->m_Health.m_Ejected) {
+      if (isProbeDue(*State, Request.m_Harmless, Request.m_Now) &&
+          State->m_InFlight < m_Limits.connectionShare())
+        return {State, true};
+      continue;
+    }
+    Choice.m_WorthWaiting = true;
+    if (isFree(*State))
+      m_Free.push_back(State);
+  }
+  if (!m_Free.empty())
+    Choice.m_Instance = m_Strategy->choose(m_Free, m_Limits, m_Random);
+  return Choice;
+}
+
+bool InstanceTable::hasUntried(const PoolName &Pool,
+                               const std::vector<InstanceId> &Tried) const {
+  for (const InstanceState *State : group(Pool))
+    if (State->acceptsWork() && !State->m_Health.m_Ejected &&
+        !contains(&Tried, State->m_Target.m_Id))
+      return true;
+  return false;
+}
+
+bool InstanceTable::isFree(const InstanceState &Instance) const {
+  return Instance.m_InFlight < m_Strategy->window(Instance, m_Limits);
+}
+
+PoolCapacity InstanceTable::capacity(const PoolName &Pool) const {
+  PoolCapacity Capacity;
+  for (const InstanceState *State : group(Pool)) {
+    if (!State->acceptsWork())
+      continue;
+    ++Capacity.m_Accepting;
+    if (!State->m_Health.m_Ejected)
+      Capacity.m_Slots += m_Strategy->window(*State, m_Limits);
+  }
+  return Capacity;
+}
+
+bool InstanceTable::startTry(InstanceState &Instance) {
+  ++Instance.m_InFlight;
+  if (Instance.m_Health.m_Ejected)
+    Instance.m_Health.m_ProbeInFlight = true;
+  return Instance.m_Health.m_Ejected;
+}
+
+void InstanceTable::endTry(InstanceState &Instance, bool Probe) {
+  --Instance.m_InFlight;
+  if (Probe)
+    Instance.m_Health.m_ProbeInFlight = false;
+  if (!Instance.m_Listed && Instance.m_InFlight == 0)
+    m_States.erase(InstanceId(Instance.m_Target.m_Id));
+}
+
+void InstanceTable::observe(InstanceState &Instance,
+                            const TryObservation &Seen) {
+  m_Strategy->observe(Instance, m_Limits, Seen);
+}
+
+bool InstanceTable::onFailure(InstanceState &Instance, bool FailedElsewhere,
+                              TimePoint Now) {
+  recordFailure(Instance, FailedElsewhere, Now);
+  return ejectIfFailing(Instance, group(Instance.m_Target.m_Pool),
+                        m_MaxEjectedShare, Now);
+}
+
+InstanceState *InstanceTable::find(const InstanceId &Id) const {
+  auto It = m_States.find(Id);
+  return It == m_States.end() ? nullptr : It->second.get();
+}
+
+std::uint32_t InstanceTable::inFlight(const InstanceId &Id) const {
+  const InstanceState *State = find(Id);
+  return State ? State->m_InFlight : 0;
+}
+
+std::vector<InstanceLoad> InstanceTable::loads() const {
+  std::vector<InstanceLoad> Loads;
+  for (const auto &Entry : m_States)
+    if (Entry.second->m_InFlight > 0)
+      Loads.push_back({Entry.first, Entry.second->m_InFlight});
+  return Loads;
+}
+
+std::size_t InstanceTable::ejected() const {
+  std::size_t Count = 0;
+  for (const auto &Entry : m_Groups)
+    Count += ejectedCount(Entry.second);
+  return Count;
+}
+
+const InstanceGroup &InstanceTable::group(const PoolName &Pool) const {
+  static const InstanceGroup Empty;
+  auto It = m_Groups.find(Pool);
+  return It == m_Groups.end() ? Empty : It->second;
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/routing/Messages.h
@@ -0,0 +1,65 @@
+//===- Messages.h - Instances and loads as routing sees them ----*- C++ -*-===//
+//
+// What the shell tells routing of instances and other data centres, and the
+// load report that heartbeats carry between entry instances.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef POLLENSPOOL_ROUTING_MESSAGES_H
+#define POLLENSPOOL_ROUTING_MESSAGES_H
+
+#include "base/Ids.h"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pollenspool {
+
+/// A backend server instance of the own data centre.
+struct InstanceTarget {
+  InstanceId m_Id;
+  PoolName m_Pool;
+  DataCentreName m_DataCentre;
+  RackName m_Rack;
+  /// "ip:port" of the backend server.
+  std::string m_Address;
+  /// False while the instance drains or is away: no try starts at it.
+  bool m_AcceptsWork = false;
+  /// Rises with each change of the instance; an older target is ignored.
+  std::uint64_t m_Epoch = 0;
+};
+
+/// Tries in flight at one instance.
+struct InstanceLoad {
+  InstanceId m_Instance;
+  std::uint32_t m_InFlight = 0;
+};
+
+/// Requests of one pool that can start without waiting.
+struct PoolRoom {
+  PoolName m_Pool;
+  std::uint32_t m_Room = 0;
+};
+
+/// One entry instance's own load, as its heartbeats carry it.
+struct LoadReport {
+  std::vector<InstanceLoad> m_Instances;
+  std::vector<PoolRoom> m_Pools;
+};
+
+/// The load report of one peer of the own data centre.
+struct PeerLoads {
+  EntryId m_Peer;
+  LoadReport m_Report;
+};
+
+/// What another data centre can take, summed over its entry instances.
+struct RemoteCapacity {
+  DataCentreName m_DataCentre;
+  bool m_Reachable = false;
+  std::vector<PoolRoom> m_Pools;
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_ROUTING_MESSAGES_H
--- /dev/null
+++ b/src/routing/Strategy.cpp
@@ -0,0 +1,180 @@
+//===- Strategy.cpp - Ways to spread tries over instances -----------------===//
+
+#include "routing/Strategy.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+std::uint32_t shareOf(std::uint32_t Whole, std::uint32_t Parts) {
+  return std::max((Whole + Parts - 1) / Parts, 1U);
+}
+
+/// The instance with the lowest \p Cost; ties go to the first after a random
+/// start, so that equals get equal work.
+template <typename CostOf>
+InstanceState *lowest(const InstanceGroup &Free, RandomSource &Random,
+                      CostOf Cost) {
+  std::size_t Start = drawIndex(Random, Free.size());
+  InstanceState *Best = Free[Start];
+  double BestCost = Cost(*Best);
+  for (std::size_t Step = 1; Step < Free.size(); ++Step) {
+    InstanceState *Next = Free[(Start + Step) % Free.size()];
+    double NextCost = Cost(*Next);
+    if (NextCost < BestCost) {
+      Best = Next;
+      BestCost = NextCost;
+    }
+  }
+  return Best;
+}
+
+/// A fixed share of the slots; the instance with the fewest own tries.
+class StaticShare : public RoutingStrategy {
+public:
+  std::uint32_t window(const InstanceState &,
+                       const SharedLimits &Limits) const override {
+    return std::min(Limits.slotShare(), Limits.connectionShare());
+  }
+
+  InstanceState *choose(const InstanceGroup &Free, const SharedLimits &,
+                        RandomSource &Random) const override {
+    return lowest(Free, Random,
+                  [](const InstanceState &I) { return double(I.m_InFlight); });
+  }
+};
+
+/// The better of two random instances by own tries, bounded by connections
+/// alone.
+class TwoChoices : public RoutingStrategy {
+public:
+  std::uint32_t window(const InstanceState &,
+                       const SharedLimits &Limits) const override {
+    return Limits.connectionShare();
+  }
+
+  InstanceState *choose(const InstanceGroup &Free, const SharedLimits &,
+                        RandomSource &Random) const override {
+    InstanceState *A = Free[drawIndex(Random, Free.size())];
+    InstanceState *B = Free[drawIndex(Random, Free.size())];
+    return B->m_InFlight < A->m_InFlight ? B : A;
+  }
+};
+
+/// The slots that peers left free by their last reports.
+class SharedReports : public RoutingStrategy {
+public:
+  std::uint32_t window(const InstanceState &Instance,
+                       const SharedLimits &Limits) const override {
+    std::uint32_t Taken = std::min(Instance.m_PeersInFlight, Limits.m_Slots);
+    std::uint32_t Left = std::max(Limits.m_Slots - Taken, 1U);
+    return std::min(Left, Limits.connectionShare());
+  }
+
+  InstanceState *choose(const InstanceGroup &Free, const SharedLimits &,
+                        RandomSource &Random) const override {
+    return lowest(Free, Random, [](const InstanceState &I) {
+      return double(I.m_InFlight) + I.m_PeersInFlight;
+    });
+  }
+};
+
+/// A window for each instance that grows while it is used and latency stays
+/// near the baseline, and shrinks on inflated latency and refusals.
+class AdaptiveConcurrency : public RoutingStrategy {
+public:
+  std::uint32_t window(const InstanceState &Instance,
+                       const SharedLimits &Limits) const override {
+    auto Size = static_cast<std::uint32_t>(size(Instance, Limits));
+    return std::clamp(Size, 1U, Limits.connectionShare());
+  }
+
+  InstanceState *choose(const InstanceGroup &Free, const SharedLimits &Limits,
+                        RandomSource &Random) const override {
+    return lowest(Free, Random, [&](const InstanceState &I) {
+      return (I.m_InFlight + 1) * I.m_Window.m_Inflation / size(I, Limits);
+    });
+  }
+
+  void observe(InstanceState &Instance, const SharedLimits &Limits,
+               const TryObservation &Seen) const override {
+    AdaptiveWindow &W = Instance.m_Window;
+    W.m_Size = size(Instance, Limits);
+    if (Seen.m_Refused)
+      return cut(W, RefusalCut, Seen, Limits);
+    if (Seen.m_Baseline.count() <= 0)
+      return;
+    double Inflation = double(Seen.m_Latency.count()) /
+                       static_cast<double>(Seen.m_Baseline.count());
+    W.m_Inflation += InflationGain * (Inflation - W.m_Inflation);
+    if (W.m_Inflation > InflationCeiling)
+      return cut(W, InflationCut, Seen, Limits);
+    bool Used = Instance.m_InFlight + 1.0 >= W.m_Size;
+    if (Used && W.m_Inflation < InflationFloor)
+      resize(W, W.m_Size + 1 / W.m_Size, Limits);
+  }
+
+private:
+  static constexpr double InflationGain = 0.1;
+  static constexpr double InflationFloor = 1.5;
+  static constexpr double InflationCeiling = 2.0;
+  static constexpr double InflationCut = 0.9;
+  static constexpr double RefusalCut = 0.7;
+
+  static double size(const InstanceState &Instance,
+                     const SharedLimits &Limits) {
+    double Learned = Instance.m_Window.m_Size;
+    return Learned > 0 ? Learned : Limits.slotShare();
+  }
+
+  static void resize(AdaptiveWindow &W, double Size,
+                     const SharedLimits &Limits) {
+    W.m_Size = std::clamp(Size, 1.0, double(Limits.connectionShare()));
+  }
+
+  /// One cut for all tries that were in flight together.
+  static void cut(AdaptiveWindow &W, double Factor, const TryObservation &Seen,
+                  const SharedLimits &Limits) {
+    if (Seen.m_Now - W.m_LastCut < Seen.m_Baseline)
+      return;
+    W.m_LastCut = Seen.m_Now;
+    resize(W, W.m_Size * Factor, Limits);
+  }
+};
+
+template <typename Strategy> std::unique_ptr<RoutingStrategy> make() {
+  return std::make_unique<Strategy>();
+}
+
+constexpr std::array<StrategyRow, StrategyCount> Strategies = {{
+    {"adaptive", make<AdaptiveConcurrency>},
+    {"static-share", make<StaticShare>},
+    {"two-choices", make<TwoChoices>},
+    {"shared-reports", make<SharedReports>},
+}};
+
+} // namespace
+
+std::uint32_t SharedLimits::slotShare() const {
+  return shareOf(m_Slots, m_EntryInstances);
+}
+
+std::uint32_t SharedLimits::connectionShare() const {
+  return std::max(m_Connections / std::max(m_EntryInstances, 1U), 1U);
+}
+
+const std::array<StrategyRow, StrategyCount> &routingStrategies() {
+  return Strategies;
+}
+
+std::unique_ptr<RoutingStrategy> makeStrategy(std::string_view Name) {
+  if (Name.empty())
+    return Strategies.front().m_Make();
+  for (const StrategyRow &Row : Strategies)
+    if (Row.m_Name == Name)
+      return Row.m_Make();
+  return nullptr;
+}
+
+} // namespace pollenspool
