Add the platform stand-in in working form

Cause: the main path needs a platform to talk to. Serves the table with tokens and tombstones, objects, the lagging list and reboots from one epoll loop. Ruled out cpp-httplib as the server: it can't close or cut at will and spends a thread a connection.

--- /dev/null
+++ b/standins/common/TcpStream.h
@@ -0,0 +1,84 @@
+//===- TcpStream.h - A buffered, non-blocking TCP connection ----*- C++ -*-===//
+//
+// Owned through shared_ptr; handlers may close the stream that calls them.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef STANDIN_COMMON_TCPSTREAM_H
+#define STANDIN_COMMON_TCPSTREAM_H
+
+#include "common/Address.h"
+#include "common/EventLoop.h"
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace standin {
+
+class TcpStream : public std::enable_shared_from_this<TcpStream> {
+public:
+  struct Handlers {
+    std::function<void()> m_OnConnected;
+    std::function<void(std::string_view Bytes)> m_OnData;
+    /// The peer sent its last byte. The stream can still be written to.
+    std::function<void()> m_OnEnd;
+    /// The stream failed with \p ErrorNumber and is closed.
+    std::function<void(int ErrorNumber)> m_OnError;
+  };
+
+  /// Takes over a connected socket.
+  static std::shared_ptr<TcpStream> adopt(EventLoop &Loop, int Fd);
+  /// Starts to connect; m_OnConnected or m_OnError follows.
+  static Expected<std::shared_ptr<TcpStream>> connect(EventLoop &Loop,
+                                                      const Address &Where);
+  ~TcpStream();
+  TcpStream(const TcpStream &) = delete;
+  TcpStream &operator=(const TcpStream &) = delete;
+
+  void setHandlers(Handlers NewHandlers);
+  /// Queues \p Bytes; does nothing once closed.
+  void send(std::string_view Bytes);
+  /// Closes when all queued bytes are written; reads nothing more.
+  void closeAfterSending();
+  /// Sends an end of stream when all queued bytes are written.
+  void endAfterSending();
+  /// Closes at once without a call of a handler.
+  void close();
+  /// Like close(), but the peer sees a reset.
+  void reset();
+  /// Stops or resumes reading.
+  void setPaused(bool Paused);
+  bool isOpen() const { return m_Fd >= 0; }
+  std::size_t queuedBytes() const { return m_Output.size() - m_Written; }
+
+private:
+  TcpStream(EventLoop &Loop, int Fd, bool Connecting);
+  void startWatching();
+  void onReady(std::uint32_t Events);
+  void finishConnecting();
+  void readBytes();
+  void writeBytes();
+  void afterWriting();
+  void fail(int ErrorNumber);
+  void updateEvents();
+
+  EventLoop &m_Loop;
+  int m_Fd;
+  bool m_Connecting;
+  bool m_Paused = false;
+  bool m_ReadEnded = false;
+  bool m_CloseWhenWritten = false;
+  bool m_EndWhenWritten = false;
+  std::uint32_t m_Events = 0;
+  EventLoop::WatchId m_Watch = 0;
+  Handlers m_Handlers;
+  std::string m_Output;
+  /// Set while queued bytes have to be written before the stream closes.
+  std::shared_ptr<TcpStream> m_HeldUntilClosed;
+  std::size_t m_Written = 0;
+};
+
+} // namespace standin
+
+#endif // STANDIN_COMMON_TCPSTREAM_H
--- /dev/null
+++ b/standins/platform/Main.cpp
@@ -0,0 +1,47 @@
+//===- Main.cpp - Entry point of standin-platform -------------------------===//
+
+#include "platform/PlatformServer.h"
+#include <tclap/CmdLine.h>
+
+namespace {
+
+int runPlatform(const std::string &Listen, const std::string &InstanceFile) {
+  using namespace standin;
+  Expected<std::unique_ptr<EventLoop>> Loop = EventLoop::create();
+  if (!Loop)
+    return failStart(Loop.error());
+  if (const Expected<void> Ready = Loop.value()->stopOnSignals(); !Ready)
+    return failStart(Ready.error());
+  const Expected<Address> Where = Address::parse(Listen);
+  if (!Where)
+    return failStart(Where.error());
+  Expected<std::unique_ptr<PlatformServer>> Server =
+      PlatformServer::create(*Loop.value(), Where.value());
+  if (!Server)
+    return failStart(Server.error());
+  if (!InstanceFile.empty()) {
+    const Expected<Json> List = readJsonFile(InstanceFile);
+    if (!List)
+      return failStart(List.error());
+    const Expected<void> Added = Server.value()->addInstances(List.value());
+    if (!Added)
+      return failStart(Added.error());
+  }
+  announce("platform", Server.value()->address());
+  Loop.value()->run();
+  return 0;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  TCLAP::CmdLine Command("Stands in for the platform: table, objects, "
+                         "instances and reboots (docs/PLATFORM.md)");
+  TCLAP::ValueArg<std::string> Listen("", "listen", "Address to listen on",
+                                      false, "127.0.0.1:0", "IP:PORT", Command);
+  TCLAP::ValueArg<std::string> Instances("", "instances",
+                                         "Instances at the start", false, "",
+                                         "FILE.json", Command);
+  Command.parse(Argc, Argv);
+  return runPlatform(Listen.getValue(), Instances.getValue());
+}
