--- /dev/null
+++ b/src/peer/PeerTestSupport.h
@@ -0,0 +1,134 @@
+//===- PeerTestSupport.h - Helpers of the transport's tests -----*- C++ -*-===//
+//
+// A gate that holds handlers, a pending call, and raw sockets that misbehave.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef POLLENSPOOL_PEER_PEERTESTSUPPORT_H
+#define POLLENSPOOL_PEER_PEERTESTSUPPORT_H
+
+#include "peer/PeerTransport.h"
+#include "peer/Socket.h"
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+
+namespace pollenspool {
+
+/// Waits until \p Holds is true; throws after a time far above any delay.
+template <typename Condition> void waitUntil(Condition Holds) {
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+  while (!Holds()) {
+    if (std::chrono::steady_clock::now() > End)
+      throw std::runtime_error("condition never held");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
+/// Holds its waiters until it is opened for good.
+class Gate {
+public:
+  void wait() {
+    std::unique_lock<std::mutex> Lock(m_Mutex);
+    m_Opened.wait(Lock, [this] { return m_Open; });
+  }
+  void open() {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_Open = true;
+    m_Opened.notify_all();
+  }
+
+private:
+  std::mutex m_Mutex;
+  std::condition_variable m_Opened;
+  bool m_Open = false;
+};
+
+/// A call whose answer is taken later.
+class AsyncAnswer {
+public:
+  AsyncAnswer(PeerTransport &From, const EntryId &To, std::string_view Path,
+              std::string Body, std::chrono::milliseconds Timeout) {
+    auto Answer = std::make_shared<std::promise<Result<std::string>>>();
+    m_Answer = Answer->get_future();
+    From.callAsync(To, Path, std::move(Body), Timeout,
+                   [Answer](Result<std::string> Value) {
+                     Answer->set_value(std::move(Value));
+                   });
+  }
+  Result<std::string> get() { return m_Answer.get(); }
+  bool isDone() const {
+    return m_Answer.wait_for(std::chrono::seconds(0)) ==
+           std::future_status::ready;
+  }
+
+private:
+  std::shared_future<Result<std::string>> m_Answer;
+};
+
+inline void waitReadable(int Socket) {
+  pollfd Wait{Socket, POLLIN, 0};
+  if (::poll(&Wait, 1, 60000) != 1)
+    throw std::runtime_error("nothing to read");
+}
+
+/// A listener without HTTP/2.
+class RawListener {
+public:
+  RawListener() : m_Listener(listenOn("127.0.0.1:0").value()) {}
+  std::string address() const { return boundAddress(m_Listener); }
+  /// Accepts and reads until at least \p Bytes of a request have come.
+  void acceptAndRead(std::size_t Bytes) {
+    waitReadable(m_Listener.get());
+    m_Connection = acceptFrom(m_Listener).value();
+    // The preface and the settings come first, the request after them.
+    constexpr std::size_t PrefaceBytes = 24 + 9 + 18 + 13;
+    std::size_t Seen = 0;
+    char Buffer[4096];
+    while (Seen < PrefaceBytes + Bytes) {
+      waitReadable(m_Connection.get());
+      ssize_t Count = ::recv(m_Connection.get(), Buffer, sizeof(Buffer), 0);
+      if (Count <= 0)
+        throw std::runtime_error("closed early");
+      Seen += static_cast<std::size_t>(Count);
+    }
+  }
+  void closeConnection() { m_Connection.reset(); }
+
+private:
+  FileDescriptor m_Listener;
+  FileDescriptor m_Connection;
+};
+
+/// A client without HTTP/2.
+class RawClient {
+public:
+  explicit RawClient(const std::string &Address)
+      : m_Socket(startConnect(Address).value()) {
+    pollfd Wait{m_Socket.get(), POLLOUT, 0};
+    ::poll(&Wait, 1, 60000);
+  }
+  void send(const std::string &Bytes) {
+    ::send(m_Socket.get(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  }
+  /// True once the other end has closed.
+  bool readUntilClosed() {
+    char Buffer[4096];
+    while (true) {
+      waitReadable(m_Socket.get());
+      if (::recv(m_Socket.get(), Buffer, sizeof(Buffer), 0) <= 0)
+        return true;
+    }
+  }
+
+private:
+  FileDescriptor m_Socket;
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_PEER_PEERTESTSUPPORT_H
