Serve a request from caller to backend server through real processes

Cause: nothing ran yet; the whole path has to stand before its parts are made strong. Ruled out: a kept-alive connection towards backend servers (a doubled answer is handed to the next request); one table transaction per claim as the last word (it stays as the baseline until the owner protocol lands). Change: the gateway as a threaded shell around the dispatcher, the caller and operator servers, forwarding between data centres, the view of the fleet from rows, list and notices, document commit by one compare-and-set, first assignment of instances to pools, and the tool's validate, diff, apply, status. Conclusion: the thin path stands as separate processes.

--- /dev/null
+++ b/src/daemon/AdminRoutes.cpp
@@ -0,0 +1,204 @@
+//===- AdminRoutes.cpp - Operators' calls ---------------------------------===//
+
+#include "config/DocumentParser.h"
+#include "daemon/Parts.h"
+#include <nlohmann/json.hpp>
+
+namespace pollenspool {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+Json headJson(const Head &H) {
+  Json Out;
+  Out["version"] = H.m_Version;
+  Out["hash"] = H.m_Hash;
+  Out["author"] = H.m_Author;
+  return Out;
+}
+
+Json faultsJson(const std::vector<Fault> &Faults) {
+  Json Out = Json::array();
+  for (const Fault &F : Faults)
+    Out.push_back(F.describe());
+  return Out;
+}
+
+/// A commit as the tool or the console posts it.
+struct PostedDocument {
+  std::string m_Text;
+  std::string m_Author;
+  std::uint64_t m_BaseVersion = 0;
+};
+
+Result<PostedDocument> readPosted(const std::string &Body) {
+  auto In = nlohmann::json::parse(Body, nullptr, false);
+  try {
+    PostedDocument Out;
+    Out.m_Text = In.at("text").get<std::string>();
+    Out.m_Author = In.at("author").get<std::string>();
+    Out.m_BaseVersion = In.at("base_version").get<std::uint64_t>();
+    return Out;
+  } catch (const nlohmann::json::exception &Bad) {
+    return makeError(ErrorCode::InvalidMessage, "read posted document", {},
+                     Bad.what());
+  }
+}
+
+} // namespace
+
+std::vector<AdminRoute> Daemon::Parts::adminRoutes() {
+  using Serve = AdminReply (Parts::*)(const AdminCall &);
+  struct Entry {
+    const char *m_Method;
+    const char *m_Path;
+    bool m_NeedsToken;
+    Serve m_Serve;
+  };
+  static constexpr Entry Table[] = {
+      {"GET", "/metrics", false, &Parts::serveMetrics},
+      {"GET", "/status", false, &Parts::serveStatus},
+      {"GET", "/v1/document", true, &Parts::serveDocument},
+      {"POST", "/v1/document", true, &Parts::commitPosted},
+  };
+  std::vector<AdminRoute> Routes;
+  for (const Entry &E : Table)
+    Routes.push_back(AdminRoute{
+        E.m_Method, E.m_Path, E.m_NeedsToken,
+        [this, E](const AdminCall &Call) { return (this->*E.m_Serve)(Call); }});
+  return Routes;
+}
+
+AdminReply Daemon::Parts::serveDocument(const AdminCall &) {
+  HeldDocument Held = m_Documents->current();
+  Json Out = headJson(Held.m_Head);
+  Out["text"] = Held.m_Text;
+  return AdminReply{200, Out.dump(), "application/json"};
+}
+
+AdminReply Daemon::Parts::commitPosted(const AdminCall &Call) {
+  auto Posted = readPosted(Call.m_Body);
+  if (!Posted)
+    return adminError(Posted.error());
+  const PostedDocument &Doc = Posted.value();
+  auto Checked = parseDocument("document", Doc.m_Text);
+  if (!Checked.isValid()) {
+    Json Out;
+    Out["error"] = "the document is not valid";
+    Out["faults"] = faultsJson(Checked.m_Faults);
+    return AdminReply{400, Out.dump(), "application/json"};
+  }
+  auto Done = commitDocument(*m_Platform, Doc.m_Text, Doc.m_BaseVersion,
+                             Doc.m_Author, nextToken());
+  if (!Done)
+    return adminError(Done.error());
+  const Head &Winner = Done.value().m_Head;
+  Json Out = headJson(Winner);
+  if (Done.value().m_Committed) {
+    (void)m_Documents->adopt(Winner, Doc.m_Text);
+    m_Sync->pollSoon();
+    return AdminReply{200, Out.dump(), "application/json"};
+  }
+  Out["error"] = "another change came first";
+  auto Theirs = m_Platform->getObject(Winner.m_Hash, CallPriority::Control);
+  if (Theirs)
+    Out["text"] = Theirs.value();
+  return AdminReply{409, Out.dump(), "application/json"};
+}
+
+AdminReply Daemon::Parts::serveStatus(const AdminCall &) {
+  Json Out;
+  Out["name"] = m_Settings.m_Name;
+  Out["data_centre"] = m_Settings.m_DataCentre.m_Text;
+  HeldDocument Held = m_Documents->current();
+  Out["document"] = headJson(Held.m_Head);
+  SyncStatus Sync = m_Sync->status();
+  Out["platform_reachable"] = Sync.m_PlatformReachable;
+  Out["revision"] = Sync.m_Revision;
+  DispatcherStats Stats = m_Gateway->stats();
+  Out["in_flight"] = Stats.m_InFlight;
+  Out["open"] = Stats.m_Open;
+  Out["ejected"] = Stats.m_Ejected;
+  Json Instances = Json::array();
+  FleetNotice View = m_Sync->wholeView();
+  for (const VersionedRow &Row : View.m_Rows) {
+    Json Line;
+    Line["id"] = Row.m_Row.m_Id.m_Text;
+    Line["pool"] = Row.m_Row.m_Pool.m_Text;
+    Line["state"] = servingStateName(Row.m_Row.m_State);
+    Line["epoch"] = Row.m_Row.m_Epoch;
+    Line["holder"] = Row.m_Row.m_Holder;
+    Instances.push_back(std::move(Line));
+  }
+  Out["instances"] = std::move(Instances);
+  return AdminReply{200, Out.dump(), "application/json"};
+}
+
+AdminReply Daemon::Parts::serveMetrics(const AdminCall &) {
+  MetricsPage Page;
+  addRequestMetrics(Page);
+  addPlatformMetrics(Page);
+  addPeerMetrics(Page);
+  ProcessUsage Usage = processUsage();
+  Page.add(Metric::ResidentBytes, Usage.m_ResidentBytes);
+  Page.add(Metric::CpuSeconds, Usage.m_CpuSeconds);
+  return AdminReply{200, Page.render(), "text/plain; version=0.0.4"};
+}
+
+void Daemon::Parts::addRequestMetrics(MetricsPage &Page) const {
+  DispatcherStats S = m_Gateway->stats();
+  for (std::size_t I = 1; I < ReasonCount; ++I) {
+    std::string_view Label = reasonName(static_cast<Reason>(I));
+    Page.add(Metric::NotRun, static_cast<double>(S.m_NotRun[I]), Label);
+    Page.add(Metric::Unknown, static_cast<double>(S.m_Unknown[I]), Label);
+    Page.add(Metric::Retries, static_cast<double>(S.m_Retries[I]), Label);
+  }
+  for (std::size_t I = 0; I < UrgencyClassCount; ++I) {
+    std::string_view Label = urgencyName(static_cast<UrgencyClass>(I));
+    Page.add(Metric::Submitted, static_cast<double>(S.m_Submitted[I]), Label);
+    Page.add(Metric::Answered, static_cast<double>(S.m_Answered[I]), Label);
+    Page.add(Metric::Refused, static_cast<double>(S.m_Refused[I]), Label);
+    Page.add(Metric::Queued, static_cast<double>(S.m_Queued[I]), Label);
+  }
+  Page.add(Metric::Tries, static_cast<double>(S.m_Tries));
+  Page.add(Metric::Forwards, static_cast<double>(S.m_Forwards));
+  Page.add(Metric::LateResults, static_cast<double>(S.m_LateResults));
+  Page.add(Metric::Ejections, static_cast<double>(S.m_Ejections));
+  Page.add(Metric::Probes, static_cast<double>(S.m_Probes));
+  Page.add(Metric::InFlight, static_cast<double>(S.m_InFlight));
+  Page.add(Metric::Ejected, static_cast<double>(S.m_Ejected));
+  Page.add(Metric::Open, static_cast<double>(S.m_Open));
+}
+
+void Daemon::Parts::addPlatformMetrics(MetricsPage &Page) const {
+  Page.add(Metric::DocumentVersion,
+           static_cast<double>(m_Documents->current().m_Head.m_Version));
+  for (const CallCount &Count : m_Platform->counters())
+    Page.add(Metric::PlatformCalls, static_cast<double>(Count.m_Count),
+             std::string(Count.m_Call) + ":" + std::string(Count.m_Outcome));
+  SyncStatus Sync = m_Sync->status();
+  Page.add(Metric::PlatformPolls,
+           static_cast<double>(Sync.m_Polls - Sync.m_FailedPolls), "ok");
+  Page.add(Metric::PlatformPolls, static_cast<double>(Sync.m_FailedPolls),
+           "failed");
+  Page.add(Metric::PlatformReachable, Sync.m_PlatformReachable ? 1 : 0);
+  Page.add(Metric::NoticesTaken, static_cast<double>(Sync.m_NoticesTaken));
+  Page.add(Metric::UnreadableRows, static_cast<double>(Sync.m_UnreadableRows));
+}
+
+void Daemon::Parts::addPeerMetrics(MetricsPage &Page) const {
+  PeerTraffic Traffic = m_Peers->traffic();
+  for (const PathTraffic &Path : Traffic.m_Paths) {
+    Page.add(Metric::PeerMessagesOut, static_cast<double>(Path.m_MessagesOut),
+             Path.m_Group);
+    Page.add(Metric::PeerBytesOut, static_cast<double>(Path.m_BytesOut),
+             Path.m_Group);
+  }
+  Page.add(Metric::PeerWireBytesOut,
+           static_cast<double>(Traffic.m_WireBytesOut));
+  Page.add(Metric::PeerWireBytesIn, static_cast<double>(Traffic.m_WireBytesIn));
+  Page.add(Metric::PeerLateAnswers, static_cast<double>(Traffic.m_LateAnswers));
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,183 @@
+//===- Daemon.cpp - One entry instance ------------------------------------===//
+
+#include "daemon/Daemon.h"
+#include "base/Log.h"
+#include "daemon/Parts.h"
+#include "fleet/Assignment.h"
+#include <openssl/rand.h>
+
+namespace pollenspool {
+
+namespace {
+
+std::uint64_t seedOf(const Settings &S) {
+  if (S.m_Seed != 0)
+    return S.m_Seed;
+  std::uint64_t Seed = 0;
+  RAND_bytes(reinterpret_cast<unsigned char *>(&Seed), sizeof(Seed));
+  return Seed;
+}
+
+std::uint32_t entriesOf(const Settings &S) {
+  std::uint32_t Count = 0;
+  for (const PeerEntry &Entry : S.m_Entries)
+    Count += Entry.m_DataCentre == S.m_DataCentre ? 1 : 0;
+  return Count;
+}
+
+HttpPlatformSettings platformSettings(const Settings &S) {
+  HttpPlatformSettings Out;
+  Out.m_Address = S.m_Platform.m_Address;
+  Out.m_ConnectTimeout = S.m_Platform.m_ConnectTimeout;
+  Out.m_CallTimeout = S.m_Platform.m_CallTimeout;
+  return Out;
+}
+
+GatewaySettings gatewaySettings(const Settings &S) {
+  GatewaySettings Out;
+  Out.m_Dispatcher.m_DataCentre = S.m_DataCentre;
+  Out.m_Dispatcher.m_EntryInstances = entriesOf(S);
+  Out.m_Dispatcher.m_Seed = seedOf(S);
+  Out.m_Backend.m_ConnectTimeout = S.m_Timings.m_BackendConnect;
+  return Out;
+}
+
+PeerSettings peerSettings(const Settings &S) {
+  PeerSettings Out;
+  Out.m_Self = EntryId(S.m_Listen.m_Peers);
+  Out.m_Listen = S.m_Listen.m_Peers;
+  Out.m_Workers = S.m_Threads.m_Peers;
+  return Out;
+}
+
+FleetSyncSettings syncSettings(const Settings &S) {
+  return FleetSyncSettings{S.m_DataCentre, S.m_Timings.m_Poll, seedOf(S)};
+}
+
+/// Keeps what a factory made, or hands its error on.
+template <typename T> Result<void> keep(T &Slot, Result<T> &&Made) {
+  if (!Made)
+    return Made.error();
+  Slot = std::move(Made).value();
+  return success();
+}
+
+CallerServerSettings callerSettings(const Settings &S) {
+  CallerServerSettings Out;
+  Out.m_Listen = S.m_Listen.m_Callers;
+  Out.m_Threads = S.m_Threads.m_Callers;
+  Out.m_DrainGrace = S.m_Timings.m_DrainGrace;
+  Out.m_Name = S.m_Name;
+  return Out;
+}
+
+} // namespace
+
+Daemon::Parts::Parts(const Settings &S)
+    : m_Settings(S), m_ProcessToken(mintRequestId().m_Text),
+      m_Directory(m_Settings), m_Forwarder(m_Directory) {}
+
+Result<void> Daemon::Parts::build() {
+  BOOST_OUTCOME_TRYV(
+      keep(m_Platform, HttpPlatform::create(platformSettings(m_Settings))));
+  m_Claims = std::make_unique<PlatformClaims>(*m_Platform, m_ProcessToken);
+  BOOST_OUTCOME_TRYV(
+      keep(m_Gateway, Gateway::create(gatewaySettings(m_Settings), *m_Claims,
+                                      m_Forwarder)));
+  m_Documents = std::make_unique<DocumentKeeper>(
+      [this](const HeldDocument &D) { m_Gateway->setDocument(D.m_Document); });
+  m_Sync = std::make_unique<FleetSync>(syncSettings(m_Settings), *m_Platform,
+                                       *m_Gateway, syncOutputs());
+  BOOST_OUTCOME_TRYV(keep(
+      m_Peers, PeerTransport::create(peerSettings(m_Settings), peerRoutes())));
+  m_Forwarder.setTransport(*m_Peers);
+  BOOST_OUTCOME_TRYV(
+      keep(m_Callers,
+           CallerServer::create(callerSettings(m_Settings), *m_Gateway,
+                                m_Forwarder, [this] { return isReady(); })));
+  AdminSettings Operators{m_Settings.m_Listen.m_Admin,
+                          m_Settings.m_Operators.m_Token};
+  return keep(m_Admin, AdminServer::create(Operators, adminRoutes()));
+}
+
+bool Daemon::Parts::isReady() const {
+  return m_Documents->current().m_Head.m_Version > 0;
+}
+
+FleetSyncOutputs Daemon::Parts::syncOutputs() {
+  FleetSyncOutputs Outputs;
+  Outputs.m_OnRows = [this](const RowSet &Changes) { onRows(Changes); };
+  Outputs.m_OnListed = [this](const std::vector<ListedInstance> &Listed) {
+    onListed(Listed);
+  };
+  Outputs.m_TellPeers = [this](const FleetNotice &News) { tellPeers(News); };
+  return Outputs;
+}
+
+std::string Daemon::Parts::nextToken() {
+  return m_ProcessToken + "-" + std::to_string(++m_Tokens);
+}
+
+void Daemon::Parts::onRows(const RowSet &Changes) {
+  for (const Row &R : Changes.m_Rows) {
+    if (R.m_Key != HeadRowKey || R.m_Deleted)
+      continue;
+    auto H = decodeHead(R.m_Value);
+    if (H)
+      fetchDocument(H.value());
+  }
+}
+
+void Daemon::Parts::fetchDocument(const Head &H) {
+  if (m_Documents->current().m_Head.m_Version >= H.m_Version)
+    return;
+  auto Text = m_Platform->getObject(H.m_Hash, CallPriority::Control);
+  if (Text)
+    (void)m_Documents->adopt(H, Text.value());
+}
+
+void Daemon::Parts::onListed(const std::vector<ListedInstance> &Listed) {
+  HeldDocument Held = m_Documents->current();
+  if (!Held.m_Document)
+    return;
+  std::vector<InstanceRow> Known;
+  for (const VersionedRow &Row : m_Sync->wholeView().m_Rows)
+    Known.push_back(Row.m_Row);
+  std::vector<InstanceRow> Fresh =
+      assignInstances(*Held.m_Document, Listed, Known);
+  if (Fresh.empty())
+    return;
+  auto Done = m_Platform->transact(assignmentTransaction(Fresh, nextToken()),
+                                   CallPriority::Control);
+  // A conflict means that a peer was first; the next poll shows its rows.
+  if (Done)
+    m_Sync->pollSoon();
+}
+
+Daemon::Daemon(std::unique_ptr<Parts> Wired) : m_Parts(std::move(Wired)) {}
+
+Daemon::~Daemon() {
+  if (m_Parts->m_Sync)
+    m_Parts->m_Sync->stop();
+  if (m_Parts->m_Peers)
+    m_Parts->m_Peers->stop();
+}
+
+Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &S) {
+  auto Wired = std::make_unique<Parts>(S);
+  BOOST_OUTCOME_TRYV(Wired->build());
+  std::unique_ptr<Daemon> Made(new Daemon(std::move(Wired)));
+  return Made;
+}
+
+void Daemon::start() {
+  m_Parts->m_Sync->start();
+  m_Parts->m_Callers->start();
+}
+
+void Daemon::drainAndStop() {
+  m_Parts->m_Callers->drainAndStop();
+  m_Parts->m_Peers->drain();
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/daemon/Parts.h
@@ -0,0 +1,77 @@
+//===- Parts.h - The parts of one daemon, in order of use -------*- C++ -*-===//
+//
+// Members are declared in the order in which they are built; each may use those
+// above it, and destruction runs the other way round.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef POLLENSPOOL_DAEMON_PARTS_H
+#define POLLENSPOOL_DAEMON_PARTS_H
+
+#include "admin/AdminServer.h"
+#include "admin/MetricsPage.h"
+#include "claims/PlatformClaims.h"
+#include "daemon/Daemon.h"
+#include "daemon/StaticDirectory.h"
+#include "documents/DocumentKeeper.h"
+#include "gateway/CallerServer.h"
+#include "platform/HttpPlatform.h"
+#include "sync/FleetSync.h"
+#include <atomic>
+
+namespace pollenspool {
+
+/// The wiring of one daemon. Handlers of peers' and operators' calls are its
+/// member functions, grouped by file: PeerRoutes.cpp, AdminRoutes.cpp.
+struct Daemon::Parts {
+  explicit Parts(const Settings &S);
+
+  /// Builds all parts. Errors: those of the parts.
+  Result<void> build();
+
+  bool isReady() const;
+  FleetSyncOutputs syncOutputs();
+  std::vector<PeerRoute> peerRoutes();
+  std::vector<AdminRoute> adminRoutes();
+
+  // PeerRoutes.cpp
+  Result<std::string> serveForward(const PeerCall &Call);
+  Result<std::string> serveForwardCancel(const PeerCall &Call);
+  Result<std::string> serveNotice(const PeerCall &Call);
+  Result<std::string> serveView(const PeerCall &Call);
+  void tellPeers(const FleetNotice &News);
+
+  // AdminRoutes.cpp
+  AdminReply serveMetrics(const AdminCall &Call);
+  AdminReply serveStatus(const AdminCall &Call);
+  AdminReply serveDocument(const AdminCall &Call);
+  AdminReply commitPosted(const AdminCall &Call);
+  void addRequestMetrics(MetricsPage &Page) const;
+  void addPlatformMetrics(MetricsPage &Page) const;
+  void addPeerMetrics(MetricsPage &Page) const;
+
+  // Documents and first rows.
+  void onRows(const RowSet &Changes);
+  void onListed(const std::vector<ListedInstance> &Listed);
+  void fetchDocument(const Head &H);
+  std::string nextToken();
+
+  const Settings m_Settings;
+  /// Differs from that of every other process; prefixes transaction tokens.
+  const std::string m_ProcessToken;
+  std::atomic<std::uint64_t> m_Tokens{0};
+  std::unique_ptr<HttpPlatform> m_Platform;
+  StaticDirectory m_Directory;
+  PeerForwarder m_Forwarder;
+  std::unique_ptr<Claims> m_Claims;
+  std::unique_ptr<Gateway> m_Gateway;
+  std::unique_ptr<DocumentKeeper> m_Documents;
+  std::unique_ptr<FleetSync> m_Sync;
+  std::unique_ptr<PeerTransport> m_Peers;
+  std::unique_ptr<CallerServer> m_Callers;
+  std::unique_ptr<AdminServer> m_Admin;
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_DAEMON_PARTS_H
--- /dev/null
+++ b/src/sync/FleetSync.cpp
@@ -0,0 +1,155 @@
+//===- FleetSync.cpp - Keeps this instance's view up to date --------------===//
+
+#include "sync/FleetSync.h"
+
+namespace pollenspool {
+
+namespace {
+
+/// Everything that the shell keeps in the table, claims aside.
+const std::vector<std::string> &watchedPrefixes() {
+  static const std::vector<std::string> Prefixes = {
+      "config/", InstanceRowPrefix, "pool/", "move/", "wave/", "runner"};
+  return Prefixes;
+}
+
+/// Polls are spread around the interval, so that instances which started
+/// together do not read together.
+constexpr double JitterShare = 0.2;
+
+} // namespace
+
+FleetSync::FleetSync(FleetSyncSettings Settings, Platform &Service,
+                     Gateway &Requests, FleetSyncOutputs Outputs)
+    : m_Settings(std::move(Settings)), m_Platform(Service), m_Gateway(Requests),
+      m_Outputs(std::move(Outputs)), m_Random(m_Settings.m_Seed) {}
+
+FleetSync::~FleetSync() { stop(); }
+
+void FleetSync::start() {
+  m_Thread = std::thread([this] { run(); });
+}
+
+void FleetSync::stop() {
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_Stopping = true;
+  }
+  m_Wake.notify_all();
+  if (m_Thread.joinable())
+    m_Thread.join();
+}
+
+void FleetSync::pollSoon() {
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_PollNow = true;
+  }
+  m_Wake.notify_all();
+}
+
+Duration FleetSync::nextWait() {
+  std::uniform_real_distribution<double> Jitter(1 - JitterShare,
+                                                1 + JitterShare);
+  auto Base = std::chrono::duration_cast<Duration>(m_Settings.m_Poll);
+  return Duration(static_cast<Duration::rep>(static_cast<double>(Base.count()) *
+                                             Jitter(m_Random)));
+}
+
+void FleetSync::run() {
+  for (;;) {
+    pollOnce();
+    Duration Wait = nextWait();
+    std::unique_lock<std::mutex> Lock(m_Mutex);
+    m_Wake.wait_for(Lock, Wait, [&] { return m_Stopping || m_PollNow; });
+    m_PollNow = false;
+    if (m_Stopping)
+      return;
+  }
+}
+
+void FleetSync::pollOnce() {
+  FleetNotice News;
+  bool Rows = pollChanges(News);
+  bool List = pollList(News);
+  if (!News.empty()) {
+    publishTargets();
+    m_Outputs.m_TellPeers(News);
+  }
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  ++m_Status.m_Polls;
+  m_Status.m_PlatformReachable = Rows && List;
+  if (!m_Status.m_PlatformReachable)
+    ++m_Status.m_FailedPolls;
+}
+
+bool FleetSync::pollChanges(FleetNotice &News) {
+  Revision Since = status().m_Revision;
+  auto Changes =
+      m_Platform.changes(Since, watchedPrefixes(), CallPriority::Control);
+  if (!Changes)
+    return false;
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    auto Rows =
+        readInstanceRows(Changes.value().m_Rows, m_Status.m_UnreadableRows);
+    News.m_Rows = m_View.mergeRows(Rows).m_Rows;
+    m_Status.m_Revision = Changes.value().m_Revision;
+  }
+  m_Outputs.m_OnRows(Changes.value());
+  return true;
+}
+
+bool FleetSync::pollList(FleetNotice &News) {
+  auto Listed = m_Platform.instances(CallPriority::Control);
+  if (!Listed)
+    return false;
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    News.m_Listed = m_View.mergeListed(Listed.value()).m_Listed;
+  }
+  m_Outputs.m_OnListed(Listed.value());
+  return true;
+}
+
+void FleetSync::publishTargets() {
+  std::vector<InstanceTarget> Targets;
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    Targets = m_View.targets(m_Settings.m_DataCentre);
+  }
+  // The dispatcher orders concurrent publications by each target's epoch.
+  m_Gateway.setInstances(std::move(Targets));
+}
+
+void FleetSync::onNotice(const FleetNotice &Notice) {
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    ++m_Status.m_NoticesTaken;
+    if (!m_View.mergeNotice(Notice))
+      return;
+  }
+  publishTargets();
+}
+
+FleetNotice FleetSync::wholeView() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_View.wholeView();
+}
+
+SyncStatus FleetSync::status() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Status;
+}
+
+FleetNotice FleetSync::lookUp(const InstanceId &Id) const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  FleetNotice Found;
+  if (const VersionedRow *Row = m_View.findRow(Id))
+    Found.m_Rows.push_back(*Row);
+  if (const ListedInstance *Listed = m_View.findListed(Id))
+    Found.m_Listed.push_back(*Listed);
+  return Found;
+}
+
+} // namespace pollenspool
