--- a/standins/backend/ControlServer.cpp
+++ b/standins/backend/ControlServer.cpp
@@ -1,21 +1,14 @@
 //===- ControlServer.cpp - Knobs and runs over HTTP -----------------------===//
 
 #include "backend/ControlServer.h"
+#include "common/Knobs.h"
 #include <charconv>
 
 namespace standin {
 
 namespace {
 
-/// One knob by its name; exactly one of the members is set.
-struct KnobEntry {
-  const char *m_Name;
-  bool BackendKnobs::*m_Flag;
-  Milliseconds BackendKnobs::*m_Time;
-  std::uint64_t BackendKnobs::*m_Count;
-};
-
-const KnobEntry KnobTable[] = {
+const KnobEntry<BackendKnobs> KnobTable[] = {
     {"work_ms", nullptr, &BackendKnobs::m_Work, nullptr},
     {"fail_all", &BackendKnobs::m_FailAll, nullptr, nullptr},
     {"refuse_all", &BackendKnobs::m_RefuseAll, nullptr, nullptr},
@@ -28,23 +21,6 @@
     {"reboot", &BackendKnobs::m_Reboot, nullptr, nullptr},
 };
 
-/// False if there is no such knob. Throws if the value has another type.
-bool applyKnob(BackendKnobs &Knobs, const std::string &Name,
-               const Json &Value) {
-  for (const KnobEntry &Entry : KnobTable) {
-    if (Name != Entry.m_Name)
-      continue;
-    if (Entry.m_Flag != nullptr)
-      Knobs.*Entry.m_Flag = Value.get<bool>();
-    else if (Entry.m_Time != nullptr)
-      Knobs.*Entry.m_Time = Milliseconds(Value.get<std::int64_t>());
-    else
-      Knobs.*Entry.m_Count = Value.get<std::uint64_t>();
-    return true;
-  }
-  return false;
-}
-
 } // namespace
 
 Expected<std::unique_ptr<ControlServer>>
@@ -89,7 +65,7 @@
   for (const BackendInstance *Instance : Chosen) {
     BackendKnobs Knobs = Instance->knobs();
     for (const auto &[Name, Value] : Body.at("knobs").items())
-      if (!applyKnob(Knobs, Name, Value))
+      if (!applyKnob(KnobTable, Knobs, Name, Value))
         return jsonReply(400, errorJson("no such knob: " + Name));
     Changed.push_back(Knobs);
   }
--- a/standins/common/HttpServer.cpp
+++ b/standins/common/HttpServer.cpp
@@ -1,9 +1,6 @@
 //===- HttpServer.cpp - An HTTP/1.1 server that can misbehave -------------===//
 
 #include "common/HttpServer.h"
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace standin {
 
@@ -128,35 +125,17 @@
                    std::size_t MaxConnections) {
   std::unique_ptr<HttpServer> Server(
       new HttpServer(Loop, std::move(OnRequest), MaxConnections));
-  BOOST_OUTCOME_TRY(Reservation, bindSocket(Where));
-  Server->m_Reservation = Reservation;
-  Server->m_Address = localAddress(Server->m_Reservation);
-  BOOST_OUTCOME_TRYV(Server->openListener());
+  HttpServer *const Raw = Server.get();
+  BOOST_OUTCOME_TRY(Opened, Listener::create(Loop, Where, [Raw](int Socket) {
+                      Raw->addConnection(Socket);
+                    }));
+  Server->m_Listener = std::move(Opened);
   return Server;
 }
 
 HttpServer::~HttpServer() {
-  closeListener();
   for (const auto &Entry : m_Exchanges)
     Entry.second->m_Server = nullptr;
-  if (m_Reservation >= 0)
-    ::close(m_Reservation);
-}
-
-Expected<void> HttpServer::openListener() {
-  BOOST_OUTCOME_TRY(Listener, listenSocket(m_Address));
-  m_Listener = Listener;
-  m_Watch = m_Loop.watch(m_Listener, EPOLLIN,
-                         [this](std::uint32_t) { acceptReady(); });
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
-void HttpServer::closeListener() {
-  if (m_Listener < 0)
-    return;
-  m_Loop.unwatch(m_Watch, m_Listener);
-  ::close(m_Listener);
-  m_Listener = -1;
 }
 
 void HttpServer::setListening(bool Listening) {
@@ -165,28 +144,19 @@
 }
 
 void HttpServer::updateListener() {
-  const bool Wanted = m_Listening && !isFull();
-  if (!Wanted)
-    closeListener();
-  else if (m_Listener < 0)
-    static_cast<void>(openListener());
+  m_Listener->setOpen(m_Listening && !isFull());
 }
 
 bool HttpServer::isFull() const {
   return m_MaxConnections != 0 && m_Exchanges.size() >= m_MaxConnections;
 }
 
-void HttpServer::acceptReady() {
-  while (m_Listener >= 0) {
-    const int Fd =
-        ::accept4(m_Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (Fd < 0)
-      return;
-    ExchangePtr Exchange(new HttpExchange(*this, TcpStream::adopt(m_Loop, Fd)));
-    Exchange->start();
-    m_Exchanges.emplace(Exchange.get(), Exchange);
-    updateListener();
-  }
+void HttpServer::addConnection(int Socket) {
+  ExchangePtr Exchange(
+      new HttpExchange(*this, TcpStream::adopt(m_Loop, Socket)));
+  Exchange->start();
+  m_Exchanges.emplace(Exchange.get(), Exchange);
+  updateListener();
 }
 
 void HttpServer::remove(HttpExchange *Exchange) {
--- a/standins/common/HttpServer.h
+++ b/standins/common/HttpServer.h
@@ -9,6 +9,7 @@
 #define STANDIN_COMMON_HTTPSERVER_H
 
 #include "common/HttpMessage.h"
+#include "common/Listener.h"
 #include "common/TcpStream.h"
 #include <unordered_map>
 
@@ -69,7 +70,7 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
-  const Address &address() const { return m_Address; }
+  const Address &address() const { return m_Listener->address(); }
   std::size_t connectionCount() const { return m_Exchanges.size(); }
   /// Stops or resumes listening; connections that are open go on.
   void setListening(bool Listening);
@@ -81,21 +82,15 @@
 private:
   friend class HttpExchange;
   HttpServer(EventLoop &Loop, Handler OnRequest, std::size_t MaxConnections);
-  Expected<void> openListener();
-  void closeListener();
   void updateListener();
-  void acceptReady();
+  void addConnection(int Socket);
   void remove(HttpExchange *Exchange);
   bool isFull() const;
 
   EventLoop &m_Loop;
   Handler m_OnRequest;
   std::size_t m_MaxConnections;
-  Address m_Address;
-  /// Bound without listening: keeps the port while the listener is closed.
-  int m_Reservation = -1;
-  int m_Listener = -1;
-  EventLoop::WatchId m_Watch = 0;
+  std::unique_ptr<Listener> m_Listener;
   bool m_Listening = true;
   std::unordered_map<HttpExchange *, ExchangePtr> m_Exchanges;
 };
--- a/standins/common/TcpStream.cpp
+++ b/standins/common/TcpStream.cpp
@@ -181,6 +181,9 @@
   if (m_EndWhenWritten)
     ::shutdown(m_Fd, SHUT_WR);
   updateEvents();
+  const auto OnDrained = m_Handlers.m_OnDrained;
+  if (OnDrained)
+    OnDrained();
 }
 
 void TcpStream::fail(int ErrorNumber) {
--- a/standins/common/TcpStream.h
+++ b/standins/common/TcpStream.h
@@ -23,6 +23,8 @@
     std::function<void(std::string_view Bytes)> m_OnData;
     /// The peer sent its last byte. The stream can still be written to.
     std::function<void()> m_OnEnd;
+    /// All queued bytes have been handed to the kernel.
+    std::function<void()> m_OnDrained;
     /// The stream failed with \p ErrorNumber and is closed.
     std::function<void(int ErrorNumber)> m_OnError;
   };
--- a/standins/platform/PlatformCalls.cpp
+++ b/standins/platform/PlatformCalls.cpp
@@ -1,5 +1,6 @@
 //===- PlatformCalls.cpp - The calls of docs/PLATFORM.md ------------------===//
 
+#include "common/Knobs.h"
 #include "platform/PlatformServer.h"
 #include <charconv>
 
@@ -7,6 +8,16 @@
 
 namespace {
 
+const KnobEntry<PlatformKnobs> KnobTable[] = {
+    {"outage", &PlatformKnobs::m_Outage, nullptr, nullptr},
+    {"delay_ms", nullptr, &PlatformKnobs::m_Delay, nullptr},
+    {"lose_replies", nullptr, nullptr, &PlatformKnobs::m_LoseReplies},
+    {"fail_next", nullptr, nullptr, &PlatformKnobs::m_FailNext},
+    {"list_lag_ms", nullptr, &PlatformKnobs::m_ListLag, nullptr},
+    {"reboot_ms", nullptr, &PlatformKnobs::m_Reboot, nullptr},
+    {"leaving_ms", nullptr, &PlatformKnobs::m_Leaving, nullptr},
+};
+
 constexpr std::string_view ObjectPrefix = "/v1/objects/";
 constexpr std::string_view RebootPrefix = "/v1/instances/";
 constexpr std::string_view RebootSuffix = "/reboot";
@@ -182,21 +193,9 @@
   const Json Body = parseBody(Request);
   PlatformKnobs Knobs = m_Knobs;
   for (const auto &[Name, Value] : Body.items()) {
-    if (Name == "outage")
-      Knobs.m_Outage = Value.get<bool>();
-    else if (Name == "delay_ms")
-      Knobs.m_Delay = Milliseconds(Value.get<std::int64_t>());
-    else if (Name == "lose_replies")
-      Knobs.m_LoseReplies = Value.get<std::uint64_t>();
-    else if (Name == "fail_next")
-      Knobs.m_FailNext = Value.get<std::uint64_t>();
-    else if (Name == "list_lag_ms")
-      Knobs.m_ListLag = Milliseconds(Value.get<std::int64_t>());
-    else if (Name == "reboot_ms")
-      Knobs.m_Reboot = Milliseconds(Value.get<std::int64_t>());
-    else if (Name == "leaving_ms")
-      Knobs.m_Leaving = Milliseconds(Value.get<std::int64_t>());
-    else if (Name == "no_return")
+    if (applyKnob(KnobTable, Knobs, Name, Value))
+      continue;
+    if (Name == "no_return")
       Knobs.m_NoReturn = Value.get<std::set<std::string>>();
     else
       return jsonReply(400, errorJson("no such knob: " + Name));
