--- a/standins/proxy/Link.cpp
+++ b/standins/proxy/Link.cpp
@@ -60,9 +60,9 @@
     if (const std::shared_ptr<Link> Self = Weak.lock())
       Self->updatePauses();
   };
-  Handlers.m_OnError = [Weak](int) {
+  Handlers.m_OnError = [Weak, Towards](int) {
     if (const std::shared_ptr<Link> Self = Weak.lock())
-      Self->reset();
+      Self->onStreamFailed(Towards);
   };
   m_Flows[Towards].m_Source->setHandlers(std::move(Handlers));
 }
@@ -132,6 +132,15 @@
     reset();
 }
 
+void Link::onStreamFailed(Direction Towards) {
+  if (isDropping(Towards))
+    m_Flows[Towards].m_Swallowed = true;
+  else if (m_Faults.m_Freeze)
+    m_ResetHeld = true;
+  else
+    reset();
+}
+
 void Link::updatePauses() {
   if (m_Closed || !m_Upstream)
     return;
@@ -152,13 +161,15 @@
   for (const Direction Towards : {Up, Down})
     if (m_Flows[Towards].m_Swallowed && !isDropping(Towards))
       reset();
+  if (m_ResetHeld && !m_Faults.m_Freeze)
+    reset();
+  updatePauses();
   if (m_Closed || m_Faults.m_Freeze)
     return;
   if (!m_Upstream) {
     openTarget();
     return;
   }
-  updatePauses();
   deliverDue(Up);
   if (!m_Closed)
     deliverDue(Down);
--- a/standins/proxy/Link.h
+++ b/standins/proxy/Link.h
@@ -51,6 +51,7 @@
   void deliverDue(Direction Towards);
   void deliver(Direction Towards, const Chunk &Next);
   void deliverDown(const Chunk &Next);
+  void onStreamFailed(Direction Towards);
   void updatePauses();
   bool isDropping(Direction Towards) const;
   void close(bool WithReset);
@@ -63,6 +64,8 @@
   std::shared_ptr<TcpStream> m_Upstream;
   std::array<Flow, 2> m_Flows;
   std::uint64_t m_BytesDown = 0;
+  /// A connection failed while frozen; the other learns it afterwards.
+  bool m_ResetHeld = false;
   bool m_Closed = false;
 };
 
