Test calls against peers that break off by hand-made frames

Cause: whether a call ran is decided by what the peer said before it went away, and two well-behaved transports never show most of that.

Ruled out: an nghttp2 session in the test; it would refuse to send the wrong frames.

--- a/src/peer/PeerTestSupport.h
+++ b/src/peer/PeerTestSupport.h
@@ -70,12 +70,41 @@
   std::shared_future<Result<std::string>> m_Answer;
 };
 
+/// Waits until a counter is above \p Least and stands still.
+template <typename Counter>
+void waitUntilStable(Counter Read, std::uint64_t Least) {
+  constexpr int StillReads = 100;
+  std::uint64_t Last = 0;
+  int Still = 0;
+  waitUntil([&] {
+    std::uint64_t Value = Read();
+    Still = Value == Last ? Still + 1 : 0;
+    Last = Value;
+    return Value > Least && Still >= StillReads;
+  });
+}
+
 inline void waitReadable(int Socket) {
   pollfd Wait{Socket, POLLIN, 0};
   if (::poll(&Wait, 1, 60000) != 1)
     throw std::runtime_error("nothing to read");
 }
 
+inline void sendAll(int Socket, const std::string &Bytes) {
+  if (::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) !=
+      static_cast<ssize_t>(Bytes.size()))
+    throw std::runtime_error("cannot send");
+}
+
+/// Reads until the other end closes; throws if nothing comes.
+inline bool readToEnd(int Socket) {
+  char Buffer[4096];
+  do
+    waitReadable(Socket);
+  while (::recv(Socket, Buffer, sizeof(Buffer), 0) > 0);
+  return true;
+}
+
 /// A listener without HTTP/2.
 class RawListener {
 public:
@@ -97,6 +126,8 @@
       Seen += static_cast<std::size_t>(Count);
     }
   }
+  void send(const std::string &Bytes) { sendAll(m_Connection.get(), Bytes); }
+  bool readUntilClosed() { return readToEnd(m_Connection.get()); }
   void closeConnection() { m_Connection.reset(); }
 
 private:
@@ -112,18 +143,8 @@
     pollfd Wait{m_Socket.get(), POLLOUT, 0};
     ::poll(&Wait, 1, 60000);
   }
-  void send(const std::string &Bytes) {
-    ::send(m_Socket.get(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
-  }
-  /// True once the other end has closed.
-  bool readUntilClosed() {
-    char Buffer[4096];
-    while (true) {
-      waitReadable(m_Socket.get());
-      if (::recv(m_Socket.get(), Buffer, sizeof(Buffer), 0) <= 0)
-        return true;
-    }
-  }
+  void send(const std::string &Bytes) { sendAll(m_Socket.get(), Bytes); }
+  bool readUntilClosed() { return readToEnd(m_Socket.get()); }
 
 private:
   FileDescriptor m_Socket;
