--- a/src/peer/Dispatcher.cpp
+++ b/src/peer/CallDispatcher.cpp
@@ -1,11 +1,11 @@
-//===- Dispatcher.cpp - From a peer's call to its handler -----------------===//
+//===- CallDispatcher.cpp - From a peer's call to its handler ------------===//
 
-#include "peer/Dispatcher.h"
+#include "peer/CallDispatcher.h"
 
 namespace pollenspool {
 
-Dispatcher::Dispatcher(const PeerSettings &Settings,
-                       std::vector<PeerRoute> Routes, ReplySink Replies)
+CallDispatcher::CallDispatcher(const PeerSettings &Settings,
+                               std::vector<PeerRoute> Routes, ReplySink Replies)
     : m_Replies(std::move(Replies)),
       m_Blocking(Settings.m_Workers, Settings.m_MaxPendingCalls),
       m_Quick(Settings.m_QuickWorkers, Settings.m_MaxPendingCalls) {
@@ -15,8 +15,8 @@
   }
 }
 
-Result<DispatchTicket> Dispatcher::dispatch(PeerCall Call,
-                                            ReplyAddress ReplyTo) {
+Result<DispatchTicket> CallDispatcher::dispatch(PeerCall Call,
+                                                ReplyAddress ReplyTo) {
   auto It = m_Routes.find(Call.m_Path);
   if (It == m_Routes.end())
     return makeError(ErrorCode::NotFound, "dispatch call", {}, Call.m_Path);
@@ -34,16 +34,16 @@
                    "too many calls wait");
 }
 
-bool Dispatcher::cancel(DispatchTicket Ticket) {
+bool CallDispatcher::cancel(DispatchTicket Ticket) {
   return pool(Ticket.m_Lane).cancel(Ticket.m_Job);
 }
 
-void Dispatcher::stop() {
+void CallDispatcher::stop() {
   m_Blocking.stop();
   m_Quick.stop();
 }
 
-HandlerPool &Dispatcher::pool(PeerLane Lane) {
+HandlerPool &CallDispatcher::pool(PeerLane Lane) {
   return Lane == PeerLane::Quick ? m_Quick : m_Blocking;
 }
 
--- a/src/peer/Dispatcher.h
+++ b/src/peer/CallDispatcher.h
@@ -1,12 +1,12 @@
-//===- Dispatcher.h - From a peer's call to its handler ---------*- C++ -*-===//
+//===- CallDispatcher.h - From a peer's call to its handler -----*- C++ -*-===//
 //
 // Finds the route of a call, queues it on the route's lane and posts the result
 // back to the loop.
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef POLLENSPOOL_PEER_DISPATCHER_H
-#define POLLENSPOOL_PEER_DISPATCHER_H
+#ifndef POLLENSPOOL_PEER_CALLDISPATCHER_H
+#define POLLENSPOOL_PEER_CALLDISPATCHER_H
 
 #include "peer/HandlerPool.h"
 #include "peer/PeerConnection.h"
@@ -30,10 +30,10 @@
 using ReplySink = std::function<void(ReplyAddress, Result<std::string>)>;
 
 /// dispatch() and cancel() on the loop thread, the rest on any.
-class Dispatcher {
+class CallDispatcher {
 public:
-  Dispatcher(const PeerSettings &Settings, std::vector<PeerRoute> Routes,
-             ReplySink Replies);
+  CallDispatcher(const PeerSettings &Settings, std::vector<PeerRoute> Routes,
+                 ReplySink Replies);
 
   /// Queues \p Call. Errors: NotFound without a route, Refused at the bound.
   Result<DispatchTicket> dispatch(PeerCall Call, ReplyAddress ReplyTo);
@@ -55,4 +55,4 @@
 
 } // namespace pollenspool
 
-#endif // POLLENSPOOL_PEER_DISPATCHER_H
+#endif // POLLENSPOOL_PEER_CALLDISPATCHER_H
--- a/src/peer/PeerLoop.h
+++ b/src/peer/PeerLoop.h
@@ -8,7 +8,7 @@
 #ifndef POLLENSPOOL_PEER_PEERLOOP_H
 #define POLLENSPOOL_PEER_PEERLOOP_H
 
-#include "peer/Dispatcher.h"
+#include "peer/CallDispatcher.h"
 #include "peer/OutgoingCalls.h"
 #include <thread>
 
@@ -75,7 +75,7 @@
   bool m_Ended = false;
 
   std::mutex m_StopMutex;
-  Dispatcher m_Dispatcher;
+  CallDispatcher m_Dispatcher;
   std::thread m_Thread;
 };
 
--- a/src/peer/ServerConnection.cpp
+++ b/src/peer/ServerConnection.cpp
@@ -7,7 +7,7 @@
 
 ServerConnection::ServerConnection(FileDescriptor Socket,
                                    ConnectionContext &Context,
-                                   Dispatcher &Calls)
+                                   CallDispatcher &Calls)
     : PeerConnection(std::move(Socket), Role::Server, Context), m_Calls(Calls) {
 }
 
--- a/src/peer/ServerConnection.h
+++ b/src/peer/ServerConnection.h
@@ -8,7 +8,7 @@
 #ifndef POLLENSPOOL_PEER_SERVERCONNECTION_H
 #define POLLENSPOOL_PEER_SERVERCONNECTION_H
 
-#include "peer/Dispatcher.h"
+#include "peer/CallDispatcher.h"
 #include "peer/PeerConnection.h"
 #include <unordered_map>
 
@@ -18,7 +18,7 @@
 class ServerConnection : public PeerConnection {
 public:
   ServerConnection(FileDescriptor Socket, ConnectionContext &Context,
-                   Dispatcher &Calls);
+                   CallDispatcher &Calls);
 
   /// Sends a handler's result; a late one is dropped and counted.
   void answer(StreamId Stream, Result<std::string> Answer);
@@ -56,7 +56,7 @@
   void dispatch(StreamId Id, Stream &Target);
   void sendAnswer(StreamId Id, Stream &Target, Result<std::string> Answer);
 
-  Dispatcher &m_Calls;
+  CallDispatcher &m_Calls;
   std::unordered_map<StreamId, Stream> m_Streams;
   bool m_Draining = false;
   /// The last stream that is processed once the connection drains.
