--- a/src/peer/CallDispatcher.cpp
+++ b/src/peer/CallDispatcher.cpp
@@ -1,5 +1,4 @@
-//===- CallDispatcher.cpp - From a peer's call to its handler -------------===//
-//-----------------===//
+//===- CallDispatcher.cpp - From a peer's call to its handler ------------===//
 
 #include "peer/CallDispatcher.h"
 
--- a/src/peer/CallDispatcher.h
+++ b/src/peer/CallDispatcher.h
@@ -1,5 +1,4 @@
 //===- CallDispatcher.h - From a peer's call to its handler -----*- C++ -*-===//
-//-*-===//
 //
 // Finds the route of a call, queues it on the route's lane and posts the result
 // back to the loop.
