Wire the owner of claims, moves and waves into the daemon

Cause: claims still took one table transaction each, and the fleet core had no threads, no operators' calls and no drain acknowledgements. Change: the claim shell behind the gateway, the fleet shell around the fleet controller, drain questions between entry instances that publish the view before they answer, transactions repeated by token when a reply is lost, operators' calls for moves and waves. Conclusion: the time-out comes from the request's deadline now.

--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -80,7 +80,7 @@
   logging::core::get()->add_sink(Front);
 }
 
-void logEvent(Event Id, std::initializer_list<Field> Fields) {
+void logEvent(Event Id, const std::vector<Field> &Fields) {
   const EventInfo &Info = infoOf(Id);
   if (Info.m_Severity < state().m_Lowest)
     return;
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -9,7 +9,6 @@
 #ifndef POLLENSPOOL_BASE_LOG_H
 #define POLLENSPOOL_BASE_LOG_H
 
-#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,7 +49,7 @@
 void setUpLog(Severity Lowest, std::string Process);
 
 /// Writes one event. Thread safe.
-void logEvent(Event Id, std::initializer_list<Field> Fields = {});
+void logEvent(Event Id, const std::vector<Field> &Fields = {});
 
 } // namespace pollenspool
 
--- a/src/claims/Messages.cpp
+++ b/src/claims/Messages.cpp
@@ -55,6 +55,13 @@
 
 } // namespace
 
+std::vector<std::string> messagePaths() {
+  std::vector<std::string> All;
+  for (const PathInfo &Info : Paths)
+    All.emplace_back(Info.m_Path);
+  return All;
+}
+
 std::string pathOf(const Request &R) {
   return std::string(Paths[R.index()].m_Path);
 }
--- a/src/claims/Messages.h
+++ b/src/claims/Messages.h
@@ -137,6 +137,9 @@
                  ReleaseRequest, ForgetRequest, StartedNotice>;
 using Reply = std::variant<ClaimAnswer, RecoverAnswer, Ack>;
 
+/// All paths of the slice's messages. Thread safe.
+std::vector<std::string> messagePaths();
+
 /// The path that a request is sent to. Thread safe.
 std::string pathOf(const Request &R);
 
--- a/src/daemon/AdminRoutes.cpp
+++ b/src/daemon/AdminRoutes.cpp
@@ -61,6 +61,14 @@
       {"GET", "/status", false, &Parts::serveStatus},
       {"GET", "/v1/document", true, &Parts::serveDocument},
       {"POST", "/v1/document", true, &Parts::commitPosted},
+      {"GET", "/v1/fleet", false, &Parts::serveFleet},
+      {"POST", "/v1/explain", true, &Parts::explain},
+      {"POST", "/v1/move/start", true, &Parts::startMove},
+      {"POST", "/v1/move/cancel", true, &Parts::cancelMove},
+      {"POST", "/v1/wave/start", true, &Parts::startWave},
+      {"POST", "/v1/wave/pause", true, &Parts::pauseWave},
+      {"POST", "/v1/wave/resume", true, &Parts::resumeWave},
+      {"POST", "/v1/wave/cancel", true, &Parts::cancelWave},
   };
   std::vector<AdminRoute> Routes;
   for (const Entry &E : Table)
@@ -199,6 +207,15 @@
            static_cast<double>(Traffic.m_WireBytesOut));
   Page.add(Metric::PeerWireBytesIn, static_cast<double>(Traffic.m_WireBytesIn));
   Page.add(Metric::PeerLateAnswers, static_cast<double>(Traffic.m_LateAnswers));
+  ClaimStats Claimed = m_ClaimShell->stats();
+  Page.add(Metric::Claims, static_cast<double>(Claimed.m_Granted), "granted");
+  Page.add(Metric::Claims, static_cast<double>(Claimed.m_GrantedFromMemory),
+           "granted_from_memory");
+  Page.add(Metric::Claims, static_cast<double>(Claimed.m_Recorded), "recorded");
+  for (std::size_t I = 1; I < ReasonCount; ++I)
+    if (Claimed.m_Denied[I] > 0)
+      Page.add(Metric::Claims, static_cast<double>(Claimed.m_Denied[I]),
+               reasonName(static_cast<Reason>(I)));
 }
 
 } // namespace pollenspool
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -4,12 +4,19 @@
 #include "base/Log.h"
 #include "daemon/Parts.h"
 #include "fleet/Assignment.h"
+#include "gateway/HealthCheck.h"
+#include <map>
 #include <openssl/rand.h>
 
 namespace pollenspool {
 
 namespace {
 
+/// A claim waits in its worker for the owner's batch of claims.
+constexpr std::size_t QuickPeerWorkers = 32;
+constexpr std::chrono::milliseconds ClaimDrainTimeout{3000};
+constexpr std::chrono::milliseconds HealthTimeout{1000};
+
 std::uint64_t seedOf(const Settings &S) {
   if (S.m_Seed != 0)
     return S.m_Seed;
@@ -47,6 +54,30 @@
   Out.m_Self = EntryId(S.m_Listen.m_Peers);
   Out.m_Listen = S.m_Listen.m_Peers;
   Out.m_Workers = S.m_Threads.m_Peers;
+  Out.m_QuickWorkers = QuickPeerWorkers;
+  return Out;
+}
+
+ClaimSettings claimSettings(const Settings &S) {
+  ClaimSettings Out;
+  Out.m_Self = EntryId(S.m_Listen.m_Peers);
+  for (const PeerEntry &Entry : S.m_Entries)
+    Out.m_Entries.push_back(EntryInstance{Entry.m_Address, Entry.m_DataCentre});
+  Out.m_ClaimLifetime = S.m_Timings.m_ClaimLifetime;
+  RAND_bytes(reinterpret_cast<unsigned char *>(&Out.m_Nonce),
+             sizeof(Out.m_Nonce));
+  return Out;
+}
+
+FleetSettings fleetSettings(const Settings &S, const std::string &Token) {
+  FleetSettings Out;
+  Out.m_Self = EntryId(S.m_Listen.m_Peers);
+  Out.m_ProcessToken = Token;
+  std::map<DataCentreName, std::vector<EntryId>> ByCentre;
+  for (const PeerEntry &Entry : S.m_Entries)
+    ByCentre[Entry.m_DataCentre].push_back(Entry.m_Address);
+  for (auto &[Centre, Entries] : ByCentre)
+    Out.m_DataCentres.push_back(DataCentreEntries{Centre, Entries});
   return Out;
 }
 
@@ -80,17 +111,27 @@
 Result<void> Daemon::Parts::build() {
   BOOST_OUTCOME_TRYV(
       keep(m_Platform, HttpPlatform::create(platformSettings(m_Settings))));
-  m_Claims = std::make_unique<PlatformClaims>(*m_Platform, m_ProcessToken);
+  BOOST_OUTCOME_TRYV(
+      keep(m_ClaimShell, ClaimShell::create(claimSettings(m_Settings),
+                                            *m_Platform, m_PeerPort)));
+  m_Claims = std::make_unique<ClaimPort>(*m_ClaimShell);
   BOOST_OUTCOME_TRYV(
       keep(m_Gateway, Gateway::create(gatewaySettings(m_Settings), *m_Claims,
                                       m_Forwarder)));
-  m_Documents = std::make_unique<DocumentKeeper>(
-      [this](const HeldDocument &D) { m_Gateway->setDocument(D.m_Document); });
+  m_Documents = std::make_unique<DocumentKeeper>([this](const HeldDocument &D) {
+    m_Gateway->setDocument(D.m_Document);
+    m_Fleet->onDocument(*D.m_Document);
+  });
   m_Sync = std::make_unique<FleetSync>(syncSettings(m_Settings), *m_Platform,
                                        *m_Gateway, syncOutputs());
+  FleetSettings Fleet = fleetSettings(m_Settings, m_ProcessToken);
+  BOOST_OUTCOME_TRYV(
+      keep(m_Fleet,
+           FleetShell::create(std::move(Fleet), *m_Platform, fleetPorts())));
   BOOST_OUTCOME_TRYV(keep(
       m_Peers, PeerTransport::create(peerSettings(m_Settings), peerRoutes())));
   m_Forwarder.setTransport(*m_Peers);
+  m_PeerPort.setTransport(*m_Peers);
   BOOST_OUTCOME_TRYV(
       keep(m_Callers,
            CallerServer::create(callerSettings(m_Settings), *m_Gateway,
@@ -107,9 +148,8 @@
 FleetSyncOutputs Daemon::Parts::syncOutputs() {
   FleetSyncOutputs Outputs;
   Outputs.m_OnRows = [this](const RowSet &Changes) { onRows(Changes); };
-  Outputs.m_OnListed = [this](const std::vector<ListedInstance> &Listed) {
-    onListed(Listed);
-  };
+  Outputs.m_OnListed = [this](const std::vector<ListedInstance> &Listed,
+                              TimePoint Asked) { onListed(Listed, Asked); };
   Outputs.m_TellPeers = [this](const FleetNotice &News) { tellPeers(News); };
   return Outputs;
 }
@@ -119,6 +159,7 @@
 }
 
 void Daemon::Parts::onRows(const RowSet &Changes) {
+  m_Fleet->onRows(Changes);
   for (const Row &R : Changes.m_Rows) {
     if (R.m_Key != HeadRowKey || R.m_Deleted)
       continue;
@@ -136,7 +177,13 @@
     (void)m_Documents->adopt(H, Text.value());
 }
 
-void Daemon::Parts::onListed(const std::vector<ListedInstance> &Listed) {
+void Daemon::Parts::onListed(const std::vector<ListedInstance> &Listed,
+                             TimePoint Asked) {
+  m_Fleet->onListed(Listed, Asked);
+  assignNewcomers(Listed);
+}
+
+void Daemon::Parts::assignNewcomers(const std::vector<ListedInstance> &Listed) {
   HeldDocument Held = m_Documents->current();
   if (!Held.m_Document)
     return;
@@ -154,6 +201,16 @@
     m_Sync->pollSoon();
 }
 
+FleetPorts Daemon::Parts::fleetPorts() {
+  FleetPorts Ports;
+  Ports.m_AskDrain = [this](const AskDrainStatus &Ask) { askDrain(Ask); };
+  Ports.m_IsHealthy = [](const InstanceId &, const std::string &Where) {
+    return passesHealthCheck(Where, HealthTimeout);
+  };
+  Ports.m_Refresh = [this] { m_Sync->pollSoon(); };
+  return Ports;
+}
+
 Daemon::Daemon(std::unique_ptr<Parts> Wired) : m_Parts(std::move(Wired)) {}
 
 Daemon::~Daemon() {
@@ -177,6 +234,7 @@
 
 void Daemon::drainAndStop() {
   m_Parts->m_Callers->drainAndStop();
+  m_Parts->m_ClaimShell->drain(ClaimDrainTimeout);
   m_Parts->m_Peers->drain();
 }
 
--- a/src/daemon/Parts.h
+++ b/src/daemon/Parts.h
@@ -10,10 +10,11 @@
 
 #include "admin/AdminServer.h"
 #include "admin/MetricsPage.h"
-#include "claims/PlatformClaims.h"
+#include "daemon/ClaimPort.h"
 #include "daemon/Daemon.h"
 #include "daemon/StaticDirectory.h"
 #include "documents/DocumentKeeper.h"
+#include "fleet/FleetShell.h"
 #include "gateway/CallerServer.h"
 #include "platform/HttpPlatform.h"
 #include "sync/FleetSync.h"
@@ -39,6 +40,10 @@
   Result<std::string> serveForwardCancel(const PeerCall &Call);
   Result<std::string> serveNotice(const PeerCall &Call);
   Result<std::string> serveView(const PeerCall &Call);
+  Result<std::string> serveClaim(const PeerCall &Call);
+  Result<std::string> serveDrainStatus(const PeerCall &Call);
+  DrainAck drainStatus(const AskDrainStatus &Ask);
+  void askDrain(const AskDrainStatus &Ask);
   void tellPeers(const FleetNotice &News);
 
   // AdminRoutes.cpp
@@ -46,13 +51,23 @@
   AdminReply serveStatus(const AdminCall &Call);
   AdminReply serveDocument(const AdminCall &Call);
   AdminReply commitPosted(const AdminCall &Call);
+  AdminReply startMove(const AdminCall &Call);
+  AdminReply cancelMove(const AdminCall &Call);
+  AdminReply startWave(const AdminCall &Call);
+  AdminReply pauseWave(const AdminCall &Call);
+  AdminReply resumeWave(const AdminCall &Call);
+  AdminReply cancelWave(const AdminCall &Call);
+  AdminReply serveFleet(const AdminCall &Call);
+  AdminReply explain(const AdminCall &Call);
   void addRequestMetrics(MetricsPage &Page) const;
   void addPlatformMetrics(MetricsPage &Page) const;
   void addPeerMetrics(MetricsPage &Page) const;
 
   // Documents and first rows.
   void onRows(const RowSet &Changes);
-  void onListed(const std::vector<ListedInstance> &Listed);
+  void onListed(const std::vector<ListedInstance> &Listed, TimePoint Asked);
+  void assignNewcomers(const std::vector<ListedInstance> &Listed);
+  FleetPorts fleetPorts();
   void fetchDocument(const Head &H);
   std::string nextToken();
 
@@ -63,11 +78,15 @@
   std::unique_ptr<HttpPlatform> m_Platform;
   StaticDirectory m_Directory;
   PeerForwarder m_Forwarder;
-  std::unique_ptr<Claims> m_Claims;
+  PeerPort m_PeerPort;
+  /// Stopped before any other part ends, and kept until the last one has.
+  std::unique_ptr<PeerTransport> m_Peers;
+  std::unique_ptr<ClaimShell> m_ClaimShell;
+  std::unique_ptr<ClaimPort> m_Claims;
   std::unique_ptr<Gateway> m_Gateway;
   std::unique_ptr<DocumentKeeper> m_Documents;
   std::unique_ptr<FleetSync> m_Sync;
-  std::unique_ptr<PeerTransport> m_Peers;
+  std::unique_ptr<FleetShell> m_Fleet;
   std::unique_ptr<CallerServer> m_Callers;
   std::unique_ptr<AdminServer> m_Admin;
 };
--- a/src/daemon/PeerRoutes.cpp
+++ b/src/daemon/PeerRoutes.cpp
@@ -1,13 +1,21 @@
 //===- PeerRoutes.cpp - Calls of other entry instances --------------------===//
 
+#include "claims/Messages.h"
 #include "daemon/Parts.h"
+#include "fleet/DrainMessages.h"
 #include "forward/Messages.h"
+#include <future>
 
 namespace pollenspool {
 
 namespace {
 
 constexpr std::chrono::milliseconds NoticeTimeout{1000};
+constexpr std::chrono::milliseconds ClaimReplyTimeout{5000};
+/// How long a drain question waits for a settled answer, and between looks.
+constexpr std::chrono::milliseconds DrainWait{400};
+constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr std::chrono::milliseconds DrainAskTimeout{1500};
 
 } // namespace
 
@@ -23,6 +31,7 @@
       {ForwardCancelPath, &Parts::serveForwardCancel, PeerLane::Quick},
       {NoticePath, &Parts::serveNotice, PeerLane::Quick},
       {ViewPath, &Parts::serveView, PeerLane::Quick},
+      {DrainStatusPath, &Parts::serveDrainStatus, PeerLane::Blocking},
   };
   std::vector<PeerRoute> Routes;
   for (const Entry &E : Table)
@@ -30,6 +39,10 @@
         E.m_Path,
         [this, E](const PeerCall &Call) { return (this->*E.m_Serve)(Call); },
         E.m_Lane});
+  for (const std::string &Path : claims::messagePaths())
+    Routes.push_back(PeerRoute{
+        Path, [this](const PeerCall &Call) { return serveClaim(Call); },
+        PeerLane::Quick});
   return Routes;
 }
 
@@ -54,6 +67,51 @@
   return encodeNotice(m_Sync->wholeView());
 }
 
+Result<std::string> Daemon::Parts::serveClaim(const PeerCall &Call) {
+  auto Waiting = std::make_shared<std::promise<Result<std::string>>>();
+  auto Reply = Waiting->get_future();
+  m_ClaimShell->onPeerMessage(Call.m_Path, Call.m_From, Call.m_Body,
+                              [Waiting](Result<std::string> Done) {
+                                Waiting->set_value(std::move(Done));
+                              });
+  if (Reply.wait_for(ClaimReplyTimeout) != std::future_status::ready)
+    return makeError(ErrorCode::Timeout, "decide claim");
+  return Reply.get();
+}
+
+Result<std::string> Daemon::Parts::serveDrainStatus(const PeerCall &Call) {
+  BOOST_OUTCOME_TRY(Ask, decodeAsk(Call.m_Body));
+  return encodeAck(drainStatus(Ask));
+}
+
+DrainAck Daemon::Parts::drainStatus(const AskDrainStatus &Ask) {
+  DrainAck Ack{Ask.m_Entry, Ask.m_Instance, 0, 0, Ask.m_Ask};
+  TimePoint GiveUp = steadyNow() + DrainWait;
+  for (;;) {
+    Ack.m_Epoch = m_Sync->settledEpoch(Ask.m_Instance);
+    Ack.m_InFlight = m_Gateway->inFlight(Ask.m_Instance);
+    bool Settled = Ack.m_Epoch >= Ask.m_Epoch && Ack.m_InFlight == 0;
+    if (Settled || steadyNow() >= GiveUp)
+      return Ack;
+    if (Ack.m_Epoch < Ask.m_Epoch)
+      m_Sync->pollSoon();
+    std::this_thread::sleep_for(DrainPoll);
+  }
+}
+
+void Daemon::Parts::askDrain(const AskDrainStatus &Ask) {
+  if (Ask.m_Entry.m_Text == m_Settings.m_Listen.m_Peers)
+    return m_Fleet->onAck(drainStatus(Ask));
+  m_Peers->callAsync(Ask.m_Entry, DrainStatusPath, encodeAsk(Ask),
+                     DrainAskTimeout, [this](const Result<std::string> &Reply) {
+                       if (!Reply)
+                         return;
+                       auto Ack = decodeAck(Reply.value());
+                       if (Ack)
+                         m_Fleet->onAck(Ack.value());
+                     });
+}
+
 void Daemon::Parts::tellPeers(const FleetNotice &News) {
   std::string Body = encodeNotice(News);
   for (const EntryId &Peer : m_Directory.usable(m_Settings.m_DataCentre))
--- a/src/documents/Head.cpp
+++ b/src/documents/Head.cpp
@@ -2,34 +2,11 @@
 
 #include "documents/Head.h"
 #include "config/ContentHash.h"
+#include "platform/Transact.h"
 #include <nlohmann/json.hpp>
 
 namespace pollenspool {
 
-namespace {
-
-/// Repeats of a commit whose reply was lost.
-constexpr int MaxCommitTries = 4;
-
-bool mayHaveTakenEffect(const Error &Fault) {
-  return Fault.m_Code == ErrorCode::Timeout ||
-         Fault.m_Code == ErrorCode::ConnectionLost;
-}
-
-/// Repeats the transaction while its fate is unknown; the token makes that
-/// harmless.
-Result<CommitResult> transactSurely(Platform &Service, const Transaction &Txn) {
-  Result<CommitResult> Done = Service.transact(Txn, CallPriority::Control);
-  for (int Try = 1; Try < MaxCommitTries; ++Try) {
-    if (Done || !mayHaveTakenEffect(Done.error()))
-      break;
-    Done = Service.transact(Txn, CallPriority::Control);
-  }
-  return Done;
-}
-
-} // namespace
-
 std::string encodeHead(const Head &H) {
   nlohmann::ordered_json Json;
   Json["version"] = H.m_Version;
@@ -75,7 +52,7 @@
   Txn.m_Token = Token;
   Txn.m_Checks.push_back(RowCheck{HeadRowKey, Current.m_Revision});
   Txn.m_Writes.push_back(RowWrite{HeadRowKey, encodeHead(Next), false});
-  BOOST_OUTCOME_TRY(Done, transactSurely(Service, Txn));
+  BOOST_OUTCOME_TRY(Done, transactSurely(Service, Txn, CallPriority::Control));
   if (Done.isCommitted())
     return DocumentCommit{Next, true};
   if (Done.m_Conflicts.empty())
--- a/src/documents/Head.h
+++ b/src/documents/Head.h
@@ -14,6 +14,7 @@
 
 namespace pollenspool {
 
+constexpr const char *ConfigRowPrefix = "config/";
 constexpr const char *HeadRowKey = "config/head";
 
 /// The value of the head row.
--- /dev/null
+++ b/src/fleet/FleetShell.cpp
@@ -0,0 +1,203 @@
+//===- FleetShell.cpp - Threads around the fleet's decision core ----------===//
+
+#include "fleet/FleetShell.h"
+#include "platform/Transact.h"
+
+namespace pollenspool {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+constexpr std::size_t ActionThreads = 8;
+
+} // namespace
+
+FleetShell::FleetShell(FleetController Core, Platform &Service,
+                       FleetPorts Ports, std::string TokenPrefix)
+    : m_Platform(Service), m_Ports(std::move(Ports)),
+      m_TokenPrefix(std::move(TokenPrefix)), m_Core(std::move(Core)),
+      m_Workers(ActionThreads, m_Tasks) {}
+
+Result<std::unique_ptr<FleetShell>> FleetShell::create(FleetSettings Settings,
+                                                       Platform &Service,
+                                                       FleetPorts Ports) {
+  std::string Prefix = Settings.m_ProcessToken + "-order-";
+  BOOST_OUTCOME_TRY(Core, FleetController::create(std::move(Settings)));
+  std::unique_ptr<FleetShell> Made(
+      new FleetShell(std::move(Core), Service, std::move(Ports), Prefix));
+  Made->m_Thread = std::thread([Self = Made.get()] { Self->run(); });
+  return Made;
+}
+
+FleetShell::~FleetShell() {
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_Stopping = true;
+  }
+  m_Wake.notify_all();
+  m_Thread.join();
+  m_Workers.shutdown();
+}
+
+template <typename EventFn> void FleetShell::withCore(EventFn Event) {
+  std::vector<FleetAction> Actions;
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    Event(steadyNow());
+    Actions = m_Core.takeActions();
+    if (m_Stopping)
+      return;
+  }
+  for (FleetAction &A : Actions)
+    carryOut(std::move(A));
+}
+
+void FleetShell::run() {
+  for (;;) {
+    withCore([&](TimePoint Now) { m_Core.tick(Now); });
+    std::unique_lock<std::mutex> Lock(m_Mutex);
+    m_Wake.wait_for(Lock, TickInterval, [&] { return m_Stopping; });
+    if (m_Stopping)
+      return;
+  }
+}
+
+void FleetShell::carryOut(FleetAction A) {
+  m_Workers.enqueue([this, Work = std::move(A)] {
+    std::visit([this](const auto &Kind) { perform(Kind); }, Work);
+  });
+}
+
+void FleetShell::perform(const Transact &A) {
+  auto Done = m_Platform.transact(A.m_Transaction, CallPriority::Control);
+  withCore([&](TimePoint Now) {
+    m_Core.onTransactionResult(A.m_Transaction.m_Token, Done, Now);
+  });
+  if (Done)
+    m_Ports.m_Refresh();
+}
+
+void FleetShell::perform(const AskDrainStatus &A) { m_Ports.m_AskDrain(A); }
+
+void FleetShell::perform(const RebootInstance &A) {
+  auto Done = m_Platform.reboot(A.m_Instance, A.m_Token, CallPriority::Control);
+  withCore([&](TimePoint Now) {
+    m_Core.onRebootReply(A.m_Instance, A.m_Token, Done.has_value(), Now);
+  });
+}
+
+void FleetShell::perform(const CheckHealth &A) {
+  std::string Where = addressOf(A.m_Instance);
+  bool IsOk = !Where.empty() && m_Ports.m_IsHealthy(A.m_Instance, Where);
+  withCore([&](TimePoint Now) { m_Core.onHealth(A.m_Instance, IsOk, Now); });
+}
+
+void FleetShell::perform(const RefreshRows &) { m_Ports.m_Refresh(); }
+
+void FleetShell::perform(const LogEntry &A) {
+  std::vector<Field> Fields;
+  for (const LogField &F : A.m_Fields)
+    Fields.push_back(Field{F.m_Key, F.m_Value});
+  logEvent(A.m_Event, Fields);
+}
+
+std::string FleetShell::addressOf(const InstanceId &Id) const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  const ListedInstance *Listed = m_Core.view().findListed(Id);
+  return Listed ? Listed->m_Address : std::string();
+}
+
+void FleetShell::onDocument(const Document &Doc) {
+  withCore([&](TimePoint) { m_Core.onDocument(Doc); });
+}
+
+void FleetShell::onRows(const RowSet &Rows) {
+  withCore([&](TimePoint Now) { m_Core.onRows(Rows, Now); });
+}
+
+void FleetShell::onListed(const std::vector<ListedInstance> &List,
+                          TimePoint Asked) {
+  withCore([&](TimePoint) { m_Core.onListedInstances(List, Asked); });
+}
+
+void FleetShell::onAck(const DrainAck &Ack) {
+  withCore([&](TimePoint Now) { m_Core.onDrainAck(Ack, Now); });
+}
+
+Result<void> FleetShell::commitOrder(const BuildOrder &Build,
+                                     ConflictError Explain) {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  auto Built = Build(m_Core.view());
+  if (!Built)
+    return Built.error();
+  Transaction Txn = std::move(Built).value();
+  Txn.m_Token = m_TokenPrefix + std::to_string(++m_Orders);
+  Lock.unlock();
+  BOOST_OUTCOME_TRY(Done,
+                    transactSurely(m_Platform, Txn, CallPriority::Control));
+  m_Ports.m_Refresh();
+  if (!Done.isCommitted())
+    return Explain(Done.m_Conflicts);
+  return success();
+}
+
+Result<void> FleetShell::startMove(MoveOrder Order) {
+  return commitOrder(
+      [&](const FleetView &View) {
+        return pollenspool::startMove(View, Order);
+      },
+      moveConflict);
+}
+
+Result<void> FleetShell::cancelMove(const InstanceId &Id,
+                                    const std::string &Reason) {
+  return commitOrder(
+      [&](const FleetView &View) {
+        return pollenspool::cancelMove(View, Id, Reason);
+      },
+      moveConflict);
+}
+
+Result<void> FleetShell::startWave(WaveOrder Order) {
+  return commitOrder(
+      [&](const FleetView &View) {
+        return pollenspool::startWave(View, Order);
+      },
+      waveConflict);
+}
+
+Result<void> FleetShell::pauseWave(const WaveId &Id) {
+  return commitOrder(
+      [&](const FleetView &View) { return pollenspool::pauseWave(View, Id); },
+      waveConflict);
+}
+
+Result<void> FleetShell::resumeWave(const WaveId &Id) {
+  return commitOrder(
+      [&](const FleetView &View) { return pollenspool::resumeWave(View, Id); },
+      waveConflict);
+}
+
+Result<void> FleetShell::cancelWave(const WaveId &Id) {
+  return commitOrder(
+      [&](const FleetView &View) { return pollenspool::cancelWave(View, Id); },
+      waveConflict);
+}
+
+std::string FleetShell::explain(const InstanceId &Id) const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Core.explain(Id);
+}
+
+FleetStatus FleetShell::status() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Core.status();
+}
+
+std::optional<WaveRow> FleetShell::findWave(const WaveId &Id) const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  const WaveRow *Found = m_Core.view().findWave(Id);
+  return Found ? std::optional<WaveRow>(*Found) : std::nullopt;
+}
+
+} // namespace pollenspool
--- a/src/forward/Messages.cpp
+++ b/src/forward/Messages.cpp
@@ -1,7 +1,7 @@
 //===- Messages.cpp - Requests between entry instances --------------------===//
 
 #include "forward/Messages.h"
-#include <msgpack.hpp>
+#include "base/Pack.h"
 
 namespace pollenspool {
 
@@ -43,21 +43,6 @@
                  m_Instance)
 };
 
-template <typename T> std::string pack(const T &Value) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Value);
-  return std::string(Buffer.data(), Buffer.size());
-}
-
-template <typename T>
-Result<T> unpack(const std::string &Bytes, const char *Step) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
-  } catch (const std::exception &Bad) {
-    return makeError(ErrorCode::InvalidMessage, Step, {}, Bad.what());
-  }
-}
-
 std::vector<WireHeader> toWire(const std::vector<Header> &All) {
   std::vector<WireHeader> Out;
   for (const Header &H : All)
@@ -89,11 +74,12 @@
   Wire.m_Target = Request.m_Target;
   Wire.m_Headers = toWire(Request.m_Headers);
   Wire.m_Body = Request.m_Body;
-  return pack(Wire);
+  return packed(Wire);
 }
 
 Result<CallerRequest> decodeRequest(const std::string &Bytes) {
-  BOOST_OUTCOME_TRY(Wire, unpack<WireRequest>(Bytes, "read forwarded request"));
+  BOOST_OUTCOME_TRY(Wire,
+                    unpackedAs<WireRequest>(Bytes, "read forwarded request"));
   if (Wire.m_Class >= UrgencyClassCount)
     return makeError(ErrorCode::InvalidMessage, "read forwarded request", {},
                      "unknown class");
@@ -125,11 +111,12 @@
   Wire.m_Body = Final.m_Answer.m_Body;
   Wire.m_RetryAfterMs = Final.m_RetryAfter.count();
   Wire.m_Instance = Final.m_Instance.m_Text;
-  return pack(Wire);
+  return packed(Wire);
 }
 
 Result<Outcome> decodeOutcome(const std::string &Bytes) {
-  BOOST_OUTCOME_TRY(Wire, unpack<WireOutcome>(Bytes, "read forwarded outcome"));
+  BOOST_OUTCOME_TRY(Wire,
+                    unpackedAs<WireOutcome>(Bytes, "read forwarded outcome"));
   if (Wire.m_Kind > static_cast<std::uint8_t>(OutcomeKind::Unknown) ||
       Wire.m_Reason >= ReasonCount)
     return makeError(ErrorCode::InvalidMessage, "read forwarded outcome", {},
@@ -149,12 +136,12 @@
   std::vector<std::string> Wire;
   for (const RequestId &Id : Ids)
     Wire.push_back(Id.m_Text);
-  return pack(Wire);
+  return packed(Wire);
 }
 
 Result<std::vector<RequestId>> decodeIds(const std::string &Bytes) {
   BOOST_OUTCOME_TRY(
-      Wire, unpack<std::vector<std::string>>(Bytes, "read cancelled IDs"));
+      Wire, unpackedAs<std::vector<std::string>>(Bytes, "read cancelled IDs"));
   std::vector<RequestId> Ids;
   for (std::string &Id : Wire)
     Ids.emplace_back(std::move(Id));
--- a/src/gateway/Collaborators.h
+++ b/src/gateway/Collaborators.h
@@ -8,28 +8,22 @@
 #ifndef POLLENSPOOL_GATEWAY_COLLABORATORS_H
 #define POLLENSPOOL_GATEWAY_COLLABORATORS_H
 
+#include "claims/ClaimTypes.h"
 #include "gateway/CallerRequest.h"
-#include <optional>
 
 namespace pollenspool {
 
-/// What came of a claim: nothing if it is held, else the caller's outcome.
-struct ClaimVerdict {
-  std::optional<Outcome> m_Denied;
-
-  bool isGranted() const { return !m_Denied.has_value(); }
-};
-
 /// Claims of request IDs that may run at most once. Thread safe; claim() blocks
 /// for at most its time-out.
 class Claims {
 public:
   virtual ~Claims() = default;
-  virtual ClaimVerdict claim(const RequestId &Id, Duration Timeout) = 0;
-  /// The request's claim is spent; an answer may be recorded for repeats.
-  virtual void complete(const RequestId &Id, const Outcome &Final) = 0;
+  virtual ClaimReply claim(const RequestId &Id, Duration Timeout) = 0;
+  /// The request of a granted claim ran; repeats get \p Recorded.
+  virtual void complete(const RequestId &Id, const ClaimToken &Token,
+                        const Answer &Recorded) = 0;
   /// The request provably did not run; a repeat may claim the ID again.
-  virtual void release(const RequestId &Id) = 0;
+  virtual void release(const RequestId &Id, const ClaimToken &Token) = 0;
 };
 
 /// Sends requests to entry instances of other data centres. Thread safe;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 //===- Gateway.cpp - The threaded shell of the request path ---------------===//
 
 #include "gateway/Gateway.h"
+#include <algorithm>
 
 namespace pollenspool {
 
@@ -10,6 +11,22 @@
 constexpr Duration MaxTimerWait = std::chrono::milliseconds(100);
 constexpr std::chrono::milliseconds DefaultTimeout{10000};
 
+constexpr std::chrono::milliseconds ClaimRetryAfter{1000};
+
+/// What the caller gets if its claim was not granted.
+Outcome outcomeOf(ClaimReply &&Reply) {
+  Outcome Final;
+  if (Reply.m_Verdict == ClaimVerdict::Recorded) {
+    Final.m_Kind = OutcomeKind::Answer;
+    Final.m_Answer = std::move(Reply.m_Answer);
+    return Final;
+  }
+  Final.m_Kind = OutcomeKind::Unknown;
+  Final.m_Reason = Reply.m_Reason;
+  Final.m_RetryAfter = ClaimRetryAfter;
+  return Final;
+}
+
 /// The report of a try that was not sent.
 TryReport unreachable() {
   TryReport Report;
@@ -119,12 +136,12 @@
     m_Waiters.emplace(Given, &Own);
     return Given;
   });
-  bool ClaimHeld = false;
+  ClaimToken Held;
   for (;;) {
     Action A = nextAction(Own);
     switch (A.m_Kind) {
     case ActionKind::Claim:
-      ClaimHeld = startClaim(A, Request);
+      Held = startClaim(A, Request);
       break;
     case ActionKind::StartTry:
       startTry(Own, A, Request);
@@ -138,34 +155,39 @@
       std::unique_lock<std::mutex> Lock(m_Mutex);
       m_Waiters.erase(Id);
       Lock.unlock();
-      if (ClaimHeld)
-        settleClaim(Request, A.m_Outcome);
+      if (!Held.empty())
+        settleClaim(Request.m_Info.m_Id, Held, A.m_Outcome);
       return std::move(A.m_Outcome);
     }
     }
   }
 }
 
-bool Gateway::startClaim(const Action &A, const CallerRequest &Request) {
-  ClaimVerdict Verdict = m_Claims.claim(Request.m_Info.m_Id, A.m_Remaining);
-  if (!Verdict.isGranted()) {
+ClaimToken Gateway::startClaim(const Action &A, const CallerRequest &Request) {
+  const RequestId &Id = Request.m_Info.m_Id;
+  Duration Remaining = Request.m_Info.m_Deadline - steadyNow();
+  ClaimReply Reply = m_Claims.claim(Id, std::max(Remaining, Duration::zero()));
+  if (Reply.m_Verdict != ClaimVerdict::Granted) {
     withCore([&](TimePoint Now) {
-      m_Core.claimDenied(A.m_Ticket, std::move(*Verdict.m_Denied), Now);
+      m_Core.claimDenied(A.m_Ticket, outcomeOf(std::move(Reply)), Now);
     });
-    return false;
+    return {};
   }
   bool Wanted = withCore(
       [&](TimePoint Now) { return m_Core.claimGranted(A.m_Ticket, Now); });
-  if (!Wanted)
-    m_Claims.release(Request.m_Info.m_Id);
-  return Wanted;
+  if (Wanted)
+    return Reply.m_Token;
+  m_Claims.release(Id, Reply.m_Token);
+  return {};
 }
 
-void Gateway::settleClaim(const CallerRequest &Request, const Outcome &Final) {
+void Gateway::settleClaim(const RequestId &Id, const ClaimToken &Token,
+                          const Outcome &Final) {
+  // An unknown outcome leaves the claim as it is: repeats are told so.
   if (Final.m_Kind == OutcomeKind::NotRun)
-    m_Claims.release(Request.m_Info.m_Id);
-  else
-    m_Claims.complete(Request.m_Info.m_Id, Final);
+    m_Claims.release(Id, Token);
+  else if (Final.m_Kind == OutcomeKind::Answer)
+    m_Claims.complete(Id, Token, Final.m_Answer);
 }
 
 bool Gateway::beginTry(Waiter &W, std::uint32_t Try, BackendCall &Call) {
@@ -177,12 +199,22 @@
   return true;
 }
 
+void Gateway::countCall(const InstanceId &Instance, int Change) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  auto It = m_Calls.emplace(Instance, 0).first;
+  It->second += Change;
+  if (It->second == 0)
+    m_Calls.erase(It);
+}
+
 void Gateway::startTry(Waiter &W, const Action &A,
                        const CallerRequest &Request) {
   auto Call = BackendCall::create(A.m_Address, m_Settings.m_Backend);
   TryReport Report = unreachable();
+  countCall(A.m_Instance, 1);
   if (Call && beginTry(W, A.m_Try, *Call.value()))
     Report = Call.value()->run(Request, A.m_Remaining);
+  countCall(A.m_Instance, -1);
   withCore([&](TimePoint Now) {
     W.m_Call = nullptr;
     m_Core.finishTry(A.m_Ticket, A.m_Try, Report.m_Result, Report.m_Reason,
@@ -235,7 +267,11 @@
 
 std::uint32_t Gateway::inFlight(const InstanceId &Instance) const {
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  return m_Core.inFlight(Instance);
+  // A try that was given up may still have its connection; a decided one has
+  // none yet. Neither may be missed by a drain.
+  auto It = m_Calls.find(Instance);
+  auto Calls = static_cast<std::uint32_t>(It == m_Calls.end() ? 0 : It->second);
+  return std::max(Calls, m_Core.inFlight(Instance));
 }
 
 DispatcherStats Gateway::stats() const {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -81,8 +81,11 @@
   void fillDefaults(CallerRequest &Request) const;
   void startTry(Waiter &W, const Action &A, const CallerRequest &Request);
   void startForward(const Action &A, const CallerRequest &Request);
-  bool startClaim(const Action &A, const CallerRequest &Request);
-  void settleClaim(const CallerRequest &Request, const Outcome &Final);
+  /// The token of the claim, or an empty one if it is not held.
+  ClaimToken startClaim(const Action &A, const CallerRequest &Request);
+  void settleClaim(const RequestId &Id, const ClaimToken &Token,
+                   const Outcome &Final);
+  void countCall(const InstanceId &Instance, int Change);
 
   GatewaySettings m_Settings;
   Claims &m_Claims;
@@ -91,6 +94,8 @@
   Dispatcher m_Core;
   std::shared_ptr<const Document> m_Document;
   std::unordered_map<Ticket, Waiter *> m_Waiters;
+  /// Connections to backend servers that are open or about to be.
+  std::unordered_map<InstanceId, int> m_Calls;
   std::condition_variable m_TimerWake;
   TimePoint m_TimerAt = TimePoint::max();
   bool m_Stopping = false;
--- a/src/sync/FleetSync.cpp
+++ b/src/sync/FleetSync.cpp
@@ -1,6 +1,8 @@
 //===- FleetSync.cpp - Keeps this instance's view up to date --------------===//
 
 #include "sync/FleetSync.h"
+#include "documents/Head.h"
+#include "fleet/FleetController.h"
 
 namespace pollenspool {
 
@@ -8,8 +10,11 @@
 
 /// Everything that the shell keeps in the table, claims aside.
 const std::vector<std::string> &watchedPrefixes() {
-  static const std::vector<std::string> Prefixes = {
-      "config/", InstanceRowPrefix, "pool/", "move/", "wave/", "runner"};
+  static const std::vector<std::string> Prefixes = [] {
+    std::vector<std::string> All = FleetController::rowPrefixes();
+    All.push_back(ConfigRowPrefix);
+    return All;
+  }();
   return Prefixes;
 }
 
@@ -101,6 +106,7 @@
 }
 
 bool FleetSync::pollList(FleetNotice &News) {
+  TimePoint Asked = steadyNow();
   auto Listed = m_Platform.instances(CallPriority::Control);
   if (!Listed)
     return false;
@@ -108,7 +114,7 @@
     std::lock_guard<std::mutex> Lock(m_Mutex);
     News.m_Listed = m_View.mergeListed(Listed.value()).m_Listed;
   }
-  m_Outputs.m_OnListed(Listed.value());
+  m_Outputs.m_OnListed(Listed.value(), Asked);
   return true;
 }
 
@@ -132,6 +138,18 @@
   publishTargets();
 }
 
+std::uint64_t FleetSync::settledEpoch(const InstanceId &Id) {
+  // Publishing first makes the epoch true of the dispatcher too.
+  std::uint64_t Epoch = 0;
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    if (const VersionedRow *Row = m_View.findRow(Id))
+      Epoch = Row->m_Row.m_Epoch;
+  }
+  publishTargets();
+  return Epoch;
+}
+
 FleetNotice FleetSync::wholeView() const {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   return m_View.wholeView();
--- a/src/sync/FleetSync.h
+++ b/src/sync/FleetSync.h
@@ -33,7 +33,9 @@
 struct FleetSyncOutputs {
   /// All rows that changed, of every kind.
   std::function<void(const RowSet &)> m_OnRows;
-  std::function<void(const std::vector<ListedInstance> &)> m_OnListed;
+  /// The platform's list and when it was asked for.
+  std::function<void(const std::vector<ListedInstance> &, TimePoint)>
+      m_OnListed;
   /// Instances that this entry instance saw change first.
   std::function<void(const FleetNotice &)> m_TellPeers;
 };
@@ -67,6 +69,9 @@
 
   FleetNotice wholeView() const;
   SyncStatus status() const;
+  /// Hands the view to the request path and gives the instance's row epoch in
+  /// it: no work starts under an older one from then on. 0 if unknown.
+  std::uint64_t settledEpoch(const InstanceId &Id);
   /// The instance's row and list entry as known here; empty if unknown.
   FleetNotice lookUp(const InstanceId &Id) const;
 
--- a/src/view/ServingView.cpp
+++ b/src/view/ServingView.cpp
@@ -2,7 +2,7 @@
 //---------===//
 
 #include "view/ServingView.h"
-#include <msgpack.hpp>
+#include "base/Pack.h"
 
 namespace pollenspool {
 
@@ -167,27 +167,21 @@
         WireRow{encodeInstanceRow(Row.m_Row), Row.m_Revision});
   for (const ListedInstance &L : Notice.m_Listed)
     Wire.m_Listed.push_back(toWire(L));
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Wire);
-  return std::string(Buffer.data(), Buffer.size());
+  return packed(Wire);
 }
 
 Result<FleetNotice> decodeNotice(const std::string &Bytes) {
+  BOOST_OUTCOME_TRY(Wire, unpackedAs<WireNotice>(Bytes, "read fleet notice"));
   FleetNotice Notice;
-  try {
-    WireNotice Wire =
-        msgpack::unpack(Bytes.data(), Bytes.size()).get().as<WireNotice>();
-    for (WireRow &R : Wire.m_Rows) {
-      BOOST_OUTCOME_TRY(Row, decodeInstanceRow(R.m_Value));
-      Notice.m_Rows.push_back(VersionedRow{std::move(Row), R.m_Revision});
-    }
-    for (WireListed &L : Wire.m_Listed) {
-      if (L.m_State > 2 || L.m_Kind > 1)
-        return badNotice("unknown state or kind");
-      Notice.m_Listed.push_back(fromWire(std::move(L)));
-    }
-  } catch (const std::exception &Bad) {
-    return badNotice(Bad.what());
+  for (WireRow &R : Wire.m_Rows) {
+    BOOST_OUTCOME_TRY(Row, decodeInstanceRow(R.m_Value));
+    Notice.m_Rows.push_back(VersionedRow{std::move(Row), R.m_Revision});
+  }
+  for (WireListed &L : Wire.m_Listed) {
+    if (L.m_State > static_cast<std::uint8_t>(InstanceState::Gone) ||
+        L.m_Kind > static_cast<std::uint8_t>(InstanceKind::Entry))
+      return badNotice("unknown state or kind");
+    Notice.m_Listed.push_back(fromWire(std::move(L)));
   }
   return Notice;
 }
