Give the stand-ins' client a connection that can be kept

Cause: the load tool needs kept connections, the platform only single calls; both now rest on HttpConnection, and the echo's hash has a file of its own.

--- a/standins/backend/BackendInstance.cpp
+++ b/standins/backend/BackendInstance.cpp
@@ -1,12 +1,10 @@
 //===- BackendInstance.cpp - One backend server ---------------------------===//
 
-#define XXH_INLINE_ALL
 #include "backend/BackendInstance.h"
+#include "common/Hash.h"
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <cstdio>
-#include <xxhash.h>
 
 namespace standin {
 
@@ -16,14 +14,6 @@
 constexpr double WorkSigma = 0.5;
 constexpr int NoStatus = 0;
 
-std::string hashText(const std::string &Body) {
-  char Text[17];
-  std::snprintf(
-      Text, sizeof(Text), "%016llx",
-      static_cast<unsigned long long>(XXH64(Body.data(), Body.size(), 0)));
-  return Text;
-}
-
 bool isRepeatable(const HttpMessage &Request) {
   const std::string_view Said = Request.header("Pollenspool-Repeatable");
   if (!Said.empty())
@@ -182,7 +172,7 @@
   const Json Body = {{"request_id", RequestId},
                      {"instance", id()},
                      {"run", Item.m_Run},
-                     {"echo", hashText(Item.m_Request.m_Body)}};
+                     {"echo", echoHash(Item.m_Request.m_Body)}};
   HttpMessage Reply =
       jsonReply(knobs().m_FailAll ? 500 : 200,
                 Body.dump(-1, ' ', false, Json::error_handler_t::replace));
--- a/standins/backend/Main.cpp
+++ b/standins/backend/Main.cpp
@@ -1,7 +1,7 @@
 //===- Main.cpp - Entry point of standin-backend --------------------------===//
 
 #include "backend/ControlServer.h"
-#include "common/HttpCall.h"
+#include "common/HttpConnection.h"
 #include <iostream>
 #include <tclap/CmdLine.h>
 
--- a/standins/platform/PlatformServer.cpp
+++ b/standins/platform/PlatformServer.cpp
@@ -1,7 +1,7 @@
 //===- PlatformServer.cpp - Dispatch, faults and reboots ------------------===//
 
 #include "platform/PlatformServer.h"
-#include "common/HttpCall.h"
+#include "common/HttpConnection.h"
 
 namespace standin {
 
