Add the load tool with its oracle

Cause: every experiment needs one open-loop load and one judge of what clients were told against what ran.

--- a/standins/common/HttpConnection.cpp
+++ b/standins/common/HttpConnection.cpp
@@ -101,7 +101,8 @@
   m_Loop.cancel(m_Timer);
   m_Timer = 0;
   HttpResult Result;
-  Result.m_Kind = Kind;
+  // Without a connection nothing was sent, however long it took.
+  Result.m_Kind = m_Connected ? Kind : HttpResult::Kind::NotSent;
   if (Kind == HttpResult::Kind::Reply)
     Result.m_Reply = m_Parser.take();
   const bool Keeps = Kind == HttpResult::Kind::Reply &&
--- /dev/null
+++ b/standins/load/Request.cpp
@@ -0,0 +1,102 @@
+//===- Request.cpp - A request of the load and what came of it ------------===//
+
+#include "load/Request.h"
+#include "common/Program.h"
+
+namespace standin {
+
+namespace {
+
+constexpr int ServiceUnavailable = 503;
+
+std::string reasonOr(const HttpMessage &Reply, const std::string &Default) {
+  const std::string_view Reason = Reply.header("Pollenspool-Reason");
+  return Reason.empty() ? Default : std::string(Reason);
+}
+
+AttemptOutcome readDirectOutcome(const HttpMessage &Reply) {
+  if (Reply.m_Status == ServiceUnavailable &&
+      Reply.hasHeader("Pollenspool-Not-Run"))
+    return {OutcomeKind::NotRun, "backend_refused"};
+  return {OutcomeKind::Answered, ""};
+}
+
+std::string wrongWith(const LoadRequest &Request, const HttpMessage &Reply,
+                      const std::optional<Json> &Body) {
+  if (!Reply.m_Framed)
+    return "neither length nor chunks";
+  if (!Body || !Body->contains("request_id") || !Body->contains("echo"))
+    return "not a whole answer";
+  if (Body->at("request_id") != Request.m_Id)
+    return "answer to request " + Body->at("request_id").dump();
+  if (Body->at("echo") != Request.m_BodyHash)
+    return "echo of another body";
+  const std::string_view Header = Reply.header("Pollenspool-Request-Id");
+  if (!Header.empty() && Header != Request.m_Id)
+    return "header names request " + std::string(Header);
+  return {};
+}
+
+} // namespace
+
+const char *workClassName(std::size_t Class) {
+  static const char *const Names[] = {"urgent", "normal", "nightly"};
+  return Names[Class];
+}
+
+HttpMessage makeHttpRequest(const LoadRequest &Request, Milliseconds Deadline,
+                            bool IsDirect) {
+  HttpMessage Made;
+  Made.m_Method = Request.m_Method;
+  Made.m_Target = "/services/" + Request.m_Service + "/work";
+  if (Request.m_WorkMs >= 0)
+    Made.m_Target += "?work_ms=" + std::to_string(Request.m_WorkMs);
+  Made.m_Body = Request.m_Body;
+  Made.addHeader("Idempotency-Key", Request.m_Id);
+  Made.addHeader("Pollenspool-Attempt",
+                 std::to_string(Request.m_Attempts.size() + 1));
+  Made.addHeader("Pollenspool-Timeout-Ms", std::to_string(Deadline.count()));
+  Made.addHeader("Pollenspool-Class",
+                 workClassName(static_cast<std::size_t>(Request.m_Class)));
+  Made.addHeader("Pollenspool-Repeatable",
+                 Request.m_Repeatable ? "true" : "false");
+  Made.addHeader("Pollenspool-Team", Request.m_Team);
+  Made.addHeader("Content-Type", "text/plain");
+  if (IsDirect) {
+    Made.addHeader("Pollenspool-Request-Id", Request.m_Id);
+    Made.addHeader("Pollenspool-Service", Request.m_Service);
+  }
+  return Made;
+}
+
+AttemptOutcome readOutcome(const HttpMessage &Reply, bool IsDirect) {
+  if (IsDirect)
+    return readDirectOutcome(Reply);
+  const std::string_view Said = Reply.header("Pollenspool-Outcome");
+  if (Said == "answer")
+    return {OutcomeKind::Answered, ""};
+  if (Said == "not-run")
+    return {OutcomeKind::NotRun, reasonOr(Reply, "no_reason")};
+  if (Said == "unknown")
+    return {OutcomeKind::Unknown, reasonOr(Reply, "no_reason")};
+  return {OutcomeKind::Lost,
+          "no_outcome_status_" + std::to_string(Reply.m_Status)};
+}
+
+void checkAnswer(LoadRequest &Request, const HttpMessage &Reply) {
+  Request.m_Status = Reply.m_Status;
+  const std::optional<Json> Body = parseObject(Reply.m_Body);
+  // One wrong answer among several attempts stays wrong.
+  if (Request.m_WrongAnswer.empty())
+    Request.m_WrongAnswer = wrongWith(Request, Reply, Body);
+  if (!Body || !Body->contains("instance") || !Body->contains("run"))
+    return;
+  const Json &Instance = Body->at("instance");
+  const Json &Run = Body->at("run");
+  if (!Instance.is_string() || !Run.is_number_unsigned())
+    return;
+  Request.m_AnswerInstance = Instance;
+  Request.m_AnswerRun = Run;
+}
+
+} // namespace standin
