Check the load tool against entries that lie

Cause: an oracle that can't fail proves nothing. A few lines of http.server stand for an entry that doubles runs, says not run after running (at once, and after an unknown), swaps, cuts, alters and misnames answers, lets a reboot cut requests, and sends work to a leaving instance; each gives exactly its own breach and exit code 3. Honest, refusing and unsure entries pass.

--- a/standins/load/CommandLine.cpp
+++ b/standins/load/CommandLine.cpp
@@ -101,6 +101,8 @@
   Flag<std::int64_t> m_SettleMs{
       "",   "settle-ms", "Wait for runs to end before judging", false, 3000,
       "MS", m_Command};
+  Flag<std::int64_t> m_WaitMs{
+      "", "wait-ms", "Wait for a healthy entry", false, 10000, "MS", m_Command};
   Flag<std::string> m_Report{"", "report",    "Report to write", false,
                              "", "FILE.json", m_Command};
   Flag<std::string> m_Html{"",     "html",   "Report page to write", false, "",
@@ -221,6 +223,7 @@
   Options.m_KeepsConnections = !Given.m_NoKeepAlive.getValue();
   Options.m_IsDirect = Given.m_Direct.getValue();
   Options.m_LeavingGrace = Milliseconds(Given.m_GraceMs.getValue());
+  Options.m_WaitForEntries = Milliseconds(Given.m_WaitMs.getValue());
   Options.m_Settle = Milliseconds(Given.m_SettleMs.getValue());
   Options.m_ReportFile = Given.m_Report.getValue();
   Options.m_HtmlFile = Given.m_Html.getValue();
--- /dev/null
+++ b/tests/load_check.py
@@ -0,0 +1,345 @@
+#!/usr/bin/env python3
+"""Checks the load tool and its oracle with entries that lie: load_check.py BUILD [CHECK...]"""
+import contextlib
+import http.server
+import json
+import os
+import subprocess
+import tempfile
+import threading
+
+from standin_tools import Process, call, equal, post, run_checks, started, wait_for
+
+BREACHES = ("ran_twice", "not_run_but_ran", "wrong_answer", "cut_in_flight",
+            "late_work_on_leaving")
+
+
+class Entry(http.server.ThreadingHTTPServer):
+    """A fake entry instance; `serve` decides what each request comes to."""
+    request_queue_size = 256
+
+    def __init__(self, backend, serve):
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.backend = backend
+        self.serve = serve
+        self.lock = threading.Lock()
+        self.seen = {}
+        self.held = None
+        self.thread = threading.Thread(target=self.serve_forever, args=(0.01,))
+        self.thread.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server_port}"
+
+    def handle_error(self, request, client_address):
+        pass
+
+    def close(self):
+        self.shutdown()
+        self.thread.join()
+        self.server_close()
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def do_GET(self):
+        if self.path == "/healthz":
+            self.answer(200, {}, b"ok")
+            return
+        self.do_POST()
+
+    def do_POST(self):
+        self.body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self.key = self.headers["Idempotency-Key"]
+        with self.server.lock:
+            self.count = self.server.seen[self.key] = self.server.seen.get(self.key, 0) + 1
+        self.server.serve(self)
+
+    def run(self):
+        headers = {"Pollenspool-Request-Id": self.key,
+                   "Pollenspool-Repeatable": self.headers["Pollenspool-Repeatable"]}
+        return call(self.server.backend, self.command, self.path, self.body, headers)
+
+    def answer(self, status, headers, body):
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def give(self, reply, body=None):
+        self.answer(reply.status, {"Pollenspool-Outcome": "answer"},
+                    (reply.body if body is None else body).encode())
+
+    def say(self, status, outcome, reason):
+        self.answer(status, {"Pollenspool-Outcome": outcome, "Pollenspool-Reason": reason}, b"{}")
+
+
+def honest(entry):
+    entry.give(entry.run())
+
+
+class Bench:
+    """A backend, a platform, and a fake entry in front."""
+
+    def __init__(self, build, backend, platform):
+        self.build = build
+        self.control = backend.addresses["control"]
+        self.backend = backend.addresses["b1"]
+        self.platform = platform.addresses["platform"]
+
+    def load(self, serve, *flags, code, rate=150, seconds=0.6, work_ms=1,
+             evidence=True):
+        """Runs the load tool against a fake entry; gives its report."""
+        entry = Entry(self.backend, serve)
+        with tempfile.TemporaryDirectory() as folder, contextlib.closing(entry):
+            report = os.path.join(folder, "report.json")
+            sources = ["--backend-control", self.control, "--platform", self.platform]
+            done = subprocess.run(
+                [f"{self.build}/standin-load", "--entry", entry.address, "--service", "s",
+                 "--rate", str(rate), "--seconds", str(seconds), "--work-ms", str(work_ms),
+                 "--report", report, *(sources if evidence else []), *map(str, flags)],
+                stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+            equal(done.returncode, code, done.stdout)
+            with open(report, encoding="utf-8") as file:
+                return json.load(file)
+
+
+@contextlib.contextmanager
+def bench(build):
+    platform = Process(build, "standin-platform")
+    backend = Process(build, "standin-backend", "--instances", 1, "--id-prefix", "b",
+                      "--register", platform.addresses["platform"], roles=2)
+    with started(backend, platform):
+        at = platform.addresses["platform"]
+        wait_for(lambda: json.loads(call(at, "GET", "/v1/instances").body)["instances"], "listed")
+        yield Bench(build, backend, platform)
+
+
+def only_breach(report, name):
+    """Exactly the named breach was found."""
+    found = {breach for breach in BREACHES if report[breach]}
+    equal(found, {name}, json.dumps(report["examples"]))
+    equal(report["oracle_holds"], False, "verdict")
+
+
+def an_honest_entry_passes(build):
+    with bench(build) as at:
+        report = at.load(honest, "--seed", 5, code=0)
+        equal([report[breach] for breach in BREACHES], [0] * 5, "breaches")
+        equal(report["sent"] > 50 and report["answered"] == report["sent"], True, "all answered")
+        equal(report["seed"], 5, "seed")
+        equal(sum(s["goodput"] for s in report["per_second"]), report["sent"], "series")
+        equal(sum(c["count"] for c in report["start_latency_ms"].values()), report["sent"],
+              "started")
+        again = at.load(honest, "--seed", 5, code=0)
+        equal(again["sent"], report["sent"], "the seed decides the load")
+        unchecked = at.load(honest, code=0, evidence=False)
+        equal((unchecked["ran_twice"], unchecked["late_work_on_leaving"]), (None, None),
+              "no evidence, no verdict")
+
+
+def doubled_runs_are_caught(build):
+    def doubling(entry):
+        entry.run()
+        honest(entry)
+
+    with bench(build) as at:
+        only_breach(at.load(doubling, code=3), "ran_twice")
+        report = at.load(doubling, "--repeatable-share", 1, code=0)
+        equal(report["repeatable_ran_again"], report["sent"], "allowed")
+
+
+def a_false_not_run_is_caught(build):
+    def lying(entry):
+        entry.run()
+        entry.say(503, "not-run", "queue_full")
+
+    with bench(build) as at:
+        report = at.load(lying, code=3)
+        only_breach(report, "not_run_but_ran")
+        equal(report["not_run_but_ran"], report["refused"]["queue_full"], "each of them")
+
+
+def a_not_run_after_an_unknown_run_is_caught(build):
+    def forgetful(entry):
+        if entry.count == 1:
+            entry.run()
+            entry.say(504, "unknown", "backend_timeout")
+        else:
+            entry.say(503, "not-run", "queue_full")
+
+    with bench(build) as at:
+        report = at.load(forgetful, "--repeat-unknown", code=3)
+        only_breach(report, "not_run_but_ran")
+        equal(report["attempts"], 2 * report["sent"], "repeated")
+
+
+def a_true_not_run_passes(build):
+    with bench(build) as at:
+        report = at.load(lambda entry: entry.say(429, "not-run", "quota_exceeded"), code=0)
+        equal(report["refused"], {"quota_exceeded": report["sent"]}, "refused")
+
+
+def swapped_answers_are_caught(build):
+    def swapping(entry):
+        reply = entry.run()
+        with entry.server.lock:
+            other, entry.server.held = entry.server.held, reply.body
+        entry.give(reply, other)
+
+    with bench(build) as at:
+        only_breach(at.load(swapping, code=3), "wrong_answer")
+
+
+def altered_answers_are_caught(build):
+    def body_change(change):
+        def serve(entry):
+            reply = entry.run()
+            entry.give(reply, json.dumps(change(json.loads(reply.body))))
+        return serve
+
+    def cut_short(entry):
+        reply = entry.run()
+        entry.give(reply, reply.body[:-5])
+
+    def misnamed(entry):
+        reply = entry.run()
+        entry.answer(200, {"Pollenspool-Outcome": "answer", "Pollenspool-Request-Id": "other"},
+                     reply.body.encode())
+
+    def unframed(entry):
+        reply = entry.run()
+        entry.wfile.write(b"HTTP/1.1 200 OK\r\nPollenspool-Outcome: answer\r\n\r\n"
+                          + reply.body.encode())
+        entry.close_connection = True
+
+    lies = [body_change(lambda body: {**body, "echo": "0" * 16}),
+            body_change(lambda body: {**body, "run": max(1, body["run"] - 1)}),
+            cut_short, misnamed, unframed]
+    with bench(build) as at:
+        # The first run of all has no other before it to be named instead.
+        call(at.backend, "POST", "/x", "x", {"Pollenspool-Request-Id": "other"})
+        for lie in lies:
+            only_breach(at.load(lie, rate=50, code=3), "wrong_answer")
+
+
+def repeats_keep_their_key(build):
+    attempts = []
+
+    def unsure_at_first(entry):
+        attempts.append((entry.key, int(entry.headers["Pollenspool-Attempt"])))
+        if entry.count == 1:
+            entry.close_connection = True  # Dies without a reply.
+        elif entry.count == 2:
+            entry.say(502, "unknown", "peer_connection_lost")
+        else:
+            honest(entry)
+
+    with bench(build) as at:
+        report = at.load(unsure_at_first, "--repeat-unknown", code=0)
+        equal((report["answered"], report["lost"]), (report["sent"], 0), "answered in the end")
+        numbers = {}
+        for key, number in attempts:
+            numbers.setdefault(key, []).append(number)
+        equal(set(map(tuple, numbers.values())), {(1, 2, 3)}, "attempt numbers")
+        attempts.clear()
+        report = at.load(unsure_at_first, code=0)
+        equal((report["lost"], report["attempts"]), (report["sent"], report["sent"]),
+              "not repeated unless asked")
+        equal(report["lost_reasons"], {"connection_lost": report["sent"]}, "why")
+
+
+def outcomes_without_a_word_are_lost(build):
+    with bench(build) as at:
+        report = at.load(lambda entry: entry.answer(404, {}, b"{}"), code=0)
+        equal(report["lost_reasons"], {"no_outcome_status_404": report["sent"]}, "unlabelled")
+        report = at.load(lambda entry: entry.say(504, "unknown", "backend_timeout"), code=0)
+        equal(report["unknown"], {"backend_timeout": report["sent"]}, "unknown")
+
+
+def cuts_are_caught(build):
+    def reboots(at, entry):
+        if entry.count == 1 and len(entry.server.seen) == 3:
+            post(at.platform, "/v1/instances/b1/reboot", {"token": "r"}, 202)
+        try:
+            entry.run()
+        except OSError:
+            pass
+        entry.say(504, "unknown", "backend_connection_lost")
+
+    with bench(build) as at:
+        post(at.platform, "/knobs", {"leaving_ms": 300, "reboot_ms": 100})
+        report = at.load(lambda entry: reboots(at, entry), work_ms=600, code=3)
+        only_breach(report, "cut_in_flight")
+        # 8 run; what waits for a slot is in flight as well.
+        equal(report["cut_in_flight"] > 8, True, "waiting ones count")
+
+
+def late_work_is_caught(build):
+    with bench(build) as at:
+        post(at.platform, "/instances/b1/state", {"state": "leaving"})
+        report = at.load(honest, "--leaving-grace-ms", 300, rate=50, code=3)
+        only_breach(report, "late_work_on_leaving")
+        equal(report["late_work_on_leaving"] < report["sent"], True, "but not within the grace")
+        post(at.platform, "/instances/b1/state", {"state": "live"})
+        at.load(honest, "--leaving-grace-ms", 0, code=0)
+
+
+def unreachable_entries_are_skipped(build):
+    with bench(build) as at:
+        # A port that was free a moment ago refuses.
+        gone = Entry(at.backend, honest)
+        gone.close()
+        report = at.load(honest, "--entry", gone.address, code=0)
+        equal((report["answered"], report["attempts"]), (report["sent"], report["sent"]), "one")
+        done = subprocess.run([f"{build}/standin-load", "--entry", gone.address, "--service", "s",
+                               "--wait-ms", "200"], capture_output=True, text=True)
+        equal(done.returncode, 2, done.stderr)
+
+
+def missing_evidence_is_no_pass(build):
+    with bench(build) as at:
+        gone = Entry(at.backend, honest)
+        gone.close()
+        report = at.load(honest, "--backend-control", gone.address, code=4)
+        equal(len(report["evidence_missing"]), 2, "runs and stats")
+        equal(report["oracle_holds"], False, "no verdict")
+
+
+def extra_fields_are_merged(build):
+    with bench(build) as at, tempfile.TemporaryDirectory() as folder:
+        extra = os.path.join(folder, "extra.json")
+        with open(extra, "w", encoding="utf-8") as file:
+            json.dump({"moves": 3, "wrong_answer": 7, "ran_twice": 7}, file)
+        report = at.load(honest, "--extra", extra, code=0)
+        equal((report["moves"], report["buffer_cost"], report["wrong_answer"]), (3, None, 0),
+              "measured ones stay")
+
+
+def peaks_take_turns(build):
+    with bench(build) as at:
+        report = at.load(lambda entry: entry.say(503, "not-run", "x"), "--service", "t",
+                         "--profile", "peaks", "--peak-seconds", 1, seconds=2, rate=80, code=0)
+        first, second = (entry["sent"] for entry in report["per_second"][:2])
+        sent = {name: counts["sent"] for name, counts in report["by_service"].items()}
+        # Each second has 200 of one service and 2 of the other in the mean.
+        equal(all(120 < n < 280 for n in (first, second, *sent.values())), True,
+              f"{first} {second} {sent}")
+
+
+CHECKS = [an_honest_entry_passes, doubled_runs_are_caught, a_false_not_run_is_caught,
+          a_not_run_after_an_unknown_run_is_caught, a_true_not_run_passes,
+          swapped_answers_are_caught, altered_answers_are_caught, repeats_keep_their_key,
+          outcomes_without_a_word_are_lost, cuts_are_caught, late_work_is_caught,
+          unreachable_entries_are_skipped, missing_evidence_is_no_pass, extra_fields_are_merged,
+          peaks_take_turns]
+
+if __name__ == "__main__":
+    run_checks(CHECKS)
--- a/tests/standin_tools.py
+++ b/tests/standin_tools.py
@@ -1,4 +1,5 @@
 """Starts stand-ins and talks to them; used by the *_check.py scripts."""
+import contextlib
 import http.client
 import json
 import socket
@@ -36,6 +37,20 @@
             raise AssertionError(f"{self.name} ended with {code}")
 
 
+@contextlib.contextmanager
+def started(*processes):
+    """Stops the processes at the end, and kills them if the check failed."""
+    try:
+        yield
+    except BaseException:
+        for process in processes:
+            process.child.kill()
+            process.child.wait()
+        raise
+    for process in processes:
+        process.stop()
+
+
 class Reply:
     def __init__(self, status, headers, body):
         self.status = status
--- a/tests/standins_check.py
+++ b/tests/standins_check.py
@@ -6,24 +6,11 @@
 import time
 
 from standin_tools import (Process, call, connect, equal, get, post, raises, read_all,
-                           run_checks, wait_for)
+                           run_checks, started, wait_for)
 
 LOST = (ConnectionError, http.client.HTTPException)
 
 
-@contextlib.contextmanager
-def started(*processes):
-    try:
-        yield
-    except BaseException:
-        for process in processes:
-            process.child.kill()
-            process.child.wait()
-        raise
-    for process in processes:
-        process.stop()
-
-
 @contextlib.contextmanager
 def platform(build):
     process = Process(build, "standin-platform")
