--- /dev/null
+++ b/src/membership/Messages.h
@@ -0,0 +1,76 @@
+//===- Messages.h - What entry instances tell of themselves -----*- C++ -*-===//
+//
+// A heartbeat carries its sender's state and a few notices about others, so
+// that changes spread without every instance talking to every other.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef POLLENSPOOL_MEMBERSHIP_MESSAGES_H
+#define POLLENSPOOL_MEMBERSHIP_MESSAGES_H
+
+#include "base/Error.h"
+#include "base/Ids.h"
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pollenspool {
+
+/// How busy an entry instance is.
+struct LoadDigest {
+  std::uint32_t m_InFlight = 0;
+  std::uint32_t m_Queued = 0;
+  MSGPACK_DEFINE(m_InFlight, m_Queued)
+};
+
+/// State of one entry instance. Of two states of the same instance the one
+/// with the higher incarnation, then the higher sequence, is newer.
+struct PeerState {
+  /// Rises with each restart.
+  std::uint64_t m_Incarnation = 0;
+  /// Rises with each heartbeat and each change within an incarnation.
+  std::uint64_t m_Sequence = 0;
+  bool m_Draining = false;
+  /// The configuration version in force.
+  std::uint64_t m_DocumentVersion = 0;
+  /// The table revision up to which the instance has seen the fleet.
+  std::uint64_t m_ViewRevision = 0;
+  LoadDigest m_Load;
+  MSGPACK_DEFINE(m_Incarnation, m_Sequence, m_Draining, m_DocumentVersion,
+                 m_ViewRevision, m_Load)
+
+  bool isNewerThan(const PeerState &Other) const {
+    if (m_Incarnation != Other.m_Incarnation)
+      return m_Incarnation > Other.m_Incarnation;
+    return m_Sequence > Other.m_Sequence;
+  }
+};
+
+/// A state that the sender has from someone else, without the load.
+struct PeerNotice {
+  EntryId m_About;
+  PeerState m_State;
+  MSGPACK_DEFINE(m_About.m_Text, m_State.m_Incarnation, m_State.m_Sequence,
+                 m_State.m_Draining, m_State.m_DocumentVersion,
+                 m_State.m_ViewRevision)
+};
+
+struct Heartbeat {
+  EntryId m_From;
+  PeerState m_State;
+  std::vector<PeerNotice> m_Notices;
+  MSGPACK_DEFINE(m_From.m_Text, m_State, m_Notices)
+};
+
+/// Thread safe.
+std::string encodeHeartbeat(const Heartbeat &Message);
+
+/// Errors: InvalidMessage. Fields of later releases are passed over. Thread
+/// safe.
+Result<Heartbeat> decodeHeartbeat(std::string_view Bytes);
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_MEMBERSHIP_MESSAGES_H
