Let heartbeats steer forwarding, spill and catching up with peers

Cause: peers were used as the settings list them, dead ones included; nothing told the dispatcher of other data centres, so a data centre without instances of a pool answered no_instance; an entry instance cut off from the platform had no way to hear of changes but push notices. Ruled out: pool rooms in heartbeats (138 pools with names in each heartbeat do not fit 8 KB/s); a refusal that closes a pool for a while costs no message. Change: the membership core behind a thread, peers ranked by health and load, the spill book, changes since a revision from a peer while the platform is away.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -81,6 +81,18 @@
   return Out;
 }
 
+MembershipSettings membershipSettings(const Settings &S) {
+  MembershipSettings Out;
+  Out.m_Self = EntryId(S.m_Listen.m_Peers);
+  Out.m_Incarnation = static_cast<std::uint64_t>(wallNow().count());
+  for (const PeerEntry &Entry : S.m_Entries)
+    Out.m_Peers.push_back(PeerSite{Entry.m_Address, Entry.m_DataCentre});
+  Out.m_DataCentre = S.m_DataCentre;
+  Out.m_Interval = S.m_Timings.m_Heartbeat;
+  Out.m_Seed = seedOf(S);
+  return Out;
+}
+
 FleetSyncSettings syncSettings(const Settings &S) {
   return FleetSyncSettings{S.m_DataCentre, S.m_Timings.m_Poll, seedOf(S)};
 }
@@ -106,7 +118,7 @@
 
 Daemon::Parts::Parts(const Settings &S)
     : m_Settings(S), m_ProcessToken(mintRequestId().m_Text),
-      m_Directory(m_Settings), m_Forwarder(m_Directory) {}
+      m_Forwarder(forwardHooks()) {}
 
 Result<void> Daemon::Parts::build() {
   BOOST_OUTCOME_TRYV(
@@ -130,7 +142,10 @@
            FleetShell::create(std::move(Fleet), *m_Platform, fleetPorts())));
   BOOST_OUTCOME_TRYV(keep(
       m_Peers, PeerTransport::create(peerSettings(m_Settings), peerRoutes())));
-  m_Forwarder.setTransport(*m_Peers);
+  BOOST_OUTCOME_TRYV(
+      keep(m_Membership, MembershipShell::create(membershipSettings(m_Settings),
+                                                 membershipPorts())));
+  m_Forwarder.connect(*m_Membership, *m_Peers);
   m_PeerPort.setTransport(*m_Peers);
   BOOST_OUTCOME_TRYV(
       keep(m_Callers,
@@ -214,6 +229,8 @@
 Daemon::Daemon(std::unique_ptr<Parts> Wired) : m_Parts(std::move(Wired)) {}
 
 Daemon::~Daemon() {
+  if (m_Parts->m_Membership)
+    m_Parts->m_Membership->stop();
   if (m_Parts->m_Sync)
     m_Parts->m_Sync->stop();
   if (m_Parts->m_Peers)
@@ -228,11 +245,13 @@
 }
 
 void Daemon::start() {
+  m_Parts->m_Membership->start();
   m_Parts->m_Sync->start();
   m_Parts->m_Callers->start();
 }
 
 void Daemon::drainAndStop() {
+  m_Parts->m_Membership->setDraining();
   m_Parts->m_Callers->drainAndStop();
   m_Parts->m_ClaimShell->drain(ClaimDrainTimeout);
   m_Parts->m_Peers->drain();
--- a/src/daemon/Parts.h
+++ b/src/daemon/Parts.h
@@ -12,10 +12,11 @@
 #include "admin/MetricsPage.h"
 #include "daemon/ClaimPort.h"
 #include "daemon/Daemon.h"
-#include "daemon/StaticDirectory.h"
 #include "documents/DocumentKeeper.h"
 #include "fleet/FleetShell.h"
+#include "forward/SpillBook.h"
 #include "gateway/CallerServer.h"
+#include "membership/MembershipShell.h"
 #include "platform/HttpPlatform.h"
 #include "sync/FleetSync.h"
 #include <atomic>
@@ -44,6 +45,16 @@
   Result<std::string> serveDrainStatus(const PeerCall &Call);
   DrainAck drainStatus(const AskDrainStatus &Ask);
   void askDrain(const AskDrainStatus &Ask);
+  Result<std::string> serveHeartbeat(const PeerCall &Call);
+  MembershipPorts membershipPorts();
+  void sendHeartbeat(const EntryId &Peer, std::string Body);
+  void onPeerState(const EntryId &Peer, const PeerState &State);
+
+  // Spill.cpp
+  ForwardHooks forwardHooks();
+  void onForwarded(const DataCentreName &Where, const ServiceName &Service,
+                   const Outcome &Final);
+  void publishCapacity();
   void tellPeers(const FleetNotice &News);
 
   // AdminRoutes.cpp
@@ -76,11 +87,13 @@
   const std::string m_ProcessToken;
   std::atomic<std::uint64_t> m_Tokens{0};
   std::unique_ptr<HttpPlatform> m_Platform;
-  StaticDirectory m_Directory;
+  std::mutex m_SpillMutex;
+  SpillBook m_Spill;
   PeerForwarder m_Forwarder;
   PeerPort m_PeerPort;
   /// Stopped before any other part ends, and kept until the last one has.
   std::unique_ptr<PeerTransport> m_Peers;
+  std::unique_ptr<MembershipShell> m_Membership;
   std::unique_ptr<ClaimShell> m_ClaimShell;
   std::unique_ptr<ClaimPort> m_Claims;
   std::unique_ptr<Gateway> m_Gateway;
--- a/src/daemon/PeerRoutes.cpp
+++ b/src/daemon/PeerRoutes.cpp
@@ -1,5 +1,6 @@
 //===- PeerRoutes.cpp - Calls of other entry instances --------------------===//
 
+#include "base/Pack.h"
 #include "claims/Messages.h"
 #include "daemon/Parts.h"
 #include "fleet/DrainMessages.h"
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds NoticeTimeout{1000};
+constexpr std::chrono::milliseconds HeartbeatTimeout{1000};
 constexpr std::chrono::milliseconds ClaimReplyTimeout{5000};
 /// How long a drain question waits for a settled answer, and between looks.
 constexpr std::chrono::milliseconds DrainWait{400};
@@ -31,6 +33,7 @@
       {ForwardCancelPath, &Parts::serveForwardCancel, PeerLane::Quick},
       {NoticePath, &Parts::serveNotice, PeerLane::Quick},
       {ViewPath, &Parts::serveView, PeerLane::Quick},
+      {HeartbeatPath, &Parts::serveHeartbeat, PeerLane::Quick},
       {DrainStatusPath, &Parts::serveDrainStatus, PeerLane::Blocking},
   };
   std::vector<PeerRoute> Routes;
@@ -63,8 +66,10 @@
   return std::string();
 }
 
-Result<std::string> Daemon::Parts::serveView(const PeerCall &) {
-  return encodeNotice(m_Sync->wholeView());
+Result<std::string> Daemon::Parts::serveView(const PeerCall &Call) {
+  BOOST_OUTCOME_TRY(Since,
+                    unpackedAs<Revision>(Call.m_Body, "read view question"));
+  return encodeNotice(m_Sync->changesSince(Since));
 }
 
 Result<std::string> Daemon::Parts::serveClaim(const PeerCall &Call) {
@@ -112,9 +117,61 @@
                      });
 }
 
+Result<std::string> Daemon::Parts::serveHeartbeat(const PeerCall &Call) {
+  BOOST_OUTCOME_TRYV(m_Membership->onHeartbeat(Call.m_Body));
+  return std::string();
+}
+
+MembershipPorts Daemon::Parts::membershipPorts() {
+  MembershipPorts Ports;
+  Ports.m_ReportSelf = [this] {
+    publishCapacity();
+    DispatcherStats Stats = m_Gateway->stats();
+    SelfReport Self;
+    Self.m_DocumentVersion = m_Documents->current().m_Head.m_Version;
+    Self.m_ViewRevision = m_Sync->viewRevision();
+    Self.m_Load.m_InFlight = static_cast<std::uint32_t>(Stats.m_InFlight);
+    for (std::uint64_t Queued : Stats.m_Queued)
+      Self.m_Load.m_Queued += static_cast<std::uint32_t>(Queued);
+    return Self;
+  };
+  Ports.m_Send = [this](const EntryId &Peer, std::string Body) {
+    sendHeartbeat(Peer, std::move(Body));
+  };
+  Ports.m_OnPeerState = [this](const EntryId &Peer, const PeerState &State) {
+    onPeerState(Peer, State);
+  };
+  return Ports;
+}
+
+void Daemon::Parts::sendHeartbeat(const EntryId &Peer, std::string Body) {
+  m_Peers->callAsync(Peer, HeartbeatPath, std::move(Body), HeartbeatTimeout,
+                     [this, Peer](const Result<std::string> &Reply) {
+                       if (!Reply &&
+                           Reply.error().m_Code == ErrorCode::ConnectFailed)
+                         m_Membership->onUnreachable(Peer);
+                     });
+}
+
+void Daemon::Parts::onPeerState(const EntryId &Peer, const PeerState &State) {
+  // The platform's own answer is newer than any peer's.
+  Revision Known = m_Sync->viewRevision();
+  if (m_Sync->status().m_PlatformReachable || State.m_ViewRevision <= Known)
+    return;
+  m_Peers->callAsync(
+      Peer, ViewPath, packed(Known), NoticeTimeout,
+      [this, Reached = State.m_ViewRevision](const Result<std::string> &Reply) {
+        if (!Reply)
+          return;
+        auto Notice = decodeNotice(Reply.value());
+        if (Notice)
+          m_Sync->onPeerChanges(Notice.value(), Reached);
+      });
+}
+
 void Daemon::Parts::tellPeers(const FleetNotice &News) {
   std::string Body = encodeNotice(News);
-  for (const EntryId &Peer : m_Directory.usable(m_Settings.m_DataCentre))
+  for (const EntryId &Peer : m_Membership->usable(m_Settings.m_DataCentre))
     m_Peers->callAsync(Peer, NoticePath, Body, NoticeTimeout,
                        [](const Result<std::string> &) {});
 }
--- a/src/forward/PeerForwarder.cpp
+++ b/src/forward/PeerForwarder.cpp
@@ -34,15 +34,25 @@
 Outcome PeerForwarder::forward(const DataCentreName &To,
                                const CallerRequest &Request,
                                Duration Remaining) {
+  Outcome Final = sendOn(To, Request, Remaining);
+  m_Hooks.m_OnOutcome(To, Request.m_Info.m_Service, Final);
+  return Final;
+}
+
+Outcome PeerForwarder::sendOn(const DataCentreName &To,
+                              const CallerRequest &Request,
+                              Duration Remaining) {
   std::string Body = encodeRequest(Request, Remaining);
   auto Timeout =
       std::chrono::duration_cast<std::chrono::milliseconds>(Remaining) +
       AnswerSlack;
   std::size_t Tried = 0;
-  for (const EntryId &Peer : m_Directory.usable(To)) {
+  for (const EntryId &Peer : m_Directory->usable(To)) {
     if (++Tried > MaxPeersTried)
       break;
     auto Reply = m_Transport->call(Peer, ForwardPath, Body, Timeout);
+    if (!Reply && Reply.error().m_Code == ErrorCode::ConnectFailed)
+      m_Hooks.m_OnUnreachable(Peer);
     if (!Reply && provesNotProcessed(Reply.error()))
       continue;
     if (!Reply)
@@ -57,7 +67,7 @@
 
 void PeerForwarder::forwardCancel(const std::vector<RequestId> &Ids) {
   std::string Body = encodeIds(Ids);
-  for (const EntryId &Peer : m_Directory.all())
+  for (const EntryId &Peer : m_Directory->all())
     m_Transport->callAsync(Peer, ForwardCancelPath, Body, CancelTimeout,
                            [](const Result<std::string> &) {});
 }
--- a/src/forward/PeerForwarder.h
+++ b/src/forward/PeerForwarder.h
@@ -24,19 +24,36 @@
   virtual std::vector<EntryId> all() = 0;
 };
 
-/// Thread safe.
+/// What came of forwards; called from the threads that forward.
+struct ForwardHooks {
+  std::function<void(const DataCentreName &, const ServiceName &,
+                     const Outcome &)>
+      m_OnOutcome;
+  /// A peer could not be connected to.
+  std::function<void(const EntryId &)> m_OnUnreachable;
+};
+
+/// Thread safe once connected.
 class PeerForwarder final : public Forwarder {
 public:
-  /// Both have to outlive the forwarder. setTransport() comes before use.
-  explicit PeerForwarder(PeerDirectory &Directory) : m_Directory(Directory) {}
-  void setTransport(PeerTransport &Transport) { m_Transport = &Transport; }
+  explicit PeerForwarder(ForwardHooks Hooks) : m_Hooks(std::move(Hooks)) {}
+
+  /// Comes before use. Both have to outlive the forwarder.
+  void connect(PeerDirectory &Directory, PeerTransport &Transport) {
+    m_Directory = &Directory;
+    m_Transport = &Transport;
+  }
 
   Outcome forward(const DataCentreName &To, const CallerRequest &Request,
                   Duration Remaining) override;
   void forwardCancel(const std::vector<RequestId> &Ids) override;
 
 private:
-  PeerDirectory &m_Directory;
+  Outcome sendOn(const DataCentreName &To, const CallerRequest &Request,
+                 Duration Remaining);
+
+  ForwardHooks m_Hooks;
+  PeerDirectory *m_Directory = nullptr;
   PeerTransport *m_Transport = nullptr;
 };
 
--- a/src/sync/FleetSync.cpp
+++ b/src/sync/FleetSync.cpp
@@ -3,6 +3,7 @@
 #include "sync/FleetSync.h"
 #include "documents/Head.h"
 #include "fleet/FleetController.h"
+#include <algorithm>
 
 namespace pollenspool {
 
@@ -155,6 +156,28 @@
   return m_View.wholeView();
 }
 
+FleetNotice FleetSync::changesSince(Revision Since) const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_View.changesSince(Since);
+}
+
+void FleetSync::onPeerChanges(const FleetNotice &Notice, Revision Reached) {
+  onNotice(Notice);
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_PeerRevision = std::max(m_PeerRevision, Reached);
+}
+
+Revision FleetSync::viewRevision() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return std::max(m_PeerRevision, m_Status.m_Revision);
+}
+
+std::vector<InstanceTarget>
+FleetSync::targets(const DataCentreName &Where) const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_View.targets(Where);
+}
+
 SyncStatus FleetSync::status() const {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   return m_Status;
--- a/src/sync/FleetSync.h
+++ b/src/sync/FleetSync.h
@@ -68,6 +68,13 @@
   void onNotice(const FleetNotice &Notice);
 
   FleetNotice wholeView() const;
+  FleetNotice changesSince(Revision Since) const;
+  /// Takes in a peer's changes up to \p Reached, instead of the platform's.
+  void onPeerChanges(const FleetNotice &Notice, Revision Reached);
+  /// The table revision up to which the view is known, from either source.
+  Revision viewRevision() const;
+  /// The instances of one data centre as known here.
+  std::vector<InstanceTarget> targets(const DataCentreName &Where) const;
   SyncStatus status() const;
   /// Hands the view to the request path and gives the instance's row epoch in
   /// it: no work starts under an older one from then on. 0 if unknown.
@@ -93,6 +100,7 @@
   bool m_PollNow = false;
   ServingView m_View;
   SyncStatus m_Status;
+  Revision m_PeerRevision = 0;
   std::mt19937_64 m_Random;
   std::thread m_Thread;
 };
--- a/src/view/ServingView.cpp
+++ b/src/view/ServingView.cpp
@@ -122,15 +122,18 @@
   return Out;
 }
 
-FleetNotice ServingView::wholeView() const {
-  FleetNotice All;
+FleetNotice ServingView::changesSince(Revision Since) const {
+  FleetNotice News;
   for (const auto &[Id, Entry] : m_Instances) {
-    if (Entry.m_Row)
-      All.m_Rows.push_back(*Entry.m_Row);
-    if (Entry.m_Listed)
-      All.m_Listed.push_back(*Entry.m_Listed);
+    bool RowIsNew = Entry.m_Row && Entry.m_Row->m_Revision > Since;
+    if (RowIsNew)
+      News.m_Rows.push_back(*Entry.m_Row);
+    bool IsAway =
+        Entry.m_Listed && Entry.m_Listed->m_State != InstanceState::Live;
+    if (Entry.m_Listed && (RowIsNew || IsAway || Since == 0))
+      News.m_Listed.push_back(*Entry.m_Listed);
   }
-  return All;
+  return News;
 }
 
 const VersionedRow *ServingView::findRow(const InstanceId &Id) const {
--- a/src/view/ServingView.h
+++ b/src/view/ServingView.h
@@ -47,7 +47,10 @@
   std::vector<InstanceTarget> targets(const DataCentreName &Own) const;
 
   /// Everything known, for a peer that starts.
-  FleetNotice wholeView() const;
+  FleetNotice wholeView() const { return changesSince(0); }
+  /// The rows above \p Since with their list entries, and every instance that
+  /// is leaving or gone. What came to live since then has a row since then.
+  FleetNotice changesSince(Revision Since) const;
 
   /// The instance's row, or null.
   const VersionedRow *findRow(const InstanceId &Id) const;
--- a/src/view/ServingViewTest.cpp
+++ b/src/view/ServingViewTest.cpp
@@ -72,6 +72,20 @@
   LONGS_EQUAL(3, Other.findListed(InstanceId("i"))->m_Epoch);
 }
 
+TEST(ServingView, ChangesHoldNewRowsAndAllThatIsAway) {
+  ServingView View;
+  View.mergeRows({row("old", ServingState::Serving, 1),
+                  row("new", ServingState::Serving, 5),
+                  row("away", ServingState::Serving, 1)});
+  View.mergeListed({listed("old", InstanceState::Live, 1),
+                    listed("new", InstanceState::Live, 1),
+                    listed("away", InstanceState::Leaving, 2)});
+  FleetNotice News = View.changesSince(4);
+  LONGS_EQUAL(1, News.m_Rows.size());
+  LONGS_EQUAL(2, News.m_Listed.size());
+  LONGS_EQUAL(3, View.wholeView().m_Rows.size());
+}
+
 TEST(ServingView, GarbageIsAnErrorNotAnException) {
   CHECK(!decodeNotice("\xc1garbage").has_value());
   CHECK(!decodeNotice("").has_value());
