--- a/src/claims/ClaimOwner.cpp
+++ b/src/claims/ClaimOwner.cpp
@@ -26,8 +26,13 @@
   RequestId Key(R.m_Key);
   bool Mine = R.m_ListHash == m_Owners.listHash() &&
               m_Owners.ownerOf(Key) == m_Settings.m_Self;
-  if (m_State != State::Serving || !Mine || R.m_Token.empty())
-    return respond({Handle}, denial(Reason::ClaimOwnerRecovering));
+  // Whoever gets claims is the one to own the keys.
+  if (m_State == State::Deposed)
+    m_State = State::Joining;
+  if (m_State != State::Serving || !Mine || R.m_Token.empty()) {
+    respond({Handle}, denial(Reason::ClaimOwnerRecovering));
+    return pump(Now);
+  }
   if (ClaimEntry *Entry = m_Book.find(Key)) {
     onKnownKey(Handle, Asker, R, *Entry, Now);
   } else {
@@ -51,8 +56,12 @@
   }
   if (Entry.m_Phase == ClaimPhase::Pending)
     return Entry.m_Pending->m_Waiters.push_back(Handle);
-  if (Entry.m_Phase == ClaimPhase::Granted)
-    return respond({Handle}, grantOf(Entry));
+  if (Entry.m_Phase == ClaimPhase::Granted) {
+    // This reply may overtake the first one.
+    ClaimAnswer Grant = grantOf(Entry);
+    Grant.m_AskerWitnesses = Entry.m_Unsynced && Entry.m_Witness == Asker;
+    return respond({Handle}, Grant);
+  }
   // The asker has given the claim up or completed it: a late copy.
   respond({Handle}, denial(Reason::ClaimInProgress));
 }
@@ -174,7 +183,8 @@
 }
 
 bool ClaimOwner::canTakeNotes() const {
-  return m_State != State::Joining && m_State != State::Recovering;
+  return m_State == State::Serving || m_State == State::Draining ||
+         m_State == State::Drained;
 }
 
 bool ClaimOwner::onComplete(const CompleteRequest &R, TimePoint Now) {
--- a/src/claims/ClaimOwner.h
+++ b/src/claims/ClaimOwner.h
@@ -62,6 +62,8 @@
     Serving,
     Draining,
     Drained,
+    /// Another process has joined under this address.
+    Deposed,
   };
   enum class Operation : std::uint8_t {
     None,
@@ -70,6 +72,8 @@
     Batch,
     /// Finds out whether the platform is back.
     Probe,
+    /// Of an incarnation that was deposed; its result does not matter.
+    Abandoned,
   };
 
   /// How far the exchange with one peer of the group has come.
@@ -127,10 +131,10 @@
   bool isDown(TimePoint Now) const;
   void onOwnerWritten(const CommitResult &Done, TimePoint Now);
   void onOwnerRow(Revision At, TimePoint Now);
-  void onBatch(const CommitResult &Done, TimePoint Now);
+  void onBatch(const CommitResult &Done);
   void apply(const RequestId &Key, RowDecision Decision);
   void sendForgets();
-  void rejoin(TimePoint Now);
+  void depose();
   std::string nextToken();
 
   // The group.
--- a/src/claims/ClaimOwnerGroup.cpp
+++ b/src/claims/ClaimOwnerGroup.cpp
@@ -56,6 +56,8 @@
     Peer.m_Announced = true;
   else if (Peer.m_CallIsRecovery && Found && Found->m_Accepted)
     onRecovered(Peer, *Found, Now);
+  else if (Found && Found->m_LatestIncarnation > m_Row.m_Incarnation)
+    return depose();
   else
     Peer.m_NextTry = Now + m_Settings.m_PeerTimeout;
   talkToPeers(Now);
--- a/src/claims/ClaimOwnerTable.cpp
+++ b/src/claims/ClaimOwnerTable.cpp
@@ -101,8 +101,8 @@
 std::optional<OwnerRow> ClaimOwner::nextOwnerRow(TimePoint Now) const {
   // Each of these rows says that all grants up to it are in the table.
   bool AllSynced = m_Book.unsynced() == 0;
-  if (m_State == State::Recovering || m_State == State::Drained || !AllSynced ||
-      m_FailingSince)
+  bool MayWrite = m_State == State::Serving || m_State == State::Draining;
+  if (!MayWrite || !AllSynced || m_FailingSince)
     return std::nullopt;
   OwnerRow Row = m_Row;
   Row.m_SyncedUpTo = 0;
@@ -144,9 +144,12 @@
 }
 
 void ClaimOwner::onRead(const Result<RowSet> &Done, TimePoint Now) {
-  if (isFailure(Done.has_error(), false, Now))
+  if (isFailure(Done.has_error(), false, Now)) {
+    if (m_Operation == Operation::Abandoned)
+      m_Operation = Operation::None;
     return;
-  if (std::exchange(m_Operation, Operation::None) == Operation::Probe)
+  }
+  if (std::exchange(m_Operation, Operation::None) != Operation::ReadOwners)
     return pump(Now);
   OwnerRow Old;
   m_RowRevision = 0;
@@ -176,15 +179,16 @@
   bool MaybeSent = Done.has_error() && !isUnsent(Done.error().m_Code);
   if (isFailure(Done.has_error(), MaybeSent, Now)) {
     // An owner row that was certainly not written holds up nothing.
-    if (m_Operation == Operation::WriteOwner && !m_MaybeSent)
+    bool Unsent = m_Operation == Operation::WriteOwner && !m_MaybeSent;
+    if (Unsent || m_Operation == Operation::Abandoned)
       m_Operation = Operation::None;
     return progressPending(Now);
   }
   Operation Finished = std::exchange(m_Operation, Operation::None);
   if (Finished == Operation::WriteOwner)
     onOwnerWritten(Done.value(), Now);
-  else
-    onBatch(Done.value(), Now);
+  else if (Finished == Operation::Batch)
+    onBatch(Done.value());
   progressPending(Now);
   pump(Now);
 }
@@ -195,7 +199,7 @@
   for (const Row &R : Done.m_Conflicts)
     if (R.m_Value == encodeOwnerRow(m_NextRow))
       return onOwnerRow(R.m_Revision, Now);
-  rejoin(Now);
+  depose();
 }
 
 void ClaimOwner::onOwnerRow(Revision At, TimePoint Now) {
@@ -217,7 +221,7 @@
   talkToPeers(Now);
 }
 
-void ClaimOwner::onBatch(const CommitResult &Done, TimePoint Now) {
+void ClaimOwner::onBatch(const CommitResult &Done) {
   std::vector<BatchItem> Items = std::exchange(m_Items, {});
   if (Done.isCommitted()) {
     m_RowsWritten += m_Transaction.m_Writes.size();
@@ -229,7 +233,7 @@
   for (const Row &R : Done.m_Conflicts)
     Conflicts[R.m_Key] = &R;
   if (Conflicts.count(ownerRowKey(m_Settings.m_Self)) != 0)
-    return rejoin(Now);
+    return depose();
   for (const BatchItem &Item : Items) {
     auto Found = Conflicts.find(claimRowKey(Item.m_Key));
     const Row *InTheWay = Found == Conflicts.end() ? nullptr : Found->second;
@@ -257,8 +261,10 @@
 }
 
 /// Another process has joined under this address. Everything granted here is in
-/// the table or with a witness, so this process starts over like a new one.
-void ClaimOwner::rejoin(TimePoint Now) {
+/// the table or with a witness, so this process may start over like a new one.
+/// It does so once it gets a claim, or two processes would take the row from
+/// each other for ever.
+void ClaimOwner::depose() {
   for (const RequestId &Key : std::exchange(m_PendingKeys, {})) {
     ClaimEntry *Entry = m_Book.find(Key);
     if (Entry && Entry->m_Pending)
@@ -269,16 +275,16 @@
   m_Witness.suspend();
   m_WitnessCalls.clear();
   m_Items.clear();
+  m_Operation = m_Awaiting ? Operation::Abandoned : Operation::None;
   for (PeerProgress &Peer : m_Peers) {
     EntryId Name = std::move(Peer.m_Peer);
     Peer = PeerProgress();
     Peer.m_Peer = std::move(Name);
   }
   bool Drains = m_State == State::Draining || m_State == State::Drained;
-  m_State = Drains ? State::Drained : State::Joining;
+  m_State = Drains ? State::Drained : State::Deposed;
   m_Joined = false;
   m_MemoryAllowed = false;
-  m_RetryAt = Now + m_Settings.m_PlatformRetry;
 }
 
 } // namespace pollenspool::claims
--- a/src/claims/ClaimShell.cpp
+++ b/src/claims/ClaimShell.cpp
@@ -76,7 +76,7 @@
       Actions = m_Node.takeActions();
     }
     for (Action &A : Actions)
-      std::visit([this](auto &Do) { carryOut(Do); }, A);
+      std::visit([this](auto &Do) { this->carryOut(Do); }, A);
   }
 
   void carryOut(CallPeer &Call) {
@@ -141,7 +141,7 @@
 
   void runCalls() {
     while (std::optional<PlatformCall> Call = nextCall())
-      std::visit([this](const auto &Do) { callPlatform(Do); }, *Call);
+      std::visit([this](const auto &Do) { this->callPlatform(Do); }, *Call);
   }
 
   std::optional<PlatformCall> nextCall() {
--- a/src/claims/Messages.h
+++ b/src/claims/Messages.h
@@ -85,15 +85,18 @@
 };
 
 struct RecoverAnswer {
-  /// False if the lists differ or a later incarnation has asked.
+  /// False if the lists differ or a later incarnation is known.
   bool m_Accepted = false;
+  /// The latest incarnation of the owner that the witness knows of.
+  std::uint64_t m_LatestIncarnation = 0;
   /// The table revision of the witness's own start; 0 if it has not joined.
   std::uint64_t m_StartRevision = 0;
   /// How long the witness has kept its records.
   std::uint64_t m_UptimeMs = 0;
   std::vector<WireRecord> m_Records;
   bool m_More = false;
-  MSGPACK_DEFINE(m_Accepted, m_StartRevision, m_UptimeMs, m_Records, m_More)
+  MSGPACK_DEFINE(m_Accepted, m_LatestIncarnation, m_StartRevision, m_UptimeMs,
+                 m_Records, m_More)
 };
 
 /// Asker to owner: a granted request ran.
--- a/src/claims/WitnessStore.cpp
+++ b/src/claims/WitnessStore.cpp
@@ -38,9 +38,10 @@
 RecoverAnswer WitnessStore::recover(const RecoverRequest &R, TimePoint Now) {
   RecoverAnswer Answer;
   OwnerRecords &Records = m_Owners[EntryId(R.m_Owner)];
+  Records.m_Fence = std::max(Records.m_Fence, R.m_Incarnation);
+  Answer.m_LatestIncarnation = Records.m_Fence;
   if (R.m_Incarnation < Records.m_Fence)
     return Answer;
-  Records.m_Fence = R.m_Incarnation;
   Answer.m_Accepted = true;
   Answer.m_StartRevision = m_StartRevision;
   auto Uptime =
