Fuzz moves and waves against an oracle and mend what it found

The commit now writes the target's budget row as well; - waves of a pool without an instance to spare never ended; they end with these members failed after the starve timeout.

--- a/src/fleet/FleetActions.h
+++ b/src/fleet/FleetActions.h
@@ -32,8 +32,8 @@
   std::uint64_t m_Ask = 0;
 };
 
-/// Send the transaction with CallPriority::Control and report what came of it
-/// by onTransactionResult() with the same token, whatever it was.
+/// Send the transaction once with CallPriority::Control and report what came of
+/// it by onTransactionResult() with the same token, whatever it was.
 struct Transact {
   Transaction m_Transaction;
 };
@@ -98,8 +98,6 @@
   /// First and longest wait before an unanswered question is put again.
   Duration m_AskInterval = std::chrono::milliseconds(500);
   Duration m_AskIntervalMax = std::chrono::seconds(5);
-  /// Wait before an undecided transaction is sent again.
-  Duration m_TransactRetry = std::chrono::seconds(1);
   Duration m_RebootRetry = std::chrono::seconds(2);
   /// A rebooted instance that is not healthy after this has failed.
   Duration m_ReturnTimeout = std::chrono::minutes(10);
--- a/src/fleet/FleetContext.cpp
+++ b/src/fleet/FleetContext.cpp
@@ -65,6 +65,10 @@
       std::remove_if(Budget.m_Units.begin(), Budget.m_Units.end(), IsOurs),
       Budget.m_Units.end());
   write(budgetRowKey(Row.m_Pool), encodeRow(Budget));
+  // The newcomer may be lost: whoever takes from the target at the same time
+  // has to count it.
+  if (!(Target == Row.m_Pool))
+    write(budgetRowKey(Target), encodeRow(m_View.budget(Target)));
   Row.m_Pool = Target;
   Row.m_State = ServingState::Serving;
   Row.m_Holder.clear();
--- a/src/fleet/FleetController.cpp
+++ b/src/fleet/FleetController.cpp
@@ -27,7 +27,7 @@
 
 FleetController::Parts::Parts(FleetSettings Given)
     : m_Settings(std::move(Given)), m_Drains(m_Settings),
-      m_Ledger(m_Settings.m_ProcessToken, m_Settings.m_TransactRetry) {}
+      m_Ledger(m_Settings.m_ProcessToken) {}
 
 Result<FleetController> FleetController::create(FleetSettings Settings) {
   if (!isEntry(Settings, Settings.m_Self))
@@ -73,8 +73,7 @@
 void FleetController::onTransactionResult(const std::string &Token,
                                           const Result<CommitResult> &Outcome,
                                           TimePoint Now) {
-  m_Parts->m_Ledger.onResult(Token, Outcome, m_Parts->m_View, Now,
-                             m_Parts->m_Out);
+  m_Parts->m_Ledger.onResult(Token, Outcome, m_Parts->m_View, m_Parts->m_Out);
   step(Now);
 }
 
@@ -100,10 +99,7 @@
   m_Parts->m_View.setSick(Id, IsSick);
 }
 
-void FleetController::tick(TimePoint Now) {
-  m_Parts->m_Ledger.tick(Now, m_Parts->m_Out);
-  step(Now);
-}
+void FleetController::tick(TimePoint Now) { step(Now); }
 
 std::vector<FleetAction> FleetController::takeActions() {
   std::vector<FleetAction> Taken;
--- a/src/fleet/TransactionLedger.cpp
+++ b/src/fleet/TransactionLedger.cpp
@@ -16,7 +16,7 @@
   Txn.m_Token = m_Prefix + "-" + std::to_string(m_Next++);
   Out.emplace_back(Transact{Txn});
   std::string Token = Txn.m_Token;
-  m_Undecided.emplace(Token, Undecided{std::move(Txn), std::nullopt});
+  m_Undecided.emplace(Token, std::move(Txn));
   return true;
 }
 
@@ -47,27 +47,25 @@
 
 void TransactionLedger::onResult(const std::string &Token,
                                  const Result<CommitResult> &Outcome,
-                                 FleetView &View, TimePoint Now,
+                                 FleetView &View,
                                  std::vector<FleetAction> &Out) {
   auto It = m_Undecided.find(Token);
   if (It == m_Undecided.end())
     return;
-  if (!Outcome) {
-    It->second.m_RetryAt = Now + m_RetryInterval;
-    return;
-  }
-  Transaction Txn = std::move(It->second.m_Transaction);
+  Transaction Txn = std::move(It->second);
   m_Undecided.erase(It);
   release(Txn);
-  if (Outcome.value().isCommitted()) {
+  if (Outcome && Outcome.value().isCommitted()) {
     View.applyCommit(Txn, Outcome.value().m_Revision);
     return;
   }
-  ++m_Conflicts;
   m_NeedsRows = true;
+  Out.emplace_back(RefreshRows{});
+  if (!Outcome)
+    return;
+  ++m_Conflicts;
   for (const Row &R : Outcome.value().m_Conflicts)
     m_NeededRevision = std::max(m_NeededRevision, R.m_Revision);
-  Out.emplace_back(RefreshRows{});
 }
 
 void TransactionLedger::onRows(const FleetView &View) {
@@ -75,13 +73,4 @@
     m_NeedsRows = false;
 }
 
-void TransactionLedger::tick(TimePoint Now, std::vector<FleetAction> &Out) {
-  for (auto &[Token, Entry] : m_Undecided) {
-    if (!Entry.m_RetryAt || *Entry.m_RetryAt > Now)
-      continue;
-    Entry.m_RetryAt.reset();
-    Out.emplace_back(Transact{Entry.m_Transaction});
-  }
-}
-
 } // namespace pollenspool
--- a/src/fleet/TransactionLedger.h
+++ b/src/fleet/TransactionLedger.h
@@ -1,7 +1,9 @@
 //===- TransactionLedger.h - Transactions without an outcome yet -*- C++ -*-==//
 //
-// Sends transactions until the platform has decided on them. A lost reply is
-// settled by repeating the transaction with its token.
+// A transaction whose reply is lost is not sent again: by then it may rest on
+// losses that were not known when it was decided on. The rows tell what came of
+// it, and whatever is still due is decided anew. Should the old one take effect
+// late, its checks let at most one of the two through.
 //
 //===----------------------------------------------------------------------===//
 
@@ -20,8 +22,8 @@
 class TransactionLedger {
 public:
   /// \p Prefix makes the tokens unique among processes.
-  TransactionLedger(std::string Prefix, Duration RetryInterval)
-      : m_Prefix(std::move(Prefix)), m_RetryInterval(RetryInterval) {}
+  explicit TransactionLedger(std::string Prefix)
+      : m_Prefix(std::move(Prefix)) {}
 
   /// Starts a transaction with a new token. Returns false, and does nothing,
   /// if it touches a row of an undecided one or if newer rows are on their way.
@@ -29,11 +31,9 @@
   /// Notes the outcome; a commit is applied to \p View. Unknown tokens are
   /// passed over.
   void onResult(const std::string &Token, const Result<CommitResult> &Outcome,
-                FleetView &View, TimePoint Now, std::vector<FleetAction> &Out);
+                FleetView &View, std::vector<FleetAction> &Out);
   /// Notes that rows up to the view's revision have arrived.
   void onRows(const FleetView &View);
-  /// Sends again what the platform has not decided on.
-  void tick(TimePoint Now, std::vector<FleetAction> &Out);
 
   /// Transactions without an outcome.
   std::size_t undecided() const { return m_Undecided.size(); }
@@ -41,25 +41,18 @@
   std::uint64_t conflicts() const { return m_Conflicts; }
 
 private:
-  struct Undecided {
-    Transaction m_Transaction;
-    /// When to send again; nothing while a call is under way.
-    std::optional<TimePoint> m_RetryAt;
-  };
-
   bool isFree(const Transaction &Txn) const;
   void lock(const Transaction &Txn);
   void release(const Transaction &Txn);
 
   std::string m_Prefix;
-  Duration m_RetryInterval;
   std::uint64_t m_Next = 1;
   std::uint64_t m_Conflicts = 0;
-  std::map<std::string, Undecided> m_Undecided;
+  std::map<std::string, Transaction> m_Undecided;
   std::unordered_set<std::string> m_Written;
   /// How many undecided transactions check a row.
   std::unordered_map<std::string, std::uint32_t> m_Checked;
-  /// Set by a conflict until rows of at least m_NeededRevision are read.
+  /// Set by a conflict or a lost reply until newer rows are read.
   bool m_NeedsRows = false;
   Revision m_NeededRevision = 0;
 };
--- /dev/null
+++ b/src/fleet/testing/FleetOracle.cpp
@@ -0,0 +1,149 @@
+//===- FleetOracle.cpp - What must hold of every committed change ---------===//
+
+#include "fleet/testing/FleetOracle.h"
+#include <nlohmann/json.hpp>
+
+namespace pollenspool {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// The rest of \p Key after \p Prefix; empty if it does not start with it.
+std::string after(const std::string &Key, const std::string &Prefix) {
+  return Key.compare(0, Prefix.size(), Prefix) == 0 ? Key.substr(Prefix.size())
+                                                    : std::string();
+}
+
+} // namespace
+
+FleetOracle::FleetOracle(const Document &Doc, InFlight Count)
+    : m_InFlight(std::move(Count)) {
+  for (const Pool &P : Doc.m_Pools)
+    m_Pools[P.m_Name.m_Text] = P;
+}
+
+void FleetOracle::fail(std::string Text) {
+  if (m_Violation.empty())
+    m_Violation = std::move(Text);
+}
+
+void FleetOracle::onCommit(const Transaction &Txn,
+                           const std::set<InstanceId> &Lost) {
+  for (const RowWrite &W : Txn.m_Writes)
+    applyInstance(W, Lost);
+  for (const RowWrite &W : Txn.m_Writes) {
+    checkBudget(W);
+    checkBatch(W);
+  }
+}
+
+void FleetOracle::applyInstance(const RowWrite &Write,
+                                const std::set<InstanceId> &Lost) {
+  InstanceId Id(after(Write.m_Key, "instance/"));
+  if (Id.empty())
+    return;
+  Json Value = Json::parse(Write.m_Value);
+  Instance New{Value["pool"], Value["state"], Value["holder"], Value["epoch"]};
+  auto It = m_Instances.find(Id);
+  if (It == m_Instances.end()) {
+    m_Instances[Id] = New;
+    return;
+  }
+  Instance Old = It->second;
+  It->second = New;
+  checkChange(Id, Old, New);
+  if (Old.m_State == "serving" && New.m_State != "serving")
+    checkTake(Id, New.m_Pool, Lost);
+}
+
+void FleetOracle::checkChange(const InstanceId &Id, const Instance &Old,
+                              const Instance &New) {
+  if (New.m_Epoch != Old.m_Epoch + 1)
+    fail(Id.m_Text + ": epoch goes from " + std::to_string(Old.m_Epoch) +
+         " to " + std::to_string(New.m_Epoch));
+  if ((New.m_State == "serving") != New.m_Holder.empty())
+    fail(Id.m_Text + ": " + New.m_State + " with holder '" + New.m_Holder +
+         "'");
+  bool IsMoved = New.m_Pool != Old.m_Pool;
+  m_MoveCount += IsMoved ? 1 : 0;
+  if (IsMoved && Old.m_State != "draining")
+    fail(Id.m_Text + ": changes its pool while " + Old.m_State);
+  if ((IsMoved || New.m_State == "away") && m_InFlight(Id) > 0)
+    fail(Id.m_Text + ": committed with requests in flight");
+}
+
+void FleetOracle::checkTake(const InstanceId &Id, const std::string &PoolText,
+                            const std::set<InstanceId> &Lost) {
+  std::uint32_t Serving = 0;
+  std::uint32_t Away = 0;
+  for (const auto &[Other, I] : m_Instances) {
+    if (I.m_Pool != PoolText)
+      continue;
+    bool IsServing = I.m_State == "serving" && Lost.count(Other) == 0;
+    ++(IsServing ? Serving : Away);
+  }
+  const Pool &P = m_Pools.at(PoolText);
+  if (Serving < P.m_Promised)
+    fail(Id.m_Text + ": taken though pool " + PoolText + " then serves with " +
+         std::to_string(Serving) + " of " + std::to_string(P.m_Promised));
+  if (Away > P.m_AvailabilityBudget)
+    fail(Id.m_Text + ": taken though pool " + PoolText + " then has " +
+         std::to_string(Away) + " away of " +
+         std::to_string(P.m_AvailabilityBudget));
+}
+
+void FleetOracle::checkBudget(const RowWrite &Write) {
+  std::string Name = after(Write.m_Key, "pool/");
+  if (Name.empty())
+    return;
+  Name.resize(Name.size() - std::string("/budget").size());
+  std::set<std::string> Units;
+  Json Value = Json::parse(Write.m_Value);
+  for (const Json &U : Value["units"])
+    Units.insert(U["instance"].get<std::string>());
+  for (const auto &[Id, I] : m_Instances) {
+    bool IsAway = I.m_Pool == Name && I.m_State != "serving";
+    if (IsAway != (Units.count(Id.m_Text) != 0))
+      fail(Id.m_Text + ": " + I.m_State + " in pool " + I.m_Pool + " but " +
+           (IsAway ? "without" : "with") + " a unit of pool " + Name);
+  }
+}
+
+void FleetOracle::checkBatch(const RowWrite &Write) {
+  std::string Wave = after(Write.m_Key, "wave/");
+  if (!Wave.empty())
+    m_MaxBatches[Wave] = Json::parse(Write.m_Value)["max_batch"];
+  std::string Held = after(Write.m_Key, "wave-batch/");
+  if (Held.empty() || Write.m_Delete)
+    return;
+  Json Value = Json::parse(Write.m_Value);
+  if (Value["held"].size() > m_MaxBatches[Held])
+    fail("wave " + Held + " holds " + std::to_string(Value["held"].size()));
+}
+
+void FleetOracle::onReboot(const InstanceId &Id) {
+  if (m_Instances[Id].m_State != "away")
+    fail(Id.m_Text + ": rebooted while " + m_Instances[Id].m_State);
+  if (m_InFlight(Id) > 0)
+    fail(Id.m_Text + ": rebooted with requests in flight");
+}
+
+void FleetOracle::onDispatch(const InstanceId &Id, const PoolName &Pool) {
+  const Instance &I = m_Instances[Id];
+  if (I.m_Pool != Pool.m_Text)
+    fail(Id.m_Text + ": request for pool " + Pool.m_Text +
+         " started though it is in pool " + I.m_Pool);
+  if (I.m_State == "away")
+    fail(Id.m_Text + ": request started while away");
+}
+
+std::vector<InstanceId> FleetOracle::notServing() const {
+  std::vector<InstanceId> Ids;
+  for (const auto &[Id, I] : m_Instances)
+    if (I.m_State != "serving")
+      Ids.push_back(Id);
+  return Ids;
+}
+
+} // namespace pollenspool
--- a/src/waves/WaveMachine.cpp
+++ b/src/waves/WaveMachine.cpp
@@ -74,6 +74,13 @@
   return P;
 }
 
+/// Several waves may have the instance as a member, but only one holds it.
+void WaveMachine::dropProgress(const WaveMemberRow &Member) {
+  auto It = m_Progress.find(Member.m_Instance);
+  if (It != m_Progress.end() && It->second.m_Wave == Member.m_Wave)
+    m_Progress.erase(It);
+}
+
 void WaveMachine::stepDraining(const FleetContext &Context, const WaveRow &Wave,
                                const WaveMemberRow &Member) {
   const InstanceRow *Instance = Context.m_View.findInstance(Member.m_Instance);
@@ -128,13 +135,23 @@
              *P.m_AcceptedAt + Context.m_Settings.m_ListLag;
 }
 
-void WaveMachine::checkHealth(const FleetContext &Context,
+/// Asks for the reboot and the health checks that are due, and says whether the
+/// instance has passed enough of them.
+bool WaveMachine::hasReturned(const FleetContext &Context,
                               const WaveMemberRow &Member, Progress &P,
-                              Duration Interval) {
-  if (P.m_NextHealth > Context.m_Now)
-    return;
-  P.m_NextHealth = Context.m_Now + Interval;
-  Context.m_Out.emplace_back(CheckHealth{Member.m_Instance});
+                              Duration HealthInterval) {
+  askReboot(Context, Member, P);
+  if (!isBack(Context, Member, P)) {
+    P.m_Passes = 0;
+    return false;
+  }
+  if (P.m_Passes >= Context.m_Settings.m_HealthPasses)
+    return true;
+  if (P.m_NextHealth <= Context.m_Now) {
+    P.m_NextHealth = Context.m_Now + HealthInterval;
+    Context.m_Out.emplace_back(CheckHealth{Member.m_Instance});
+  }
+  return false;
 }
 
 void WaveMachine::stepRebooting(const FleetContext &Context,
@@ -144,12 +161,7 @@
   // While the platform is away nothing can come back, nor be seen to.
   if (!Context.isListRecent())
     P.m_Since = Context.m_Now;
-  askReboot(Context, Member, P);
-  if (isBack(Context, Member, P))
-    checkHealth(Context, Member, P, Context.m_Settings.m_HealthInterval);
-  else
-    P.m_Passes = 0;
-  if (P.m_Passes >= Context.m_Settings.m_HealthPasses)
+  if (hasReturned(Context, Member, P, Context.m_Settings.m_HealthInterval))
     return returnMember(Context, Wave, Member);
   if (Context.m_Now < P.m_Since + Context.m_Settings.m_ReturnTimeout)
     return;
@@ -197,7 +209,7 @@
 
 void WaveMachine::stepDone(const FleetContext &, const WaveRow &,
                            const WaveMemberRow &Member) {
-  m_Progress.erase(Member.m_Instance);
+  dropProgress(Member);
 }
 
 void WaveMachine::stepFailed(const FleetContext &Context, const WaveRow &Wave,
@@ -205,16 +217,12 @@
   const InstanceRow *Instance = Context.m_View.findInstance(Member.m_Instance);
   bool IsHeld = Instance && Instance->m_Holder == holderOf(Wave.m_Id);
   if (!IsHeld) {
-    m_Progress.erase(Member.m_Instance);
+    dropProgress(Member);
     return;
   }
   Progress &P = progressOf(Context, Member);
-  askReboot(Context, Member, P);
-  if (isBack(Context, Member, P))
-    checkHealth(Context, Member, P, Context.m_Settings.m_FailedHealthInterval);
-  else
-    P.m_Passes = 0;
-  if (P.m_Passes >= Context.m_Settings.m_HealthPasses)
+  if (hasReturned(Context, Member, P,
+                  Context.m_Settings.m_FailedHealthInterval))
     returnMember(Context, Wave, Member);
 }
 
--- a/src/waves/WaveMachine.h
+++ b/src/waves/WaveMachine.h
@@ -95,8 +95,9 @@
                  Progress &P);
   bool isBack(const FleetContext &Context, const WaveMemberRow &Member,
               const Progress &P) const;
-  void checkHealth(const FleetContext &Context, const WaveMemberRow &Member,
-                   Progress &P, Duration Interval);
+  bool hasReturned(const FleetContext &Context, const WaveMemberRow &Member,
+                   Progress &P, Duration HealthInterval);
+  void dropProgress(const WaveMemberRow &Member);
   void returnMember(const FleetContext &Context, const WaveRow &Wave,
                     const WaveMemberRow &Member);
   void failMember(const FleetContext &Context, const WaveRow &Wave,
--- a/src/waves/WaveSchedule.cpp
+++ b/src/waves/WaveSchedule.cpp
@@ -62,6 +62,9 @@
     return "the platform does not list the instance as live";
   if (View.whyNotTake(Id) && holdsFailed(View, Wave, Instance->m_Pool))
     return "failed members hold the budget of pool " + Instance->m_Pool.m_Text;
+  PoolLoad Load = View.load(Instance->m_Pool);
+  if (View.whyNotTake(Id) && Load.m_Held + Load.m_Lost == 0)
+    return "pool " + Instance->m_Pool.m_Text + " has no instance to spare";
   return {};
 }
 
