--- a/tests/load_check.py
+++ b/tests/load_check.py
@@ -221,6 +221,7 @@
         entry.close_connection = True
 
     lies = [body_change(lambda body: {**body, "echo": "0" * 16}),
+            body_change(lambda body: {**body, "request_id": "other"}),
             body_change(lambda body: {**body, "run": max(1, body["run"] - 1)}),
             cut_short, misnamed, unframed]
     with bench(build) as at:
