Drop redundant sequence counts from the membership core

Cause: two mutations survived. Without the sequence count in setDraining nothing changed, and without the list of outdated peers no test failed.

Change: a state leaves the core only by a tick, which counts the sequence itself, so the counts in the setters and in overtake() go. The list of outdated peers is kept for its speed and gets a test of its own: with 25 peers and a fanout of 1 an outdated peer is told at the very next tick.

--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -116,7 +116,6 @@
   if (!OlderLife.isNewerThan(m_State))
     return;
   m_State.m_Incarnation = OlderLife.m_Incarnation + 1;
-  changed();
 }
 
 void Membership::onUnreachable(const EntryId &Id) {
@@ -124,23 +123,6 @@
     Target->m_Unreachable = true;
 }
 
-void Membership::setDraining(bool Draining) {
-  if (m_State.m_Draining == Draining)
-    return;
-  m_State.m_Draining = Draining;
-  changed();
-}
-
-void Membership::setDocumentVersion(std::uint64_t Version) {
-  m_State.m_DocumentVersion = Version;
-  changed();
-}
-
-void Membership::setViewRevision(std::uint64_t Revision) {
-  m_State.m_ViewRevision = Revision;
-  changed();
-}
-
 void Membership::forgiveOwnPause(TimePoint Now) {
   Duration Late = Now - m_NextTick;
   if (Late <= m_Settings.m_Interval)
@@ -159,7 +141,7 @@
                                                 1 + JitterShare);
   m_NextTick = Now + std::chrono::duration_cast<Duration>(
                          m_Settings.m_Interval * Jitter(m_Random));
-  changed();
+  ++m_State.m_Sequence;
   for (std::size_t Index : targets()) {
     EntryId To = m_Peers[Index].m_Site.m_Id;
     std::vector<PeerNotice> Notices = chooseNotices(To);
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -79,9 +79,14 @@
   std::vector<HeartbeatTo> tick(TimePoint Now);
   TimePoint nextTick() const { return m_NextTick; }
 
-  void setDraining(bool Draining);
-  void setDocumentVersion(std::uint64_t Version);
-  void setViewRevision(std::uint64_t Revision);
+  /// The next tick tells of these; it counts the sequence up before it does.
+  void setDraining(bool Draining) { m_State.m_Draining = Draining; }
+  void setDocumentVersion(std::uint64_t Version) {
+    m_State.m_DocumentVersion = Version;
+  }
+  void setViewRevision(std::uint64_t Revision) {
+    m_State.m_ViewRevision = Revision;
+  }
   void setLoad(LoadDigest Load) { m_State.m_Load = Load; }
 
   const PeerState &self() const { return m_State; }
@@ -127,7 +132,6 @@
   std::vector<PeerNotice> chooseNotices(const EntryId &To);
   Duration patience(const Rotation &Turns) const;
   PeerHealth healthOf(const Peer &Target, TimePoint Now) const;
-  void changed() { ++m_State.m_Sequence; }
 
   MembershipSettings m_Settings;
   PeerState m_State;
--- a/src/membership/MembershipTest.cpp
+++ b/src/membership/MembershipTest.cpp
@@ -101,6 +101,21 @@
   CHECK(A.onHeartbeat(*messageTo(B.tick(B.nextTick()), "a"), Start));
 }
 
+TEST(Membership, OutdatedPeerIsToldAtTheNextTick) {
+  MembershipSettings Settings = settings("a", 1);
+  Settings.m_LocalFanout = 1;
+  for (char Name = 'd'; Name <= 'z'; ++Name)
+    Settings.m_Peers.push_back(
+        {EntryId(std::string(1, Name)), Settings.m_DataCentre});
+  Membership A = Membership::create(Settings, Start).value();
+  A.tick(Start);
+  for (const char *Peer : {"d", "k", "z"}) {
+    A.onHeartbeat(heartbeat(Peer, 9, 1), A.nextTick());
+    A.onHeartbeat(heartbeat(Peer, 4, 1), A.nextTick());
+    CHECK(messageTo(A.tick(A.nextTick()), Peer));
+  }
+}
+
 TEST(Membership, UnreachablePeerIsSuspectUntilHeard) {
   Membership A = member("a");
   A.onHeartbeat(heartbeat("b", 1, 1), Start);
--- a/src/membership/Messages.h
+++ b/src/membership/Messages.h
@@ -30,7 +30,7 @@
 struct PeerState {
   /// Rises with each restart.
   std::uint64_t m_Incarnation = 0;
-  /// Rises with each heartbeat and each change within an incarnation.
+  /// Rises with each interval's heartbeats.
   std::uint64_t m_Sequence = 0;
   bool m_Draining = false;
   /// The configuration version in force.
