--- a/src/peer/PeerFailureTest.cpp
+++ b/src/peer/PeerFailureTest.cpp
@@ -55,6 +55,25 @@
 
 std::string settings() { return frame(SettingsFrame, NoFlags, 0, ""); }
 
+std::uint32_t readNumber(const std::string &Text, std::size_t At, int Bytes) {
+  std::uint32_t Value = 0;
+  for (int I = 0; I < Bytes; ++I)
+    Value = Value << 8 | static_cast<unsigned char>(Text[At + I]);
+  return Value;
+}
+
+/// The streams that requests came on, after the connection's preface.
+std::vector<std::uint32_t> requestStreams(const std::string &Received) {
+  constexpr std::size_t PrefaceBytes = 24;
+  constexpr std::size_t FrameHeaderBytes = 9;
+  std::vector<std::uint32_t> Streams;
+  for (std::size_t At = PrefaceBytes; At + FrameHeaderBytes <= Received.size();
+       At += FrameHeaderBytes + readNumber(Received, At, 3))
+    if (Received[At + 3] == HeadersFrame)
+      Streams.push_back(readNumber(Received, At + 5, 4));
+  return Streams;
+}
+
 } // namespace
 
 TEST_GROUP(PeerFailure) {
@@ -74,6 +93,19 @@
 
   void teardown() override { m_Client.reset(); }
 
+  /// A call that fills the socket's buffers, which the peer does not read.
+  AsyncAnswer startBlocked() {
+    AsyncAnswer Long = start(std::string(std::size_t{48} << 20, 'x'));
+    m_Peer.acceptAndRead(1);
+    // Windows as large as they can be: only the socket's buffers hold back.
+    m_Peer.send(
+        frame(SettingsFrame, NoFlags, 0, number(4, 2) + number(0x7fffffff, 4)) +
+        frame(WindowFrame, NoFlags, 0, number(0x7fff0000, 4)));
+    waitUntilStable([&] { return m_Client->traffic().m_WireBytesOut; },
+                    std::uint64_t{1} << 18);
+    return Long;
+  }
+
   AsyncAnswer start(std::string Body) {
     return {*m_Client, m_Target, "/echo", std::move(Body), Patience};
   }
@@ -144,18 +176,22 @@
 }
 
 TEST(PeerFailure, CallBehindABlockedWriteWasNotProcessed) {
-  AsyncAnswer Long = start(std::string(std::size_t{48} << 20, 'x'));
-  m_Peer.acceptAndRead(1);
-  // Windows as large as they can be: only the socket's buffers hold back.
-  m_Peer.send(
-      frame(SettingsFrame, NoFlags, 0, number(4, 2) + number(0x7fffffff, 4)) +
-      frame(WindowFrame, NoFlags, 0, number(0x7fff0000, 4)));
-  waitUntilStable([&] { return m_Client->traffic().m_WireBytesOut; },
-                  std::uint64_t{1} << 18);
+  AsyncAnswer Long = startBlocked();
   AsyncAnswer Behind = start("behind");
-  AsyncAnswer Expired(*m_Client, m_Target, "/echo", "", 20ms);
-  checkCode(ErrorCode::ConnectFailed, Expired);
+  waitUntil([&] { return m_Client->traffic().m_Paths[0].m_MessagesOut == 2; });
   m_Peer.closeConnection();
   checkCode(ErrorCode::ConnectionLost, Long);
   checkCode(ErrorCode::ConnectFailed, Behind);
 }
+
+TEST(PeerFailure, CallGivenUpUnsentIsNeverSent) {
+  AsyncAnswer Long = startBlocked();
+  AsyncAnswer GivenUp(*m_Client, m_Target, "/echo", "", 20ms);
+  checkCode(ErrorCode::ConnectFailed, GivenUp);
+  AsyncAnswer Next = start("next");
+  while (requestStreams(m_Peer.received()).size() < 2)
+    m_Peer.readSome();
+  // Stream 3 was the one that was given up.
+  LONGS_EQUAL(1, requestStreams(m_Peer.received())[0]);
+  LONGS_EQUAL(5, requestStreams(m_Peer.received())[1]);
+}
--- a/src/peer/PeerTestSupport.h
+++ b/src/peer/PeerTestSupport.h
@@ -116,16 +116,19 @@
     m_Connection = acceptFrom(m_Listener).value();
     // The preface and the settings come first, the request after them.
     constexpr std::size_t PrefaceBytes = 24 + 9 + 18 + 13;
-    std::size_t Seen = 0;
-    char Buffer[4096];
-    while (Seen < PrefaceBytes + Bytes) {
-      waitReadable(m_Connection.get());
-      ssize_t Count = ::recv(m_Connection.get(), Buffer, sizeof(Buffer), 0);
-      if (Count <= 0)
-        throw std::runtime_error("closed early");
-      Seen += static_cast<std::size_t>(Count);
-    }
+    while (m_Received.size() < PrefaceBytes + Bytes)
+      readSome();
   }
+  /// Reads on; all that came is in received().
+  void readSome() {
+    char Buffer[65536];
+    waitReadable(m_Connection.get());
+    ssize_t Count = ::recv(m_Connection.get(), Buffer, sizeof(Buffer), 0);
+    if (Count <= 0)
+      throw std::runtime_error("closed early");
+    m_Received.append(Buffer, static_cast<std::size_t>(Count));
+  }
+  const std::string &received() const { return m_Received; }
   void send(const std::string &Bytes) { sendAll(m_Connection.get(), Bytes); }
   bool readUntilClosed() { return readToEnd(m_Connection.get()); }
   void closeConnection() { m_Connection.reset(); }
@@ -133,6 +136,7 @@
 private:
   FileDescriptor m_Listener;
   FileDescriptor m_Connection;
+  std::string m_Received;
 };
 
 /// A client without HTTP/2.
--- a/src/peer/PeerTransportTest.cpp
+++ b/src/peer/PeerTransportTest.cpp
@@ -166,12 +166,10 @@
 TEST(PeerTransport, TimeoutDropsTheLateAnswerOnly) {
   AsyncAnswer Late = startHeld("late", 50ms);
   checkCode(ErrorCode::Timeout, Late.get());
+  // The reset has come before the answer is given.
+  waitUntil([&] { return m_Server->inFlight() == 0; });
   m_Handlers.open();
-  waitUntil([&] {
-    return m_Client->traffic().m_LateAnswers +
-               m_Server->traffic().m_LateAnswers >
-           0;
-  });
+  waitUntil([&] { return m_Server->traffic().m_LateAnswers == 1; });
   STRCMP_EQUAL(
       "next",
       m_Client->call(m_Target, "/held", "next", Patience).value().c_str());
