Test connects that hang, and fail adoption tests without a crash

Cause: no test had a connect that neither succeeds nor is refused, so the connect time-out and the end of waiting calls by stop() were unproved; and a mutated adoption core made tests read through a null pointer, which ended the whole run and hid the other tests.

Change: a listener with a full backlog holds connects; two tests rest on it. The adoption tests check that an action is there before they read it.

--- a/src/config/AdoptionTest.cpp
+++ b/src/config/AdoptionTest.cpp
@@ -26,6 +26,13 @@
   return nullptr;
 }
 
+/// As find(); its absence fails the test.
+template <typename Action> Action require(const AdoptionActions &Actions) {
+  const Action *Found = find<Action>(Actions);
+  CHECK(Found != nullptr);
+  return *Found;
+}
+
 } // namespace
 
 TEST_GROUP(Adoption) {
@@ -57,11 +64,11 @@
 TEST(Adoption, HeadIsFetchedAdoptedAndAnnounced) {
   AdoptionActions Actions = see(1, "one");
   STRCMP_EQUAL(contentHash("one").c_str(),
-               find<FetchObject>(Actions)->m_Hash.c_str());
+               require<FetchObject>(Actions).m_Hash.c_str());
   Actions = m_Core.onContent(contentOf("one"), Start);
-  STRCMP_EQUAL("one", find<Adopt>(Actions)->m_Text.c_str());
+  STRCMP_EQUAL("one", require<Adopt>(Actions).m_Text.c_str());
   // Two local peers and two of the three remote ones.
-  LONGS_EQUAL(4, find<Announce>(Actions)->m_To.size());
+  LONGS_EQUAL(4, require<Announce>(Actions).m_To.size());
 }
 
 TEST(Adoption, VersionsOnlyRise) {
@@ -85,15 +92,14 @@
   adopt(1, "one");
   see(2, "two", "b1");
   AdoptionActions Actions = m_Core.onContent(contentOf("two"), Start);
-  LONGS_EQUAL(2, find<Announce>(Actions)->m_To.size());
+  LONGS_EQUAL(2, require<Announce>(Actions).m_To.size());
 }
 
 TEST(Adoption, WrongContentIsFetchedFromAnotherSource) {
   adopt(1, "one");
   see(2, "two", "b1");
   AdoptionActions Actions = m_Core.onContent({contentHash("two"), "tw"}, Start);
-  CHECK(find<FetchFromPeer>(Actions));
-  STRCMP_EQUAL("b1", find<FetchFromPeer>(Actions)->m_Peer.m_Text.c_str());
+  STRCMP_EQUAL("b1", require<FetchFromPeer>(Actions).m_Peer.m_Text.c_str());
   LONGS_EQUAL(1, m_Core.counters().m_WrongHashes);
 }
 
@@ -130,7 +136,7 @@
   CHECK(see(3, "three", "a1").empty());
   AdoptionActions Actions = see(4, "four");
   STRCMP_EQUAL(contentHash("four").c_str(),
-               find<FetchObject>(Actions)->m_Hash.c_str());
+               require<FetchObject>(Actions).m_Hash.c_str());
 }
 
 TEST(Adoption, RestartInAnOutageTakesThePeersHighest) {
@@ -138,9 +144,9 @@
   see(3, "three", "a1");
   see(4, "four", "b2");
   AdoptionActions Actions = m_Core.tick(Start + settings().m_StartWait);
-  const auto *Fetch = find<FetchFromPeer>(Actions);
-  STRCMP_EQUAL("b2", Fetch->m_Peer.m_Text.c_str());
-  LONGS_EQUAL(4, Fetch->m_Head.m_Version);
+  FetchFromPeer Fetch = require<FetchFromPeer>(Actions);
+  STRCMP_EQUAL("b2", Fetch.m_Peer.m_Text.c_str());
+  LONGS_EQUAL(4, Fetch.m_Head.m_Version);
 }
 
 TEST(Adoption, PeersHigherVersionIsAskedFor) {
--- a/src/peer/PeerFailureTest.cpp
+++ b/src/peer/PeerFailureTest.cpp
@@ -81,11 +81,13 @@
   EntryId m_Target;
   std::unique_ptr<PeerTransport> m_Client;
 
-  void setup() override {
+  void setup() override { startClient(2000ms); }
+
+  void startClient(std::chrono::milliseconds ConnectTimeout) {
     PeerSettings Settings;
     Settings.m_Self = EntryId("client");
     Settings.m_Listen = "127.0.0.1:0";
-    Settings.m_ConnectTimeout = 2000ms;
+    Settings.m_ConnectTimeout = ConnectTimeout;
     Settings.m_MaxMessageBytes = std::size_t{64} << 20;
     m_Client = PeerTransport::create(Settings, {}).value();
     m_Target = EntryId(m_Peer.address());
@@ -184,6 +186,23 @@
   checkCode(ErrorCode::ConnectFailed, Behind);
 }
 
+TEST(PeerFailure, ConnectThatHangsIsConnectFailed) {
+  startClient(50ms);
+  m_Peer.stopAccepting();
+  AsyncAnswer Answer = start("");
+  checkCode(ErrorCode::ConnectFailed, Answer);
+  STRCMP_CONTAINS("connect timed out", Answer.get().error().m_Detail.c_str());
+}
+
+TEST(PeerFailure, StopEndsCallsThatWaitToConnect) {
+  startClient(Patience);
+  m_Peer.stopAccepting();
+  AsyncAnswer Answer = start("");
+  waitUntil([&] { return !m_Client->traffic().m_Paths.empty(); });
+  m_Client->stop();
+  checkCode(ErrorCode::ShuttingDown, Answer);
+}
+
 TEST(PeerFailure, CallGivenUpUnsentIsNeverSent) {
   AsyncAnswer Long = startBlocked();
   AsyncAnswer GivenUp(*m_Client, m_Target, "/echo", "", 20ms);
--- a/src/peer/PeerTestSupport.h
+++ b/src/peer/PeerTestSupport.h
@@ -119,6 +119,12 @@
     while (m_Received.size() < PrefaceBytes + Bytes)
       readSome();
   }
+  /// Has every later connect wait: the backlog is full.
+  void stopAccepting() {
+    ::listen(m_Listener.get(), 0);
+    m_Filler = startConnect(address()).value();
+    waitReadable(m_Listener.get());
+  }
   /// Reads on; all that came is in received().
   void readSome() {
     char Buffer[65536];
@@ -136,6 +142,7 @@
 private:
   FileDescriptor m_Listener;
   FileDescriptor m_Connection;
+  FileDescriptor m_Filler;
   std::string m_Received;
 };
 
