--- a/src/admission/Admission.cpp
+++ b/src/admission/Admission.cpp
@@ -46,7 +46,7 @@
 } // namespace
 
 AdmissionVerdict judgeAdmission(const AdmissionView &View) {
-  if (View.m_ServiceTime > View.m_Remaining)
+  if (View.m_ServiceTime >= View.m_Remaining)
     return {Admission::Refuse, Reason::DeadlineTooShort, Duration(0)};
   Duration Finish = waitTime(View) + View.m_ServiceTime;
   if (Finish > View.m_Remaining)
--- a/src/admission/ServiceTime.cpp
+++ b/src/admission/ServiceTime.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double MeanGain = 0.05;
+constexpr double SafeDeviations = 3;
 constexpr double DeviationGain = 0.1;
 /// A sample counts for at most this many times the mean.
 constexpr double OutlierFactor = 8;
@@ -36,11 +37,20 @@
 }
 
 Duration ServiceTime::mean(TimePoint Now) const {
-  return Duration(static_cast<long>(m_Mean * fade(Now)));
+  return withDeviations(0, Now);
 }
 
 Duration ServiceTime::typical(TimePoint Now) const {
-  return Duration(static_cast<long>((m_Mean + m_Deviation) * fade(Now)));
+  return withDeviations(1, Now);
+}
+
+Duration ServiceTime::safe(TimePoint Now) const {
+  return withDeviations(SafeDeviations, Now);
+}
+
+Duration ServiceTime::withDeviations(double Count, TimePoint Now) const {
+  double Time = (m_Mean + Count * m_Deviation) * fade(Now);
+  return Duration(static_cast<long>(Time));
 }
 
 double ServiceTime::fade(TimePoint Now) const {
--- a/src/admission/ServiceTime.h
+++ b/src/admission/ServiceTime.h
@@ -27,6 +27,9 @@
   /// A time that most tries keep to: mean and one deviation.
   Duration typical(TimePoint Now) const;
 
+  /// A time that all but a few tries keep to: mean and three deviations.
+  Duration safe(TimePoint Now) const;
+
   /// The lowest mean over the recent past: the time without contention.
   Duration baseline() const { return Duration(static_cast<long>(m_Baseline)); }
 
@@ -38,6 +41,7 @@
   };
 
   double fade(TimePoint Now) const;
+  Duration withDeviations(double Count, TimePoint Now) const;
   void addToBaseline(double Sample);
 
   static constexpr std::size_t KeptMeans = 32;
--- a/src/dispatch/ClosingOutcome.cpp
+++ b/src/dispatch/ClosingOutcome.cpp
@@ -14,6 +14,24 @@
          Record.m_Attempt == FirstAttempt;
 }
 
+/// When to come back after a refusal that names no time itself.
+Duration usualRetryAfter(Reason Why) {
+  switch (Why) {
+  case Reason::Draining:
+    // The balancer sends the next one to another entry instance.
+    return std::chrono::milliseconds(100);
+  case Reason::NoInstance:
+  case Reason::ShedForUrgentWork:
+  case Reason::DeadlinePassedInQueue:
+  case Reason::RetryBudgetSpent:
+  case Reason::AttemptsSpent:
+  case Reason::PeerUnreachable:
+    return std::chrono::seconds(1);
+  default:
+    return Duration(0);
+  }
+}
+
 Outcome withReason(OutcomeKind Kind, Reason Why) {
   Outcome Out;
   Out.m_Kind = Kind;
@@ -37,8 +55,10 @@
       isVouchedFor(Record)
           ? withReason(OutcomeKind::NotRun, Why.m_Reason)
           : withReason(OutcomeKind::Unknown, Reason::RepeatNotVouched);
-  Out.m_RetryAfter =
-      std::chrono::ceil<std::chrono::milliseconds>(Why.m_RetryAfter);
+  Duration RetryAfter = Why.m_RetryAfter > Duration(0)
+                            ? Why.m_RetryAfter
+                            : usualRetryAfter(Why.m_Reason);
+  Out.m_RetryAfter = std::chrono::ceil<std::chrono::milliseconds>(RetryAfter);
   return Out;
 }
 
--- a/src/dispatch/DispatchCore.cpp
+++ b/src/dispatch/DispatchCore.cpp
@@ -51,8 +51,11 @@
 void DispatchCore::setEntryInstances(std::uint32_t Count) {
   const RequestPolicy &Policy = m_Document->m_Policy;
   m_EntryInstances = Count;
-  m_Instances.setLimits(
-      {Policy.m_SlotsPerInstance, Policy.m_ConnectionsPerInstance, Count});
+  SharedLimits Limits;
+  Limits.m_Slots = Policy.m_SlotsPerInstance;
+  Limits.m_Connections = Policy.m_ConnectionsPerInstance;
+  Limits.m_EntryInstances = Count;
+  m_Instances.setLimits(Limits);
 }
 
 void DispatchCore::setRemoteCapacity(std::vector<RemoteCapacity> Capacity) {
@@ -112,14 +115,12 @@
   InstanceId Instance = Record->m_Instance->m_Target.m_Id;
   learn(*Record, Result, Now);
   leaveTry(*Record);
-  bool MayRetry = mayRetry(Result, Record->m_Repeatable);
-  bool IsAnswer =
-      Result == TryResult::Answered || Result == TryResult::AnsweredError;
-  if (IsAnswer && !MayRetry) {
+  if (Result == TryResult::Answered) {
     finish(*Record, {OutcomeKind::Answer, Reason::None, std::move(Whole),
                      std::chrono::milliseconds(0), Instance});
   } else {
     recordTry(*Record, Result, Why, std::move(Whole), Instance);
+    bool MayRetry = mayRetry(Result, Record->m_Repeatable);
     retryOrFinish(*Record, MayRetry, {Why, Duration(0)}, Now);
   }
   pump(Pool, Now);
--- a/src/dispatch/DispatchCore.h
+++ b/src/dispatch/DispatchCore.h
@@ -53,6 +53,7 @@
   void setEntryInstances(std::uint32_t Count);
   void setRemoteCapacity(std::vector<RemoteCapacity> Capacity);
   void onPeerLoads(const PeerLoads &Loads) { m_Instances.onPeerLoads(Loads); }
+  void forgetPeer(const EntryId &Peer) { m_Instances.forgetPeer(Peer); }
 
   Ticket submit(const RequestInfo &Info, TimePoint Now);
   bool claimGranted(Ticket Id, TimePoint Now);
@@ -84,6 +85,7 @@
   void pump(PoolEntry &Pool, TimePoint Now);
   bool startNext(PoolEntry &Pool, UrgencyClass Class, TimePoint Now);
   bool hasSlotFor(const PoolEntry &Pool, UrgencyClass Class) const;
+  bool isHopeless(const TicketRecord &Record, TimePoint Now) const;
   bool startOrGiveUp(TicketRecord &Record, TimePoint Now);
   void startTry(TicketRecord &Record, InstanceState &Instance, TimePoint Now);
   void countTry(TicketRecord &Record);
--- a/src/dispatch/DispatchFlow.cpp
+++ b/src/dispatch/DispatchFlow.cpp
@@ -11,8 +11,6 @@
 /// Waiting requests that pump looks past when they were tried at all instances
 /// that are free.
 constexpr std::size_t LookAhead = 4;
-/// When a request comes back that made room for an urgent one.
-constexpr Duration ShedRetryAfter = std::chrono::seconds(1);
 /// A try that reached the deadline speaks against the instance only if it took
 /// this many times the learned time.
 constexpr int TimeoutBlameFactor = 2;
@@ -28,7 +26,9 @@
     return giveUp(Record, {Reason::Draining, Duration(0)});
   AdmissionVerdict Verdict = judge(Record, Now);
   if (Verdict.m_Decision == Admission::Refuse) {
-    if (!spill(Record, Now))
+    bool MayFitElsewhere = Verdict.m_Reason != Reason::DeadlineTooShort ||
+                           Verdict.m_RetryAfter > Duration(0);
+    if (!MayFitElsewhere || !spill(Record, Now))
       giveUp(Record, {Verdict.m_Reason, Verdict.m_RetryAfter});
     return;
   }
@@ -61,9 +61,9 @@
 }
 
 std::size_t DispatchCore::queueBound(const PoolCapacity &Capacity) const {
-  std::size_t Whole =
+  std::size_t Places =
       Capacity.m_Accepting * m_Document->m_Policy.m_QueuePerInstance;
-  return std::max<std::size_t>(Whole / m_EntryInstances, 1);
+  return std::max<std::size_t>(Places, 1);
 }
 
 void DispatchCore::enqueue(TicketRecord &Record) {
@@ -75,8 +75,6 @@
 }
 
 void DispatchCore::askForClaim(TicketRecord &Record) {
-  if (Record.m_ClaimPending)
-    return;
   Record.m_ClaimPending = true;
   addAction(ActionKind::Claim, Record);
 }
@@ -85,7 +83,7 @@
   auto Victim = Record.m_Pool->m_Queue.victimFor(Record.m_Class);
   if (Victim)
     giveUp(*m_Tickets.find(Victim->m_Ticket),
-           {Reason::ShedForUrgentWork, ShedRetryAfter});
+           {Reason::ShedForUrgentWork, Duration(0)});
 }
 
 void DispatchCore::pumpAll(TimePoint Now) {
@@ -106,9 +104,15 @@
   std::size_t Position = 0;
   for (; Position < LookAhead; ++Position) {
     auto Key = Pool.m_Queue.startable(Class, Position);
-    if (!Key || !hasSlotFor(Pool, Class))
+    if (!Key)
       return false;
     TicketRecord &Record = *m_Tickets.find(Key->m_Ticket);
+    if (isHopeless(Record, Now)) {
+      giveUp(Record, {Reason::DeadlinePassedInQueue, Duration(0)});
+      return true;
+    }
+    if (!hasSlotFor(Pool, Class))
+      return false;
     bool WasTried = Record.m_History != nullptr;
     if (startOrGiveUp(Record, Now))
       return true;
@@ -125,12 +129,16 @@
   return Pool.m_InFlight[indexOf(Class)] < slotsFor(Class, Slots);
 }
 
+bool DispatchCore::isHopeless(const TicketRecord &Record, TimePoint Now) const {
+  const ServiceTime &Time = Record.m_Service->m_Time;
+  const PoolEntry &Pool = *Record.m_Pool;
+  // While many wait, a slot goes to a request that will surely be done.
+  bool Crowded = Pool.m_Queue.depth() > Pool.inFlight();
+  Duration Needed = Crowded ? Time.safe(Now) : Time.typical(Now);
+  return Record.m_Deadline - Now <= Needed;
+}
+
 bool DispatchCore::startOrGiveUp(TicketRecord &Record, TimePoint Now) {
-  Duration Remaining = Record.m_Deadline - Now;
-  if (Remaining <= Record.m_Service->m_Time.mean(Now)) {
-    giveUp(Record, {Reason::DeadlinePassedInQueue, Duration(0)});
-    return true;
-  }
   TryRequest Request;
   Request.m_Tried = Record.m_History ? &Record.m_History->m_Instances : nullptr;
   Request.m_Harmless =
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -50,6 +50,8 @@
   m_Core->onPeerLoads(Loads);
 }
 
+void Dispatcher::forgetPeer(const EntryId &Peer) { m_Core->forgetPeer(Peer); }
+
 Ticket Dispatcher::submit(const RequestInfo &Info, TimePoint Now) {
   return m_Core->submit(Info, Now);
 }
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -52,6 +52,10 @@
   /// Takes in the latest load report of a peer of the own data centre.
   void onPeerLoads(const PeerLoads &Loads);
 
+  /// The peer has left, or is not heard of: it counts as using its share of
+  /// each instance for as long as it counts among the entry instances.
+  void forgetPeer(const EntryId &Peer);
+
   /// Takes in a request; never fails, since a refusal is an outcome.
   Ticket submit(const RequestInfo &Info, TimePoint Now);
 
--- a/src/routing/InstanceState.h
+++ b/src/routing/InstanceState.h
@@ -16,11 +16,31 @@
 /// The concurrency that an adaptive strategy has learned. 0: nothing yet.
 struct AdaptiveWindow {
   double m_Size = 0;
-  /// Smoothed latency as a multiple of the service's baseline.
-  double m_Inflation = 1;
+  /// Sum of latencies as multiples of the baseline, and their number, since
+  /// the last change of the size.
+  double m_InflationSum = 0;
+  std::uint32_t m_Samples = 0;
+  /// True if the window was full since then.
+  bool m_WasFull = false;
   TimePoint m_LastCut;
 };
 
+/// How many slots the peer entry instances use.
+class PeerUsage {
+public:
+  /// Counts a peer with \p Slots in use; it counted with \p Before so far.
+  void replace(std::uint32_t Before, std::uint32_t Slots);
+
+  /// The largest own part of \p Slots when they are shared by max-min
+  /// fairness: peers get what they use up to the same part, \p Silent peers
+  /// the whole part. At least 1.
+  std::uint32_t fairPart(std::uint32_t Slots, std::uint32_t Silent) const;
+
+private:
+  /// Index N: peers that use more than N.
+  std::vector<std::uint32_t> m_PeersAbove;
+};
+
 /// What recent tries say of the instance, and its ejection.
 struct InstanceHealth {
   /// Smoothed share of tries that failed, whoever was to blame.
@@ -43,8 +63,7 @@
   /// False once the list no longer names the instance.
   bool m_Listed = true;
   std::uint32_t m_InFlight = 0;
-  /// In flight from other entry instances, as they last reported.
-  std::uint32_t m_PeersInFlight = 0;
+  PeerUsage m_Peers;
   AdaptiveWindow m_Window;
   InstanceHealth m_Health;
 
--- a/src/routing/InstanceTable.cpp
+++ b/src/routing/InstanceTable.cpp
@@ -37,14 +37,16 @@
   std::unique_ptr<InstanceState> &State = m_States[Target.m_Id];
   if (!State) {
     State = std::make_unique<InstanceState>();
-    for (const auto &Peer : m_PeerLoads)
-      for (const InstanceLoad &Load : Peer.second)
-        if (Load.m_Instance == Target.m_Id)
-          State->m_PeersInFlight += Load.m_InFlight;
+    for (std::uint32_t Use : m_PeerLoads.usesOf(Target.m_Id))
+      State->m_Peers.replace(0, Use);
   }
   State->m_Listed = true;
-  if (Target.m_Epoch >= State->m_Target.m_Epoch)
-    State->m_Target = std::move(Target);
+  if (Target.m_Epoch < State->m_Target.m_Epoch)
+    return;
+  // What comes back from a drain or a reboot is judged afresh.
+  if (Target.m_AcceptsWork && !State->m_Target.m_AcceptsWork)
+    State->m_Health = InstanceHealth();
+  State->m_Target = std::move(Target);
 }
 
 void InstanceTable::dropUnused() {
@@ -69,27 +71,30 @@
   }
 }
 
+void InstanceTable::setLimits(const SharedLimits &Limits) {
+  m_Limits = Limits;
+  countSilentPeers();
+}
+
 void InstanceTable::onPeerLoads(const PeerLoads &Loads) {
-  std::vector<InstanceLoad> &Known = m_PeerLoads[Loads.m_Peer];
-  addPeerLoad(Known, false);
-  Known = Loads.m_Report.m_Instances;
-  addPeerLoad(Known, true);
-  if (Known.empty())
-    m_PeerLoads.erase(Loads.m_Peer);
-}
-
-void InstanceTable::addPeerLoad(const std::vector<InstanceLoad> &Loads,
-                                bool Add) {
-  for (const InstanceLoad &Load : Loads) {
-    InstanceState *State = find(Load.m_Instance);
-    if (!State)
-      continue;
-    if (Add)
-      State->m_PeersInFlight += Load.m_InFlight;
-    else
-      State->m_PeersInFlight -=
-          std::min(State->m_PeersInFlight, Load.m_InFlight);
-  }
+  applyPeerLoads(m_PeerLoads.report(Loads));
+}
+
+void InstanceTable::forgetPeer(const EntryId &Peer) {
+  applyPeerLoads(m_PeerLoads.forget(Peer));
+}
+
+void InstanceTable::applyPeerLoads(const std::vector<PeerLoadChange> &Changes) {
+  for (const PeerLoadChange &Change : Changes)
+    if (InstanceState *State = find(Change.m_Instance))
+      State->m_Peers.replace(Change.m_Before, Change.m_After);
+  countSilentPeers();
+}
+
+void InstanceTable::countSilentPeers() {
+  std::size_t Others = m_Limits.m_EntryInstances - 1;
+  std::size_t Heard = std::min(m_PeerLoads.peers(), Others);
+  m_Limits.m_SilentPeers = static_cast<std::uint32_t>(Others - Heard);
 }
 
 InstanceChoice InstanceTable::choose(const PoolName &Pool,
--- a/src/routing/InstanceTable.h
+++ b/src/routing/InstanceTable.h
@@ -9,6 +9,7 @@
 #define POLLENSPOOL_ROUTING_INSTANCETABLE_H
 
 #include "routing/InstanceState.h"
+#include "routing/PeerLoadTable.h"
 #include "routing/Strategy.h"
 #include <map>
 #include <memory>
@@ -47,16 +48,16 @@
 public:
   InstanceTable(std::unique_ptr<RoutingStrategy> Strategy, std::uint64_t Seed);
 
-  void setLimits(const SharedLimits &Limits) { m_Limits = Limits; }
+  void setLimits(const SharedLimits &Limits);
   void setMaxEjectedShare(double Share);
   const SharedLimits &limits() const { return m_Limits; }
 
   /// Replaces the list; a target with a lower epoch than the known is ignored.
   void setTargets(std::vector<InstanceTarget> Targets);
 
-  /// Replaces what \p Loads.m_Peer reported before. An empty report takes back
-  /// the peer's load, as when the peer is gone.
   void onPeerLoads(const PeerLoads &Loads);
+  /// The peer is gone or silent: it counts as using its whole share.
+  void forgetPeer(const EntryId &Peer);
 
   /// Chooses an instance of \p Pool; a due probe goes first.
   InstanceChoice choose(const PoolName &Pool, const TryRequest &Request);
@@ -92,7 +93,8 @@
   void applyTarget(InstanceTarget Target);
   void dropUnused();
   void rebuildGroups();
-  void addPeerLoad(const std::vector<InstanceLoad> &Loads, bool Add);
+  void applyPeerLoads(const std::vector<PeerLoadChange> &Changes);
+  void countSilentPeers();
 
   std::unique_ptr<RoutingStrategy> m_Strategy;
   RandomSource m_Random;
@@ -100,7 +102,7 @@
   double m_MaxEjectedShare = 0.3;
   std::unordered_map<InstanceId, std::unique_ptr<InstanceState>> m_States;
   std::map<PoolName, InstanceGroup> m_Groups;
-  std::unordered_map<EntryId, std::vector<InstanceLoad>> m_PeerLoads;
+  PeerLoadTable m_PeerLoads;
   /// Kept between calls to save the allocation.
   InstanceGroup m_Free;
 };
--- a/src/routing/Strategy.cpp
+++ b/src/routing/Strategy.cpp
@@ -62,25 +62,27 @@
   }
 };
 
-/// The slots that peers left free by their last reports.
+/// The part of the slots that max-min fairness leaves by the peers' reports; a
+/// fixed share while there are none.
 class SharedReports : public RoutingStrategy {
 public:
   std::uint32_t window(const InstanceState &Instance,
                        const SharedLimits &Limits) const override {
-    std::uint32_t Taken = std::min(Instance.m_PeersInFlight, Limits.m_Slots);
-    std::uint32_t Left = std::max(Limits.m_Slots - Taken, 1U);
-    return std::min(Left, Limits.connectionShare());
+    std::uint32_t Part =
+        Instance.m_Peers.fairPart(Limits.m_Slots, Limits.m_SilentPeers);
+    return std::min(Part, Limits.connectionShare());
   }
 
+  // Reports are too old to choose by: all entry instances would turn to the
+  // same instance until the next one.
   InstanceState *choose(const InstanceGroup &Free, const SharedLimits &,
                         RandomSource &Random) const override {
-    return lowest(Free, Random, [](const InstanceState &I) {
-      return double(I.m_InFlight) + I.m_PeersInFlight;
-    });
+    return lowest(Free, Random,
+                  [](const InstanceState &I) { return double(I.m_InFlight); });
   }
 };
 
-/// A window for each instance that grows while it is used and latency stays
+/// A window for each instance that grows while it is full and latency stays
 /// near the baseline, and shrinks on inflated latency and refusals.
 class AdaptiveConcurrency : public RoutingStrategy {
 public:
@@ -93,7 +95,7 @@
   InstanceState *choose(const InstanceGroup &Free, const SharedLimits &Limits,
                         RandomSource &Random) const override {
     return lowest(Free, Random, [&](const InstanceState &I) {
-      return (I.m_InFlight + 1) * I.m_Window.m_Inflation / size(I, Limits);
+      return (I.m_InFlight + 1) / size(I, Limits);
     });
   }
 
@@ -102,24 +104,31 @@
     AdaptiveWindow &W = Instance.m_Window;
     W.m_Size = size(Instance, Limits);
     if (Seen.m_Refused)
-      return cut(W, RefusalCut, Seen, Limits);
+      return cutForRefusal(W, Seen, Limits);
     if (Seen.m_Baseline.count() <= 0)
       return;
-    double Inflation = double(Seen.m_Latency.count()) /
-                       static_cast<double>(Seen.m_Baseline.count());
-    W.m_Inflation += InflationGain * (Inflation - W.m_Inflation);
-    if (W.m_Inflation > InflationCeiling)
-      return cut(W, InflationCut, Seen, Limits);
-    bool Used = Instance.m_InFlight + 1.0 >= W.m_Size;
-    if (Used && W.m_Inflation < InflationFloor)
-      resize(W, W.m_Size + 1 / W.m_Size, Limits);
+    W.m_InflationSum += double(Seen.m_Latency.count()) /
+                        static_cast<double>(Seen.m_Baseline.count());
+    W.m_WasFull |= Instance.m_InFlight + 1.0 >= W.m_Size;
+    if (++W.m_Samples < MinSamples)
+      return;
+    double Inflation = W.m_InflationSum / W.m_Samples;
+    if (Inflation > InflationCeiling)
+      resize(W, std::max(W.m_Size * InflationCut, floorOf(Inflation, Limits)),
+             Limits);
+    else if (W.m_WasFull && Inflation < InflationFloor)
+      resize(W, W.m_Size + 1, Limits);
+    else
+      resize(W, W.m_Size, Limits);
   }
 
 private:
-  static constexpr double InflationGain = 0.1;
-  static constexpr double InflationFloor = 1.5;
-  static constexpr double InflationCeiling = 2.0;
-  static constexpr double InflationCut = 0.9;
+  static constexpr std::uint32_t MinSamples = 16;
+  static constexpr double InflationFloor = 1.3;
+  static constexpr double InflationCeiling = 1.6;
+  /// Inflation that a crowd alone does not explain: the instance is slow.
+  static constexpr double SlowInflation = 4;
+  static constexpr double InflationCut = 0.8;
   static constexpr double RefusalCut = 0.7;
 
   static double size(const InstanceState &Instance,
@@ -128,19 +137,29 @@
     return Learned > 0 ? Learned : Limits.slotShare();
   }
 
+  /// The share of the slots is kept unless the instance itself is slow.
+  static double floorOf(double Inflation, const SharedLimits &Limits) {
+    return Inflation > SlowInflation ? 1 : Limits.slotShare();
+  }
+
   static void resize(AdaptiveWindow &W, double Size,
                      const SharedLimits &Limits) {
     W.m_Size = std::clamp(Size, 1.0, double(Limits.connectionShare()));
+    W.m_InflationSum = 0;
+    W.m_Samples = 0;
+    W.m_WasFull = false;
   }
 
   /// One cut for all tries that were in flight together.
-  static void cut(AdaptiveWindow &W, double Factor, const TryObservation &Seen,
-                  const SharedLimits &Limits) {
-    if (Seen.m_Now - W.m_LastCut < Seen.m_Baseline)
+  static void cutForRefusal(AdaptiveWindow &W, const TryObservation &Seen,
+                            const SharedLimits &Limits) {
+    if (Seen.m_Now - W.m_LastCut < RefusalInterval)
       return;
     W.m_LastCut = Seen.m_Now;
-    resize(W, W.m_Size * Factor, Limits);
+    resize(W, W.m_Size * RefusalCut, Limits);
   }
+
+  static constexpr Duration RefusalInterval = std::chrono::milliseconds(50);
 };
 
 template <typename Strategy> std::unique_ptr<RoutingStrategy> make() {
@@ -148,10 +167,10 @@
 }
 
 constexpr std::array<StrategyRow, StrategyCount> Strategies = {{
-    {"adaptive", make<AdaptiveConcurrency>},
+    {"shared-reports", make<SharedReports>},
     {"static-share", make<StaticShare>},
+    {"adaptive", make<AdaptiveConcurrency>},
     {"two-choices", make<TwoChoices>},
-    {"shared-reports", make<SharedReports>},
 }};
 
 } // namespace
--- a/src/routing/Strategy.h
+++ b/src/routing/Strategy.h
@@ -30,6 +30,8 @@
   std::uint32_t m_Slots = 8;
   std::uint32_t m_Connections = 64;
   std::uint32_t m_EntryInstances = 1;
+  /// Other entry instances whose load is not known.
+  std::uint32_t m_SilentPeers = 0;
 
   /// This entry instance's share, at least 1.
   std::uint32_t slotShare() const;
