Write the load tool's report as a page with charts

Mutations seen to fail: no escaping, a lost point, an axis upside down. Ruled out a script library. No browser here: the page was parsed and its points were counted, but not looked at.

--- a/tests/load_check.py
+++ b/tests/load_check.py
@@ -4,9 +4,11 @@
 import http.server
 import json
 import os
+import re
 import subprocess
 import tempfile
 import threading
+import xml.etree.ElementTree
 
 from standin_tools import Process, call, equal, post, run_checks, started, wait_for
 
@@ -335,12 +337,35 @@
               f"{first} {second} {sent}")
 
 
+def the_page_shows_the_report(build):
+    with bench(build) as at, tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "page.html")
+        report = at.load(lambda entry: entry.say(503, "not-run", "<b>&full"), "--service",
+                         "a<script>", "--html", path, "--profile", "peaks", "--peak-seconds", 1,
+                         seconds=3, code=0)
+        with open(path, encoding="utf-8") as file:
+            page = file.read()
+        charts = [xml.etree.ElementTree.fromstring(svg)
+                  for svg in re.findall(r"<svg.*?</svg>", page, re.S)]
+        equal(len(charts), 2, "charts")
+        lines = charts[0].findall("{*}polyline")
+        seconds = len(report["per_second"])
+        equal([len(line.get("points").split()) for line in lines], [seconds] * 5, "a point each")
+        equal(charts[1].findall("{*}polyline"), [], "nothing was answered")
+        sent = [float(point.split(",")[1]) for point in lines[0].get("points").split()]
+        equal(sent.index(min(sent)),
+              max(range(seconds), key=lambda i: report["per_second"][i]["sent"]), "the peak")
+        equal(re.findall(r"<script|<b>&full|src=|href=|@import|url\(", page), [],
+              "escaped, and nothing from outside")
+        equal("refused: &lt;b&gt;&amp;full" in page and "The oracle holds." in page, True, "text")
+
+
 CHECKS = [an_honest_entry_passes, doubled_runs_are_caught, a_false_not_run_is_caught,
           a_not_run_after_an_unknown_run_is_caught, a_true_not_run_passes,
           swapped_answers_are_caught, altered_answers_are_caught, repeats_keep_their_key,
           outcomes_without_a_word_are_lost, cuts_are_caught, late_work_is_caught,
           unreachable_entries_are_skipped, missing_evidence_is_no_pass, extra_fields_are_merged,
-          peaks_take_turns]
+          peaks_take_turns, the_page_shows_the_report]
 
 if __name__ == "__main__":
     run_checks(CHECKS)
