--- a/fuzz/ClaimFuzz.cpp
+++ b/fuzz/ClaimFuzz.cpp
@@ -143,12 +143,25 @@
   /// cannot reach is excluded by the platform (docs/design/claims.md).
   void replacePaused(ProcessId Old, std::size_t Entry) {
     m_World.pause(Old);
+    sendSome();
     m_World.start(Entry);
     m_Paused.push_back(Old);
-    m_World.runFor(std::chrono::milliseconds(pick(3000)));
+    m_World.runFor(std::chrono::milliseconds(pick(300)));
+    sendSome();
+    if (pick(2) == 0)
+      m_World.cutProcessFromPlatform(Old);
+    if (pick(2) == 0)
+      m_World.runFor(std::chrono::milliseconds(pick(3000)));
     m_World.resume(Old);
   }
 
+  void sendSome() {
+    for (int I = 0; I < 8; ++I) {
+      useKey();
+      m_World.runFor(std::chrono::milliseconds(pick(60)));
+    }
+  }
+
   void pauseOne() {
     ++m_Pauses;
     ProcessId Process = m_World.current(pick(m_World.size()));
--- a/src/claims/testing/ClaimWorld.cpp
+++ b/src/claims/testing/ClaimWorld.cpp
@@ -198,7 +198,7 @@
 
 bool ClaimWorld::isPlatformCut(ProcessId Id) const {
   auto It = m_Processes.find(Id);
-  return It == m_Processes.end() ||
+  return It == m_Processes.end() || m_ProcessCuts.count(Id) != 0 ||
          m_PlatformCuts.count(It->second.m_Entry) != 0;
 }
 
--- a/src/claims/testing/ClaimWorld.h
+++ b/src/claims/testing/ClaimWorld.h
@@ -60,6 +60,10 @@
   bool isAlive(ProcessId Process) const;
 
   void setPlatformCut(std::size_t Entry, bool Cut);
+  /// Cuts one process off for good, not its entry's other ones.
+  void cutProcessFromPlatform(ProcessId Process) {
+    m_ProcessCuts.insert(Process);
+  }
   void setCut(std::size_t A, std::size_t B, bool Cut);
   void heal();
 
@@ -126,6 +130,7 @@
   std::uint64_t m_LastHandle = 0;
   std::uint64_t m_Messages = 0;
   std::set<std::size_t> m_PlatformCuts;
+  std::set<ProcessId> m_ProcessCuts;
   std::set<std::pair<std::size_t, std::size_t>> m_Cuts;
 };
 
