--- a/src/claims/testing/ClaimWorld.cpp
+++ b/src/claims/testing/ClaimWorld.cpp
@@ -31,6 +31,14 @@
   return Duration(Pick(m_Random));
 }
 
+/// Until the platform has done a transaction that is sent now.
+Duration ClaimWorld::platformDelay() {
+  TimePoint Arrival = m_Now + delay(m_Faults.m_PlatformDelay);
+  m_PlatformFreeAt =
+      std::max(Arrival, m_PlatformFreeAt) + m_Faults.m_TransactionTime;
+  return m_PlatformFreeAt - m_Now;
+}
+
 void ClaimWorld::at(Duration Delay, std::function<void()> Do) {
   m_Events.push({m_Now + Delay, ++m_LastOrder, std::move(Do)});
 }
@@ -224,11 +232,14 @@
     return transacted(Id, delay(PlatformTimeout), lost());
   }
   bool LosesReply = chance(m_Faults.m_LoseCommit);
-  at(delay(m_Faults.m_PlatformDelay), [this, Id, Run, LosesReply] {
-    Result<CommitResult> Done = Run();
+  Duration Done = m_Faults.m_TransactionTime.count() > 0
+                      ? platformDelay()
+                      : delay(m_Faults.m_PlatformDelay);
+  at(Done, [this, Id, Run, LosesReply] {
+    Result<CommitResult> Decided = Run();
     if (LosesReply || isPlatformCut(Id))
       return transacted(Id, PlatformTimeout, lost());
-    transacted(Id, delay(m_Faults.m_PlatformDelay), std::move(Done));
+    transacted(Id, delay(m_Faults.m_PlatformDelay), std::move(Decided));
   });
 }
 
--- a/src/claims/testing/ClaimWorld.h
+++ b/src/claims/testing/ClaimWorld.h
@@ -31,6 +31,8 @@
   double m_LateCommit = 0;
   Duration m_MaxDelay = std::chrono::milliseconds(3);
   Duration m_PlatformDelay = std::chrono::milliseconds(4);
+  /// Time that the platform takes for each transaction, one after the other.
+  Duration m_TransactionTime{0};
 };
 
 /// One run of an entry instance's program; never reused.
@@ -116,6 +118,7 @@
   bool isPlatformCut(ProcessId Id) const;
   std::size_t indexOf(const EntryId &Entry) const;
   Duration delay(Duration Most);
+  Duration platformDelay();
 
   std::mt19937_64 m_Random;
   ClaimSettings m_Settings;
@@ -131,6 +134,7 @@
   std::uint64_t m_Messages = 0;
   std::set<std::size_t> m_PlatformCuts;
   std::set<ProcessId> m_ProcessCuts;
+  TimePoint m_PlatformFreeAt{};
   std::set<std::pair<std::size_t, std::size_t>> m_Cuts;
 };
 
