--- a/src/claims/testing/ClaimWorld.h
+++ b/src/claims/testing/ClaimWorld.h
@@ -31,6 +31,8 @@
   double m_LateCommit = 0;
   Duration m_MaxDelay = std::chrono::milliseconds(3);
   Duration m_PlatformDelay = std::chrono::milliseconds(4);
+  /// Time that the platform takes for each transaction, one after the other.
+  Duration m_TransactionTime{0};
 };
 
 /// One run of an entry instance's program; never reused.
@@ -60,6 +62,10 @@
   bool isAlive(ProcessId Process) const;
 
   void setPlatformCut(std::size_t Entry, bool Cut);
+  /// Cuts one process off for good, not its entry's other ones.
+  void cutProcessFromPlatform(ProcessId Process) {
+    m_ProcessCuts.insert(Process);
+  }
   void setCut(std::size_t A, std::size_t B, bool Cut);
   void heal();
 
@@ -112,6 +118,7 @@
   bool isPlatformCut(ProcessId Id) const;
   std::size_t indexOf(const EntryId &Entry) const;
   Duration delay(Duration Most);
+  Duration platformDelay();
 
   std::mt19937_64 m_Random;
   ClaimSettings m_Settings;
@@ -126,6 +133,8 @@
   std::uint64_t m_LastHandle = 0;
   std::uint64_t m_Messages = 0;
   std::set<std::size_t> m_PlatformCuts;
+  std::set<ProcessId> m_ProcessCuts;
+  TimePoint m_PlatformFreeAt{};
   std::set<std::pair<std::size_t, std::size_t>> m_Cuts;
 };
 
