Fuzz restarts in a cut, slow views and long requests

The world now cuts single entry instances, restarts them faster than the list can tell, and draws request times up to 6 s and polls up to 3 s.

--- a/fuzz/FleetFuzz.cpp
+++ b/fuzz/FleetFuzz.cpp
@@ -42,6 +42,10 @@
     P.m_Spare = I == 0;
     Settings.m_Pools.push_back(P);
   }
+  constexpr std::uint32_t RequestMs[] = {300, 1000, 6000};
+  constexpr std::uint32_t PollMs[] = {300, 1000, 3000};
+  Settings.m_RequestTime = milliseconds(RequestMs[Random() % 3]);
+  Settings.m_PollInterval = milliseconds(PollMs[Random() % 3]);
   Settings.m_Fleet.m_RunnerLease = seconds(5);
   Settings.m_Fleet.m_ListMaxAge = seconds(6);
   Settings.m_Fleet.m_ReturnTimeout = seconds(60);
@@ -78,7 +82,9 @@
   void kill();
   void start();
   void pause();
+  void restart();
   void planStop();
+  void cut();
   void outage();
   void faults();
   void loseInstance();
@@ -120,6 +126,7 @@
 const FleetFuzz::Choice FleetFuzz::Choices[] = {
     {&FleetFuzz::wait, 20},         {&FleetFuzz::kill, 4},
     {&FleetFuzz::start, 10},        {&FleetFuzz::pause, 4},
+    {&FleetFuzz::restart, 4},       {&FleetFuzz::cut, 4},
     {&FleetFuzz::planStop, 6},      {&FleetFuzz::outage, 2},
     {&FleetFuzz::faults, 3},        {&FleetFuzz::loseInstance, 2},
     {&FleetFuzz::loseRack, 1},      {&FleetFuzz::loseCentre, 1},
@@ -142,6 +149,18 @@
   m_World.pauseEntry(anyEntry(), milliseconds(100 + m_World.draw(30000)));
 }
 
+/// A restart that is over before the platform's list could tell of it.
+void FleetFuzz::restart() {
+  std::size_t Entry = anyEntry();
+  m_World.killEntry(Entry, false);
+  m_World.startEntry(Entry);
+}
+
+void FleetFuzz::cut() {
+  m_World.cutEntry(anyEntry(), true);
+  m_World.cutEntry(anyEntry(), false);
+}
+
 void FleetFuzz::planStop() {
   auto Point = static_cast<StopPoint>(m_World.draw(3));
   bool IsPause = m_World.draw(2) == 0;
@@ -294,6 +313,8 @@
 bool FleetFuzz::settle() {
   m_World.m_Faults = {};
   m_World.setOutage(false);
+  for (std::size_t I = 0; I < m_World.entryCount(); ++I)
+    m_World.cutEntry(I, false);
   m_World.planStop(0, StopPoint::AfterReply, seconds(0));
   startAll();
   m_World.runFor(minutes(2));
--- a/src/fleet/testing/FleetWorld.cpp
+++ b/src/fleet/testing/FleetWorld.cpp
@@ -173,6 +173,10 @@
       std::max(m_Entries[Index].m_PausedUntil, m_Now + Time);
 }
 
+void FleetWorld::cutEntry(std::size_t Index, bool IsCut) {
+  m_Entries[Index].m_IsCut = IsCut;
+}
+
 void FleetWorld::tickEntry(std::size_t Index) {
   deliver(Index, m_Settings.m_TickInterval, [this, Index] {
     m_Entries[Index].m_Controller->tick(m_Now);
@@ -189,7 +193,8 @@
   at(jitter(m_Settings.m_PlatformDelay), [this, Index, Since, Incarnation] {
     auto Rows =
         m_Platform.changes(Since, FleetController::rowPrefixes(), Priority);
-    if (!Rows || m_Entries[Index].m_Incarnation != Incarnation)
+    if (!Rows || m_Entries[Index].m_IsCut ||
+        m_Entries[Index].m_Incarnation != Incarnation)
       return;
     RowSet Read = Rows.value();
     deliver(Index, jitter(m_Settings.m_PlatformDelay),
@@ -215,6 +220,10 @@
 /// A starting entry instance takes a peer's rows, in case that the platform is
 /// away.
 void FleetWorld::askPeers(std::size_t Index) {
+  if (!m_Entries[Index].m_Rows.empty())
+    return;
+  deliver(Index, jitter(m_Settings.m_PollInterval),
+          [this, Index] { askPeers(Index); });
   at(jitter(m_Settings.m_MessageDelay), [this, Index] {
     std::size_t Peer = draw(m_Entries.size());
     const Entry &P = m_Entries[Peer];
@@ -236,7 +245,7 @@
   TimePoint Asked = m_Now;
   std::uint32_t Incarnation = m_Entries[Index].m_Incarnation;
   at(jitter(m_Settings.m_PlatformDelay), [this, Index, Asked, Incarnation] {
-    if (!m_Platform.instances(Priority) ||
+    if (!m_Platform.instances(Priority) || m_Entries[Index].m_IsCut ||
         m_Entries[Index].m_Incarnation != Incarnation)
       return;
     std::vector<ListedInstance> List;
@@ -280,12 +289,17 @@
   answerAsks(Index);
 }
 
+std::uint64_t FleetWorld::knownEpoch(const Entry &E, const InstanceId &Id) {
+  auto Known = E.m_Rows.find(Id);
+  return Known == E.m_Rows.end() ? 0 : Known->second.m_Row.m_Epoch;
+}
+
 void FleetWorld::answer(std::size_t Index, const Ask &Question) {
   Entry &E = m_Entries[Index];
   DrainAck Ack;
   Ack.m_Entry = E.m_Id;
   Ack.m_Instance = Question.m_Instance;
-  Ack.m_Epoch = E.m_Rows[Question.m_Instance].m_Row.m_Epoch;
+  Ack.m_Epoch = knownEpoch(E, Question.m_Instance);
   Ack.m_InFlight = E.m_InFlight[Question.m_Instance];
   Ack.m_Ask = Question.m_Number;
   std::size_t Asker = Question.m_From;
@@ -300,7 +314,7 @@
 void FleetWorld::answerAsks(std::size_t Index) {
   Entry &E = m_Entries[Index];
   auto IsReady = [this, Index, &E](const Ask &A) {
-    if (E.m_Rows[A.m_Instance].m_Row.m_Epoch < A.m_Epoch ||
+    if (knownEpoch(E, A.m_Instance) < A.m_Epoch ||
         E.m_InFlight[A.m_Instance] > 0)
       return false;
     answer(Index, A);
--- a/src/fleet/testing/FleetWorld.h
+++ b/src/fleet/testing/FleetWorld.h
@@ -69,6 +69,8 @@
   void startEntry(std::size_t Entry);
   void pauseEntry(std::size_t Entry, Duration Time);
   void setOutage(bool Outage) { m_Platform.setOutage(Outage); }
+  /// Cuts an entry instance from the platform, or ends the cut.
+  void cutEntry(std::size_t Entry, bool IsCut);
   /// Stops the sender of the \p Nth transaction of moves and waves: kills it,
   /// or pauses it for \p Pause if that is not zero.
   void planStop(std::uint32_t Nth, StopPoint Point, Duration Pause);
@@ -113,6 +115,7 @@
     DataCentreName m_DataCentre;
     std::uint32_t m_Incarnation = 0;
     bool m_Running = false;
+    bool m_IsCut = false;
     TimePoint m_PausedUntil;
     std::unique_ptr<FleetController> m_Controller;
     Revision m_Revision = 0;
@@ -158,6 +161,7 @@
   void finishRequest(std::size_t Index, const InstanceId &Id);
   void answerAsks(std::size_t Index);
   void answer(std::size_t Index, const Ask &Question);
+  static std::uint64_t knownEpoch(const Entry &E, const InstanceId &Id);
   std::uint32_t inFlight(const InstanceId &Id) const;
 
   void act(std::size_t Index);
--- a/src/fleet/testing/FleetWorldActions.cpp
+++ b/src/fleet/testing/FleetWorldActions.cpp
@@ -66,7 +66,10 @@
 void FleetWorld::commit(std::size_t Index, const Transaction &Txn,
                         const std::set<InstanceId> &Lost, bool IsStopped) {
   auto Before = m_Platform.counts().m_Committed;
-  Result<CommitResult> Outcome = m_Platform.transact(Txn, Priority);
+  Result<CommitResult> Outcome =
+      makeError(ErrorCode::ConnectFailed, "transact");
+  if (!m_Entries[Index].m_IsCut)
+    Outcome = m_Platform.transact(Txn, Priority);
   if (m_Platform.counts().m_Committed > Before)
     m_Oracle.onCommit(Txn, Lost);
   if (IsStopped && m_StopPoint == StopPoint::AfterEffect)
@@ -102,7 +105,8 @@
   InstanceId Id = Action.m_Instance;
   std::string Token = Action.m_Token;
   at(jitter(m_Settings.m_PlatformDelay), [this, Index, Id, Token] {
-    bool IsAccepted = bool(m_Platform.reboot(Id, Token, Priority));
+    bool IsAccepted = !m_Entries[Index].m_IsCut &&
+                      bool(m_Platform.reboot(Id, Token, Priority));
     if (IsAccepted && m_RebootTokens.insert(Token).second)
       reboot(Id);
     deliver(Index, jitter(m_Settings.m_PlatformDelay),
