--- a/fuzz/ClaimFuzz.cpp
+++ b/fuzz/ClaimFuzz.cpp
@@ -30,7 +30,7 @@
 
 struct Options {
   std::uint64_t m_Seed = 1;
-  int m_Steps = 3000;
+  int m_Steps = 10000;
 };
 
 /// What a caller and the backend servers would have seen of one key.
--- a/src/claims/ClaimNodeTest.cpp
+++ b/src/claims/ClaimNodeTest.cpp
@@ -2,6 +2,7 @@
 
 #include "claims/ClaimNode.h"
 #include "claims/testing/ClaimWorld.h"
+#include "claims/testing/TestEntries.h"
 #include <CppUTest/TestHarness.h>
 
 using namespace pollenspool;
@@ -12,11 +13,9 @@
 
 constexpr std::chrono::milliseconds Retention = 12s;
 
-ClaimSettings threeEntries() {
+ClaimSettings testSettings() {
   ClaimSettings Settings;
-  for (int I = 0; I < 3; ++I)
-    Settings.m_Entries.push_back({EntryId("10.0.0." + std::to_string(I)),
-                                  DataCentreName(I < 2 ? "accra" : "tema")});
+  Settings.m_Entries = threeEntries();
   Settings.m_ClaimLifetime = Retention - 2s;
   Settings.m_Margin = 2s;
   return Settings;
@@ -24,8 +23,8 @@
 
 /// A world of three entry instances, two of them in one data centre.
 struct TestWorld {
-  ClaimSettings m_Settings = threeEntries();
-  ClaimWorld m_World{1, threeEntries()};
+  ClaimSettings m_Settings = testSettings();
+  ClaimWorld m_World{1, testSettings()};
   std::map<ClaimToken, ClaimReply> m_Replies;
 
   TestWorld() {
@@ -80,6 +79,28 @@
       m_World.setPlatformCut(I, Outage);
   }
 
+  /// A key of entry 0 that only memories hold, and ends the processes of \p
+  /// Entries. The platform stays cut off.
+  RequestId grantFromMemoryAndKill(std::initializer_list<std::size_t> Entries) {
+    letThemVouch();
+    setOutage(true);
+    RequestId Key = keyOf(0);
+    CHECK(claim(0, Key).m_Verdict == ClaimVerdict::Granted);
+    for (std::size_t Entry : Entries)
+      m_World.kill(m_World.current(Entry));
+    return Key;
+  }
+
+  /// Tells an owner of a peer that has started just now.
+  void hearOfRestartedPeer(std::size_t Entry) {
+    Revision Start = m_World.table().counts().m_Committed;
+    m_World.post(
+        m_World.current(Entry), 0ms, [Start](ClaimNode &Node, TimePoint Now) {
+          Node.onRequest(0, EntryId("10.0.0.1"), StartedNotice{Start}, Now);
+        });
+    m_World.runFor(100ms);
+  }
+
   /// Runs until all owners may grant from memory.
   void letThemVouch() { m_World.runFor(Retention + 1s); }
 
@@ -208,11 +229,7 @@
 }
 
 TEST(ClaimNode, SuccessorLearnsGrantsFromMemory) {
-  m_Test.letThemVouch();
-  m_Test.setOutage(true);
-  RequestId Key = m_Test.keyOf(0);
-  checkGranted(m_Test.claim(0, Key));
-  m_Test.m_World.kill(m_Test.m_World.current(0));
+  RequestId Key = m_Test.grantFromMemoryAndKill({0});
   m_Test.setOutage(false);
   m_Test.m_World.start(0);
   m_Test.m_World.runFor(1s);
@@ -221,12 +238,7 @@
 }
 
 TEST(ClaimNode, WithoutTheWitnessASuccessorWaitsForTheLifetime) {
-  m_Test.letThemVouch();
-  m_Test.setOutage(true);
-  RequestId Key = m_Test.keyOf(0);
-  checkGranted(m_Test.claim(0, Key));
-  m_Test.m_World.kill(m_Test.m_World.current(0));
-  m_Test.m_World.kill(m_Test.m_World.current(1));
+  RequestId Key = m_Test.grantFromMemoryAndKill({0, 1});
   m_Test.setOutage(false);
   m_Test.m_World.start(0);
   m_Test.m_World.start(1);
@@ -236,6 +248,15 @@
   checkGranted(m_Test.claim(2, m_Test.keyOf(0, 1)));
 }
 
+TEST(ClaimNode, WitnessThatHasNotJoinedProvesNothing) {
+  RequestId Key = m_Test.grantFromMemoryAndKill({0, 1});
+  m_Test.m_World.setPlatformCut(0, false);
+  m_Test.m_World.start(1);
+  m_Test.m_World.start(0);
+  m_Test.m_World.runFor(1s);
+  checkDenied(Reason::ClaimOwnerRecovering, m_Test.claim(2, Key));
+}
+
 TEST(ClaimNode, ReplacedProcessDecidesNothingMore) {
   ProcessId Old = m_Test.m_World.current(0);
   m_Test.m_World.pause(Old);
@@ -264,10 +285,76 @@
   checkGranted(m_Test.claim(2, m_Test.keyOf(0)));
 }
 
+TEST(ClaimNode, SuccessorRemembersWhatItHadToRecoverWhenItDiesToo) {
+  RequestId Key = m_Test.grantFromMemoryAndKill({0});
+  m_Test.setOutage(false);
+  // The first successor joins and cannot ask; the second one has to.
+  m_Test.m_World.setCut(0, 1, true);
+  m_Test.restart(0);
+  m_Test.m_World.setCut(0, 1, false);
+  m_Test.restart(0);
+  checkDenied(Reason::ClaimedElsewhere, m_Test.claim(2, Key));
+}
+
+TEST(ClaimNode, DoubledRequestsDoNotBypassTheWitness) {
+  m_Test.letThemVouch();
+  m_Test.setOutage(true);
+  m_Test.m_World.m_Faults.m_Duplicate = 1;
+  m_Test.m_World.m_Faults.m_MaxDelay = 200ms;
+  checkGranted(m_Test.claim(1, m_Test.keyOf(0)));
+  m_Test.m_World.post(m_Test.m_World.current(1), 0ms,
+                      [&](ClaimNode &Node, TimePoint Now) {
+                        for (int I = 1; I < 60; ++I)
+                          Node.claim(m_Test.keyOf(0, I), 900ms, Now);
+                      });
+  m_Test.m_World.runFor(1s);
+  ClaimStats Stats = m_Test.node(1).stats();
+  LONGS_EQUAL(60, Stats.m_GrantedFromMemory);
+  LONGS_EQUAL(60, Stats.m_Witnessed);
+}
+
+TEST(ClaimNode, DeniedClaimWhoseWriteTookEffectFreesItsKey) {
+  RequestId Key = m_Test.keyOf(0);
+  m_Test.m_World.m_Faults.m_LoseCommit = 1;
+  checkDenied(Reason::ClaimUnavailable, m_Test.claim(1, Key));
+  CHECK(m_Test.m_World.table().peek(claimRowKey(Key)).has_value());
+  m_Test.m_World.m_Faults.m_LoseCommit = 0;
+  m_Test.m_World.runFor(3s);
+  checkGranted(m_Test.claim(1, Key));
+}
+
+TEST(ClaimNode, DoesNotVouchWhileItsRowIsUndecided) {
+  m_Test.letThemVouch();
+  m_Test.m_World.m_Faults.m_LoseCommit = 1;
+  m_Test.hearOfRestartedPeer(0);
+  m_Test.setOutage(true);
+  checkDenied(Reason::ClaimUnavailable, m_Test.claim(1, m_Test.keyOf(0)));
+  m_Test.m_World.m_Faults.m_LoseCommit = 0;
+  m_Test.setOutage(false);
+  m_Test.m_World.runFor(3s);
+  checkGranted(m_Test.claim(1, m_Test.keyOf(0)));
+}
+
+TEST(ClaimNode, RowIsRenewedOnlyAfterAllIsInTheTable) {
+  m_Test.letThemVouch();
+  m_Test.setOutage(true);
+  RequestId First = m_Test.keyOf(0);
+  RequestId Second = m_Test.keyOf(0, 1);
+  checkGranted(m_Test.claim(1, First));
+  checkGranted(m_Test.claim(1, Second));
+  m_Test.hearOfRestartedPeer(0);
+  m_Test.setOutage(false);
+  m_Test.m_World.runFor(3s);
+  FakePlatform &Table = m_Test.m_World.table();
+  Revision Renewed = Table.peek("owner/10.0.0.0")->m_Revision;
+  CHECK(Renewed > Table.peek(claimRowKey(First))->m_Revision);
+  CHECK(Renewed > Table.peek(claimRowKey(Second))->m_Revision);
+}
+
 TEST(ClaimNode, OtherListsOfEntriesAreRefused) {
   ClaimNode Node(
       [] {
-        ClaimSettings Settings = threeEntries();
+        ClaimSettings Settings = testSettings();
         Settings.m_Self = Settings.m_Entries[0].m_Id;
         return Settings;
       }(),
@@ -278,33 +365,3 @@
     if (const auto *Response = std::get_if<Respond>(&A))
       CHECK_FALSE(std::get<Ack>(Response->m_Reply).m_Accepted);
 }
-
-TEST_GROUP(Ownership){};
-
-TEST(Ownership, KeysOfADataCentreStayThere) {
-  Ownership Owners(threeEntries().m_Entries);
-  for (int I = 0; I < 50; ++I) {
-    std::string Text = std::to_string(I);
-    STRCMP_EQUAL("10.0.0.2",
-                 Owners.ownerOf(RequestId("tema:" + Text)).m_Text.c_str());
-    CHECK(Owners.ownerOf(RequestId("accra:" + Text)).m_Text != "10.0.0.2");
-  }
-}
-
-TEST(Ownership, OrderOfTheListDoesNotMatter) {
-  std::vector<EntryInstance> Lines = threeEntries().m_Entries;
-  Ownership Forward(Lines);
-  Ownership Backward({Lines[2], Lines[1], Lines[0]});
-  CHECK(Forward.listHash() == Backward.listHash());
-  for (int I = 0; I < 50; ++I) {
-    RequestId Key(std::to_string(I));
-    CHECK(Forward.ownerOf(Key) == Backward.ownerOf(Key));
-  }
-  CHECK(Forward.listHash() != Ownership({Lines[0], Lines[1]}).listHash());
-}
-
-TEST(Ownership, LoneEntryIsWitnessedElsewhere) {
-  Ownership Owners(threeEntries().m_Entries);
-  LONGS_EQUAL(1, Owners.witnessesOf(EntryId("10.0.0.0")).size());
-  LONGS_EQUAL(2, Owners.witnessesOf(EntryId("10.0.0.2")).size());
-}
