Let the dispatcher's fuzz use the shared arguments and verdict

Change: runFuzz reads the arguments and prints the verdict; the strategies come from routingStrategies(), so that a new one is fuzzed as well.

--- a/fuzz/DispatchFuzz.cpp
+++ b/fuzz/DispatchFuzz.cpp
@@ -6,11 +6,10 @@
 //===----------------------------------------------------------------------===//
 
 #include "DispatchOracle.h"
+#include "FuzzMain.h"
+#include "routing/Strategy.h"
 #include <array>
-#include <cstdio>
-#include <cstdlib>
 #include <cstring>
-#include <optional>
 #include <random>
 
 using namespace pollenspool;
@@ -349,57 +348,43 @@
   InstanceId m_Broken;
 };
 
-/// Runs one strategy; the digest of its actions, or nothing after a fault.
-std::optional<std::uint64_t> run(std::uint64_t Seed, unsigned Steps,
-                                 const std::string &Strategy, bool Verbose) {
+/// Runs one strategy and returns the digest of its actions.
+std::uint64_t runStrategy(const std::string &Strategy, std::uint64_t Seed,
+                          std::uint64_t Steps, std::uint64_t &Step,
+                          std::string &Summary) {
   Fuzz F(Seed, Strategy);
-  unsigned Step = 0;
   bool Holds = true;
-  for (; Holds && Step < Steps; ++Step)
+  for (Step = 0; Holds && Step < Steps; ++Step)
     Holds = F.step();
-  if (Holds)
-    Holds = F.close();
-  if (!Holds) {
-    std::printf("FAULT at step %u with %s: %s\nrepeat: DispatchFuzz --seed "
-                "%llu --steps %u\n",
-                Step, Strategy.c_str(), F.fault().c_str(),
-                static_cast<unsigned long long>(Seed), Steps);
-    return std::nullopt;
-  }
-  DispatcherStats S = F.stats();
-  if (Verbose)
-    std::printf("%-14s tries %llu forwards %llu ejections %llu probes %llu\n",
-                Strategy.c_str(), static_cast<unsigned long long>(S.m_Tries),
-                static_cast<unsigned long long>(S.m_Forwards),
-                static_cast<unsigned long long>(S.m_Ejections),
-                static_cast<unsigned long long>(S.m_Probes));
+  if (!Holds || !F.close())
+    throw OracleFailure(Strategy + ": " + F.fault());
+  DispatcherStats Stats = F.stats();
+  Summary += Strategy + " " + std::to_string(Stats.m_Tries) + " tries " +
+             std::to_string(Stats.m_Forwards) + " forwards " +
+             std::to_string(Stats.m_Ejections) + " ejections; ";
   return F.digest();
 }
 
+std::string runAll(const FuzzArguments &Arguments, std::uint64_t &Step) {
+  constexpr std::uint64_t ReplayFraction = 4;
+  std::string Summary;
+  std::string Ignored;
+  for (const StrategyRow &Row : routingStrategies()) {
+    std::string Name(Row.m_Name);
+    std::uint64_t Seed = Arguments.m_Seed;
+    std::uint64_t Part = Arguments.m_Steps / ReplayFraction;
+    runStrategy(Name, Seed, Arguments.m_Steps, Step, Summary);
+    auto First = runStrategy(Name, Seed, Part, Step, Ignored);
+    auto Second = runStrategy(Name, Seed, Part, Step, Ignored);
+    if (First != Second)
+      throw OracleFailure(Name + ": two runs differ");
+  }
+  return Summary;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
-  std::uint64_t Seed = 1;
-  unsigned Steps = 20000;
-  for (int I = 1; I + 1 < Argc; I += 2) {
-    if (std::strcmp(Argv[I], "--seed") == 0)
-      Seed = std::strtoull(Argv[I + 1], nullptr, 10);
-    if (std::strcmp(Argv[I], "--steps") == 0)
-      Steps = static_cast<unsigned>(std::strtoul(Argv[I + 1], nullptr, 10));
-  }
-  std::printf("seed %llu\n", static_cast<unsigned long long>(Seed));
-  for (const char *Strategy :
-       {"adaptive", "static-share", "two-choices", "shared-reports"}) {
-    auto First = run(Seed, Steps, Strategy, true);
-    if (!First)
-      return 1;
-    constexpr unsigned ReplayFraction = 4;
-    auto A = run(Seed, Steps / ReplayFraction, Strategy, false);
-    auto B = run(Seed, Steps / ReplayFraction, Strategy, false);
-    if (!A || A != B) {
-      std::printf("FAULT: two runs differ with %s\n", Strategy);
-      return 1;
-    }
-  }
-  return 0;
+  constexpr std::uint64_t DefaultSteps = 20000;
+  return runFuzz(Argc, Argv, DefaultSteps, runAll);
 }
