--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -84,9 +84,7 @@
   void setDocumentVersion(std::uint64_t Version) {
     m_State.m_DocumentVersion = Version;
   }
-  void setViewRevision(std::uint64_t Seen) {
-    m_State.m_ViewRevision = Seen;
-  }
+  void setViewRevision(std::uint64_t Seen) { m_State.m_ViewRevision = Seen; }
   void setLoad(LoadDigest Load) { m_State.m_Load = Load; }
 
   const PeerState &self() const { return m_State; }
