--- a/tools/Command.h
+++ b/tools/Command.h
@@ -59,6 +59,9 @@
 int runDiff(const CommandInput &In);
 int runApply(const CommandInput &In);
 int runStatus(const CommandInput &In);
+int runMove(const CommandInput &In);
+int runWave(const CommandInput &In);
+int runExplain(const CommandInput &In);
 
 } // namespace pollenspool
 
--- a/tools/Main.cpp
+++ b/tools/Main.cpp
@@ -18,6 +18,13 @@
        1, runApply},
       {"status", "", "show pools, instances and what waits for what", 0, 0,
        runStatus},
+      {"move", "INSTANCE|COUNT FROM TO | cancel INSTANCE",
+       "move instances between pools", 2, 3, runMove},
+      {"wave", "start SET [NAME] [BATCH] | status | pause|resume|cancel ID",
+       "run maintenance waves over a pool, rack, data_centre or all", 1, 4,
+       runWave},
+      {"explain", "INSTANCE", "say what an instance waits for", 1, 1,
+       runExplain},
   };
   return Table;
 }
