Let the demo say what stands in the way

Cause: the demo waited in vain for its wave without showing why. Change: a failed wait prints what was seen.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -140,7 +140,8 @@
         code, output = self.tool("wave", "start", "pool", self.wave_pool, "3")
         if code != 0:
             raise SystemExit(f"demo: wave failed: {output}")
-        wait_for(lambda: self.fleet()["waves"] and self.fleet()["waves"][-1]["state"] == "done")
+        wait_for(lambda: self.fleet()["waves"] and self.fleet()["waves"][-1]["state"] == "done",
+                 lambda: self.fleet())
         return time.monotonic() - begin
 
     def fleet(self):
@@ -172,11 +173,12 @@
                 child.wait()
 
 
-def wait_for(holds):
+def wait_for(holds, seen=lambda: ""):
+    """Waits until `holds` is true; `seen` tells what stands in the way."""
     end = time.monotonic() + PATIENCE_S
     while not holds():
         if time.monotonic() > end:
-            raise SystemExit(f"demo: waited in vain: {inspect.getsource(holds).strip()}")
+            raise SystemExit(f"demo: waited in vain: {inspect.getsource(holds).strip()} {seen()}")
         time.sleep(POLL_S)
 
 
