--- a/src/fleet/testing/FleetOracle.cpp
+++ b/src/fleet/testing/FleetOracle.cpp
@@ -138,6 +138,11 @@
     fail(Id.m_Text + ": request started while away");
 }
 
+bool FleetOracle::isServing(const InstanceId &Id) const {
+  auto It = m_Instances.find(Id);
+  return It != m_Instances.end() && It->second.m_State == "serving";
+}
+
 std::vector<InstanceId> FleetOracle::notServing() const {
   std::vector<InstanceId> Ids;
   for (const auto &[Id, I] : m_Instances)
--- a/src/fleet/testing/FleetOracle.h
+++ b/src/fleet/testing/FleetOracle.h
@@ -35,6 +35,7 @@
   const std::string &violation() const { return m_Violation; }
   /// Instances that are not serving.
   std::vector<InstanceId> notServing() const;
+  bool isServing(const InstanceId &Id) const;
   /// Committed changes of an instance's pool.
   std::uint64_t moves() const { return m_MoveCount; }
 
--- a/src/fleet/testing/FleetWorld.h
+++ b/src/fleet/testing/FleetWorld.h
@@ -97,6 +97,9 @@
 
   const FleetOracle &oracle() const { return m_Oracle; }
   FakePlatformCounts platformCounts() const { return m_Platform.counts(); }
+  std::size_t rebootCount() const { return m_RebootTokens.size(); }
+  /// True if an instance's row was Serving while the platform rebooted it.
+  bool hasServedInReboot() const { return m_HasServedInReboot; }
   std::uint64_t drainQuestions() const { return m_Questions; }
 
 private:
@@ -131,6 +134,7 @@
     bool m_NeverReturns = false;
     bool m_ReturnsSick = false;
     bool m_Sick = false;
+    bool m_Rebooting = false;
   };
   struct Event {
     TimePoint m_At;
@@ -198,6 +202,7 @@
   StopPoint m_StopPoint = StopPoint::BeforeSend;
   Duration m_StopPause{0};
   std::uint64_t m_Questions = 0;
+  bool m_HasServedInReboot = false;
 };
 
 } // namespace pollenspool
--- a/src/fleet/testing/FleetWorldActions.cpp
+++ b/src/fleet/testing/FleetWorldActions.cpp
@@ -8,7 +8,7 @@
 
 constexpr Duration SenderTimeout = std::chrono::seconds(2);
 constexpr Duration LateEffect = std::chrono::seconds(20);
-constexpr Duration LeavingTime = std::chrono::seconds(1);
+constexpr Duration LeavingTime = std::chrono::seconds(4);
 constexpr CallPriority Priority = CallPriority::Control;
 
 } // namespace
@@ -72,6 +72,8 @@
     Outcome = m_Platform.transact(Txn, Priority);
   if (m_Platform.counts().m_Committed > Before)
     m_Oracle.onCommit(Txn, Lost);
+  for (const auto &[Id, M] : m_Machines)
+    m_HasServedInReboot |= M.m_Rebooting && m_Oracle.isServing(Id);
   if (IsStopped && m_StopPoint == StopPoint::AfterEffect)
     stop(Index);
   if (Outcome && chance(m_Faults.m_LostReply))
@@ -121,7 +123,8 @@
   InstanceId Id = Action.m_Instance;
   deliver(Index, jitter(m_Settings.m_MessageDelay), [this, Index, Id] {
     const Machine &M = m_Machines[Id];
-    bool IsOk = M.m_Truth.m_State == InstanceState::Live && !M.m_Sick;
+    // A leaving instance goes on answering until it is gone.
+    bool IsOk = M.m_Truth.m_State != InstanceState::Gone && !M.m_Sick;
     m_Entries[Index].m_Controller->onHealth(Id, IsOk, m_Now);
   });
 }
@@ -153,6 +156,7 @@
   Machine &M = m_Machines[Id];
   if (M.m_Generation != Generation || M.m_NeverReturns)
     return;
+  M.m_Rebooting = false;
   M.m_Sick = M.m_ReturnsSick;
   setState(M, InstanceState::Live);
 }
@@ -161,6 +165,7 @@
   m_Oracle.onReboot(Id);
   Machine &M = m_Machines[Id];
   std::uint32_t Generation = ++M.m_Generation;
+  M.m_Rebooting = true;
   setState(M, InstanceState::Leaving);
   at(LeavingTime, [this, Id, Generation] {
     if (m_Machines[Id].m_Generation == Generation)
