Make the platform's list lag a setting

Cause: the demo's wave waited in vain: each reboot was confirmed only by a list older than 5 s, the fixed longest lag, so a batch took about 7 s and 13 members did not fit into 30 s. Ruled out: instances that did not return (the platform listed them live), pools that promise more than there is. The two customers run side by side. Conclusion: roll-out is bound by the list's lag; operators set it to the truth.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -6,6 +6,7 @@
 instance, runs one move and one maintenance wave, and checks the oracle.
 Usage: demo.py BUILD
 """
+import concurrent.futures
 import inspect
 import json
 import os
@@ -83,6 +84,7 @@
         lines.append(f'platform: {{address: "{self.host(1, 7000)}"}}')
         lines.append(f"operators: {{token: {TOKEN}}}")
         lines.append(f"seed: {SEED + index}")
+        lines.append("timings: {poll_ms: 400, list_lag_ms: 1000}")
         lines.append("log_level: warning")
         lines.append("entries:")
         for peer in range(4):
@@ -213,11 +215,11 @@
         Demo(build, "osei", ["accra", "kumasi"], ["wedding", "durbar", "launch", "corporate"],
              "wedding", "admin", 1),
     ]
-    rows = []
-    for demo in demos:
-        try:
-            rows.append(demo.run())
-        finally:
+    try:
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            rows = list(pool.map(Demo.run, demos))
+    finally:
+        for demo in demos:
             demo.stop()
     for key in rows[0]:
         print(f"{key:22}" + "".join(f"{str(row[key]):>14}" for row in rows))
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -75,6 +75,7 @@
   FleetSettings Out;
   Out.m_Self = EntryId(S.m_Listen.m_Peers);
   Out.m_ProcessToken = Token;
+  Out.m_ListLag = S.m_Timings.m_ListLag;
   std::map<DataCentreName, std::vector<EntryId>> ByCentre;
   for (const PeerEntry &Entry : S.m_Entries)
     ByCentre[Entry.m_DataCentre].push_back(Entry.m_Address);
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -74,7 +74,7 @@
 }
 
 const auto &timingFields() {
-  static const std::array<FieldSpec<TimingSettings>, 6> Fields = {{
+  static const std::array<FieldSpec<TimingSettings>, 7> Fields = {{
       {{"poll_ms", "integer", false, 10, MaxMs, "ms",
         "time between reads of the platform's changes and list; default 1000"},
        readNumberField<&TimingSettings::m_Poll>},
@@ -94,6 +94,10 @@
       {{"backend_connect_ms", "integer", false, 1, MaxMs, "ms",
         "time to connect to a backend server; default 1000"},
        readNumberField<&TimingSettings::m_BackendConnect>},
+      {{"list_lag_ms", "integer", false, 1, MaxMs, "ms",
+        "longest time by which the platform's list of instances is behind the "
+        "truth; moves and waves wait for it; default 5000"},
+       readNumberField<&TimingSettings::m_ListLag>},
   }};
   return Fields;
 }
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -53,6 +53,7 @@
   std::chrono::milliseconds m_ClaimLifetime{900000};
   std::chrono::milliseconds m_ClaimMargin{120000};
   std::chrono::milliseconds m_BackendConnect{1000};
+  std::chrono::milliseconds m_ListLag{5000};
 };
 
 struct OperatorSettings {
