Keep the tokens of one process's transactions apart

Cause: the daemon's orders and the fleet's controller both named transactions by the process's token and a counter of their own. The platform answers a repeated token with its old outcome and writes nothing, so the fleet took writes as committed that never happened: a safety fault. Found while the README's first pool was tried by hand: a move that never ended, 161 conflicts in 3 s. Ruled out: the move core and the table. Conclusion: mended; a repeated token has one owner now.

--- a/scripts/run_suite.py
+++ b/scripts/run_suite.py
@@ -4,6 +4,7 @@
 Failures that KNOWN-RED.txt names (by the test's name) are printed and passed
 over; any other failure makes the exit code 1.
 """
+import concurrent.futures
 import os
 import pathlib
 import re
@@ -47,16 +48,26 @@
         yield f"{program.name}.exit", False, f"exit code {code}\n{out[-4000:]}"
 
 
+def fuzz(build):
+    """Runs every seed of every fuzz program; they share nothing."""
+    runs = [(source.stem, seed) for source in sorted((ROOT / "fuzz").glob("*Fuzz.cpp"))
+            for seed in FUZZ_SEEDS]
+
+    def run_seed(name_and_seed):
+        name, seed = name_and_seed
+        code, out = run([build / name, "--seed", str(seed)])
+        return f"{name}.seed{seed}", code == 0, out[-4000:]
+
+    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+        yield from pool.map(run_seed, runs)
+
+
 def suite(build):
     for name in ("unit_tests", "integration_tests"):
         program = build / name
         if program.exists():
             yield from cpputest(program)
-    for source in sorted((ROOT / "fuzz").glob("*Fuzz.cpp")):
-        for seed in FUZZ_SEEDS:
-            command = [build / source.stem, "--seed", str(seed)]
-            code, out = run(command)
-            yield f"{source.stem}.seed{seed}", code == 0, out[-4000:]
+    yield from fuzz(build)
     for script in sorted((ROOT / "tests").glob("*_check.py")):
         code, out = run([sys.executable, script, str(build)])
         yield script.stem, code == 0, out[-4000:]
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -74,7 +74,9 @@
 FleetSettings fleetSettings(const Settings &S, const std::string &Token) {
   FleetSettings Out;
   Out.m_Self = EntryId(S.m_Listen.m_Peers);
-  Out.m_ProcessToken = Token;
+  // Each source of transaction tokens has a prefix of its own: a repeated token
+  // would get the old outcome and write nothing.
+  Out.m_ProcessToken = Token + "-fleet";
   Out.m_ListLag = S.m_Timings.m_ListLag;
   std::map<DataCentreName, std::vector<EntryId>> ByCentre;
   for (const PeerEntry &Entry : S.m_Entries)
@@ -193,7 +195,7 @@
 }
 
 std::string Daemon::Parts::nextToken() {
-  return m_ProcessToken + "-" + std::to_string(++m_Tokens);
+  return m_ProcessToken + "-daemon-" + std::to_string(++m_Tokens);
 }
 
 void Daemon::Parts::onRows(const RowSet &Changes) {
