--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -78,7 +78,7 @@
             self.entries.append(child)
 
     def settings(self, index):
-        lines = [f"name: {self.customer}-{index}", f"data_centre: {self.centres[index // 2]}", "listen:"]
+        lines = [f"name: {self.customer}-{index}", f"data_centre: {self.centre_of(index)}", "listen:"]
         for key, port in (("callers", 8000), ("peers", 8001), ("admin", 8002)):
             lines.append(f'  {key}: "{self.host(20 + index, port)}"')
         lines.append(f'platform: {{address: "{self.host(1, 7000)}"}}')
@@ -87,11 +87,14 @@
         lines.append("timings: {poll_ms: 400, list_lag_ms: 1000}")
         lines.append("log_level: warning")
         lines.append("entries:")
-        for peer in range(4):
+        for peer in range(2 * len(self.centres)):
             lines.append(f'  - {{address: "{self.host(20 + peer, 8001)}", '
-                         f"data_centre: {self.centres[peer // 2]}}}")
+                         f"data_centre: {self.centre_of(peer)}}}")
         return "\n".join(lines) + "\n"
 
+    def centre_of(self, index):
+        return self.centres[index // 2]
+
     def ready(self, index):
         status = get(self.host(20 + index, 8002), "/status")
         return (status is not None and len(status["instances"]) == INSTANCES_EACH * len(self.centres)
@@ -99,7 +102,7 @@
 
     def tool(self, *arguments):
         command = [self.build / "pollenspool"]
-        for index in range(4):
+        for index in range(len(self.entries)):
             command += ["--entry", self.host(20 + index, 8002)]
         command += ["--token", TOKEN, *arguments]
         done = subprocess.run([str(c) for c in command], capture_output=True, text=True)
