--- a/src/claims/ClaimAsker.cpp
+++ b/src/claims/ClaimAsker.cpp
@@ -16,82 +16,15 @@
 
 ClaimToken ClaimAsker::claim(const RequestId &Key,
                              std::chrono::milliseconds Timeout, TimePoint Now) {
-  OpenClaim Claim;
-  Claim.m_Key = Key;
-  Claim.m_End = Now + Timeout;
-  Claim.m_Name = nextToken();
-  Claim.m_Token = Claim.m_Name;
-  ClaimToken Name = Claim.m_Name;
-  send(std::move(Claim), Now);
-  return Name;
-}
-
-ClaimToken ClaimAsker::nextToken() {
-  return ClaimToken(m_Settings.m_Self.m_Text + "/" +
-                    std::to_string(m_Settings.m_Nonce) + "/" +
-                    std::to_string(++m_LastToken));
-}
-
-void ClaimAsker::send(OpenClaim Claim, TimePoint Now) {
-  Claim.m_SentTo = routeTo(m_Owners.ownerOf(Claim.m_Key));
-  auto Left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Claim.m_End - Now);
-  ClaimRequest R{Claim.m_Key.m_Text, Claim.m_Token.m_Text, m_Owners.listHash(),
-                 static_cast<std::uint32_t>(Left.count()),
+  ClaimToken Token(m_Settings.m_Self.m_Text + "/" +
+                   std::to_string(m_Settings.m_Nonce) + "/" +
+                   std::to_string(++m_LastToken));
+  ClaimRequest R{Key.m_Text, Token.m_Text, m_Owners.listHash(),
+                 static_cast<std::uint32_t>(Timeout.count()),
                  m_Witness.isEstablished()};
-  CallId Call = m_Out.call(Claim.m_SentTo, std::move(R));
-  m_Claims[Call] = std::move(Claim);
-}
-
-/// The successor is asked with a new token: the owner may have granted the old
-/// one, which is released.
-void ClaimAsker::onUnanswered(OpenClaim Claim, TimePoint Now) {
-  const EntryId &Owner = m_Owners.ownerOf(Claim.m_Key);
-  if (Claim.m_SentTo == Owner)
-    divert(Owner, Now);
-  bool TriesAgain = Claim.m_SentTo == Owner && routeTo(Owner) != Owner;
-  if (!TriesAgain || Now >= Claim.m_End)
-    return giveUp(Claim, Reason::ClaimOwnerUnreachable, Now);
-  ClaimToken Old = std::exchange(Claim.m_Token, nextToken());
-  RequestId Key = Claim.m_Key;
-  send(std::move(Claim), Now);
-  release(Key, Old, Now);
-}
-
-EntryId ClaimAsker::routeTo(const EntryId &Owner) const {
-  auto It = m_Suspects.find(Owner);
-  bool Diverted = It != m_Suspects.end() && It->second.m_Diverted;
-  EntryId Successor = Diverted ? m_Owners.successorOf(Owner) : EntryId();
-  return Successor.empty() ? Owner : Successor;
-}
-
-void ClaimAsker::divert(const EntryId &Owner, TimePoint Now) {
-  if (Owner == m_Settings.m_Self)
-    return;
-  Suspect &S = m_Suspects[Owner];
-  S.m_Diverted = true;
-  S.m_NextTry = Now + m_Settings.m_PeerTimeout;
-}
-
-bool ClaimAsker::onProbed(CallId Call, bool Answered, TimePoint Now) {
-  for (auto It = m_Suspects.begin(); It != m_Suspects.end(); ++It) {
-    if (It->second.m_Probe != Call)
-      continue;
-    It->second.m_Probe = 0;
-    if (Answered)
-      m_Suspects.erase(It);
-    else
-      divert(It->first, Now);
-    return true;
-  }
-  return false;
-}
-
-void ClaimAsker::probeSuspects(TimePoint Now) {
-  for (auto &Line : m_Suspects)
-    if (Line.second.m_Probe == 0 && Line.second.m_NextTry <= Now)
-      Line.second.m_Probe =
-          m_Out.call(Line.first, ForgetRequest{m_Settings.m_Self.m_Text, {}});
+  CallId Call = m_Out.call(m_Owners.ownerOf(Key), std::move(R));
+  m_Claims[Call] = {Token, Key, Now + Timeout};
+  return Token;
 }
 
 void ClaimAsker::complete(const RequestId &Key, const ClaimToken &Token,
@@ -110,14 +43,13 @@
 void ClaimAsker::addNote(const RequestId &Key, Request R, TimePoint Now) {
   if (m_Notes.size() == MaxNotes)
     m_Notes.erase(m_Notes.begin());
-  m_Notes.push_back({m_Owners.ownerOf(Key), EntryId(), std::move(R), 0, Now,
+  m_Notes.push_back({m_Owners.ownerOf(Key), std::move(R), 0, Now,
                      Now + m_Settings.retention()});
   sendNote(m_Notes.back());
 }
 
 void ClaimAsker::sendNote(Note &N) {
-  N.m_SentTo = routeTo(N.m_Owner);
-  N.m_Call = m_Out.call(N.m_SentTo, N.m_Request);
+  N.m_Call = m_Out.call(N.m_Owner, N.m_Request);
 }
 
 bool ClaimAsker::onReply(CallId Call, const Reply *R, TimePoint Now) {
@@ -129,7 +61,7 @@
     if (Answer)
       onAnswer(Claim, *Answer, Now);
     else
-      onUnanswered(std::move(Claim), Now);
+      giveUp(Claim, Reason::ClaimOwnerUnreachable, Now);
     return true;
   }
   for (auto It = m_Notes.begin(); It != m_Notes.end(); ++It) {
@@ -138,13 +70,11 @@
     const Ack *Taken = R ? std::get_if<Ack>(R) : nullptr;
     It->m_Call = 0;
     It->m_NextTry = Now + m_Settings.m_PeerTimeout;
-    if (!R && It->m_SentTo == It->m_Owner)
-      divert(It->m_Owner, Now);
     if (Taken && Taken->m_Accepted)
       m_Notes.erase(It);
     return true;
   }
-  return onProbed(Call, R != nullptr, Now);
+  return false;
 }
 
 void ClaimAsker::onAnswer(const OpenClaim &Claim, const ClaimAnswer &Answer,
@@ -152,9 +82,6 @@
   ClaimReply Decision;
   Decision.m_Verdict = verdictOf(Answer);
   Decision.m_Reason = reasonOf(Answer);
-  // The successor can reach the owner.
-  if (Decision.m_Reason == Reason::ClaimOwnerUnreachable)
-    m_Suspects.erase(m_Owners.ownerOf(Claim.m_Key));
   bool Granted = Decision.m_Verdict == ClaimVerdict::Granted;
   // This process may have been paused; the owner counts the lifetime from the
   // time of the grant.
@@ -194,7 +121,7 @@
   } else {
     ++m_Stats.m_Denied[static_cast<std::size_t>(Decision.m_Reason)];
   }
-  m_Out.add(Decide{Claim.m_Name, std::move(Decision)});
+  m_Out.add(Decide{Claim.m_Token, std::move(Decision)});
 }
 
 void ClaimAsker::tick(TimePoint Now) {
@@ -205,15 +132,10 @@
     }
     OpenClaim Claim = std::move(It->second);
     It = m_Claims.erase(It);
-    const EntryId &Owner = m_Owners.ownerOf(Claim.m_Key);
-    bool Own = Owner == m_Settings.m_Self;
-    // It may be slow or gone; a probe tells.
-    if (!Own)
-      m_Suspects[Owner];
+    bool Own = m_Owners.ownerOf(Claim.m_Key) == m_Settings.m_Self;
     giveUp(Claim,
            Own ? Reason::ClaimUnavailable : Reason::ClaimOwnerUnreachable, Now);
   }
-  probeSuspects(Now);
   auto Old = [&](const Note &N) { return N.m_ExpiresAt <= Now; };
   m_Notes.erase(std::remove_if(m_Notes.begin(), m_Notes.end(), Old),
                 m_Notes.end());
--- a/src/claims/ClaimAsker.h
+++ b/src/claims/ClaimAsker.h
@@ -44,39 +44,19 @@
 
 private:
   struct OpenClaim {
-    /// What claim() returned.
-    ClaimToken m_Name;
-    /// What was sent last; each attempt has its own.
     ClaimToken m_Token;
     RequestId m_Key;
     TimePoint m_End;
-    EntryId m_SentTo;
   };
   /// A completion or release that is to reach the owner.
   struct Note {
     EntryId m_Owner;
-    EntryId m_SentTo;
     Request m_Request;
     CallId m_Call = 0;
     TimePoint m_NextTry;
     TimePoint m_ExpiresAt;
   };
 
-  /// An owner that did not answer.
-  struct Suspect {
-    /// Its successor is asked instead.
-    bool m_Diverted = false;
-    CallId m_Probe = 0;
-    TimePoint m_NextTry;
-  };
-
-  ClaimToken nextToken();
-  void send(OpenClaim Claim, TimePoint Now);
-  void onUnanswered(OpenClaim Claim, TimePoint Now);
-  EntryId routeTo(const EntryId &Owner) const;
-  void divert(const EntryId &Owner, TimePoint Now);
-  bool onProbed(CallId Call, bool Answered, TimePoint Now);
-  void probeSuspects(TimePoint Now);
   void onAnswer(const OpenClaim &Claim, const ClaimAnswer &Answer,
                 TimePoint Now);
   bool isRecorded(const OpenClaim &Claim, const ClaimAnswer &Answer,
@@ -93,7 +73,6 @@
   std::uint64_t m_LastToken = 0;
   std::unordered_map<CallId, OpenClaim> m_Claims;
   std::vector<Note> m_Notes;
-  std::unordered_map<EntryId, Suspect> m_Suspects;
   ClaimStats m_Stats;
 };
 
--- a/src/claims/ClaimNode.cpp
+++ b/src/claims/ClaimNode.cpp
@@ -4,23 +4,10 @@
 
 namespace pollenspool::claims {
 
-namespace {
-
-/// A note without an owner has to come again, here or elsewhere.
-template <typename Note>
-Ack takeNote(ClaimOwner *Owner,
-             bool (ClaimOwner::*Take)(const Note &, TimePoint), const Note &R,
-             TimePoint Now) {
-  return Ack{Owner && (Owner->*Take)(R, Now)};
-}
-
-} // namespace
-
 ClaimNode::ClaimNode(ClaimSettings Settings, TimePoint Now)
     : m_Settings(std::move(Settings)), m_Owners(m_Settings.m_Entries),
       m_Witness(m_Settings.retention(), Now),
       m_Owner(m_Settings, m_Owners, m_Witness, m_Out),
-      m_Places(m_Settings, m_Owners, m_Witness, m_Out),
       m_Asker(m_Settings, m_Owners, m_Witness, m_Out) {
   m_Owner.start(Now);
   deliverLocally(Now);
@@ -52,31 +39,30 @@
 }
 
 void ClaimNode::onReply(CallId Call, const Reply *R, TimePoint Now) {
-  routeReply(Call, R, Now);
+  if (!m_Owner.onReply(Call, R, Now))
+    m_Asker.onReply(Call, R, Now);
   deliverLocally(Now);
 }
 
 void ClaimNode::onTransacted(const Result<CommitResult> &Done, TimePoint Now) {
-  finishCall().onTransacted(Done, Now);
+  m_Owner.onTransacted(Done, Now);
   deliverLocally(Now);
 }
 
 void ClaimNode::onRead(const Result<RowSet> &Done, TimePoint Now) {
-  finishCall().onRead(Done, Now);
+  m_Owner.onRead(Done, Now);
   deliverLocally(Now);
 }
 
 void ClaimNode::tick(TimePoint Now) {
   m_Witness.expire(Now);
   m_Owner.tick(Now);
-  m_Places.tick(Now);
   m_Asker.tick(Now);
   deliverLocally(Now);
 }
 
 void ClaimNode::drain(TimePoint Now) {
   m_Owner.drain(Now);
-  m_Places.drain(Now);
   deliverLocally(Now);
 }
 
@@ -105,9 +91,7 @@
 void ClaimNode::handle(RequestHandle Handle, const EntryId &From,
                        const Request &R, TimePoint Now) {
   if (const auto *Claim = std::get_if<ClaimRequest>(&R))
-    return m_Owners.ownerOf(RequestId(Claim->m_Key)) == m_Settings.m_Self
-               ? m_Owner.onClaim(Handle, From, *Claim, Now)
-               : m_Places.onClaim(Handle, From, *Claim, Now);
+    return m_Owner.onClaim(Handle, From, *Claim, Now);
   Reply Answer = Ack{true};
   if (const auto *Witness = std::get_if<WitnessRequest>(&R))
     Answer = onWitness(*Witness, Now);
@@ -116,11 +100,9 @@
                  ? m_Witness.recover(*Recover, Now)
                  : RecoverAnswer();
   else if (const auto *Complete = std::get_if<CompleteRequest>(&R))
-    Answer = takeNote(ownerFor(Complete->m_Key), &ClaimOwner::onComplete,
-                      *Complete, Now);
+    Answer = Ack{m_Owner.onComplete(*Complete, Now)};
   else if (const auto *Release = std::get_if<ReleaseRequest>(&R))
-    Answer = takeNote(ownerFor(Release->m_Key), &ClaimOwner::onRelease,
-                      *Release, Now);
+    Answer = Ack{m_Owner.onRelease(*Release, Now)};
   else if (const auto *Forget = std::get_if<ForgetRequest>(&R))
     m_Witness.forget(EntryId(Forget->m_Owner), Forget->m_Tokens);
   else if (const auto *Started = std::get_if<StartedNotice>(&R))
@@ -128,51 +110,17 @@
   m_Out.add(Respond{Handle, std::move(Answer)});
 }
 
-ClaimOwner *ClaimNode::ownerFor(const std::string &Key) {
-  const EntryId &Name = m_Owners.ownerOf(RequestId(Key));
-  return Name == m_Settings.m_Self ? &m_Owner : m_Places.find(Name);
-}
-
-bool ClaimNode::routeReply(CallId Call, const Reply *R, TimePoint Now) {
-  return m_Owner.onReply(Call, R, Now) || m_Places.onReply(Call, R, Now) ||
-         m_Asker.onReply(Call, R, Now);
-}
-
-/// One platform call at a time, so that its result needs no name.
-void ClaimNode::queueCall(Action A) {
-  m_Calls.push_back(std::move(A));
-  if (m_Calls.size() == 1)
-    m_Ready.push_back(m_Calls.front());
-}
-
-/// Ends the call under way and gives the owner that made it.
-ClaimOwner &ClaimNode::finishCall() {
-  if (m_Calls.empty())
-    return m_Owner;
-  Action Done = std::move(m_Calls.front());
-  m_Calls.pop_front();
-  if (!m_Calls.empty())
-    m_Ready.push_back(m_Calls.front());
-  const auto *Run = std::get_if<RunTransaction>(&Done);
-  ClaimOwner *Place =
-      m_Places.find(Run ? Run->m_Place : std::get<ReadRows>(Done).m_Place);
-  return Place ? *Place : m_Owner;
-}
-
 /// Carries out what this entry instance asks of itself, until nothing is left.
 void ClaimNode::deliverLocally(TimePoint Now) {
-  m_Places.progress(Now);
   for (std::vector<Action> New = m_Out.take(); !New.empty();
-       m_Places.progress(Now), New = m_Out.take()) {
+       New = m_Out.take()) {
     for (Action &A : New) {
       auto *Call = std::get_if<CallPeer>(&A);
       auto *Response = std::get_if<Respond>(&A);
       if (Call && Call->m_Peer == m_Settings.m_Self)
         handle({Call->m_Call, true}, m_Settings.m_Self, Call->m_Request, Now);
       else if (Response && Response->m_Handle.m_Local)
-        routeReply(Response->m_Handle.m_Id, &Response->m_Reply, Now);
-      else if (!Call && !Response && !std::holds_alternative<Decide>(A))
-        queueCall(std::move(A));
+        m_Asker.onReply(Response->m_Handle.m_Id, &Response->m_Reply, Now);
       else
         m_Ready.push_back(std::move(A));
     }
--- a/src/claims/ClaimNode.h
+++ b/src/claims/ClaimNode.h
@@ -9,7 +9,7 @@
 #define POLLENSPOOL_CLAIMS_CLAIMNODE_H
 
 #include "claims/ClaimAsker.h"
-#include "claims/ClaimPlaces.h"
+#include "claims/ClaimOwner.h"
 
 namespace pollenspool::claims {
 
@@ -41,7 +41,7 @@
   std::vector<Action> takeActions();
 
   /// True once the table says that nothing is missing in it.
-  bool isDrained() const { return m_Owner.isDrained() && m_Places.isDrained(); }
+  bool isDrained() const { return m_Owner.isDrained(); }
   const ClaimOwner &owner() const { return m_Owner; }
   std::size_t unsentNotes() const { return m_Asker.unsentNotes(); }
   ClaimStats stats() const;
@@ -51,21 +51,14 @@
               TimePoint Now);
   Ack onWitness(const WitnessRequest &R, TimePoint Now);
   void deliverLocally(TimePoint Now);
-  bool routeReply(CallId Call, const Reply *R, TimePoint Now);
-  ClaimOwner *ownerFor(const std::string &Key);
-  void queueCall(Action A);
-  ClaimOwner &finishCall();
 
   ClaimSettings m_Settings;
   Ownership m_Owners;
   Outbox m_Out;
   WitnessStore m_Witness;
   ClaimOwner m_Owner;
-  ClaimPlaces m_Places;
   ClaimAsker m_Asker;
   std::vector<Action> m_Ready;
-  /// Platform calls; the first one is under way.
-  std::deque<Action> m_Calls;
 };
 
 } // namespace pollenspool::claims
--- a/src/claims/ClaimOutbox.h
+++ b/src/claims/ClaimOutbox.h
@@ -36,14 +36,10 @@
 struct RunTransaction {
   Transaction m_Transaction;
   CallPriority m_Priority = CallPriority::Claim;
-  /// Whose claims it is for.
-  EntryId m_Place;
 };
 /// Answered by one onRead().
 struct ReadRows {
   std::vector<std::string> m_Keys;
-  /// Whose claims it is for.
-  EntryId m_Place;
 };
 /// The outcome of a local claim.
 struct Decide {
--- a/src/claims/ClaimOwner.cpp
+++ b/src/claims/ClaimOwner.cpp
@@ -21,21 +21,6 @@
   }
 }
 
-std::unique_ptr<ClaimOwner> ClaimOwner::standIn(const ClaimSettings &Settings,
-                                                const Ownership &Owners,
-                                                WitnessStore &Witness,
-                                                Outbox &Out) {
-  auto Owner = std::make_unique<ClaimOwner>(Settings, Owners, Witness, Out);
-  Owner->m_StandsIn = true;
-  return Owner;
-}
-
-void ClaimOwner::rejoin(TimePoint Now) {
-  if (m_State == State::Deposed)
-    m_State = State::Joining;
-  pump(Now);
-}
-
 void ClaimOwner::onClaim(RequestHandle Handle, const EntryId &Asker,
                          const ClaimRequest &R, TimePoint Now) {
   RequestId Key(R.m_Key);
@@ -129,7 +114,7 @@
 bool ClaimOwner::mayVouch() const {
   // While its row is being written, this incarnation cannot know from which
   // revision on a successor will count its grants as synced.
-  return m_State == State::Serving && m_MemoryAllowed && !m_StandsIn &&
+  return m_State == State::Serving && m_MemoryAllowed &&
          m_Operation != Operation::WriteOwner;
 }
 
--- a/src/claims/ClaimOwner.h
+++ b/src/claims/ClaimOwner.h
@@ -23,13 +23,6 @@
   /// Precondition: the references outlive the owner.
   ClaimOwner(const ClaimSettings &Settings, const Ownership &Owners,
              WitnessStore &Witness, Outbox &Out);
-  /// An owner that decides the keys of Settings.m_Self on another entry
-  /// instance. It never grants from memory, and the process's own witness store
-  /// goes on whatever happens to it.
-  static std::unique_ptr<ClaimOwner> standIn(const ClaimSettings &Settings,
-                                             const Ownership &Owners,
-                                             WitnessStore &Witness,
-                                             Outbox &Out);
 
   /// Begins to join; call once.
   void start(TimePoint Now) { pump(Now); }
@@ -54,16 +47,6 @@
 
   /// True once claims are decided rather than refused.
   bool isServing() const { return m_State == State::Serving; }
-  /// True before it has decided any claim.
-  bool isStarting() const {
-    return m_State == State::Joining || m_State == State::Recovering;
-  }
-  /// True once another one has joined, until a claim or rejoin().
-  bool isDeposed() const { return m_State == State::Deposed; }
-  /// Joins again after it was deposed.
-  void rejoin(TimePoint Now);
-  /// Forgets everything, as if another one had joined.
-  void abandon() { depose(); }
   /// True if a grant from memory would be sound now.
   bool mayVouch() const;
   const ClaimBook &book() const { return m_Book; }
@@ -169,8 +152,6 @@
   Outbox &m_Out;
   ClaimBook m_Book;
   State m_State = State::Joining;
-  /// Runs in the place of an entry instance that is down.
-  bool m_StandsIn = false;
 
   // The owner row as last written by this incarnation.
   OwnerRow m_Row;
--- a/src/claims/ClaimOwnerGroup.cpp
+++ b/src/claims/ClaimOwnerGroup.cpp
@@ -22,7 +22,7 @@
           Peer.m_Peer,
           RecoverRequest{m_Settings.m_Self.m_Text, m_Row.m_Incarnation,
                          m_Owners.listHash(), Peer.m_AfterToken});
-    else if (!Peer.m_Announced && !m_StandsIn)
+    else if (!Peer.m_Announced)
       Peer.m_Call =
           m_Out.call(Peer.m_Peer, StartedNotice{m_Witness.startRevision()});
     Peer.m_CallIsRecovery = Asks;
@@ -111,11 +111,8 @@
       std::all_of(m_Peers.begin(), m_Peers.end(), [](const PeerProgress &Peer) {
         return Peer.m_Recovered && Peer.m_Covers;
       });
-  // After the retention no earlier grant can matter any more, if the earlier
-  // incarnation is gone. An owner that is cut off together with a witness may
-  // still be granting.
-  bool IsOld = !m_StandsIn && isRetentionOver(Now);
-  if ((Complete && !m_Peers.empty()) || IsOld)
+  // After the retention no earlier grant can matter any more.
+  if ((Complete && !m_Peers.empty()) || isRetentionOver(Now))
     m_State = State::Serving;
 }
 
--- a/src/claims/ClaimOwnerTable.cpp
+++ b/src/claims/ClaimOwnerTable.cpp
@@ -54,10 +54,9 @@
   m_StartedAt = Now;
   if (m_Operation == Operation::WriteOwner || m_Operation == Operation::Batch) {
     ++m_Transactions;
-    return m_Out.add(
-        RunTransaction{m_Transaction, m_Priority, m_Settings.m_Self});
+    return m_Out.add(RunTransaction{m_Transaction, m_Priority});
   }
-  ReadRows Read{{ownerRowKey(m_Settings.m_Self)}, m_Settings.m_Self};
+  ReadRows Read{{ownerRowKey(m_Settings.m_Self)}};
   for (const PeerProgress &Peer : m_Peers)
     Read.m_Keys.push_back(ownerRowKey(Peer.m_Peer));
   m_Out.add(std::move(Read));
@@ -112,7 +111,7 @@
     bool Done = m_PendingKeys.empty() && !m_Book.hasDirty();
     return Done ? std::optional(Row) : std::nullopt;
   }
-  if (isRetentionOver(Now) && !m_Peers.empty() && !m_StandsIn) {
+  if (isRetentionOver(Now) && !m_Peers.empty()) {
     Row.m_Mode = OwnerMode::MemoryAllowed;
     bool Current = m_MemoryAllowed && m_PeerStart < m_RowRevision;
     return Current ? std::nullopt : std::optional(Row);
@@ -216,8 +215,7 @@
   }
   m_Joined = true;
   m_JoinedAt = Now;
-  if (!m_StandsIn)
-    m_Witness.establish(At);
+  m_Witness.establish(At);
   m_State =
       m_Row.m_Mode == OwnerMode::TableOnly ? State::Serving : State::Recovering;
   talkToPeers(Now);
@@ -274,8 +272,7 @@
               denial(Reason::ClaimOwnerRecovering));
   }
   m_Book.clear();
-  if (!m_StandsIn)
-    m_Witness.suspend();
+  m_Witness.suspend();
   m_WitnessCalls.clear();
   m_Items.clear();
   m_Operation = m_Awaiting ? Operation::Abandoned : Operation::None;
--- a/src/claims/Ownership.cpp
+++ b/src/claims/Ownership.cpp
@@ -1,7 +1,6 @@
 //===- Ownership.cpp - Which entry instance owns a key --------------------===//
 
 #include "claims/Ownership.h"
-#include <algorithm>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -66,15 +65,4 @@
   return Near.empty() ? All : Near;
 }
 
-EntryId Ownership::successorOf(const EntryId &Owner) const {
-  std::vector<EntryId> Peers = witnessesOf(Owner);
-  auto Score = [&](const EntryId &Peer) {
-    return hash(Owner.m_Text, hash(Peer.m_Text, 0));
-  };
-  auto Best = std::max_element(
-      Peers.begin(), Peers.end(),
-      [&](const EntryId &A, const EntryId &B) { return Score(A) < Score(B); });
-  return Best == Peers.end() ? EntryId() : *Best;
-}
-
 } // namespace pollenspool
--- a/src/claims/Ownership.h
+++ b/src/claims/Ownership.h
@@ -26,10 +26,6 @@
   /// or all others if it is alone there.
   std::vector<EntryId> witnessesOf(const EntryId &Owner) const;
 
-  /// The entry instance that decides the keys of \p Owner while that one is
-  /// down: one of its witnesses. Empty if there is no other one.
-  EntryId successorOf(const EntryId &Owner) const;
-
   /// The same for lists of the same lines in any order.
   std::uint64_t listHash() const { return m_ListHash; }
 
