Read the code as a newcomer: shorter field tables, one name for one type

Cause: field tables repeated limits that most fields do not have; routing had a struct of the name of the platform's enum InstanceState; the tool fetched the document in force in two places; bad requests were refused without a counter; large limits were printed as 8.64e+07 in the reference. Ruled out: changing behaviour along the way: the pages made from the tables are the same but for the limits. Change: FieldRule with defaults, RoutedInstance, fetchCurrent, the counter with a check in BadHeadersAreRefusedWithTheirName, limits in full.

--- a/src/config/DocumentParser.cpp
+++ b/src/config/DocumentParser.cpp
@@ -30,10 +30,9 @@
 
 const auto &dataCentreFields() {
   static const std::array<FieldSpec<DataCentre>, 2> Fields = {{
-      {{"name", "text", true, -NoLimit, NoLimit, "", "name of the data centre"},
+      {{"name", "text", true, "name of the data centre"},
        readTextField<&DataCentre::m_Name>},
-      {{"region", "text", true, -NoLimit, NoLimit, "",
-        "region that it lies in"},
+      {{"region", "text", true, "region that it lies in"},
        readTextField<&DataCentre::m_Region>},
   }};
   return Fields;
@@ -41,18 +40,19 @@
 
 const auto &poolFields() {
   static const std::array<FieldSpec<Pool>, 5> Fields = {{
-      {{"name", "text", true, -NoLimit, NoLimit, "", "name of the pool"},
+      {{"name", "text", true, "name of the pool"},
        readTextField<&Pool::m_Name>},
-      {{"instances", "integer", true, 0, MaxInstances, "instances",
-        "instances that the pool starts with"},
+      {{"instances", "integer", true, "instances that the pool starts with",
+        "instances", 0, MaxInstances},
        readNumberField<&Pool::m_Instances>},
-      {{"promised", "integer", true, 0, MaxInstances, "instances",
-        "serving instances kept at all times"},
+      {{"promised", "integer", true, "serving instances kept at all times",
+        "instances", 0, MaxInstances},
        readNumberField<&Pool::m_Promised>},
-      {{"availability_budget", "integer", true, 0, MaxInstances, "instances",
-        "instances that may be away at once, planned and unplanned together"},
+      {{"availability_budget", "integer", true,
+        "instances that may be away at once, planned and unplanned together",
+        "instances", 0, MaxInstances},
        readNumberField<&Pool::m_AvailabilityBudget>},
-      {{"spare", "boolean", false, -NoLimit, NoLimit, "",
+      {{"spare", "boolean", false,
         "true for the one pool that lends instances; default false"},
        readBoolField<&Pool::m_Spare>},
   }};
@@ -61,17 +61,17 @@
 
 const auto &serviceFields() {
   static const std::array<FieldSpec<Service>, 4> Fields = {{
-      {{"name", "text", true, -NoLimit, NoLimit, "",
-        "name of the service, as in the request's path"},
+      {{"name", "text", true, "name of the service, as in the request's path"},
        readTextField<&Service::m_Name>},
-      {{"pool", "text", true, -NoLimit, NoLimit, "", "pool that runs it"},
+      {{"pool", "text", true, "pool that runs it"},
        readTextField<&Service::m_Pool>},
-      {{"class", "text", false, -NoLimit, NoLimit, "",
+      {{"class", "text", false,
         "urgency where a request names none: urgent, normal or nightly; "
         "default normal"},
        readClass},
-      {{"timeout_ms", "integer", false, 1, MaxTimeoutMs, "ms",
-        "deadline where a request names none; default 10000"},
+      {{"timeout_ms", "integer", false,
+        "deadline where a request names none; default 10000", "ms", 1,
+        MaxTimeoutMs},
        readNumberField<&Service::m_Timeout>},
   }};
   return Fields;
@@ -79,10 +79,10 @@
 
 const auto &teamFields() {
   static const std::array<FieldSpec<Team>, 2> Fields = {{
-      {{"name", "text", true, -NoLimit, NoLimit, "", "name of the team"},
+      {{"name", "text", true, "name of the team"},
        readTextField<&Team::m_Name>},
-      {{"requests_per_second", "number", true, 0, 1e6, "requests/s",
-        "quota of the team"},
+      {{"requests_per_second", "number", true, "quota of the team",
+        "requests/s", 0, 1e6},
        readNumberField<&Team::m_RequestsPerSecond>},
   }};
   return Fields;
@@ -90,11 +90,11 @@
 
 const auto &weightFields() {
   static const std::array<FieldSpec<Weights>, 3> Fields = {{
-      {{"buffer", "number", true, 0, 1e6, "", "price of an idle instance"},
+      {{"buffer", "number", true, "price of an idle instance", "", 0, 1e6},
        readNumberField<&Weights::m_Buffer>},
-      {{"rollout", "number", true, 0, 1e6, "", "price of roll-out time"},
+      {{"rollout", "number", true, "price of roll-out time", "", 0, 1e6},
        readNumberField<&Weights::m_Rollout>},
-      {{"moves", "number", true, 0, 1e6, "", "price of a move"},
+      {{"moves", "number", true, "price of a move", "", 0, 1e6},
        readNumberField<&Weights::m_Moves>},
   }};
   return Fields;
@@ -102,23 +102,27 @@
 
 const auto &policyFields() {
   static const std::array<FieldSpec<RequestPolicy>, 6> Fields = {{
-      {{"slots_per_instance", "integer", false, 1, 1024, "slots",
-        "requests that an instance runs at once; default 8"},
+      {{"slots_per_instance", "integer", false,
+        "requests that an instance runs at once; default 8", "slots", 1, 1024},
        readNumberField<&RequestPolicy::m_SlotsPerInstance>},
-      {{"connections_per_instance", "integer", false, 1, 65536, "connections",
-        "connections that an instance accepts; default 64"},
+      {{"connections_per_instance", "integer", false,
+        "connections that an instance accepts; default 64", "connections", 1,
+        65536},
        readNumberField<&RequestPolicy::m_ConnectionsPerInstance>},
-      {{"max_attempts", "integer", false, 1, 16, "tries",
-        "tries of one request; default 3"},
+      {{"max_attempts", "integer", false, "tries of one request; default 3",
+        "tries", 1, 16},
        readNumberField<&RequestPolicy::m_MaxAttempts>},
-      {{"retry_budget", "number", false, 0, 1, "share",
-        "retries as a share of first tries, per service; default 0.1"},
+      {{"retry_budget", "number", false,
+        "retries as a share of first tries, per service; default 0.1", "share",
+        0, 1},
        readNumberField<&RequestPolicy::m_RetryBudget>},
-      {{"max_ejected_share", "number", false, 0, 1, "share",
-        "largest share of a pool ejected as failing; default 0.3"},
+      {{"max_ejected_share", "number", false,
+        "largest share of a pool ejected as failing; default 0.3", "share", 0,
+        1},
        readNumberField<&RequestPolicy::m_MaxEjectedShare>},
-      {{"queue_per_instance", "integer", false, 1, 10000, "requests",
-        "queued requests per serving instance; default 32"},
+      {{"queue_per_instance", "integer", false,
+        "queued requests per serving instance; default 32", "requests", 1,
+        10000},
        readNumberField<&RequestPolicy::m_QueuePerInstance>},
   }};
   return Fields;
@@ -126,24 +130,19 @@
 
 const auto &documentFields() {
   static const std::array<FieldSpec<Document>, 7> Fields = {{
-      {{"customer", "text", true, -NoLimit, NoLimit, "",
-        "the customer that the document belongs to"},
+      {{"customer", "text", true, "the customer that the document belongs to"},
        readTextField<&Document::m_Customer>},
-      {{"weights", "map", false, -NoLimit, NoLimit, "",
-        "the customer's prices; only ratios matter"},
+      {{"weights", "map", false, "the customer's prices; only ratios matter"},
        readMapField<&Document::m_Weights, weightFields>},
-      {{"data_centres", "list", true, -NoLimit, NoLimit, "",
-        "data centres of the deployment"},
+      {{"data_centres", "list", true, "data centres of the deployment"},
        readListField<&Document::m_DataCentres, dataCentreFields>},
-      {{"pools", "list", true, -NoLimit, NoLimit, "", "pools of instances"},
+      {{"pools", "list", true, "pools of instances"},
        readListField<&Document::m_Pools, poolFields>},
-      {{"services", "list", true, -NoLimit, NoLimit, "",
-        "services that the pools run"},
+      {{"services", "list", true, "services that the pools run"},
        readListField<&Document::m_Services, serviceFields>},
-      {{"teams", "list", false, -NoLimit, NoLimit, "", "teams with quotas"},
+      {{"teams", "list", false, "teams with quotas"},
        readListField<&Document::m_Teams, teamFields>},
-      {{"policy", "map", false, -NoLimit, NoLimit, "",
-        "limits of the request path"},
+      {{"policy", "map", false, "limits of the request path"},
        readMapField<&Document::m_Policy, policyFields>},
   }};
   return Fields;
--- a/src/config/Reference.cpp
+++ b/src/config/Reference.cpp
@@ -1,14 +1,19 @@
 //===- Reference.cpp - Reference pages from field tables ------------------===//
 
 #include "config/Reference.h"
+#include <iomanip>
 #include <sstream>
 
 namespace pollenspool {
 
 namespace {
 
+/// Enough for every whole number that a double holds.
+constexpr int LimitDigits = 16;
+
 std::string rangeText(const FieldRule &Rule) {
   std::ostringstream Out;
+  Out << std::setprecision(LimitDigits);
   if (!std::isinf(Rule.m_Min))
     Out << Rule.m_Min;
   if (!std::isinf(Rule.m_Min) || !std::isinf(Rule.m_Max))
--- a/src/config/YamlSchema.h
+++ b/src/config/YamlSchema.h
@@ -41,13 +41,13 @@
 
 /// How the key's value is written and checked.
 struct FieldRule {
-  std::string_view m_Key;
-  std::string_view m_Type;
+  std::string_view m_Key{};
+  std::string_view m_Type{};
   bool m_Required = false;
+  std::string_view m_Help{};
+  std::string_view m_Unit{};
   double m_Min = -NoLimit;
   double m_Max = NoLimit;
-  std::string_view m_Unit;
-  std::string_view m_Help;
 };
 
 /// One field of the structure \p S.
--- a/src/daemon/AdminRoutes.cpp
+++ b/src/daemon/AdminRoutes.cpp
@@ -155,6 +155,8 @@
 
 void Daemon::Parts::addRequestMetrics(MetricsPage &Page) const {
   DispatcherStats S = m_Gateway->stats();
+  S.m_NotRun[static_cast<std::size_t>(Reason::BadRequest)] +=
+      m_Callers->badRequests();
   for (std::size_t I = 1; I < ReasonCount; ++I) {
     std::string_view Label = reasonName(static_cast<Reason>(I));
     Page.add(Metric::NotRun, static_cast<double>(S.m_NotRun[I]), Label);
--- a/src/dispatch/DispatchCore.h
+++ b/src/dispatch/DispatchCore.h
@@ -87,7 +87,7 @@
   bool hasSlotFor(const PoolEntry &Pool, UrgencyClass Class) const;
   bool isHopeless(const TicketRecord &Record, TimePoint Now) const;
   bool startOrGiveUp(TicketRecord &Record, TimePoint Now);
-  void startTry(TicketRecord &Record, InstanceState &Instance, TimePoint Now);
+  void startTry(TicketRecord &Record, RoutedInstance &Instance, TimePoint Now);
   void countTry(TicketRecord &Record);
 
   // Other data centres.
@@ -99,7 +99,7 @@
   // Ends of tries.
   void learn(TicketRecord &Record, TryResult Result, TimePoint Now);
   void learnFromTimeout(TicketRecord &Record, TimePoint Now);
-  void blame(TicketRecord &Record, InstanceState &Instance, TimePoint Now);
+  void blame(TicketRecord &Record, RoutedInstance &Instance, TimePoint Now);
   void leaveTry(TicketRecord &Record);
   static void recordTry(TicketRecord &Record, TryResult Result, Reason Why,
                         Answer Whole, const InstanceId &Instance);
--- a/src/dispatch/DispatchFlow.cpp
+++ b/src/dispatch/DispatchFlow.cpp
@@ -155,7 +155,7 @@
   return true;
 }
 
-void DispatchCore::startTry(TicketRecord &Record, InstanceState &Instance,
+void DispatchCore::startTry(TicketRecord &Record, RoutedInstance &Instance,
                             TimePoint Now) {
   Record.m_Phase = Phase::Trying;
   Record.m_Instance = &Instance;
@@ -237,7 +237,7 @@
 
 void DispatchCore::learn(TicketRecord &Record, TryResult Result,
                          TimePoint Now) {
-  InstanceState &Instance = *Record.m_Instance;
+  RoutedInstance &Instance = *Record.m_Instance;
   Duration Latency = Now - Record.m_TryStart;
   ServiceTime &Time = Record.m_Service->m_Time;
   TryObservation Seen;
@@ -258,12 +258,12 @@
     blame(Record, Instance, Now);
 }
 
-void DispatchCore::blame(TicketRecord &Record, InstanceState &Instance,
+void DispatchCore::blame(TicketRecord &Record, RoutedInstance &Instance,
                          TimePoint Now) {
   const std::vector<InstanceId> &Tried = Record.history().m_Instances;
   constexpr std::size_t SecondFailure = 2;
   if (Tried.size() == SecondFailure)
-    if (InstanceState *First = m_Instances.find(Tried.front()))
+    if (RoutedInstance *First = m_Instances.find(Tried.front()))
       retractFailure(*First);
   if (m_Instances.onFailure(Instance, Tried.size() >= SecondFailure, Now))
     ++m_Stats.m_Ejections;
--- a/src/dispatch/TicketTable.h
+++ b/src/dispatch/TicketTable.h
@@ -11,7 +11,7 @@
 #include "admission/PoolQueue.h"
 #include "admission/Ticket.h"
 #include "request/Request.h"
-#include "routing/InstanceState.h"
+#include "routing/RoutedInstance.h"
 #include <memory>
 #include <optional>
 #include <set>
@@ -64,7 +64,7 @@
   bool m_ClaimGranted = false;
   bool m_IsProbe = false;
   /// The instance of the try in flight.
-  InstanceState *m_Instance = nullptr;
+  RoutedInstance *m_Instance = nullptr;
   TimePoint m_TryStart;
   /// Made by the first try; most waiting requests have none.
   std::unique_ptr<TryHistory> m_History;
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -212,12 +212,14 @@
     Out.set_header("Connection", "close");
   RequestId Minted = mintRequestId();
   if (In.is_multipart_form_data()) {
+    ++m_BadRequests;
     writeOutcome(badRequest(), Minted, Out);
     Out.status = StatusUnsupportedMedia;
     return;
   }
   auto Request = readCallerRequest(toRaw(In), Minted);
   if (!Request) {
+    ++m_BadRequests;
     writeOutcome(badRequest(), Minted, Out);
     nlohmann::ordered_json Body;
     Body["outcome"] = "not-run";
--- a/src/gateway/CallerServer.h
+++ b/src/gateway/CallerServer.h
@@ -44,6 +44,9 @@
   /// stops. Blocks.
   void drainAndStop();
 
+  /// Requests refused before they reached the dispatcher.
+  std::uint64_t badRequests() const { return m_BadRequests; }
+
 private:
   CallerServer(CallerServerSettings Settings, Gateway &Requests,
                Forwarder &Forward, std::function<bool()> IsReady);
@@ -59,6 +62,7 @@
   std::function<bool()> m_IsReady;
   TaskCount m_Tasks;
   std::atomic<bool> m_Draining{false};
+  std::atomic<std::uint64_t> m_BadRequests{0};
   httplib::Server m_Server;
   std::thread m_Acceptor;
 };
--- a/src/routing/Ejection.cpp
+++ b/src/routing/Ejection.cpp
@@ -33,10 +33,10 @@
 }
 
 /// Mean failure rate of the others that take work.
-double restRate(const InstanceState &Instance, const InstanceGroup &Group) {
+double restRate(const RoutedInstance &Instance, const InstanceGroup &Group) {
   double Sum = 0;
   std::size_t Count = 0;
-  for (const InstanceState *Other : Group) {
+  for (const RoutedInstance *Other : Group) {
     if (Other == &Instance || !Other->acceptsWork() ||
         Other->m_Health.m_Ejected)
       continue;
@@ -58,7 +58,7 @@
 
 std::size_t ejectionBound(const InstanceGroup &Group, double MaxShare) {
   std::size_t Accepting = 0;
-  for (const InstanceState *I : Group)
+  for (const RoutedInstance *I : Group)
     Accepting += I->acceptsWork() ? 1 : 0;
   if (Accepting <= 1)
     return 0;
@@ -68,12 +68,12 @@
 
 std::size_t ejectedCount(const InstanceGroup &Group) {
   std::size_t Count = 0;
-  for (const InstanceState *I : Group)
+  for (const RoutedInstance *I : Group)
     Count += I->acceptsWork() && I->m_Health.m_Ejected ? 1 : 0;
   return Count;
 }
 
-void recordSuccess(InstanceState &Instance) {
+void recordSuccess(RoutedInstance &Instance) {
   InstanceHealth &H = Instance.m_Health;
   H.m_FailureRate -= FailureGain * H.m_FailureRate;
   H.m_FailuresInRow = 0;
@@ -83,7 +83,7 @@
     takeBack(H);
 }
 
-void recordFailure(InstanceState &Instance, bool FailedElsewhere,
+void recordFailure(RoutedInstance &Instance, bool FailedElsewhere,
                    TimePoint Now) {
   InstanceHealth &H = Instance.m_Health;
   H.m_FailureRate += FailureGain * (1 - H.m_FailureRate);
@@ -95,13 +95,13 @@
     delayProbe(H, Now);
 }
 
-void retractFailure(InstanceState &Instance) {
+void retractFailure(RoutedInstance &Instance) {
   InstanceHealth &H = Instance.m_Health;
   if (H.m_BlamedInRow > 0 && H.m_FailuresInRow < BlameAfterInRow)
     --H.m_BlamedInRow;
 }
 
-bool ejectIfFailing(InstanceState &Instance, const InstanceGroup &Group,
+bool ejectIfFailing(RoutedInstance &Instance, const InstanceGroup &Group,
                     double MaxShare, TimePoint Now) {
   InstanceHealth &H = Instance.m_Health;
   if (H.m_Ejected || !Instance.acceptsWork())
@@ -119,7 +119,7 @@
 void enforceEjectionBound(const InstanceGroup &Group, double MaxShare) {
   std::size_t Bound = ejectionBound(Group, MaxShare);
   std::size_t Count = ejectedCount(Group);
-  for (InstanceState *I : Group) {
+  for (RoutedInstance *I : Group) {
     if (Count <= Bound)
       return;
     if (!I->acceptsWork() || !I->m_Health.m_Ejected)
@@ -129,7 +129,7 @@
   }
 }
 
-bool isProbeDue(const InstanceState &Instance, bool Harmless, TimePoint Now) {
+bool isProbeDue(const RoutedInstance &Instance, bool Harmless, TimePoint Now) {
   const InstanceHealth &H = Instance.m_Health;
   if (!H.m_Ejected || H.m_ProbeInFlight)
     return false;
--- a/src/routing/Ejection.h
+++ b/src/routing/Ejection.h
@@ -9,7 +9,7 @@
 #ifndef POLLENSPOOL_ROUTING_EJECTION_H
 #define POLLENSPOOL_ROUTING_EJECTION_H
 
-#include "routing/InstanceState.h"
+#include "routing/RoutedInstance.h"
 
 namespace pollenspool {
 
@@ -22,19 +22,19 @@
 
 /// A try at \p Instance went well. Takes it back if it was the last probe that
 /// was needed.
-void recordSuccess(InstanceState &Instance);
+void recordSuccess(RoutedInstance &Instance);
 
 /// A try at \p Instance failed. \p FailedElsewhere: the same request failed at
 /// another instance before.
-void recordFailure(InstanceState &Instance, bool FailedElsewhere,
+void recordFailure(RoutedInstance &Instance, bool FailedElsewhere,
                    TimePoint Now);
 
 /// Takes back the blame for a request that then failed elsewhere as well.
-void retractFailure(InstanceState &Instance);
+void retractFailure(RoutedInstance &Instance);
 
 /// Ejects \p Instance if it fails far more than the rest of \p Group and the
 /// bound allows it. Returns true if it was ejected now.
-bool ejectIfFailing(InstanceState &Instance, const InstanceGroup &Group,
+bool ejectIfFailing(RoutedInstance &Instance, const InstanceGroup &Group,
                     double MaxShare, TimePoint Now);
 
 /// Takes back those ejected first until the bound holds, after \p Group or
@@ -44,7 +44,7 @@
 /// True if a try may go to the ejected \p Instance as a probe. A request that
 /// is not \p Harmless, so that a failed probe would hurt its caller, is only
 /// taken if no other came for a while.
-bool isProbeDue(const InstanceState &Instance, bool Harmless, TimePoint Now);
+bool isProbeDue(const RoutedInstance &Instance, bool Harmless, TimePoint Now);
 
 } // namespace pollenspool
 
--- a/src/routing/EjectionTest.cpp
+++ b/src/routing/EjectionTest.cpp
@@ -12,7 +12,7 @@
 
 struct TestPool {
   explicit TestPool(std::size_t Count) : m_States(Count) {
-    for (InstanceState &S : m_States) {
+    for (RoutedInstance &S : m_States) {
       S.m_Target.m_AcceptsWork = true;
       m_Group.push_back(&S);
     }
@@ -25,7 +25,7 @@
     }
   }
 
-  std::vector<InstanceState> m_States;
+  std::vector<RoutedInstance> m_States;
   InstanceGroup m_Group;
   TimePoint m_Now{seconds(100)};
   int m_Ejections = 0;
@@ -92,7 +92,7 @@
 
 TEST(Ejection, ProbesWithBackoffAndTakesBack) {
   TestPool Pool(4);
-  InstanceState &Sick = Pool.m_States[0];
+  RoutedInstance &Sick = Pool.m_States[0];
   Pool.fail(0, 5);
   TimePoint Now = Pool.m_Now;
   CHECK_FALSE(isProbeDue(Sick, true, Now + milliseconds(499)));
@@ -112,13 +112,13 @@
 
 TEST(Strategy, KeepsWindowsBetweenOneAndTheConnections) {
   SharedLimits Limits{8, 64, 9};
-  InstanceState Idle;
-  InstanceState Crowded;
+  RoutedInstance Idle;
+  RoutedInstance Crowded;
   Crowded.m_Peers.replace(0, 500);
   Crowded.m_Window.m_Size = 1e9;
   for (const StrategyRow &Row : routingStrategies()) {
     auto Strategy = Row.m_Make();
-    for (const InstanceState *I : {&Idle, &Crowded}) {
+    for (const RoutedInstance *I : {&Idle, &Crowded}) {
       std::uint32_t Window = Strategy->window(*I, Limits);
       CHECK(Window >= 1);
       CHECK(Window <= 64 / 9);
@@ -129,7 +129,7 @@
 TEST(Strategy, AdaptsTheWindowToLatencyAndRefusals) {
   auto Strategy = makeStrategy("adaptive");
   SharedLimits Limits{8, 64, 4};
-  InstanceState I;
+  RoutedInstance I;
   I.m_InFlight = 16;
   TimePoint Now{seconds(1)};
   auto Observe = [&](bool Refused, Duration Latency) {
--- a/src/routing/InstanceTable.cpp
+++ b/src/routing/InstanceTable.cpp
@@ -34,9 +34,9 @@
 }
 
 void InstanceTable::applyTarget(InstanceTarget Target) {
-  std::unique_ptr<InstanceState> &State = m_States[Target.m_Id];
+  std::unique_ptr<RoutedInstance> &State = m_States[Target.m_Id];
   if (!State) {
-    State = std::make_unique<InstanceState>();
+    State = std::make_unique<RoutedInstance>();
     for (std::uint32_t Use : m_PeerLoads.usesOf(Target.m_Id))
       State->m_Peers.replace(0, Use);
   }
@@ -51,7 +51,7 @@
 
 void InstanceTable::dropUnused() {
   for (auto It = m_States.begin(); It != m_States.end();) {
-    const InstanceState &State = *It->second;
+    const RoutedInstance &State = *It->second;
     bool Unused = !State.m_Listed && State.m_InFlight == 0;
     It = Unused ? m_States.erase(It) : std::next(It);
   }
@@ -64,7 +64,7 @@
       m_Groups[Entry.second->m_Target.m_Pool].push_back(Entry.second.get());
   for (auto &Entry : m_Groups) {
     std::sort(Entry.second.begin(), Entry.second.end(),
-              [](const InstanceState *A, const InstanceState *B) {
+              [](const RoutedInstance *A, const RoutedInstance *B) {
                 return A->m_Target.m_Id < B->m_Target.m_Id;
               });
     enforceEjectionBound(Entry.second, m_MaxEjectedShare);
@@ -86,7 +86,7 @@
 
 void InstanceTable::applyPeerLoads(const std::vector<PeerLoadChange> &Changes) {
   for (const PeerLoadChange &Change : Changes)
-    if (InstanceState *State = find(Change.m_Instance))
+    if (RoutedInstance *State = find(Change.m_Instance))
       State->m_Peers.replace(Change.m_Before, Change.m_After);
   countSilentPeers();
 }
@@ -101,7 +101,7 @@
                                      const TryRequest &Request) {
   InstanceChoice Choice;
   m_Free.clear();
-  for (InstanceState *State : group(Pool)) {
+  for (RoutedInstance *State : group(Pool)) {
     if (!State->acceptsWork() ||
         contains(Request.m_Tried, State->m_Target.m_Id))
       continue;
@@ -122,20 +122,20 @@
 
 bool InstanceTable::hasUntried(const PoolName &Pool,
                                const std::vector<InstanceId> &Tried) const {
-  for (const InstanceState *State : group(Pool))
+  for (const RoutedInstance *State : group(Pool))
     if (State->acceptsWork() && !State->m_Health.m_Ejected &&
         !contains(&Tried, State->m_Target.m_Id))
       return true;
   return false;
 }
 
-bool InstanceTable::isFree(const InstanceState &Instance) const {
+bool InstanceTable::isFree(const RoutedInstance &Instance) const {
   return Instance.m_InFlight < m_Strategy->window(Instance, m_Limits);
 }
 
 PoolCapacity InstanceTable::capacity(const PoolName &Pool) const {
   PoolCapacity Capacity;
-  for (const InstanceState *State : group(Pool)) {
+  for (const RoutedInstance *State : group(Pool)) {
     if (!State->acceptsWork())
       continue;
     ++Capacity.m_Accepting;
@@ -145,14 +145,14 @@
   return Capacity;
 }
 
-bool InstanceTable::startTry(InstanceState &Instance) {
+bool InstanceTable::startTry(RoutedInstance &Instance) {
   ++Instance.m_InFlight;
   if (Instance.m_Health.m_Ejected)
     Instance.m_Health.m_ProbeInFlight = true;
   return Instance.m_Health.m_Ejected;
 }
 
-void InstanceTable::endTry(InstanceState &Instance, bool Probe) {
+void InstanceTable::endTry(RoutedInstance &Instance, bool Probe) {
   --Instance.m_InFlight;
   if (Probe)
     Instance.m_Health.m_ProbeInFlight = false;
@@ -160,25 +160,25 @@
     m_States.erase(InstanceId(Instance.m_Target.m_Id));
 }
 
-void InstanceTable::observe(InstanceState &Instance,
+void InstanceTable::observe(RoutedInstance &Instance,
                             const TryObservation &Seen) {
   m_Strategy->observe(Instance, m_Limits, Seen);
 }
 
-bool InstanceTable::onFailure(InstanceState &Instance, bool FailedElsewhere,
+bool InstanceTable::onFailure(RoutedInstance &Instance, bool FailedElsewhere,
                               TimePoint Now) {
   recordFailure(Instance, FailedElsewhere, Now);
   return ejectIfFailing(Instance, group(Instance.m_Target.m_Pool),
                         m_MaxEjectedShare, Now);
 }
 
-InstanceState *InstanceTable::find(const InstanceId &Id) const {
+RoutedInstance *InstanceTable::find(const InstanceId &Id) const {
   auto It = m_States.find(Id);
   return It == m_States.end() ? nullptr : It->second.get();
 }
 
 std::uint32_t InstanceTable::inFlight(const InstanceId &Id) const {
-  const InstanceState *State = find(Id);
+  const RoutedInstance *State = find(Id);
   return State ? State->m_InFlight : 0;
 }
 
--- a/src/routing/InstanceTable.h
+++ b/src/routing/InstanceTable.h
@@ -8,8 +8,8 @@
 #ifndef POLLENSPOOL_ROUTING_INSTANCETABLE_H
 #define POLLENSPOOL_ROUTING_INSTANCETABLE_H
 
-#include "routing/InstanceState.h"
 #include "routing/PeerLoadTable.h"
+#include "routing/RoutedInstance.h"
 #include "routing/Strategy.h"
 #include <map>
 #include <memory>
@@ -28,7 +28,7 @@
 
 /// An instance, or why there is none.
 struct InstanceChoice {
-  InstanceState *m_Instance = nullptr;
+  RoutedInstance *m_Instance = nullptr;
   /// True if an instance that has not been tried takes work, though it has no
   /// room now.
   bool m_WorthWaiting = false;
@@ -69,19 +69,19 @@
   PoolCapacity capacity(const PoolName &Pool) const;
 
   /// Returns true if the try is the probe of an ejected instance.
-  bool startTry(InstanceState &Instance);
+  bool startTry(RoutedInstance &Instance);
 
   /// Ends a try. \p Instance may be destroyed by this.
-  void endTry(InstanceState &Instance, bool Probe);
+  void endTry(RoutedInstance &Instance, bool Probe);
 
   /// Lets the strategy learn from a try that is about to end.
-  void observe(InstanceState &Instance, const TryObservation &Seen);
+  void observe(RoutedInstance &Instance, const TryObservation &Seen);
 
   /// Records that a try failed. Returns true if the instance was ejected.
-  bool onFailure(InstanceState &Instance, bool FailedElsewhere, TimePoint Now);
+  bool onFailure(RoutedInstance &Instance, bool FailedElsewhere, TimePoint Now);
 
   /// The state of \p Id, or null.
-  InstanceState *find(const InstanceId &Id) const;
+  RoutedInstance *find(const InstanceId &Id) const;
 
   std::uint32_t inFlight(const InstanceId &Id) const;
   std::vector<InstanceLoad> loads() const;
@@ -89,7 +89,7 @@
 
 private:
   const InstanceGroup &group(const PoolName &Pool) const;
-  bool isFree(const InstanceState &Instance) const;
+  bool isFree(const RoutedInstance &Instance) const;
   void applyTarget(InstanceTarget Target);
   void dropUnused();
   void rebuildGroups();
@@ -100,7 +100,7 @@
   RandomSource m_Random;
   SharedLimits m_Limits;
   double m_MaxEjectedShare = 0.3;
-  std::unordered_map<InstanceId, std::unique_ptr<InstanceState>> m_States;
+  std::unordered_map<InstanceId, std::unique_ptr<RoutedInstance>> m_States;
   std::map<PoolName, InstanceGroup> m_Groups;
   PeerLoadTable m_PeerLoads;
   /// Kept between calls to save the allocation.
--- a/src/routing/InstanceState.cpp
+++ b/src/routing/RoutedInstance.cpp
@@ -1,6 +1,7 @@
-//===- InstanceState.cpp - One instance as this entry sees it -------------===//
+//===- RoutedInstance.cpp - One instance as this entry sees it ------------===//
+//-------------===//
 
-#include "routing/InstanceState.h"
+#include "routing/RoutedInstance.h"
 #include <algorithm>
 
 namespace pollenspool {
--- a/src/routing/InstanceState.h
+++ b/src/routing/RoutedInstance.h
@@ -1,11 +1,12 @@
-//===- InstanceState.h - One instance as this entry sees it -----*- C++ -*-===//
+//===- RoutedInstance.h - One instance as this entry sees it ----*- C++ -*-===//
+//-*-===//
 //
 // Own tries in flight, the adaptive window and the health of one instance.
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef POLLENSPOOL_ROUTING_INSTANCESTATE_H
-#define POLLENSPOOL_ROUTING_INSTANCESTATE_H
+#ifndef POLLENSPOOL_ROUTING_ROUTEDINSTANCE_H
+#define POLLENSPOOL_ROUTING_ROUTEDINSTANCE_H
 
 #include "base/Time.h"
 #include "routing/Messages.h"
@@ -58,7 +59,7 @@
   TimePoint m_ProbeAt;
 };
 
-struct InstanceState {
+struct RoutedInstance {
   InstanceTarget m_Target;
   /// False once the list no longer names the instance.
   bool m_Listed = true;
@@ -71,8 +72,8 @@
 };
 
 /// The instances of one pool in the order of their IDs.
-using InstanceGroup = std::vector<InstanceState *>;
+using InstanceGroup = std::vector<RoutedInstance *>;
 
 } // namespace pollenspool
 
-#endif // POLLENSPOOL_ROUTING_INSTANCESTATE_H
+#endif // POLLENSPOOL_ROUTING_ROUTEDINSTANCE_H
--- a/src/routing/Strategy.cpp
+++ b/src/routing/Strategy.cpp
@@ -14,13 +14,13 @@
 /// The instance with the lowest \p Cost; ties go to the first after a random
 /// start, so that equals get equal work.
 template <typename CostOf>
-InstanceState *lowest(const InstanceGroup &Free, RandomSource &Random,
-                      CostOf Cost) {
+RoutedInstance *lowest(const InstanceGroup &Free, RandomSource &Random,
+                       CostOf Cost) {
   std::size_t Start = drawIndex(Random, Free.size());
-  InstanceState *Best = Free[Start];
+  RoutedInstance *Best = Free[Start];
   double BestCost = Cost(*Best);
   for (std::size_t Step = 1; Step < Free.size(); ++Step) {
-    InstanceState *Next = Free[(Start + Step) % Free.size()];
+    RoutedInstance *Next = Free[(Start + Step) % Free.size()];
     double NextCost = Cost(*Next);
     if (NextCost < BestCost) {
       Best = Next;
@@ -33,15 +33,15 @@
 /// A fixed share of the slots; the instance with the fewest own tries.
 class StaticShare : public RoutingStrategy {
 public:
-  std::uint32_t window(const InstanceState &,
+  std::uint32_t window(const RoutedInstance &,
                        const SharedLimits &Limits) const override {
     return std::min(Limits.slotShare(), Limits.connectionShare());
   }
 
-  InstanceState *choose(const InstanceGroup &Free, const SharedLimits &,
-                        RandomSource &Random) const override {
+  RoutedInstance *choose(const InstanceGroup &Free, const SharedLimits &,
+                         RandomSource &Random) const override {
     return lowest(Free, Random,
-                  [](const InstanceState &I) { return double(I.m_InFlight); });
+                  [](const RoutedInstance &I) { return double(I.m_InFlight); });
   }
 };
 
@@ -49,15 +49,15 @@
 /// alone.
 class TwoChoices : public RoutingStrategy {
 public:
-  std::uint32_t window(const InstanceState &,
+  std::uint32_t window(const RoutedInstance &,
                        const SharedLimits &Limits) const override {
     return Limits.connectionShare();
   }
 
-  InstanceState *choose(const InstanceGroup &Free, const SharedLimits &,
-                        RandomSource &Random) const override {
-    InstanceState *A = Free[drawIndex(Random, Free.size())];
-    InstanceState *B = Free[drawIndex(Random, Free.size())];
+  RoutedInstance *choose(const InstanceGroup &Free, const SharedLimits &,
+                         RandomSource &Random) const override {
+    RoutedInstance *A = Free[drawIndex(Random, Free.size())];
+    RoutedInstance *B = Free[drawIndex(Random, Free.size())];
     return B->m_InFlight < A->m_InFlight ? B : A;
   }
 };
@@ -66,7 +66,7 @@
 /// fixed share while there are none.
 class SharedReports : public RoutingStrategy {
 public:
-  std::uint32_t window(const InstanceState &Instance,
+  std::uint32_t window(const RoutedInstance &Instance,
                        const SharedLimits &Limits) const override {
     std::uint32_t Part =
         Instance.m_Peers.fairPart(Limits.m_Slots, Limits.m_SilentPeers);
@@ -75,10 +75,10 @@
 
   // Reports are too old to choose by: all entry instances would turn to the
   // same instance until the next one.
-  InstanceState *choose(const InstanceGroup &Free, const SharedLimits &,
-                        RandomSource &Random) const override {
+  RoutedInstance *choose(const InstanceGroup &Free, const SharedLimits &,
+                         RandomSource &Random) const override {
     return lowest(Free, Random,
-                  [](const InstanceState &I) { return double(I.m_InFlight); });
+                  [](const RoutedInstance &I) { return double(I.m_InFlight); });
   }
 };
 
@@ -86,20 +86,20 @@
 /// near the baseline, and shrinks on inflated latency and refusals.
 class AdaptiveConcurrency : public RoutingStrategy {
 public:
-  std::uint32_t window(const InstanceState &Instance,
+  std::uint32_t window(const RoutedInstance &Instance,
                        const SharedLimits &Limits) const override {
     auto Size = static_cast<std::uint32_t>(size(Instance, Limits));
     return std::clamp(Size, 1U, Limits.connectionShare());
   }
 
-  InstanceState *choose(const InstanceGroup &Free, const SharedLimits &Limits,
-                        RandomSource &Random) const override {
-    return lowest(Free, Random, [&](const InstanceState &I) {
+  RoutedInstance *choose(const InstanceGroup &Free, const SharedLimits &Limits,
+                         RandomSource &Random) const override {
+    return lowest(Free, Random, [&](const RoutedInstance &I) {
       return (I.m_InFlight + 1) / size(I, Limits);
     });
   }
 
-  void observe(InstanceState &Instance, const SharedLimits &Limits,
+  void observe(RoutedInstance &Instance, const SharedLimits &Limits,
                const TryObservation &Seen) const override {
     AdaptiveWindow &W = Instance.m_Window;
     W.m_Size = size(Instance, Limits);
@@ -131,7 +131,7 @@
   static constexpr double InflationCut = 0.8;
   static constexpr double RefusalCut = 0.7;
 
-  static double size(const InstanceState &Instance,
+  static double size(const RoutedInstance &Instance,
                      const SharedLimits &Limits) {
     double Learned = Instance.m_Window.m_Size;
     return Learned > 0 ? Learned : Limits.slotShare();
--- a/src/routing/Strategy.h
+++ b/src/routing/Strategy.h
@@ -9,7 +9,7 @@
 #ifndef POLLENSPOOL_ROUTING_STRATEGY_H
 #define POLLENSPOOL_ROUTING_STRATEGY_H
 
-#include "routing/InstanceState.h"
+#include "routing/RoutedInstance.h"
 #include <array>
 #include <memory>
 #include <random>
@@ -56,17 +56,17 @@
 
   /// Own tries that \p Instance may have in flight: at least 1 and at most the
   /// connection share.
-  virtual std::uint32_t window(const InstanceState &Instance,
+  virtual std::uint32_t window(const RoutedInstance &Instance,
                                const SharedLimits &Limits) const = 0;
 
   /// The instance for the next try. Precondition: \p Free is not empty, and
   /// each has room in its window.
-  virtual InstanceState *choose(const InstanceGroup &Free,
-                                const SharedLimits &Limits,
-                                RandomSource &Random) const = 0;
+  virtual RoutedInstance *choose(const InstanceGroup &Free,
+                                 const SharedLimits &Limits,
+                                 RandomSource &Random) const = 0;
 
   /// Learns from a try; called before it leaves the in-flight count.
-  virtual void observe(InstanceState &, const SharedLimits &,
+  virtual void observe(RoutedInstance &, const SharedLimits &,
                        const TryObservation &) const {}
 };
 
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -14,18 +14,19 @@
 
 const auto &listenFields() {
   static const std::array<FieldSpec<ListenSettings>, 4> Fields = {{
-      {{"callers", "address", true, -NoLimit, NoLimit, "ip:port",
-        "where callers and the balancer connect"},
+      {{"callers", "address", true, "where callers and the balancer connect",
+        "ip:port"},
        readTextField<&ListenSettings::m_Callers>},
-      {{"peers", "address", true, -NoLimit, NoLimit, "ip:port",
-        "where other entry instances connect; names this instance"},
+      {{"peers", "address", true,
+        "where other entry instances connect; names this instance", "ip:port"},
        readTextField<&ListenSettings::m_Peers>},
-      {{"peers_bind", "address", false, -NoLimit, NoLimit, "ip:port",
+      {{"peers_bind", "address", false,
         "where the socket for peers is bound if their address for this "
-        "instance is translated on the way; default listen.peers"},
+        "instance is translated on the way; default listen.peers",
+        "ip:port"},
        readTextField<&ListenSettings::m_PeersBind>},
-      {{"admin", "address", true, -NoLimit, NoLimit, "ip:port",
-        "where operators connect and metrics are read"},
+      {{"admin", "address", true,
+        "where operators connect and metrics are read", "ip:port"},
        readTextField<&ListenSettings::m_Admin>},
   }};
   return Fields;
@@ -33,11 +34,10 @@
 
 const auto &entryFields() {
   static const std::array<FieldSpec<PeerEntry>, 2> Fields = {{
-      {{"address", "address", true, -NoLimit, NoLimit, "ip:port",
-        "the entry instance's address for peers"},
+      {{"address", "address", true, "the entry instance's address for peers",
+        "ip:port"},
        readTextField<&PeerEntry::m_Address>},
-      {{"data_centre", "text", true, -NoLimit, NoLimit, "",
-        "data centre that it stands in"},
+      {{"data_centre", "text", true, "data centre that it stands in"},
        readTextField<&PeerEntry::m_DataCentre>},
   }};
   return Fields;
@@ -45,17 +45,17 @@
 
 const auto &platformFields() {
   static const std::array<FieldSpec<PlatformSettings>, 4> Fields = {{
-      {{"address", "address", true, -NoLimit, NoLimit, "ip:port",
-        "the platform's service"},
+      {{"address", "address", true, "the platform's service", "ip:port"},
        readTextField<&PlatformSettings::m_Address>},
-      {{"connect_timeout_ms", "integer", false, 1, MaxMs, "ms",
-        "time to connect; default 500"},
+      {{"connect_timeout_ms", "integer", false, "time to connect; default 500",
+        "ms", 1, MaxMs},
        readNumberField<&PlatformSettings::m_ConnectTimeout>},
-      {{"call_timeout_ms", "integer", false, 1, MaxMs, "ms",
-        "time for an answer; default 2000"},
+      {{"call_timeout_ms", "integer", false, "time for an answer; default 2000",
+        "ms", 1, MaxMs},
        readNumberField<&PlatformSettings::m_CallTimeout>},
-      {{"calls_per_second", "integer", false, 1, 100000, "calls/s",
-        "budget of calls of this entry instance; default 100"},
+      {{"calls_per_second", "integer", false,
+        "budget of calls of this entry instance; default 100", "calls/s", 1,
+        100000},
        readNumberField<&PlatformSettings::m_CallsPerSecond>},
   }};
   return Fields;
@@ -63,11 +63,11 @@
 
 const auto &threadFields() {
   static const std::array<FieldSpec<ThreadSettings>, 2> Fields = {{
-      {{"callers", "integer", false, 2, 10000, "threads",
-        "caller connections served at once; default 512"},
+      {{"callers", "integer", false,
+        "caller connections served at once; default 512", "threads", 2, 10000},
        readNumberField<&ThreadSettings::m_Callers>},
-      {{"peers", "integer", false, 1, 10000, "threads",
-        "forwarded requests served at once; default 128"},
+      {{"peers", "integer", false,
+        "forwarded requests served at once; default 128", "threads", 1, 10000},
        readNumberField<&ThreadSettings::m_Peers>},
   }};
   return Fields;
@@ -75,28 +75,33 @@
 
 const auto &timingFields() {
   static const std::array<FieldSpec<TimingSettings>, 7> Fields = {{
-      {{"poll_ms", "integer", false, 10, MaxMs, "ms",
-        "time between reads of the platform's changes and list; default 1000"},
+      {{"poll_ms", "integer", false,
+        "time between reads of the platform's changes and list; default 1000",
+        "ms", 10, MaxMs},
        readNumberField<&TimingSettings::m_Poll>},
-      {{"heartbeat_ms", "integer", false, 10, MaxMs, "ms",
-        "time between heartbeats to peers; default 500"},
+      {{"heartbeat_ms", "integer", false,
+        "time between heartbeats to peers; default 500", "ms", 10, MaxMs},
        readNumberField<&TimingSettings::m_Heartbeat>},
-      {{"drain_grace_ms", "integer", false, 0, MaxMs, "ms",
-        "time after SIGTERM for the balancer to notice; default 1000"},
+      {{"drain_grace_ms", "integer", false,
+        "time after SIGTERM for the balancer to notice; default 1000", "ms", 0,
+        MaxMs},
        readNumberField<&TimingSettings::m_DrainGrace>},
-      {{"claim_lifetime_ms", "integer", false, 1000, MaxMs, "ms",
-        "time within which a caller may repeat a key; default 900000"},
+      {{"claim_lifetime_ms", "integer", false,
+        "time within which a caller may repeat a key; default 900000", "ms",
+        1000, MaxMs},
        readNumberField<&TimingSettings::m_ClaimLifetime>},
-      {{"claim_margin_ms", "integer", false, 100, MaxMs, "ms",
+      {{"claim_margin_ms", "integer", false,
         "longest time that a request is held up on its way to the owner of its "
-        "key; default 120000"},
+        "key; default 120000",
+        "ms", 100, MaxMs},
        readNumberField<&TimingSettings::m_ClaimMargin>},
-      {{"backend_connect_ms", "integer", false, 1, MaxMs, "ms",
-        "time to connect to a backend server; default 1000"},
+      {{"backend_connect_ms", "integer", false,
+        "time to connect to a backend server; default 1000", "ms", 1, MaxMs},
        readNumberField<&TimingSettings::m_BackendConnect>},
-      {{"list_lag_ms", "integer", false, 1, MaxMs, "ms",
+      {{"list_lag_ms", "integer", false,
         "longest time by which the platform's list of instances is behind the "
-        "truth; moves and waves wait for it; default 5000"},
+        "truth; moves and waves wait for it; default 5000",
+        "ms", 1, MaxMs},
        readNumberField<&TimingSettings::m_ListLag>},
   }};
   return Fields;
@@ -104,8 +109,7 @@
 
 const auto &operatorFields() {
   static const std::array<FieldSpec<OperatorSettings>, 1> Fields = {{
-      {{"token", "text", true, -NoLimit, NoLimit, "",
-        "secret that operators send as a bearer token"},
+      {{"token", "text", true, "secret that operators send as a bearer token"},
        readTextField<&OperatorSettings::m_Token>},
   }};
   return Fields;
@@ -113,32 +117,30 @@
 
 const auto &settingsFields() {
   static const std::array<FieldSpec<Settings>, 10> Fields = {{
-      {{"name", "text", true, -NoLimit, NoLimit, "",
-        "this entry instance's name in logs and answers"},
+      {{"name", "text", true, "this entry instance's name in logs and answers"},
        readTextField<&Settings::m_Name>},
-      {{"data_centre", "text", true, -NoLimit, NoLimit, "",
+      {{"data_centre", "text", true,
         "data centre that this entry instance stands in"},
        readTextField<&Settings::m_DataCentre>},
-      {{"listen", "map", true, -NoLimit, NoLimit, "", "listening addresses"},
+      {{"listen", "map", true, "listening addresses"},
        readMapField<&Settings::m_Listen, listenFields>},
-      {{"platform", "map", true, -NoLimit, NoLimit, "",
-        "how the platform is reached"},
+      {{"platform", "map", true, "how the platform is reached"},
        readMapField<&Settings::m_Platform, platformFields>},
-      {{"entries", "list", true, -NoLimit, NoLimit, "",
-        "all entry instances, this one among them"},
+      {{"entries", "list", true, "all entry instances, this one among them"},
        readListField<&Settings::m_Entries, entryFields>},
-      {{"threads", "map", false, -NoLimit, NoLimit, "", "thread limits"},
+      {{"threads", "map", false, "thread limits"},
        readMapField<&Settings::m_Threads, threadFields>},
-      {{"timings", "map", false, -NoLimit, NoLimit, "", "intervals"},
+      {{"timings", "map", false, "intervals"},
        readMapField<&Settings::m_Timings, timingFields>},
-      {{"operators", "map", false, -NoLimit, NoLimit, "",
+      {{"operators", "map", false,
         "who may change the deployment; absent: nobody"},
        readMapField<&Settings::m_Operators, operatorFields>},
-      {{"log_level", "text", false, -NoLimit, NoLimit, "",
+      {{"log_level", "text", false,
         "lowest severity logged: debug, info, warning or error; default info"},
        readTextField<&Settings::m_LogLevel>},
-      {{"seed", "integer", false, 0, 9007199254740991.0, "",
-        "seed of random choices; 0 (the default) takes one from the system"},
+      {{"seed", "integer", false,
+        "seed of random choices; 0 (the default) takes one from the system", "",
+        0, 9007199254740991.0},
        readNumberField<&Settings::m_Seed>},
   }};
   return Fields;
--- a/tests/integration/RequestPathTest.cpp
+++ b/tests/integration/RequestPathTest.cpp
@@ -155,6 +155,8 @@
   LONGS_EQUAL(400, Got.m_Status);
   STRCMP_EQUAL("not-run", Got.m_Outcome.c_str());
   STRCMP_CONTAINS("Pollenspool-Class", Got.m_Body.c_str());
+  CHECK_EQUAL(1,
+              D.metric(0, "pollenspool_not_run_total{reason=\"bad_request\"}"));
 }
 
 TEST(RequestPath, CancelledRequestsEndAtOnceWhereverTheyWait) {
--- a/tools/DocumentCommands.cpp
+++ b/tools/DocumentCommands.cpp
@@ -38,6 +38,19 @@
   return Out;
 }
 
+/// The document in force, or the exit code of what went wrong.
+struct CurrentDocument {
+  Json m_Body;
+  int m_Exit = ExitOk;
+};
+
+CurrentDocument fetchCurrent(AdminClient &Client) {
+  auto Reply = Client.get("/v1/document");
+  if (!Reply)
+    return {{}, reportError(Reply.error())};
+  return {Reply.value().m_Body, reportReply(Reply.value())};
+}
+
 void printDiff(const std::string &Before, const std::string &After) {
   std::string Diff = diffText(Before, After);
   std::cout << (Diff.empty() ? "no difference\n" : Diff);
@@ -106,12 +119,10 @@
   if (Local.m_Exit != ExitOk)
     return Local.m_Exit;
   AdminClient Client(In.m_Entries, In.m_Token);
-  auto Current = Client.get("/v1/document");
-  if (!Current)
-    return reportError(Current.error());
-  if (int Exit = reportReply(Current.value()); Exit != ExitOk)
-    return Exit;
-  const Json &Body = Current.value().m_Body;
+  CurrentDocument Current = fetchCurrent(Client);
+  if (Current.m_Exit != ExitOk)
+    return Current.m_Exit;
+  const Json &Body = Current.m_Body;
   std::string Before = Body.value("text", "");
   if (!In.m_Json) {
     printDiff(Before, Local.m_Text);
@@ -129,12 +140,10 @@
   if (Local.m_Exit != ExitOk)
     return Local.m_Exit;
   AdminClient Client(In.m_Entries, In.m_Token);
-  auto Current = Client.get("/v1/document");
-  if (!Current)
-    return reportError(Current.error());
-  if (int Exit = reportReply(Current.value()); Exit != ExitOk)
-    return Exit;
-  const Json Base = Current.value().m_Body;
+  CurrentDocument Current = fetchCurrent(Client);
+  if (Current.m_Exit != ExitOk)
+    return Current.m_Exit;
+  const Json &Base = Current.m_Body;
   Json Post;
   Post["text"] = Local.m_Text;
   Post["author"] = In.m_Author;
