Refuse peers' calls until the daemon is wired

Cause: the peer transport listens before membership, adoption and fleet are built; a heartbeat that came in between reached half-built parts, and could have met a null pointer. Found by running real daemons under TSan. Ruled out: the cores' own locking: after the change the same tests give no report. Conclusion: start-up is ordered; TSan over all integration tests is not run.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -162,8 +162,9 @@
   BOOST_OUTCOME_TRYV(
       keep(m_Fleet,
            FleetShell::create(std::move(Fleet), *m_Platform, fleetPorts())));
-  BOOST_OUTCOME_TRYV(keep(
-      m_Peers, PeerTransport::create(peerSettings(m_Settings), peerRoutes())));
+  BOOST_OUTCOME_TRYV(
+      keep(m_Peers, PeerTransport::create(peerSettings(m_Settings),
+                                          m_PeerGate.guard(peerRoutes()))));
   BOOST_OUTCOME_TRYV(keep(
       m_Adoption, AdoptionShell::create(adoptionSettings(m_Settings),
                                         *m_Platform, *m_Peers, *m_Documents)));
@@ -178,7 +179,10 @@
                                 m_Forwarder, [this] { return isReady(); })));
   AdminSettings Operators{m_Settings.m_Listen.m_Admin,
                           m_Settings.m_Operators.m_Token};
-  return keep(m_Admin, AdminServer::create(Operators, adminRoutes()));
+  BOOST_OUTCOME_TRYV(
+      keep(m_Admin, AdminServer::create(Operators, adminRoutes())));
+  m_PeerGate.open();
+  return success();
 }
 
 bool Daemon::Parts::isReady() const {
--- a/src/daemon/Parts.h
+++ b/src/daemon/Parts.h
@@ -17,6 +17,7 @@
 #include "forward/SpillBook.h"
 #include "gateway/CallerServer.h"
 #include "membership/MembershipShell.h"
+#include "peer/StartGate.h"
 #include "platform/HttpPlatform.h"
 #include "sync/FleetSync.h"
 #include <atomic>
@@ -91,6 +92,7 @@
   SpillBook m_Spill;
   PeerForwarder m_Forwarder;
   PeerPort m_PeerPort;
+  StartGate m_PeerGate;
   /// Stopped before any other part ends, and kept until the last one has.
   std::unique_ptr<PeerTransport> m_Peers;
   std::unique_ptr<MembershipShell> m_Membership;
