--- /dev/null
+++ b/src/entry/Entry.cpp
@@ -0,0 +1,181 @@
+//===- Entry.cpp - One entry instance -------------------------------------===//
+
+#include "entry/Entry.h"
+#include "base/Log.h"
+
+namespace pollenspool {
+
+namespace {
+
+constexpr Duration CallTimeout = std::chrono::milliseconds(800);
+/// How long one call of the lead feed may wait: an answer without a change is
+/// the proof that the store answers and the leader is silent.
+constexpr Duration FeedWait = std::chrono::milliseconds(700);
+/// The leader's cores run this often; followers only watch the clock.
+constexpr Duration LeaderTick = std::chrono::milliseconds(20);
+constexpr Duration FollowerTick = std::chrono::milliseconds(100);
+/// Without an answer of the store for this long callers are better served
+/// elsewhere.
+constexpr Duration StoreSilence = std::chrono::milliseconds(2000);
+/// Longest extra wait of an instance with little processor time before it
+/// takes over.
+constexpr Duration MaxOwnDelay = std::chrono::milliseconds(600);
+
+LeadershipOptions leadershipOptions(const EntrySettings &Settings) {
+  LeadershipOptions Options;
+  std::mt19937_64 Random(std::random_device{}());
+  // Half a core or more comes first; a tie is broken by chance.
+  double Lack = std::max(0.0, 0.5 - Settings.m_CpuShare) / 0.5;
+  Options.m_OwnDelay =
+      std::chrono::duration_cast<Duration>(MaxOwnDelay * Lack * Lack) +
+      std::chrono::milliseconds(
+          std::uniform_int_distribution<int>(0, 120)(Random));
+  return Options;
+}
+
+} // namespace
+
+Entry::Entry(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings)
+    : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings),
+      m_Lead(Settings.m_Name, leadershipOptions(Settings)),
+      m_Intake(JobIntake::create(Loop, Ports.m_Store)) {}
+
+Entry::~Entry() {
+  if (m_Leader)
+    m_Leader->stop();
+  if (m_LeadRows)
+    m_LeadRows->stop();
+}
+
+std::unique_ptr<Entry> Entry::create(EventLoop &Loop, EntryPorts Ports,
+                                     const EntrySettings &Settings) {
+  return std::unique_ptr<Entry>(new Entry(Loop, Ports, Settings));
+}
+
+void Entry::start() {
+  FleetNews News;
+  News.m_OnConfig = [this](std::shared_ptr<const ServingConfig> Config) {
+    m_Config = std::move(Config);
+    if (m_Leader)
+      m_Leader->onConfig(m_Config);
+  };
+  News.m_OnWave = [this](const WaveRequest &Wave) {
+    m_Waves[Wave.m_Id] = Wave;
+    if (m_Leader)
+      m_Leader->onWave(Wave);
+  };
+  m_Ports.m_Feed.followOperators(std::move(News));
+  followLead();
+  tick();
+}
+
+void Entry::followLead() {
+  TableMirror::Listener Listen;
+  Listen.m_OnRow = [this](const StoredRow &Row) {
+    m_Lead.onRow(Row, m_Loop.now());
+    if (m_Leader && !m_Lead.isLeading())
+      stopLeading("the store shows a later term");
+    if (!m_Lead.isLeading() && m_Lead.term() != m_LoggedTerm) {
+      m_LoggedTerm = m_Lead.term();
+      logEvent(Event::TermSeen, {{"term", std::to_string(m_LoggedTerm)},
+                                 {"leader", m_Lead.row().m_Leader}});
+    }
+  };
+  Listen.m_OnAnswer = [this] {
+    if (!m_StoreAnswering)
+      logEvent(Event::StoreRegained);
+    m_StoreAnswering = true;
+    m_StoreAnswered = m_Loop.now();
+    m_Lead.onStoreAnswer(m_LeadRows->answeringSince(), m_Loop.now());
+  };
+  Listen.m_OnFailure = [this](const Error &Why) {
+    if (m_StoreAnswering)
+      logEvent(Event::StoreLost, {{"error", Why.describe()}});
+    m_StoreAnswering = false;
+  };
+  m_LeadRows = TableMirror::create(m_Loop, m_Ports.m_Store, LeadTable, FeedWait,
+                                   std::move(Listen));
+  m_LeadRows->start();
+}
+
+void Entry::tick() {
+  tryLead();
+  renew();
+  if (m_Leader && (m_Leader->isDeposed() || !m_Lead.isLeading()))
+    stopLeading("an order was refused for a later term");
+  if (m_Leader)
+    m_Leader->tick();
+  m_Loop.after(m_Leader ? LeaderTick : FollowerTick, [this] { tick(); });
+}
+
+void Entry::tryLead() {
+  if (m_Draining || !m_Config)
+    return;
+  auto Txn = m_Lead.tryTakeOver(m_Loop.now());
+  if (!Txn)
+    return;
+  m_Ports.m_Store.commit(
+      *Txn, CallTimeout,
+      [this, Sent = m_Loop.now()](Result<CommitOutcome> Outcome) {
+        m_Lead.onTakeOverResult(Outcome, Sent, m_Loop.now());
+        if (!m_Lead.isLeading() || m_Leader)
+          return;
+        logEvent(Event::TermWon, {{"term", std::to_string(m_Lead.term())}});
+        m_LoggedTerm = m_Lead.term();
+        m_Leader = Leader::create(m_Loop, m_Ports, m_Settings, m_Lead);
+        m_Leader->start();
+        m_Leader->onConfig(m_Config);
+        for (const auto &[Id, Wave] : m_Waves)
+          m_Leader->onWave(Wave);
+      });
+}
+
+void Entry::renew() {
+  if (!m_Leader || !m_Lead.isRenewalDue(m_Loop.now()))
+    return;
+  m_Ports.m_Store.commit(
+      m_Lead.renew(m_Leader->renewal(), m_Loop.now()), CallTimeout,
+      [this, Sent = m_Loop.now()](Result<CommitOutcome> Outcome) {
+        m_Lead.onRenewResult(Outcome, Sent);
+        if (!Outcome)
+          logEvent(Event::TermUnconfirmed,
+                   {{"term", std::to_string(m_Lead.term())},
+                    {"error", Outcome.error().describe()}});
+      });
+}
+
+void Entry::stopLeading(const char *Why) {
+  logEvent(Event::TermLost, {{"why", Why}});
+  m_Lead.depose();
+  m_Leader->stop();
+  m_Leader.reset();
+}
+
+void Entry::drain() {
+  if (m_Draining)
+    return;
+  m_Draining = true;
+  if (!m_Leader)
+    return;
+  // No order is given after the term has been given up.
+  RowTransaction Release = m_Lead.release();
+  stopLeading("the process stops");
+  m_Ports.m_Store.commit(Release, CallTimeout, [](Result<CommitOutcome> R) {
+    if (!R)
+      logEvent(Event::TermUnconfirmed, {{"error", R.error().describe()}});
+  });
+}
+
+bool Entry::isReady() const {
+  return !m_Draining && m_Config &&
+         m_Loop.now() < m_StoreAnswered + StoreSilence;
+}
+
+std::optional<std::uint32_t> Entry::waiting(const QueueName &Queue) const {
+  if (m_Lead.renewal().m_Term == 0)
+    return std::nullopt;
+  auto It = m_Lead.renewal().m_Queues.find(Queue);
+  return It == m_Lead.renewal().m_Queues.end() ? 0 : It->second.m_WaitingJobs;
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/entry/EntrySettings.h
@@ -0,0 +1,50 @@
+//===- EntrySettings.h - Settings of an entry instance ----------*- C++ -*-===//
+
+#ifndef POLLENSPOOL_ENTRY_ENTRYSETTINGS_H
+#define POLLENSPOOL_ENTRY_ENTRYSETTINGS_H
+
+#include "base/Ids.h"
+#include "base/Time.h"
+#include <cstdint>
+#include <string>
+
+namespace pollenspool {
+
+/// What an entry instance has to know at its start. The defaults are those of
+/// the smallest deployment.
+struct EntrySettings {
+  std::string m_Name;
+  DataCentreName m_DataCentre;
+  /// Listening addresses, "ip:port".
+  std::string m_Callers;
+  std::string m_Readiness;
+  std::string m_Metrics;
+  std::string m_Store;
+  std::string m_InstanceService;
+  /// Empty: no queue asks for placement advice.
+  std::string m_Adviser;
+  /// Share of a core that this instance has.
+  double m_CpuShare = 0.25;
+
+  /// The longest lease that a backend server grants.
+  Duration m_LongestLease = std::chrono::seconds(10);
+  /// How long a process may take to stop after it is asked to.
+  Duration m_StopWithin = std::chrono::seconds(6);
+  /// Two leaders' orders for one instance are at least this far apart.
+  Duration m_InstanceOrderGap = std::chrono::seconds(3);
+  /// How long a changed pool takes, and an upkeep.
+  Duration m_MoveTime = std::chrono::milliseconds(1500);
+  Duration m_UpkeepTime = std::chrono::seconds(2);
+  /// A lasting task that was not at work for this long counts as away.
+  Duration m_AwayAfter = std::chrono::milliseconds(4500);
+  /// How long a serving task may be over its target.
+  Duration m_HarmAfter = std::chrono::seconds(4);
+  /// How long callers may ask for a job that is over.
+  Duration m_KeepStates = std::chrono::seconds(120);
+  /// How much longer a task takes away from its data.
+  double m_FarFactor = 1.0;
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_ENTRY_ENTRYSETTINGS_H
--- /dev/null
+++ b/src/entry/Leader.cpp
@@ -0,0 +1,267 @@
+//===- Leader.cpp - The duties of the leading instance --------------------===//
+
+#include "entry/Leader.h"
+#include "base/Log.h"
+#include "jobs/JobRows.h"
+
+namespace pollenspool {
+
+namespace {
+
+/// Rows asked for in one call: the store's own limit.
+constexpr std::size_t PageRows = 500;
+constexpr Duration CallTimeout = std::chrono::milliseconds(800);
+constexpr Duration RetryPause = std::chrono::milliseconds(100);
+/// How long one call of a feed may wait.
+constexpr Duration FeedWait = std::chrono::milliseconds(1000);
+/// Between two readings of the instance list.
+constexpr Duration ListEvery = std::chrono::milliseconds(1000);
+/// Events that arrive together are acted on together.
+constexpr Duration TickDelay = std::chrono::milliseconds(2);
+/// Last states are removed this long after callers may no longer ask.
+constexpr std::chrono::seconds RemovalMargin{60};
+constexpr Duration RemovalEvery = std::chrono::seconds(10);
+constexpr std::size_t RemovalsAtOnce = 90;
+
+} // namespace
+
+Leader::Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
+               Leadership &Lead)
+    : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings), m_Lead(Lead) {
+  SchedulerOptions Options;
+  Options.m_Term = Lead.term();
+  Options.m_TermVersion = Lead.termCondition().m_Version;
+  Options.m_LongestLease = Settings.m_LongestLease;
+  Options.m_Lease = std::min(Options.m_Lease, Settings.m_LongestLease);
+  Options.m_FarFactor = Settings.m_FarFactor;
+  m_Core = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
+  m_Writer = ProgressWriter::create(*m_Core, Lead.termCondition());
+}
+
+std::shared_ptr<Leader> Leader::create(EventLoop &Loop, EntryPorts Ports,
+                                       const EntrySettings &Settings,
+                                       Leadership &Lead) {
+  return std::shared_ptr<Leader>(new Leader(Loop, Ports, Settings, Lead));
+}
+
+void Leader::start() {
+  m_Ports.m_Backend.sendResultsTo(this);
+  readStates({});
+  listInstances();
+  FleetNews News;
+  News.m_OnServer = [this](const ServerRegistration &R) {
+    m_Core->onServer(R, m_Loop.now());
+    tickSoon();
+  };
+  News.m_OnServerGone = [this](const ServerId &Id) {
+    m_Core->onServerGone(Id, m_Loop.now());
+  };
+  News.m_OnServersRead = [this] { m_ServersRead = true; };
+  m_Ports.m_Feed.followServers(std::move(News));
+}
+
+void Leader::stop() {
+  m_Stopped = true;
+  m_Ports.m_Backend.sendResultsTo(nullptr);
+  m_Ports.m_Feed.stopServers();
+  if (m_Jobs)
+    m_Jobs->stop();
+}
+
+void Leader::readStates(const std::string &From) {
+  m_Ports.m_Store.read(
+      JobStatesTable, From, PageRows, CallTimeout,
+      [Weak = weak_from_this(), From](Result<RowPage> Page) {
+        auto Self = Weak.lock();
+        if (!Self || Self->m_Stopped)
+          return;
+        if (!Page) {
+          Self->m_Loop.after(RetryPause, [Weak, From] {
+            if (auto Again = Weak.lock(); Again && !Again->m_Stopped)
+              Again->readStates(From);
+          });
+          return;
+        }
+        for (StoredRow &Row : Page.value().m_Rows)
+          Self->m_States[Row.m_At.m_Key] = Row;
+        if (Page.value().m_HasMore && !Page.value().m_Rows.empty())
+          Self->readStates(Page.value().m_Rows.back().m_At.m_Key + '\0');
+        else
+          Self->followJobs();
+      });
+}
+
+void Leader::followJobs() {
+  TableMirror::Listener Listen;
+  Listen.m_OnRow = [this](const StoredRow &Row) { onLiveRow(Row); };
+  Listen.m_OnAnswer = [this] {
+    if (!m_Running) {
+      m_Running = true;
+      // What is not live was over before this term.
+      for (const auto &[Id, Row] : m_States)
+        if (auto P = decodeProgress(Row.m_Value);
+            P && isFinal(P.value().m_State))
+          m_OverSince[Id] = P.value().m_ChangedAt;
+      m_States.clear();
+    }
+    tickSoon();
+  };
+  m_Jobs = TableMirror::create(m_Loop, m_Ports.m_Store, LiveJobsTable, FeedWait,
+                               std::move(Listen));
+  m_Jobs->start();
+}
+
+void Leader::onLiveRow(const StoredRow &Row) {
+  JobId Id(Row.m_At.m_Key);
+  if (Row.m_Removed) {
+    m_OverSince[Id.m_Text] = wallNow();
+    m_Core->onJobOver(Id, m_Loop.now());
+    return;
+  }
+  auto Job = decodeJob(Row.m_Value);
+  if (!Job) {
+    logEvent(Event::JobUnreadable,
+             {{"job", Id.m_Text}, {"error", Job.error().describe()}});
+    return;
+  }
+  JobProgress Progress;
+  RowVersion StateVersion = Row.m_Version;
+  if (auto It = m_States.find(Id.m_Text); It != m_States.end()) {
+    auto Read = decodeProgress(It->second.m_Value);
+    if (!Read) {
+      logEvent(Event::JobUnreadable,
+               {{"job", Id.m_Text}, {"error", Read.error().describe()}});
+      return;
+    }
+    Progress = std::move(Read.value());
+    StateVersion = It->second.m_Version;
+  }
+  m_Core->onJob(std::move(Job.value()), std::move(Progress), Row.m_Version,
+                StateVersion, m_Loop.now(), wallNow());
+}
+
+void Leader::listInstances() {
+  m_ListPending = true;
+  m_Ports.m_Instances.list(
+      CallTimeout, [Weak = weak_from_this(), Asked = m_Loop.now()](
+                       Result<std::vector<InstanceListing>> List) {
+        auto Self = Weak.lock();
+        if (!Self || Self->m_Stopped)
+          return;
+        Self->m_ListPending = false;
+        Self->m_NextList = Self->m_Loop.now() + ListEvery;
+        if (List)
+          Self->m_Core->onInstances(std::move(List.value()), Asked,
+                                    Self->m_Loop.now());
+      });
+}
+
+void Leader::onConfig(std::shared_ptr<const ServingConfig> Config) {
+  m_Core->onConfig(std::move(Config));
+  tickSoon();
+}
+
+void Leader::onWave(const WaveRequest &) {}
+
+void Leader::tickSoon() {
+  if (m_Ticking)
+    return;
+  m_Ticking = true;
+  m_Loop.after(TickDelay, [Weak = weak_from_this()] {
+    auto Self = Weak.lock();
+    if (!Self || Self->m_Stopped)
+      return;
+    Self->m_Ticking = false;
+    Self->tick();
+  });
+}
+
+void Leader::tick() {
+  if (m_Stopped || !m_Running || !m_ServersRead)
+    return;
+  TimePoint Now = m_Loop.now();
+  // Leases are extended while the store is away, but not for so long that a
+  // later leader could not wait them out.
+  if (Now < m_Lead.confirmedSent() + m_Settings.m_LongestLease)
+    m_Core->tick(Now, wallNow(), m_Lead.isValid(Now));
+  if (!m_ListPending && Now >= m_NextList)
+    listInstances();
+  record();
+  removeOldStates();
+}
+
+void Leader::record() {
+  auto Txn = m_Writer->next(m_Loop.now(), wallNow());
+  if (!Txn)
+    return;
+  m_Ports.m_Store.commit(
+      *Txn, CallTimeout,
+      [Weak = weak_from_this()](Result<CommitOutcome> Outcome) {
+        auto Self = Weak.lock();
+        if (!Self || Self->m_Stopped)
+          return;
+        Self->m_Writer->onResult(Outcome, Self->m_Loop.now());
+        Self->tickSoon();
+      });
+}
+
+void Leader::removeOldStates() {
+  TimePoint Now = m_Loop.now();
+  if (Now < m_NextRemoval)
+    return;
+  m_NextRemoval = Now + RemovalEvery;
+  auto Before = wallNow() - RemovalMargin -
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    m_Settings.m_KeepStates);
+  RowTransaction Txn;
+  Txn.m_Conditions.push_back(m_Lead.termCondition());
+  for (auto It = m_OverSince.begin();
+       It != m_OverSince.end() && Txn.m_Removes.size() < RemovalsAtOnce;) {
+    if (It->second >= Before) {
+      ++It;
+      continue;
+    }
+    Txn.m_Removes.push_back({JobStatesTable, It->first});
+    It = m_OverSince.erase(It);
+  }
+  if (Txn.m_Removes.empty())
+    return;
+  m_Ports.m_Store.commit(Txn, CallTimeout, [](Result<CommitOutcome> Outcome) {
+    // Rows that stay are found again by the next leader.
+    if (!Outcome)
+      logEvent(Event::RecordFailed, {{"error", Outcome.error().describe()}});
+  });
+}
+
+bool Leader::isDeposed() const {
+  return m_Core->isDeposed() || m_Writer->isDeposed();
+}
+
+RenewalRow Leader::renewal() {
+  RenewalRow Row;
+  for (const auto &[Queue, Jobs] : m_Core->waitingJobs())
+    Row.m_Queues[Queue].m_WaitingJobs = Jobs;
+  return Row;
+}
+
+void Leader::onStartResult(const StartOrder &Order, OrderResult R) {
+  m_Core->onStartResult(Order, R, m_Loop.now());
+  tickSoon();
+}
+
+void Leader::onStopResult(const StopOrder &Order, OrderResult R) {
+  m_Core->onStopResult(Order, R, m_Loop.now());
+  tickSoon();
+}
+
+void Leader::onLookReply(const LookOrder &Order, const LookReply &Reply) {
+  m_Core->onLookReply(Order, Reply, m_Loop.now());
+  tickSoon();
+}
+
+void Leader::onLookFailed(const LookOrder &Order, OrderResult R) {
+  m_Core->onLookFailed(Order, R, m_Loop.now());
+  tickSoon();
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/entry/Leader.h
@@ -0,0 +1,77 @@
+//===- Leader.h - The duties of the leading instance ------------*- C++ -*-===//
+
+#ifndef POLLENSPOOL_ENTRY_LEADER_H
+#define POLLENSPOOL_ENTRY_LEADER_H
+
+#include "entry/EntryPorts.h"
+#include "entry/EntrySettings.h"
+#include "lead/Leadership.h"
+#include "net/EventLoop.h"
+#include "scheduling/ProgressWriter.h"
+#include "store/TableMirror.h"
+#include <map>
+
+namespace pollenspool {
+
+/// One term of leading: reads what is in the store, then schedules, records and
+/// looks after instances until it is stopped. One thread: the event loop's.
+class Leader : public OrderResults,
+               public std::enable_shared_from_this<Leader> {
+public:
+  /// All arguments must outlive the leader. \p Lead must be leading.
+  static std::shared_ptr<Leader> create(EventLoop &Loop, EntryPorts Ports,
+                                        const EntrySettings &Settings,
+                                        Leadership &Lead);
+  void start();
+  /// Gives no more orders. The object may then be destroyed.
+  void stop();
+
+  void onConfig(std::shared_ptr<const ServingConfig> Config);
+  void onWave(const WaveRequest &Wave);
+  /// Runs the decision cores; to be called every few milliseconds.
+  void tick();
+  /// Whether the term has ended without our doing.
+  bool isDeposed() const;
+  /// What the other instances are told.
+  RenewalRow renewal();
+  const SchedulerCounters &counters() const { return m_Core->counters(); }
+
+  void onStartResult(const StartOrder &Order, OrderResult R) override;
+  void onStopResult(const StopOrder &Order, OrderResult R) override;
+  void onLookReply(const LookOrder &Order, const LookReply &Reply) override;
+  void onLookFailed(const LookOrder &Order, OrderResult R) override;
+
+private:
+  Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
+         Leadership &Lead);
+  void readStates(const std::string &From);
+  void followJobs();
+  void onLiveRow(const StoredRow &Row);
+  void listInstances();
+  void record();
+  void tickSoon();
+  void removeOldStates();
+
+  EventLoop &m_Loop;
+  EntryPorts m_Ports;
+  const EntrySettings &m_Settings;
+  Leadership &m_Lead;
+  std::unique_ptr<Scheduler> m_Core;
+  std::unique_ptr<ProgressWriter> m_Writer;
+  std::shared_ptr<TableMirror> m_Jobs;
+  /// State rows as read at the start, for the live jobs among them.
+  std::map<std::string, StoredRow> m_States;
+  /// Wall time of each last state, for removal.
+  std::map<std::string, std::chrono::milliseconds> m_OverSince;
+  bool m_ServersRead = false;
+  bool m_Running = false;
+  bool m_Stopped = false;
+  bool m_Ticking = false;
+  bool m_ListPending = false;
+  TimePoint m_NextList{};
+  TimePoint m_NextRemoval{};
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_ENTRY_LEADER_H
--- /dev/null
+++ b/src/jobs/JobRows.cpp
@@ -0,0 +1,131 @@
+//===- JobRows.cpp - How jobs lie in the store ----------------------------===//
+
+#include "jobs/JobRows.h"
+#include <nlohmann/json.hpp>
+
+namespace pollenspool {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json stepToJson(const StepSpec &S) {
+  return Json::array({S.m_Count, S.m_Need.m_MilliCores, S.m_Need.m_MemoryMb,
+                      S.m_Need.m_Gpus, S.m_Estimate.count(), S.m_After,
+                      S.m_SavesProgress, S.m_Gang, S.m_SameRack,
+                      S.m_RequiredLabel, S.m_DataRack, S.m_MaxPerServer,
+                      S.m_Speculative, S.m_Lasting, S.m_Image,
+                      S.m_TailTarget.count(), S.m_Fills, S.m_MaxUnavailable});
+}
+
+StepSpec stepFromJson(const Json &J) {
+  StepSpec S;
+  S.m_Count = J.at(0);
+  S.m_Need = {J.at(1), J.at(2), J.at(3)};
+  S.m_Estimate = std::chrono::milliseconds(J.at(4).get<std::int64_t>());
+  S.m_After = J.at(5).get<std::vector<std::uint32_t>>();
+  S.m_SavesProgress = J.at(6);
+  S.m_Gang = J.at(7);
+  S.m_SameRack = J.at(8);
+  S.m_RequiredLabel = J.at(9);
+  S.m_DataRack = J.at(10);
+  S.m_MaxPerServer = J.at(11);
+  S.m_Speculative = J.at(12);
+  S.m_Lasting = J.at(13);
+  S.m_Image = J.at(14);
+  S.m_TailTarget = std::chrono::milliseconds(J.at(15).get<std::int64_t>());
+  S.m_Fills = J.at(16);
+  S.m_MaxUnavailable = J.at(17);
+  return S;
+}
+
+std::string bitsToText(const std::vector<bool> &Bits) {
+  std::string Text;
+  for (bool Bit : Bits)
+    Text += Bit ? '1' : '0';
+  return Text;
+}
+
+std::vector<bool> bitsFromText(const std::string &Text) {
+  std::vector<bool> Bits;
+  for (char C : Text)
+    Bits.push_back(C == '1');
+  return Bits;
+}
+
+template <typename T, typename F>
+Result<T> guarded(const char *Step, F Decode) {
+  try {
+    return Decode();
+  } catch (const Json::exception &Bad) {
+    return makeError(ErrorCode::InvalidMessage, Step, {}, Bad.what());
+  }
+}
+
+} // namespace
+
+std::string encodeJob(const JobSpec &Job) {
+  Json Steps = Json::array();
+  for (const StepSpec &S : Job.m_Steps)
+    Steps.push_back(stepToJson(S));
+  return Json{{"id", Job.m_Id.m_Text},
+              {"queue", Job.m_Queue.m_Text},
+              {"pool", Job.m_Pool.m_Text},
+              {"text", Job.m_Text},
+              {"steps", Steps},
+              {"occurrences", Job.m_Occurrences},
+              {"first", Job.m_FirstDue.count()},
+              {"interval", Job.m_Interval.count()},
+              {"accepted", Job.m_AcceptedAt.count()}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<JobSpec> decodeJob(const std::string &Text) {
+  return guarded<JobSpec>("decode job row", [&]() -> JobSpec {
+    Json J = Json::parse(Text);
+    JobSpec Job;
+    Job.m_Id = JobId(J.at("id"));
+    Job.m_Queue = QueueName(J.at("queue"));
+    Job.m_Pool = PoolName(J.at("pool"));
+    Job.m_Text = J.at("text");
+    for (const Json &S : J.at("steps"))
+      Job.m_Steps.push_back(stepFromJson(S));
+    Job.m_Occurrences = J.at("occurrences");
+    Job.m_FirstDue =
+        std::chrono::milliseconds(J.at("first").get<std::int64_t>());
+    Job.m_Interval =
+        std::chrono::milliseconds(J.at("interval").get<std::int64_t>());
+    Job.m_AcceptedAt =
+        std::chrono::milliseconds(J.at("accepted").get<std::int64_t>());
+    return Job;
+  });
+}
+
+std::string encodeProgress(const JobProgress &Progress) {
+  Json J{{"state", static_cast<int>(Progress.m_State)},
+         {"changed", Progress.m_ChangedAt.count()}};
+  for (const auto &[Where, Bits] : Progress.m_Done)
+    J["done"].push_back({Where.first, Where.second, bitsToText(Bits)});
+  for (const auto &[Where, Runs] : Progress.m_Failures)
+    J["failures"].push_back(
+        {std::get<0>(Where), std::get<1>(Where), std::get<2>(Where), Runs});
+  return J.dump();
+}
+
+Result<JobProgress> decodeProgress(const std::string &Text) {
+  return guarded<JobProgress>("decode job state", [&]() -> JobProgress {
+    Json J = Json::parse(Text);
+    JobProgress P;
+    P.m_State = static_cast<JobState>(J.at("state").get<int>());
+    P.m_ChangedAt =
+        std::chrono::milliseconds(J.at("changed").get<std::int64_t>());
+    for (const Json &Row : J.value("done", Json::array()))
+      P.m_Done[{Row.at(0), Row.at(1)}] = bitsFromText(Row.at(2));
+    for (const Json &Row : J.value("failures", Json::array()))
+      P.m_Failures[{Row.at(0), Row.at(1), Row.at(2)}] =
+          Row.at(3).get<std::vector<std::uint32_t>>();
+    return P;
+  });
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/lead/Leadership.cpp
@@ -0,0 +1,155 @@
+//===- Leadership.cpp - Which entry instance leads ------------------------===//
+
+#include "lead/Leadership.h"
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace pollenspool {
+
+using Json = nlohmann::json;
+
+std::string encodeTerm(const TermRow &Row) {
+  return Json{{"term", Row.m_Term},
+              {"leader", Row.m_Leader},
+              {"released", Row.m_Released}}
+      .dump();
+}
+
+Result<TermRow> decodeTerm(const std::string &Text) {
+  try {
+    Json J = Json::parse(Text);
+    return TermRow{J.at("term"), J.at("leader"), J.at("released")};
+  } catch (const Json::exception &Bad) {
+    return makeError(ErrorCode::InvalidMessage, "decode term", {}, Bad.what());
+  }
+}
+
+std::string encodeRenewal(const RenewalRow &Row) {
+  Json Queues = Json::object();
+  for (const auto &[Name, Load] : Row.m_Queues)
+    Queues[Name.m_Text] = {Load.m_WaitingJobs, Load.m_Wait.count()};
+  return Json{
+      {"term", Row.m_Term}, {"number", Row.m_Number}, {"queues", Queues}}
+      .dump();
+}
+
+Result<RenewalRow> decodeRenewal(const std::string &Text) {
+  try {
+    Json J = Json::parse(Text);
+    RenewalRow Row{J.at("term"), J.at("number"), {}};
+    for (const auto &[Name, Load] : J.at("queues").items())
+      Row.m_Queues[QueueName(Name)] = {
+          Load.at(0),
+          std::chrono::milliseconds(Load.at(1).get<std::int64_t>())};
+    return Row;
+  } catch (const Json::exception &Bad) {
+    return makeError(ErrorCode::InvalidMessage, "decode renewal", {},
+                     Bad.what());
+  }
+}
+
+void Leadership::onRow(const StoredRow &Row, TimePoint Now) {
+  if (Row.m_At.m_Key == RenewalKey) {
+    auto Read = decodeRenewal(Row.m_Value);
+    // A renewal that the store applied late is no sign of life.
+    if (!Read || std::tie(Read.value().m_Term, Read.value().m_Number) <=
+                     std::tie(m_Renewal.m_Term, m_Renewal.m_Number))
+      return;
+    m_Renewal = std::move(Read.value());
+    m_RenewalSeen = Now;
+    m_SilentSince = Now;
+    return;
+  }
+  if (Row.m_At.m_Key != TermKey || Row.m_Version <= m_RowVersion)
+    return;
+  m_RowVersion = Row.m_Version;
+  m_SilentSince = Now;
+  if (auto Read = decodeTerm(Row.m_Value))
+    m_Row = std::move(Read.value());
+  m_Leading = false;
+}
+
+void Leadership::onStoreAnswer(TimePoint Since, TimePoint Now) {
+  m_SeenAnswer = true;
+  m_LastAnswer = Now;
+  m_SilentSince = std::max(m_SilentSince, Since);
+}
+
+std::optional<RowTransaction> Leadership::tryTakeOver(TimePoint Now) {
+  if (m_Leading || m_Trying || !m_SeenAnswer)
+    return std::nullopt;
+  bool Vacant = m_RowVersion == 0 || m_Row.m_Released;
+  Duration Wait =
+      m_Options.m_OwnDelay + (Vacant ? Duration(0) : m_Options.m_TakeOverAfter);
+  // The silence counts only up to the store's last answer.
+  TimePoint Until = Vacant ? Now : m_LastAnswer;
+  if (Until < m_SilentSince + Wait)
+    return std::nullopt;
+  m_Trying = true;
+  TermRow Next{m_Row.m_Term + 1, m_Name, false};
+  RowTransaction Txn;
+  Txn.m_Conditions.push_back(termCondition());
+  Txn.m_Puts.push_back({{LeadTable, TermKey}, encodeTerm(Next)});
+  return Txn;
+}
+
+void Leadership::onTakeOverResult(const Result<CommitOutcome> &Outcome,
+                                  TimePoint Sent, TimePoint Now) {
+  m_Trying = false;
+  m_SilentSince = std::max(m_SilentSince, Now - m_Options.m_TakeOverAfter);
+  if (!Outcome)
+    return;
+  if (!Outcome.value().m_Committed) {
+    for (const StoredRow &Row : Outcome.value().m_Conflicts)
+      onRow(Row, Now);
+    return;
+  }
+  // The feed may have shown a still later term in the meantime.
+  if (Outcome.value().m_Version < m_RowVersion)
+    return;
+  if (Outcome.value().m_Version > m_RowVersion)
+    m_Row = {m_Row.m_Term + 1, m_Name, false};
+  m_RowVersion = Outcome.value().m_Version;
+  m_Leading = true;
+  m_ConfirmedSent = Sent;
+  m_LastRenew = Sent;
+  m_RenewNumber = 0;
+}
+
+bool Leadership::isRenewalDue(TimePoint Now) const {
+  return m_Leading && !m_Renewing &&
+         Now >= m_LastRenew + m_Options.m_RenewEvery;
+}
+
+RowTransaction Leadership::renew(RenewalRow Row, TimePoint Now) {
+  m_Renewing = true;
+  m_LastRenew = Now;
+  Row.m_Term = m_Row.m_Term;
+  Row.m_Number = ++m_RenewNumber;
+  RowTransaction Txn;
+  Txn.m_Conditions.push_back(termCondition());
+  Txn.m_Puts.push_back({{LeadTable, RenewalKey}, encodeRenewal(Row)});
+  return Txn;
+}
+
+void Leadership::onRenewResult(const Result<CommitOutcome> &Outcome,
+                               TimePoint Sent) {
+  m_Renewing = false;
+  if (!Outcome)
+    return;
+  if (Outcome.value().m_Committed)
+    m_ConfirmedSent = std::max(m_ConfirmedSent, Sent);
+  else
+    m_Leading = false;
+}
+
+RowTransaction Leadership::release() {
+  RowTransaction Txn;
+  Txn.m_Conditions.push_back(termCondition());
+  Txn.m_Puts.push_back(
+      {{LeadTable, TermKey}, encodeTerm({m_Row.m_Term, m_Name, true})});
+  m_Leading = false;
+  return Txn;
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/lead/Leadership.h
@@ -0,0 +1,127 @@
+//===- Leadership.h - Which entry instance leads ----------------*- C++ -*-===//
+//
+// One row of the store holds the term: its number and its leader. A leader
+// renews a second row; a follower that sees the store answer without a renewal
+// for long enough replaces the term's row under the condition that nobody else
+// has. There is no other agreement between instances.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef POLLENSPOOL_LEAD_LEADERSHIP_H
+#define POLLENSPOOL_LEAD_LEADERSHIP_H
+
+#include "base/Time.h"
+#include "scheduling/Messages.h"
+#include "store/MetadataStore.h"
+#include <optional>
+
+namespace pollenspool {
+
+inline constexpr char LeadTable[] = "lead";
+inline constexpr char TermKey[] = "term";
+inline constexpr char RenewalKey[] = "renewal";
+
+/// The term's row.
+struct TermRow {
+  Term m_Term = 0;
+  std::string m_Leader;
+  /// The leader has given its term up; anybody may begin the next.
+  bool m_Released = false;
+};
+
+/// Demand on one queue, as the leader tells the other instances.
+struct QueueLoad {
+  std::uint32_t m_WaitingJobs = 0;
+  /// When a job handed in now could begin.
+  std::chrono::milliseconds m_Wait{0};
+};
+
+/// The renewal row: the leader lives, and what callers ask every instance.
+struct RenewalRow {
+  Term m_Term = 0;
+  std::uint64_t m_Number = 0;
+  std::map<QueueName, QueueLoad> m_Queues;
+};
+
+/// Thread safe. Errors: InvalidMessage.
+std::string encodeTerm(const TermRow &Row);
+Result<TermRow> decodeTerm(const std::string &Text);
+std::string encodeRenewal(const RenewalRow &Row);
+Result<RenewalRow> decodeRenewal(const std::string &Text);
+
+/// Times of the election.
+struct LeadershipOptions {
+  /// Between two renewals.
+  Duration m_RenewEvery = std::chrono::milliseconds(400);
+  /// How long after it was sent a renewal vouches for the term. Below
+  /// m_TakeOverAfter, so that a leader stops before another begins.
+  Duration m_ValidFor = std::chrono::milliseconds(1600);
+  /// How long the store has to answer without a renewal before a follower
+  /// takes over.
+  Duration m_TakeOverAfter = std::chrono::milliseconds(2000);
+  /// Added to m_TakeOverAfter by this instance, so that not all try at once
+  /// and instances with more processor time come first.
+  Duration m_OwnDelay = std::chrono::milliseconds(0);
+};
+
+/// The decision core; one thread.
+class Leadership {
+public:
+  Leadership(std::string Name, const LeadershipOptions &Options)
+      : m_Name(std::move(Name)), m_Options(Options) {}
+
+  /// A row of the lead table, as the feed reports it.
+  void onRow(const StoredRow &Row, TimePoint Now);
+  /// The feed answered; \p Since: it has done so without a failure since then.
+  void onStoreAnswer(TimePoint Since, TimePoint Now);
+
+  /// Whether to try to take the term now, and with which transaction.
+  std::optional<RowTransaction> tryTakeOver(TimePoint Now);
+  void onTakeOverResult(const Result<CommitOutcome> &Outcome, TimePoint Sent,
+                        TimePoint Now);
+  /// The renewal that is due, if this instance leads.
+  bool isRenewalDue(TimePoint Now) const;
+  RowTransaction renew(RenewalRow Row, TimePoint Now);
+  void onRenewResult(const Result<CommitOutcome> &Outcome, TimePoint Sent);
+  /// The transaction that gives the term up.
+  RowTransaction release();
+  /// A later term was seen by some other way.
+  void depose() { m_Leading = false; }
+
+  bool isLeading() const { return m_Leading; }
+  /// Whether the term is certainly in force at \p Now.
+  bool isValid(TimePoint Now) const {
+    return m_Leading && Now < m_ConfirmedSent + m_Options.m_ValidFor;
+  }
+  TimePoint confirmedSent() const { return m_ConfirmedSent; }
+  Term term() const { return m_Row.m_Term; }
+  /// The term's row as a condition.
+  RowCondition termCondition() const {
+    return {{LeadTable, TermKey}, m_RowVersion};
+  }
+  const TermRow &row() const { return m_Row; }
+  const RenewalRow &renewal() const { return m_Renewal; }
+  TimePoint renewalSeen() const { return m_RenewalSeen; }
+
+private:
+  std::string m_Name;
+  LeadershipOptions m_Options;
+  TermRow m_Row;
+  RowVersion m_RowVersion = 0;
+  RenewalRow m_Renewal;
+  TimePoint m_RenewalSeen{};
+  /// When the leader last gave a sign, or the store came back.
+  TimePoint m_SilentSince{};
+  bool m_SeenAnswer = false;
+  TimePoint m_LastAnswer{};
+  bool m_Leading = false;
+  bool m_Trying = false;
+  bool m_Renewing = false;
+  TimePoint m_ConfirmedSent{};
+  TimePoint m_LastRenew{};
+  std::uint64_t m_RenewNumber = 0;
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_LEAD_LEADERSHIP_H
--- /dev/null
+++ b/src/net/HttpMessage.cpp
@@ -0,0 +1,22 @@
+//===- HttpMessage.cpp - Requests and replies -----------------------------===//
+
+#include "net/HttpMessage.h"
+#include <algorithm>
+#include <cctype>
+
+namespace pollenspool {
+
+std::string_view findHeader(const HttpHeaders &Headers,
+                            std::string_view Wanted) {
+  auto SameLetter = [](char A, char B) {
+    return std::tolower(static_cast<unsigned char>(A)) ==
+           std::tolower(static_cast<unsigned char>(B));
+  };
+  for (const auto &[Key, Value] : Headers)
+    if (std::equal(Key.begin(), Key.end(), Wanted.begin(), Wanted.end(),
+                   SameLetter))
+      return Value;
+  return {};
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/net/HttpServer.cpp
@@ -0,0 +1,199 @@
+//===- HttpServer.cpp - Serves HTTP/1.1 on the event loop -----------------===//
+
+#include "net/HttpServer.h"
+#include "base/Address.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace pollenspool {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Connections that wait to be accepted; the system caps it.
+constexpr int Backlog = 1024;
+/// Pause after a failed accept, so that a lack of descriptors is no busy loop.
+constexpr Duration AcceptPause = std::chrono::milliseconds(20);
+
+struct Shared {
+  HttpServerLimits m_Limits;
+  HttpServer::Handler m_Serve;
+  bool m_Draining = false;
+  std::size_t m_InFlight = 0;
+};
+
+class Session : public std::enable_shared_from_this<Session> {
+public:
+  Session(asio::ip::tcp::socket Socket, std::shared_ptr<Shared> S)
+      : m_Stream(std::move(Socket)), m_Shared(std::move(S)) {}
+
+  void readNext() {
+    m_Parser.emplace();
+    m_Parser->body_limit(m_Shared->m_Limits.m_BodyBytes);
+    m_Parser->header_limit(
+        static_cast<std::uint32_t>(m_Shared->m_Limits.m_HeaderBytes));
+    m_Stream.expires_after(m_Shared->m_Limits.m_Idle);
+    http::async_read(
+        m_Stream, m_Buffer, *m_Parser,
+        [Self = shared_from_this()](const error_code &Failed, std::size_t) {
+          if (Failed)
+            return Self->onReadFailed(Failed);
+          Self->serve();
+        });
+  }
+
+private:
+  void serve() {
+    auto Message = m_Parser->release();
+    HttpRequest Request;
+    Request.m_Method = Message.method_string().to_string();
+    Request.m_Target = Message.target().to_string();
+    for (const auto &Header : Message)
+      Request.m_Headers.emplace_back(std::string(Header.name_string()),
+                                     std::string(Header.value()));
+    Request.m_Body = std::move(Message.body());
+    m_KeepAlive = Message.keep_alive();
+    m_Stream.expires_never();
+    ++m_Shared->m_InFlight;
+    // The guard counts the request as over when the handler drops it.
+    auto Guard = std::shared_ptr<void>(
+        nullptr, [S = m_Shared](void *) { --S->m_InFlight; });
+    m_Shared->m_Serve(std::move(Request),
+                      [Self = shared_from_this(), Guard](HttpReply Reply) {
+                        Self->write(std::move(Reply));
+                      });
+  }
+
+  void write(HttpReply Reply) {
+    m_Reply = {};
+    m_Reply.version(11);
+    m_Reply.result(Reply.m_Status);
+    for (const auto &[Key, Value] : Reply.m_Headers)
+      m_Reply.set(Key, Value);
+    m_Reply.body() = std::move(Reply.m_Body);
+    m_Reply.keep_alive(m_KeepAlive && !m_Shared->m_Draining);
+    m_Reply.prepare_payload();
+    m_Stream.expires_after(m_Shared->m_Limits.m_Idle);
+    http::async_write(
+        m_Stream, m_Reply,
+        [Self = shared_from_this()](const error_code &Failed, std::size_t) {
+          if (Failed)
+            return;
+          if (Self->m_Reply.keep_alive())
+            return Self->readNext();
+          error_code Ignored;
+          Self->m_Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
+                                           Ignored);
+        });
+  }
+
+  void onReadFailed(const error_code &Failed) {
+    m_KeepAlive = false;
+    if (Failed == http::error::body_limit)
+      return write({413, {}, "the body is too large\n"});
+    if (Failed == http::error::header_limit)
+      return write({431, {}, "the header is too large\n"});
+    if (Failed.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        Failed != http::error::end_of_stream &&
+        Failed != http::error::partial_message)
+      write({400, {}, "not an HTTP request: " + Failed.message() + "\n"});
+  }
+
+  beast::tcp_stream m_Stream;
+  std::shared_ptr<Shared> m_Shared;
+  beast::flat_buffer m_Buffer;
+  std::optional<http::request_parser<http::string_body>> m_Parser;
+  http::response<http::string_body> m_Reply;
+  bool m_KeepAlive = true;
+};
+
+} // namespace
+
+struct HttpServer::Parts : std::enable_shared_from_this<HttpServer::Parts> {
+  EventLoop &m_Loop;
+  asio::ip::tcp::acceptor m_Acceptor;
+  std::shared_ptr<Shared> m_Shared = std::make_shared<Shared>();
+
+  explicit Parts(EventLoop &Loop) : m_Loop(Loop), m_Acceptor(Loop.context()) {}
+
+  error_code listen(const Address &At) {
+    error_code Failed;
+    asio::ip::tcp::endpoint Where(asio::ip::make_address_v4(At.m_Host, Failed),
+                                  At.m_Port);
+    if (!Failed)
+      m_Acceptor.open(Where.protocol(), Failed);
+    if (!Failed)
+      m_Acceptor.set_option(asio::socket_base::reuse_address(true), Failed);
+    if (!Failed)
+      m_Acceptor.bind(Where, Failed);
+    if (!Failed)
+      m_Acceptor.listen(Backlog, Failed);
+    return Failed;
+  }
+
+  void accept() {
+    m_Acceptor.async_accept([Self = shared_from_this()](
+                                const error_code &Failed,
+                                asio::ip::tcp::socket Socket) {
+      if (Failed == asio::error::operation_aborted)
+        return;
+      if (Failed) {
+        Self->m_Loop.after(AcceptPause, [Self] { Self->accept(); });
+        return;
+      }
+      error_code Ignored;
+      Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+      std::make_shared<Session>(std::move(Socket), Self->m_Shared)->readNext();
+      Self->accept();
+    });
+  }
+};
+
+HttpServer::HttpServer(std::shared_ptr<Parts> P) : m_Parts(std::move(P)) {}
+
+HttpServer::~HttpServer() {
+  error_code Ignored;
+  m_Parts->m_Acceptor.close(Ignored);
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::create(EventLoop &Loop,
+                                                       const std::string &At,
+                                                       HttpServerLimits Limits,
+                                                       Handler Serve) {
+  auto Where = parseAddress(At);
+  if (!Where)
+    return makeError(ErrorCode::InvalidArgument, "listen", At,
+                     "not an address");
+  auto P = std::make_shared<Parts>(Loop);
+  if (auto Failed = P->listen(*Where))
+    return makeError(ErrorCode::ConnectFailed, "listen", At, Failed.message());
+  P->m_Shared->m_Limits = Limits;
+  P->m_Shared->m_Serve = std::move(Serve);
+  P->accept();
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(P)));
+}
+
+void HttpServer::drain() { m_Parts->m_Shared->m_Draining = true; }
+
+void HttpServer::setLimits(HttpServerLimits Limits) {
+  m_Parts->m_Shared->m_Limits = Limits;
+}
+
+unsigned HttpServer::port() const {
+  error_code Ignored;
+  return m_Parts->m_Acceptor.local_endpoint(Ignored).port();
+}
+
+std::size_t HttpServer::inFlight() const {
+  return m_Parts->m_Shared->m_InFlight;
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/scheduling/JobBook.cpp
@@ -0,0 +1,216 @@
+//===- JobBook.cpp - Live jobs and the state of their tasks ---------------===//
+
+#include "scheduling/JobBook.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+StepState *LiveJob::step(std::uint32_t Occurrence, std::uint32_t Step) {
+  auto It = m_Occurrences.find(Occurrence);
+  if (It == m_Occurrences.end() || Step >= It->second.m_Steps.size())
+    return nullptr;
+  return &It->second.m_Steps[Step];
+}
+
+TaskState *LiveJob::task(const TaskId &Id) {
+  StepState *S = step(Id.m_Occurrence, Id.m_Step);
+  if (!S || Id.m_Index >= S->m_Tasks.size())
+    return nullptr;
+  return &S->m_Tasks[Id.m_Index];
+}
+
+LiveJob &JobBook::add(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
+                      RowVersion State, std::uint32_t Attempts, TimePoint Now,
+                      std::chrono::milliseconds Wall) {
+  auto Made = std::make_unique<LiveJob>();
+  LiveJob &Job = *Made;
+  Job.m_Spec = std::move(Spec);
+  Job.m_Restored = std::move(Progress);
+  Job.m_State = Job.m_Restored.m_State;
+  Job.m_AcceptedVersion = Accepted;
+  Job.m_StateVersion = State;
+  Job.m_Attempts = Attempts;
+  Job.m_AcceptedAt = Now - std::max(std::chrono::milliseconds(0),
+                                    Wall - Job.m_Spec.m_AcceptedAt);
+  JobId Id = Job.m_Spec.m_Id;
+  m_Jobs[Id] = std::move(Made);
+  if (Job.m_Spec.m_Occurrences == 0) {
+    releaseOccurrence(Job, Now);
+  } else {
+    m_WithDueTimes.insert(Id);
+    releaseDue(Now, Wall);
+  }
+  return Job;
+}
+
+void JobBook::remove(const JobId &Id) {
+  m_WithDueTimes.erase(Id);
+  m_Jobs.erase(Id);
+}
+
+LiveJob *JobBook::find(const JobId &Id) {
+  auto It = m_Jobs.find(Id);
+  return It == m_Jobs.end() ? nullptr : It->second.get();
+}
+
+bool JobBook::releaseDue(TimePoint Now, std::chrono::milliseconds Wall) {
+  bool Any = false;
+  for (auto It = m_WithDueTimes.begin(); It != m_WithDueTimes.end();) {
+    LiveJob *Job = find(*It);
+    while (Job && Job->m_NextOccurrence < Job->m_Spec.m_Occurrences &&
+           Job->m_Spec.m_FirstDue +
+                   Job->m_NextOccurrence * Job->m_Spec.m_Interval <=
+               Wall) {
+      releaseOccurrence(*Job, Now);
+      Any = true;
+    }
+    if (!Job || Job->m_NextOccurrence >= Job->m_Spec.m_Occurrences)
+      It = m_WithDueTimes.erase(It);
+    else
+      ++It;
+  }
+  return Any;
+}
+
+void JobBook::releaseOccurrence(LiveJob &Job, TimePoint Now) {
+  Occurrence O;
+  O.m_Number = Job.m_NextOccurrence++;
+  for (std::uint32_t N = 0; N < Job.m_Spec.m_Steps.size(); ++N) {
+    StepState S;
+    S.m_Tasks.resize(Job.m_Spec.m_Steps[N].m_Count);
+    auto Done = Job.m_Restored.m_Done.find({O.m_Number, N});
+    for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
+      S.m_Tasks[I].m_AwaySince = Now;
+      if (Done != Job.m_Restored.m_Done.end() && I < Done->second.size() &&
+          Done->second[I]) {
+        S.m_Tasks[I].m_Done = true;
+        ++S.m_DoneCount;
+      }
+      auto Failed = Job.m_Restored.m_Failures.find({O.m_Number, N, I});
+      if (Failed != Job.m_Restored.m_Failures.end())
+        S.m_Tasks[I].m_FailedRuns = Failed->second;
+    }
+    if (S.isDone())
+      ++O.m_StepsDone;
+    O.m_Steps.push_back(std::move(S));
+  }
+  auto &Kept = Job.m_Occurrences[O.m_Number] = std::move(O);
+  if (Kept.m_StepsDone == Kept.m_Steps.size()) {
+    ++Job.m_OccurrencesDone;
+    return;
+  }
+  release(Job, Kept, Now);
+}
+
+void JobBook::release(LiveJob &Job, Occurrence &O, TimePoint Now) {
+  for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N) {
+    StepState &S = O.m_Steps[N];
+    if (S.m_Released || S.isDone())
+      continue;
+    const auto &After = Job.m_Spec.m_Steps[N].m_After;
+    if (!std::all_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
+          return O.m_Steps[Earlier].isDone();
+        }))
+      continue;
+    S.m_Released = true;
+    S.m_ReleasedAt = Now;
+    for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
+      if (S.m_Tasks[I].m_Done || S.m_Tasks[I].m_Ready)
+        continue;
+      S.m_Tasks[I].m_Ready = true;
+      Job.m_Ready.push_back({O.m_Number, N, I});
+    }
+  }
+}
+
+bool JobBook::markDone(LiveJob &Job, const TaskId &Id, TimePoint Now) {
+  TaskState *T = Job.task(Id);
+  if (!T || T->m_Done)
+    return false;
+  Occurrence &O = Job.m_Occurrences[Id.m_Occurrence];
+  StepState &S = O.m_Steps[Id.m_Step];
+  T->m_Done = true;
+  ++S.m_DoneCount;
+  if (T->m_Ready) {
+    T->m_Ready = false;
+    auto &R = Job.m_Ready;
+    R.erase(std::remove_if(R.begin(), R.end(),
+                           [&](const ReadyTask &A) {
+                             return A.m_Occurrence == Id.m_Occurrence &&
+                                    A.m_Step == Id.m_Step &&
+                                    A.m_Index == Id.m_Index;
+                           }),
+            R.end());
+  }
+  if (S.isDone()) {
+    ++O.m_StepsDone;
+    if (O.m_StepsDone == O.m_Steps.size())
+      ++Job.m_OccurrencesDone;
+    else
+      release(Job, O, Now);
+  }
+  if (Job.m_OccurrencesDone == Job.m_Spec.occurrences())
+    Job.m_State = JobState::Completed;
+  else if (Job.m_State == JobState::Queued)
+    Job.m_State = JobState::Running;
+  touch(Job);
+  return true;
+}
+
+bool JobBook::markFailed(LiveJob &Job, const TaskId &Id, std::uint32_t Run) {
+  // The members of a gang fail together and are counted once, at member 0.
+  const StepSpec &Step = Job.m_Spec.m_Steps[Id.m_Step];
+  TaskId Counted = Id;
+  if (Step.m_Gang)
+    Counted.m_Index = 0;
+  TaskState *T = Job.task(Counted);
+  auto &Runs = T->m_FailedRuns;
+  if (std::find(Runs.begin(), Runs.end(), Run) != Runs.end())
+    return false;
+  Runs.push_back(Run);
+  if (Runs.size() >= Job.m_Attempts && !Step.m_Lasting)
+    Job.m_State = JobState::Failed;
+  touch(Job);
+  return true;
+}
+
+void JobBook::requeue(LiveJob &Job, const TaskId &Id, TimePoint NotBefore) {
+  TaskState *T = Job.task(Id);
+  if (!T || T->m_Done || T->m_Ready || !T->m_Runs.empty())
+    return;
+  T->m_Ready = true;
+  T->m_NotBefore = NotBefore;
+  Job.m_Ready.push_back({Id.m_Occurrence, Id.m_Step, Id.m_Index});
+}
+
+void JobBook::touch(LiveJob &Job) {
+  if (Job.m_Dirty)
+    return;
+  Job.m_Dirty = true;
+  m_Dirty.push_back(Job.m_Spec.m_Id);
+}
+
+JobProgress JobBook::progressOf(const LiveJob &Job,
+                                std::chrono::milliseconds Wall) const {
+  JobProgress P;
+  P.m_State = Job.m_State;
+  P.m_ChangedAt = Wall;
+  if (isFinal(Job.m_State))
+    return P;
+  for (const auto &[Number, O] : Job.m_Occurrences)
+    for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N) {
+      const StepState &S = O.m_Steps[N];
+      if (S.m_DoneCount > 0) {
+        auto &Bits = P.m_Done[{Number, N}];
+        for (const TaskState &T : S.m_Tasks)
+          Bits.push_back(T.m_Done);
+      }
+      for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I)
+        if (!S.m_Tasks[I].m_FailedRuns.empty() &&
+            !Job.m_Spec.m_Steps[N].m_Lasting)
+          P.m_Failures[{Number, N, I}] = S.m_Tasks[I].m_FailedRuns;
+    }
+  return P;
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/scheduling/Messages.cpp
@@ -0,0 +1,21 @@
+//===- Messages.cpp - What the scheduler is told and what it orders -------===//
+
+#include "scheduling/Messages.h"
+#include <array>
+
+namespace pollenspool {
+
+std::string_view orderResultName(OrderResult R) {
+  static constexpr std::array<std::string_view, 11> Names = {
+      "done",    "fenced",   "stale_run",  "late",     "no_room", "bad_ticket",
+      "invalid", "refusing", "other_life", "not_sent", "unknown"};
+  return Names[static_cast<std::size_t>(R)];
+}
+
+std::string_view endKindName(EndKind K) {
+  static constexpr std::array<std::string_view, 6> Names = {
+      "done", "failed", "stopped", "lapsed", "broken", "alone"};
+  return Names[static_cast<std::size_t>(K)];
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/scheduling/Scheduler.cpp
@@ -0,0 +1,321 @@
+//===- Scheduler.cpp - Jobs, servers and looks ----------------------------===//
+
+#include "scheduling/Scheduler.h"
+#include "base/Log.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+/// How long a server may wait for an end in a look: several looks fit into one
+/// lease, so that a lost one does not let it run out.
+constexpr std::chrono::milliseconds LookWait{1000};
+/// What a look may take beyond its wait. A server answers in a few
+/// milliseconds.
+constexpr std::chrono::milliseconds LookSlack{600};
+/// Between two looks at a server that does not answer.
+constexpr Duration LookRetry = std::chrono::milliseconds(250);
+/// Growth of the pause while a server stays silent.
+constexpr std::uint32_t MaxLookBackoff = 4;
+/// Between an answered look and the next at a busy server, so that ends that
+/// come close together cost one look.
+constexpr Duration LookSpacing = std::chrono::milliseconds(40);
+/// An idle server's ends are acknowledged after this, if no other look did.
+constexpr Duration AcknowledgeAfter = std::chrono::milliseconds(500);
+/// How long an unregistered server counts as present: entries that lapsed with
+/// the store are back within two seconds of its return.
+constexpr Duration RegistrationGrace = std::chrono::seconds(2);
+
+} // namespace
+
+Scheduler::Scheduler(const SchedulerOptions &Options, SchedulerOrders &Orders,
+                     TimePoint Now)
+    : m_Options(Options), m_Orders(Orders) {
+  // The first term has no predecessor that could have started anything.
+  if (Options.m_Term > 1)
+    m_UncertainUntil = Now +
+                       std::chrono::duration_cast<Duration>(
+                           Options.m_LongestLease / SlowestServerClock) +
+                       std::chrono::milliseconds(500);
+}
+
+std::unique_ptr<Scheduler> Scheduler::create(const SchedulerOptions &Options,
+                                             SchedulerOrders &Orders,
+                                             TimePoint Now) {
+  return std::unique_ptr<Scheduler>(new Scheduler(Options, Orders, Now));
+}
+
+void Scheduler::onConfig(std::shared_ptr<const ServingConfig> Config) {
+  m_Config = std::move(Config);
+  for (auto &[Id, Job] : m_Jobs.all())
+    if (const QueuePolicy *Q = m_Config->queue(Job->m_Spec.m_Queue))
+      Job->m_Attempts = Q->m_Attempts;
+}
+
+void Scheduler::onJob(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
+                      RowVersion State, TimePoint Now,
+                      std::chrono::milliseconds Wall) {
+  if (m_Jobs.find(Spec.m_Id) || isFinal(Progress.m_State))
+    return;
+  const QueuePolicy *Q = m_Config ? m_Config->queue(Spec.m_Queue) : nullptr;
+  LiveJob &Job = m_Jobs.add(std::move(Spec), std::move(Progress), Accepted,
+                            State, Q ? Q->m_Attempts : 1, Now, Wall);
+  if (Job.m_OccurrencesDone == Job.m_Spec.occurrences()) {
+    Job.m_State = JobState::Completed;
+    m_Jobs.touch(Job);
+  }
+}
+
+void Scheduler::onJobOver(const JobId &Id, TimePoint Now) {
+  LiveJob *Job = m_Jobs.find(Id);
+  if (!Job)
+    return;
+  stopRuns(*Job, Now);
+  m_Jobs.remove(Id);
+}
+
+void Scheduler::onServer(const ServerRegistration &R, TimePoint Now) {
+  if (ServerState *Known = m_Servers.find(R.m_Id)) {
+    if (R.m_BornMs != 0 && Known->m_Registration.m_BornMs != 0 &&
+        R.m_BornMs > Known->m_Registration.m_BornMs) {
+      startNewLife(*Known, R.m_BornMs, Now);
+    } else if (R.m_BornMs < Known->m_Registration.m_BornMs) {
+      ServerRegistration Newer = R;
+      Newer.m_BornMs = Known->m_Registration.m_BornMs;
+      m_Servers.upsert(Newer);
+      return;
+    }
+  }
+  m_Servers.upsert(R);
+}
+
+void Scheduler::onServerGone(const ServerId &Id, TimePoint Now) {
+  ServerState *S = m_Servers.find(Id);
+  if (!S || !S->m_Registered)
+    return;
+  S->m_Registered = false;
+  S->m_UnregisteredAt = Now;
+}
+
+void Scheduler::onInstances(std::vector<InstanceListing> List, TimePoint Asked,
+                            TimePoint Now) {
+  m_Instances = std::move(List);
+  m_InstancesKnown = true;
+  for (const InstanceListing &L : m_Instances)
+    for (auto &[Id, S] : m_Servers.all()) {
+      if (S.m_Registration.m_Instance != L.m_Id || S.m_Runs.empty())
+        continue;
+      bool Over = L.m_Condition != InstanceCondition::Up ||
+                  (!L.m_Server.empty() && L.m_Server != Id);
+      // An answer newer than the list shows that the server lives.
+      if (Over && S.m_ClockAt < Asked && !S.m_Reachable)
+        releaseAllRuns(S, "the instance is listed without this server", Now);
+    }
+}
+
+void Scheduler::onRecorded(std::uint64_t Change, TimePoint Now) {
+  m_RecordedChange = std::max(m_RecordedChange, Change);
+  for (auto &[Id, S] : m_Servers.all()) {
+    bool Any = false;
+    while (!S.m_Unrecorded.empty() &&
+           S.m_Unrecorded.front().second <= m_RecordedChange) {
+      S.m_EndsRecorded = S.m_Unrecorded.front().first;
+      S.m_Unrecorded.pop_front();
+      Any = true;
+    }
+    if (Any)
+      S.m_NextLook =
+          std::min(S.m_NextLook,
+                   Now + (S.m_Runs.empty() ? AcknowledgeAfter : Duration(0)));
+  }
+}
+
+void Scheduler::tick(TimePoint Now, std::chrono::milliseconds Wall,
+                     bool MayStart) {
+  m_Jobs.releaseDue(Now, Wall);
+  expireLeases(Now);
+  if (MayStart && m_Config && !m_Deposed) {
+    std::set<PoolName> Pools;
+    for (auto &[Id, Job] : m_Jobs.all())
+      if (!Job->m_Ready.empty() && !isFinal(Job->m_State))
+        Pools.insert(poolOf(*Job));
+    for (const PoolName &Pool : Pools)
+      placePool(Pool, Now);
+  }
+  lookWhereDue(Now, !m_Deposed);
+}
+
+void Scheduler::expireLeases(TimePoint Now) {
+  std::vector<ServerId> Gone;
+  for (auto &[Id, S] : m_Servers.all()) {
+    if (!S.m_Runs.empty() && Now >= S.m_LeasesEnd && !S.m_Reachable) {
+      ++m_Counters.m_Lapsed;
+      releaseAllRuns(S, "its leases have run out", Now);
+    }
+    if (!S.m_Registered && S.m_Runs.empty() && !S.m_LookPending &&
+        Now >= S.m_UnregisteredAt + RegistrationGrace && Now >= S.m_LeasesEnd)
+      Gone.push_back(Id);
+  }
+  for (const ServerId &Id : Gone)
+    m_Servers.erase(Id);
+}
+
+void Scheduler::lookWhereDue(TimePoint Now, bool MayExtend) {
+  if (!MayExtend)
+    return;
+  for (auto &[Id, S] : m_Servers.all()) {
+    if (S.m_LookPending || Now < S.m_NextLook)
+      continue;
+    bool Due = !S.m_Vetted || !S.m_Reachable || !S.m_Runs.empty() ||
+               S.m_EndsRecorded > S.m_EndsAcknowledged;
+    if (Due && (S.m_Registered || !S.m_Runs.empty()))
+      sendLook(S, Now);
+  }
+}
+
+void Scheduler::sendLook(ServerState &S, TimePoint Now) {
+  LookOrder Order;
+  Order.m_Server = S.address();
+  Order.m_Term = m_Options.m_Term;
+  Order.m_EndsRecorded = S.m_EndsRecorded;
+  if (S.m_ClockKnown) {
+    Order.m_LeaseUntilMs =
+        S.clockAtLeast(Now) +
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_Options.m_Lease)
+            .count();
+    ServerBook::noteLease(S, Now, m_Options.m_Lease);
+  }
+  bool Settled =
+      std::none_of(S.m_Runs.begin(), S.m_Runs.end(), [](const auto &Entry) {
+        return Entry.second.m_Phase == RunPhase::Doubtful;
+      });
+  if (S.m_Vetted && S.m_Reachable && Settled && !S.m_Runs.empty() &&
+      S.m_Unrecorded.empty())
+    Order.m_Wait = LookWait;
+  Order.m_Timeout = Order.m_Wait + LookSlack;
+  S.m_LookPending = true;
+  S.m_LookSentAt = Now;
+  ++m_Counters.m_Looks;
+  m_Orders.look(Order);
+}
+
+void Scheduler::onLookFailed(const LookOrder &Order, OrderResult R,
+                             TimePoint Now) {
+  ServerState *S = m_Servers.find(Order.m_Server.m_Id);
+  if (!S)
+    return;
+  S->m_LookPending = false;
+  S->m_NextLook =
+      Now + LookRetry * std::min(S->m_FailedLooks + 1, MaxLookBackoff);
+  if (R == OrderResult::Fenced) {
+    m_Deposed = true;
+    return;
+  }
+  if (R == OrderResult::OtherLife) {
+    releaseAllRuns(*S, "another server answers at its address", Now);
+    S->m_Registered = false;
+    S->m_UnregisteredAt = Now - RegistrationGrace;
+    S->m_LeasesEnd = Now;
+    return;
+  }
+  if (S->m_Reachable)
+    logEvent(Event::BackendSilent,
+             {{"server", Order.m_Server.m_Id.m_Text},
+              {"runs", std::to_string(S->m_Runs.size())},
+              {"result", std::string(orderResultName(R))}});
+  S->m_Reachable = false;
+  ++S->m_FailedLooks;
+}
+
+void Scheduler::onLookReply(const LookOrder &Order, const LookReply &Reply,
+                            TimePoint Now) {
+  ServerState *S = m_Servers.find(Order.m_Server.m_Id);
+  if (!S)
+    return;
+  S->m_LookPending = false;
+  if (!S->m_Reachable && S->m_FailedLooks > 0)
+    logEvent(Event::BackendAnswers,
+             {{"server", Order.m_Server.m_Id.m_Text},
+              {"failed_looks", std::to_string(S->m_FailedLooks)}});
+  S->m_Reachable = true;
+  S->m_FailedLooks = 0;
+  if (Reply.m_BornMs != 0 && S->m_Registration.m_BornMs != 0 &&
+      Reply.m_BornMs != S->m_Registration.m_BornMs)
+    startNewLife(*S, Reply.m_BornMs, Now);
+  S->m_Registration.m_BornMs = Reply.m_BornMs;
+  bool First = !S->m_Vetted;
+  S->m_Vetted = true;
+  S->m_ClockKnown = true;
+  S->m_ClockMs = Reply.m_ClockMs;
+  S->m_ClockAt = Now;
+  S->m_EndsAcknowledged = std::max(S->m_EndsAcknowledged, Order.m_EndsRecorded);
+  for (const EndReport &End : Reply.m_Ended)
+    if (End.m_Number > S->m_EndsSeen)
+      endRun(*S, End, Now);
+  checkListed(*S, Order, Reply, Now);
+  // The first answer carried no lease; the runs it showed need one at once.
+  if (First && !S->m_Runs.empty())
+    S->m_NextLook = Now;
+  else if (!S->m_Unrecorded.empty())
+    S->m_NextLook = Now + AcknowledgeAfter;
+  else
+    S->m_NextLook = Now + (S->m_Runs.empty() ? AcknowledgeAfter : LookSpacing);
+}
+
+PoolName Scheduler::poolOf(const LiveJob &Job) const {
+  const QueuePolicy *Q =
+      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+  return Q ? Q->m_Pool : Job.m_Spec.m_Pool;
+}
+
+std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
+  std::map<QueueName, std::uint32_t> Waiting;
+  for (auto &[Id, Job] : const_cast<JobBook &>(m_Jobs).all())
+    if (!Job->hasStarted())
+      ++Waiting[Job->m_Spec.m_Queue];
+  return Waiting;
+}
+
+std::map<PoolName, PoolDemand> Scheduler::demand() {
+  std::map<PoolName, PoolDemand> Pools;
+  for (auto &[Id, S] : m_Servers.all()) {
+    PoolDemand &D = Pools[S.m_Registration.m_Pool];
+    D.m_RunningMilliCores += S.m_Used.m_MilliCores;
+    if (S.m_Registered && !S.m_Registration.m_Draining)
+      D.m_CapacityMilliCores += S.m_Registration.m_Capacity.m_MilliCores;
+  }
+  for (auto &[Id, Job] : m_Jobs.all()) {
+    PoolDemand &D = Pools[poolOf(*Job)];
+    for (const ReadyTask &R : Job->m_Ready) {
+      const StepSpec &Step = Job->m_Spec.m_Steps[R.m_Step];
+      D.m_ReadyMilliCores += Step.m_Fills ? 0 : Step.m_Need.m_MilliCores;
+    }
+    for (const auto &[Number, O] : Job->m_Occurrences)
+      for (std::size_t N = 0; N < O.m_Steps.size(); ++N)
+        if (!O.m_Steps[N].m_Released && !Job->m_Spec.m_Steps[N].m_Fills)
+          D.m_BlockedMilliCores += Job->m_Spec.m_Steps[N].m_Count *
+                                   Job->m_Spec.m_Steps[N].m_Need.m_MilliCores;
+  }
+  return Pools;
+}
+
+TimePoint Scheduler::objectiveOf(const LiveJob &Job) const {
+  const QueuePolicy *Q =
+      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+  std::vector<std::chrono::milliseconds> Chain;
+  std::chrono::milliseconds Longest{0};
+  for (const StepSpec &Step : Job.m_Spec.m_Steps) {
+    std::chrono::milliseconds Before{0};
+    for (std::uint32_t Earlier : Step.m_After)
+      Before = std::max(Before, Chain[Earlier]);
+    Chain.push_back(Before + Step.m_Estimate);
+    Longest = std::max(Longest, Chain.back());
+  }
+  double Stretch = Q ? Q->m_Stretch : 1.0;
+  return Job.m_AcceptedAt +
+         std::chrono::duration_cast<Duration>(Longest * Stretch) +
+         (Q ? Q->m_Slack : std::chrono::milliseconds(0));
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/scheduling/Scheduler.h
@@ -0,0 +1,167 @@
+//===- Scheduler.h - Decides what runs where --------------------*- C++ -*-===//
+//
+// The decision core of the leading entry instance, for one term. It is told of
+// jobs, backend servers and answers, and orders starts, stops and looks. It has
+// no clock, socket or thread.
+//
+// Safety rests on three things. A server that has answered this term refuses
+// the orders of earlier ones. A task is started again only when its last run is
+// known to be over: ended, not listed, or its lease run out. An end is
+// acknowledged to its server only when it is recorded in the store.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef POLLENSPOOL_SCHEDULING_SCHEDULER_H
+#define POLLENSPOOL_SCHEDULING_SCHEDULER_H
+
+#include "scheduling/JobBook.h"
+#include "scheduling/ServerBook.h"
+#include "serving/ServingConfig.h"
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace pollenspool {
+
+/// Bounds of the platform, and this term's place in the order of terms.
+struct SchedulerOptions {
+  Term m_Term = 1;
+  /// Version of the store when the term began; jobs accepted later cannot have
+  /// been started by an earlier leader.
+  RowVersion m_TermVersion = 0;
+  /// The longest lease that any leader may have granted.
+  Duration m_LongestLease = std::chrono::seconds(10);
+  /// The lease that this leader grants.
+  Duration m_Lease = std::chrono::seconds(5);
+  /// How much longer a task takes away from its data.
+  double m_FarFactor = 1.0;
+};
+
+struct SchedulerCounters {
+  std::uint64_t m_Starts = 0;
+  std::uint64_t m_Stops = 0;
+  std::uint64_t m_Looks = 0;
+  std::uint64_t m_NoRoom = 0;
+  std::uint64_t m_Lapsed = 0;
+  std::uint64_t m_Doubtful = 0;
+  std::uint64_t m_Adopted = 0;
+};
+
+/// Demand on a pool, for planning its size and for admission.
+struct PoolDemand {
+  std::int64_t m_RunningMilliCores = 0;
+  std::int64_t m_ReadyMilliCores = 0;
+  /// Cores that steps which still wait for others will ask for.
+  std::int64_t m_BlockedMilliCores = 0;
+  std::int64_t m_CapacityMilliCores = 0;
+};
+
+/// One thread. All \p Now are the local clock since boot, all \p Wall the wall
+/// clock at the same moment.
+class Scheduler {
+public:
+  /// \p Orders must outlive the scheduler.
+  static std::unique_ptr<Scheduler> create(const SchedulerOptions &Options,
+                                           SchedulerOrders &Orders,
+                                           TimePoint Now);
+
+  void onConfig(std::shared_ptr<const ServingConfig> Config);
+  /// A job that is not over. A job known already is left as it is.
+  void onJob(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
+             RowVersion State, TimePoint Now, std::chrono::milliseconds Wall);
+  /// The job is over; whatever runs of it is stopped.
+  void onJobOver(const JobId &Id, TimePoint Now);
+  void onServer(const ServerRegistration &R, TimePoint Now);
+  void onServerGone(const ServerId &Id, TimePoint Now);
+  /// The platform's list, asked for at \p Asked.
+  void onInstances(std::vector<InstanceListing> List, TimePoint Asked,
+                   TimePoint Now);
+
+  void onStartResult(const StartOrder &Order, OrderResult R, TimePoint Now);
+  void onStopResult(const StopOrder &Order, OrderResult R, TimePoint Now);
+  void onLookReply(const LookOrder &Order, const LookReply &Reply,
+                   TimePoint Now);
+  void onLookFailed(const LookOrder &Order, OrderResult R, TimePoint Now);
+  /// All changes up to \p Change are recorded.
+  void onRecorded(std::uint64_t Change, TimePoint Now);
+
+  /// Places what is ready and looks where a look is due. \p MayStart: whether
+  /// the term is known to be in force; otherwise only leases are extended.
+  void tick(TimePoint Now, std::chrono::milliseconds Wall, bool MayStart);
+
+  /// Whether a server has seen a later term: this one is over.
+  bool isDeposed() const { return m_Deposed; }
+  JobBook &jobs() { return m_Jobs; }
+  ServerBook &servers() { return m_Servers; }
+  const std::vector<InstanceListing> &instances() const { return m_Instances; }
+  const ServingConfig *config() const { return m_Config.get(); }
+  /// The number of the newest change that has to be recorded.
+  std::uint64_t lastChange() const { return m_LastChange; }
+  /// Accepted jobs of each queue of which no task has started.
+  std::map<QueueName, std::uint32_t> waitingJobs() const;
+  std::map<PoolName, PoolDemand> demand();
+  /// The pool that runs \p Job now.
+  PoolName poolOf(const LiveJob &Job) const;
+  /// When \p Job has to be done for its caller to be on time.
+  TimePoint objectiveOf(const LiveJob &Job) const;
+  const SchedulerCounters &counters() const { return m_Counters; }
+
+private:
+  Scheduler(const SchedulerOptions &Options, SchedulerOrders &Orders,
+            TimePoint Now);
+
+  // Runs and their ends (SchedulerRuns.cpp).
+  void endRun(ServerState &S, const EndReport &End, TimePoint Now);
+  void countServerFailure(ServerState &S, bool Failed, TimePoint Now);
+  void checkListed(ServerState &S, const LookOrder &Order,
+                   const LookReply &Reply, TimePoint Now);
+  void adoptOrStop(ServerState &S, const RunReport &Report, TimePoint Now);
+  void releaseRun(ServerState &S, const RunId &Id, Duration Pause,
+                  TimePoint Now);
+  void releaseAllRuns(ServerState &S, const char *Why, TimePoint Now);
+  void orderStop(ServerState &S, const RunId &Id, TimePoint Now);
+  void stopOtherRuns(const LiveJob &Job, const TaskId &Task, TimePoint Now);
+  void stopRuns(const LiveJob &Job, TimePoint Now);
+  void startNewLife(ServerState &S, std::int64_t BornMs, TimePoint Now);
+
+  // Placement (SchedulerPlacement.cpp).
+  void placePool(const PoolName &Pool, TimePoint Now);
+  bool placeTasks(LiveJob &Job, std::vector<ServerState *> &Servers,
+                  TimePoint Now);
+  bool placeGang(LiveJob &Job, const ReadyTask &First,
+                 std::vector<ServerState *> &Servers, TimePoint Now);
+  ServerState *choose(LiveJob &Job, const ReadyTask &Task,
+                      std::vector<ServerState *> &Servers, TimePoint Now);
+  bool canTake(const ServerState &S, const LiveJob &Job, const ReadyTask &Task,
+               const Resources &Need) const;
+  std::uint32_t runsOfStepOn(const LiveJob &Job, const ReadyTask &Task,
+                             const ServerId &Server) const;
+  void start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
+             std::uint32_t RunNumber, TimePoint Now);
+  std::uint32_t nextRunNumber(const TaskState &T) const;
+  bool isUsable(const ServerState &S, TimePoint Now) const;
+  bool mayHaveUnknownRuns(const LiveJob &Job, TimePoint Now);
+  bool isPoolVetted(const PoolName &Pool);
+
+  void lookWhereDue(TimePoint Now, bool MayExtend);
+  void sendLook(ServerState &S, TimePoint Now);
+  void expireLeases(TimePoint Now);
+  void markReadyPools();
+
+  SchedulerOptions m_Options;
+  SchedulerOrders &m_Orders;
+  std::shared_ptr<const ServingConfig> m_Config;
+  JobBook m_Jobs;
+  ServerBook m_Servers;
+  std::vector<InstanceListing> m_Instances;
+  bool m_InstancesKnown = false;
+  TimePoint m_UncertainUntil{};
+  std::uint64_t m_LastChange = 0;
+  std::uint64_t m_RecordedChange = 0;
+  bool m_Deposed = false;
+  SchedulerCounters m_Counters;
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_SCHEDULING_SCHEDULER_H
--- /dev/null
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -0,0 +1,257 @@
+//===- SchedulerPlacement.cpp - Which task goes where, and when -----------===//
+
+#include "base/Log.h"
+#include "scheduling/Scheduler.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+/// Run numbers of one task in one term; the next term's numbers start above
+/// them, so that a run of an earlier leader is never numbered again.
+constexpr std::uint32_t RunsPerTerm = 1000;
+/// Registration that lapsed with the store counts for this long.
+constexpr Duration RegistrationGrace = std::chrono::seconds(2);
+
+} // namespace
+
+std::uint32_t Scheduler::nextRunNumber(const TaskState &T) const {
+  auto Floor = static_cast<std::uint32_t>((m_Options.m_Term - 1) * RunsPerTerm);
+  return std::max(T.m_LastRun, Floor) + 1;
+}
+
+bool Scheduler::isUsable(const ServerState &S, TimePoint Now) const {
+  bool Present = S.m_Registered || Now < S.m_UnregisteredAt + RegistrationGrace;
+  return Present && !S.m_Registration.m_Draining && S.m_Vetted &&
+         S.m_ClockKnown && S.m_Reachable && !S.m_Reserved &&
+         Now >= S.m_SuspendedUntil;
+}
+
+bool Scheduler::isPoolVetted(const PoolName &Pool) {
+  if (!m_InstancesKnown)
+    return false;
+  for (const auto &[Id, S] : m_Servers.all())
+    if (S.m_Registration.m_Pool == Pool && !S.m_Vetted)
+      return false;
+  for (const InstanceListing &L : m_Instances) {
+    if (L.m_Pool != Pool || L.m_Condition != InstanceCondition::Up ||
+        L.m_Server.empty())
+      continue;
+    ServerState *S = m_Servers.find(L.m_Server);
+    if (!S || !S->m_Vetted)
+      return false;
+  }
+  return true;
+}
+
+bool Scheduler::mayHaveUnknownRuns(const LiveJob &Job, TimePoint Now) {
+  if (Now >= m_UncertainUntil ||
+      Job.m_AcceptedVersion > m_Options.m_TermVersion)
+    return false;
+  PoolName Pool = poolOf(Job);
+  return !isPoolVetted(Pool) ||
+         (Pool != Job.m_Spec.m_Pool && !isPoolVetted(Job.m_Spec.m_Pool));
+}
+
+void Scheduler::placePool(const PoolName &Pool, TimePoint Now) {
+  std::vector<ServerState *> Servers;
+  for (auto &[Id, S] : m_Servers.all())
+    if (S.m_Registration.m_Pool == Pool && isUsable(S, Now))
+      Servers.push_back(&S);
+  if (Servers.empty())
+    return;
+  struct Candidate {
+    std::uint32_t m_Class;
+    TimePoint m_Objective;
+    LiveJob *m_Job;
+  };
+  std::vector<Candidate> Order;
+  for (auto &[Id, Job] : m_Jobs.all()) {
+    if (Job->m_Ready.empty() || isFinal(Job->m_State) || poolOf(*Job) != Pool)
+      continue;
+    if (mayHaveUnknownRuns(*Job, Now))
+      continue;
+    bool Lasting = Job->m_Spec.m_Steps[Job->m_Ready.front().m_Step].m_Lasting;
+    TimePoint Objective = objectiveOf(*Job);
+    // Lasting tasks first: they are few and owed all the time. Jobs that have
+    // missed their objective come after those that can still be on time.
+    std::uint32_t Class = Lasting ? 0 : Now < Objective ? 1 : 2;
+    Order.push_back({Class, Objective, Job.get()});
+  }
+  std::sort(Order.begin(), Order.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return std::tie(A.m_Class, A.m_Objective, A.m_Job->m_Spec.m_Id) <
+                     std::tie(B.m_Class, B.m_Objective, B.m_Job->m_Spec.m_Id);
+            });
+  for (const Candidate &C : Order)
+    placeTasks(*C.m_Job, Servers, Now);
+}
+
+bool Scheduler::placeTasks(LiveJob &Job, std::vector<ServerState *> &Servers,
+                           TimePoint Now) {
+  std::vector<ReadyTask> Left;
+  std::vector<ReadyTask> Tasks = std::move(Job.m_Ready);
+  Job.m_Ready.clear();
+  std::set<std::pair<std::uint32_t, std::uint32_t>> Skip;
+  bool Any = false;
+  for (const ReadyTask &R : Tasks) {
+    StepState *Step = Job.step(R.m_Occurrence, R.m_Step);
+    TaskState &T = Step->m_Tasks[R.m_Index];
+    if (!T.m_Ready)
+      continue;
+    if (Skip.count({R.m_Occurrence, R.m_Step}) || Now < T.m_NotBefore) {
+      Left.push_back(R);
+      continue;
+    }
+    if (Job.m_Spec.m_Steps[R.m_Step].m_Gang) {
+      Skip.insert({R.m_Occurrence, R.m_Step});
+      if (placeGang(Job, R, Servers, Now))
+        Any = true;
+      else
+        Left.push_back(R);
+      continue;
+    }
+    ServerState *S = choose(Job, R, Servers, Now);
+    if (!S) {
+      Skip.insert({R.m_Occurrence, R.m_Step});
+      Left.push_back(R);
+      continue;
+    }
+    start(Job, R, *S, nextRunNumber(T), Now);
+    Any = true;
+  }
+  for (const ReadyTask &R : Left)
+    if (Job.step(R.m_Occurrence, R.m_Step)->m_Tasks[R.m_Index].m_Ready)
+      Job.m_Ready.push_back(R);
+  return Any;
+}
+
+bool Scheduler::placeGang(LiveJob &Job, const ReadyTask &First,
+                          std::vector<ServerState *> &Servers, TimePoint Now) {
+  StepState &Step = *Job.step(First.m_Occurrence, First.m_Step);
+  std::uint32_t Number = 0;
+  for (const TaskState &T : Step.m_Tasks) {
+    // Every member of the last run has to be over.
+    if (!T.m_Done && (!T.m_Ready || Now < T.m_NotBefore))
+      return false;
+    Number = std::max(Number, nextRunNumber(T));
+  }
+  std::vector<std::pair<ReadyTask, ServerState *>> Plan;
+  bool Complete = true;
+  for (std::uint32_t I = 0; I < Step.m_Tasks.size() && Complete; ++I) {
+    ReadyTask R{First.m_Occurrence, First.m_Step, I};
+    ServerState *S = choose(Job, R, Servers, Now);
+    Complete = S != nullptr;
+    if (!Complete)
+      break;
+    Plan.emplace_back(R, S);
+    S->m_Used += Job.m_Spec.m_Steps[First.m_Step].m_Need;
+  }
+  for (auto &[R, S] : Plan)
+    S->m_Used -= Job.m_Spec.m_Steps[First.m_Step].m_Need;
+  if (!Complete)
+    return false;
+  for (auto &[R, S] : Plan)
+    start(Job, R, *S, Number, Now);
+  return true;
+}
+
+std::uint32_t Scheduler::runsOfStepOn(const LiveJob &Job, const ReadyTask &Task,
+                                      const ServerId &Server) const {
+  std::uint32_t Count = 0;
+  for (const TaskState &T :
+       Job.m_Occurrences.at(Task.m_Occurrence).m_Steps[Task.m_Step].m_Tasks)
+    for (const RunPlace &P : T.m_Runs)
+      Count += P.m_Server == Server;
+  return Count;
+}
+
+bool Scheduler::canTake(const ServerState &S, const LiveJob &Job,
+                        const ReadyTask &Task, const Resources &Need) const {
+  if (!Need.fitsIn(S.room()))
+    return false;
+  const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
+  const auto &Labels = S.m_Registration.m_Labels;
+  if (!Step.m_RequiredLabel.empty() &&
+      std::find(Labels.begin(), Labels.end(), Step.m_RequiredLabel) ==
+          Labels.end())
+    return false;
+  return Step.m_MaxPerServer == 0 ||
+         runsOfStepOn(Job, Task, S.m_Registration.m_Id) < Step.m_MaxPerServer;
+}
+
+ServerState *Scheduler::choose(LiveJob &Job, const ReadyTask &Task,
+                               std::vector<ServerState *> &Servers,
+                               TimePoint Now) {
+  const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
+  Resources Need = Step.m_Need;
+  if (Step.m_Fills)
+    Need.m_MilliCores = 0;
+  std::set<std::string> RacksInUse;
+  if (Step.m_SameRack)
+    for (const TaskState &T : Job.step(Task.m_Occurrence, Task.m_Step)->m_Tasks)
+      for (const RunPlace &P : T.m_Runs)
+        if (ServerState *S = m_Servers.find(P.m_Server))
+          RacksInUse.insert(S->m_Registration.m_Rack.m_Text);
+  ServerState *Best = nullptr;
+  std::tuple<int, std::uint32_t, std::int64_t> BestScore;
+  for (ServerState *S : Servers) {
+    if (!isUsable(*S, Now) || !canTake(*S, Job, Task, Need))
+      continue;
+    const std::string &Rack = S->m_Registration.m_Rack.m_Text;
+    int Far = (!Step.m_DataRack.empty() && Rack != Step.m_DataRack) ||
+              (!RacksInUse.empty() && !RacksInUse.count(Rack));
+    // Serving tasks are spread; everything else is packed, so that other
+    // servers stay empty for large tasks and for moves.
+    std::int64_t Room = S->room().m_MilliCores;
+    if (Step.m_Lasting)
+      Room = -Room;
+    std::tuple<int, std::uint32_t, std::int64_t> Score{Far, S->m_FailuresInRow,
+                                                       Room};
+    if (!Best || Score < BestScore) {
+      Best = S;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+void Scheduler::start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
+                      std::uint32_t RunNumber, TimePoint Now) {
+  TaskState &T = *Job.task(
+      {Job.m_Spec.m_Id, Task.m_Occurrence, Task.m_Step, Task.m_Index});
+  const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
+  StartOrder Order;
+  Order.m_Server = S.address();
+  Order.m_Run = {
+      {Job.m_Spec.m_Id, Task.m_Occurrence, Task.m_Step, Task.m_Index},
+      RunNumber};
+  Order.m_Text = Job.m_Spec.m_Text;
+  Order.m_Saved = T.m_Saved;
+  Order.m_Term = m_Options.m_Term;
+  Order.m_LeaseUntilMs =
+      S.clockAtLeast(Now) +
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_Options.m_Lease)
+          .count();
+  ServerBook::noteLease(S, Now, m_Options.m_Lease);
+  ActiveRun Run;
+  Run.m_Charge = Step.m_Need;
+  if (Step.m_Fills)
+    Run.m_Charge.m_MilliCores = 0;
+  Run.m_Lasting = Step.m_Lasting;
+  Run.m_Fills = Step.m_Fills;
+  Run.m_OrderedAt = Now;
+  ServerBook::addRun(S, Order.m_Run, Run);
+  T.m_Ready = false;
+  T.m_LastRun = RunNumber;
+  T.m_Runs.push_back({S.m_Registration.m_Id, RunNumber});
+  if (Job.m_State == JobState::Queued) {
+    Job.m_State = JobState::Running;
+    m_Jobs.touch(Job);
+  }
+  ++m_Counters.m_Starts;
+  m_Orders.start(Order);
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -0,0 +1,342 @@
+//===- SchedulerRuns.cpp - Starts, stops and ends of runs -----------------===//
+
+#include "base/Log.h"
+#include "scheduling/Scheduler.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+/// Pause before a lasting task that failed is started again, so that one that
+/// fails at once is no busy loop.
+constexpr Duration LastingRestartPause = std::chrono::milliseconds(100);
+/// Pause before a server that refused is tried again.
+constexpr Duration RefusalPause = std::chrono::milliseconds(700);
+/// Failed runs in a row after which a server is left alone for a while. Tasks
+/// fail by their own fault rarely (a few in a thousand), so three in a row are
+/// the server's.
+constexpr std::uint32_t FailuresToSuspend = 3;
+constexpr Duration SuspendFor = std::chrono::seconds(2);
+
+std::string runName(const RunId &Id) {
+  return Id.m_Task.m_Job.m_Text + "." + std::to_string(Id.m_Task.m_Occurrence) +
+         "." + std::to_string(Id.m_Task.m_Step) + "." +
+         std::to_string(Id.m_Task.m_Index) + "#" + std::to_string(Id.m_Number);
+}
+
+void forgetPlace(TaskState &T, const ServerId &Server, std::uint32_t Number) {
+  auto &Runs = T.m_Runs;
+  Runs.erase(std::remove_if(Runs.begin(), Runs.end(),
+                            [&](const RunPlace &P) {
+                              return P.m_Server == Server &&
+                                     P.m_Number == Number;
+                            }),
+             Runs.end());
+}
+
+} // namespace
+
+void Scheduler::onStartResult(const StartOrder &Order, OrderResult R,
+                              TimePoint Now) {
+  ServerState *S = m_Servers.find(Order.m_Server.m_Id);
+  if (!S)
+    return;
+  auto It = S->m_Runs.find(Order.m_Run);
+  if (R == OrderResult::Fenced)
+    m_Deposed = true;
+  if (It == S->m_Runs.end())
+    return;
+  ActiveRun &Run = It->second;
+  if (R == OrderResult::Done) {
+    if (Run.m_Phase == RunPhase::Starting)
+      Run.m_Phase = RunPhase::Running;
+    Run.m_ConfirmedAt = Now;
+    Run.m_PercentAt = Now;
+    S->m_NextLook = std::min(S->m_NextLook, Now);
+    return;
+  }
+  logEvent(Event::StartNotTaken, {{"run", runName(Order.m_Run)},
+                                  {"server", Order.m_Server.m_Id.m_Text},
+                                  {"result", std::string(orderResultName(R))}});
+  switch (R) {
+  case OrderResult::Unknown:
+    ++m_Counters.m_Doubtful;
+    // A run that is being stopped stays so: the stop also bars a late start.
+    if (Run.m_Phase == RunPhase::Starting)
+      Run.m_Phase = RunPhase::Doubtful;
+    S->m_Reachable = false;
+    S->m_NextLook = Now;
+    return;
+  case OrderResult::OtherLife:
+    releaseAllRuns(*S, "another server answers at its address", Now);
+    S->m_Registered = false;
+    S->m_UnregisteredAt = Now;
+    return;
+  case OrderResult::NoRoom:
+    ++m_Counters.m_NoRoom;
+    S->m_SuspendedUntil = Now + RefusalPause / 4;
+    break;
+  case OrderResult::NotSent:
+    S->m_Reachable = false;
+    S->m_NextLook = Now;
+    break;
+  case OrderResult::Late:
+    // Our view of its clock is off; the next look corrects it.
+    S->m_Vetted = false;
+    S->m_NextLook = Now;
+    break;
+  case OrderResult::Refusing:
+    S->m_SuspendedUntil = Now + RefusalPause;
+    break;
+  case OrderResult::Invalid:
+  case OrderResult::BadTicket:
+  case OrderResult::StaleRun:
+    S->m_SuspendedUntil = Now + RefusalPause / 4;
+    break;
+  case OrderResult::Done:
+  case OrderResult::Fenced:
+    break;
+  }
+  releaseRun(*S, Order.m_Run, Duration(0), Now);
+}
+
+void Scheduler::onStopResult(const StopOrder &Order, OrderResult R,
+                             TimePoint Now) {
+  if (R == OrderResult::Fenced)
+    m_Deposed = true;
+  ServerState *S = m_Servers.find(Order.m_Server.m_Id);
+  if (!S)
+    return;
+  auto It = S->m_Runs.find(Order.m_Run);
+  if (It == S->m_Runs.end())
+    return;
+  It->second.m_StopPending = false;
+  // An answered stop bars a start that is still on its way; whether the run is
+  // gone, the next look shows.
+  if (R == OrderResult::Done) {
+    It->second.m_ConfirmedAt = Now;
+    S->m_NextLook = std::min(S->m_NextLook, Now);
+  } else {
+    It->second.m_ConfirmedAt = TimePoint::max();
+    S->m_Reachable = S->m_Reachable && R != OrderResult::Unknown;
+  }
+}
+
+void Scheduler::orderStop(ServerState &S, const RunId &Id, TimePoint Now) {
+  auto It = S.m_Runs.find(Id);
+  if (It == S.m_Runs.end() || It->second.m_StopPending)
+    return;
+  It->second.m_Phase = RunPhase::Stopping;
+  It->second.m_StopPending = true;
+  It->second.m_OrderedAt = Now;
+  It->second.m_ConfirmedAt = TimePoint::max();
+  ++m_Counters.m_Stops;
+  m_Orders.stop({S.address(), Id, m_Options.m_Term});
+}
+
+void Scheduler::stopRuns(const LiveJob &Job, TimePoint Now) {
+  for (const auto &[Number, O] : Job.m_Occurrences)
+    for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N)
+      for (std::uint32_t I = 0; I < O.m_Steps[N].m_Tasks.size(); ++I)
+        for (const RunPlace &P : O.m_Steps[N].m_Tasks[I].m_Runs)
+          if (ServerState *S = m_Servers.find(P.m_Server))
+            orderStop(*S, {{Job.m_Spec.m_Id, Number, N, I}, P.m_Number}, Now);
+}
+
+void Scheduler::stopOtherRuns(const LiveJob &Job, const TaskId &Task,
+                              TimePoint Now) {
+  if (const TaskState *T = const_cast<LiveJob &>(Job).task(Task))
+    for (const RunPlace &P : T->m_Runs)
+      if (ServerState *S = m_Servers.find(P.m_Server))
+        orderStop(*S, {Task, P.m_Number}, Now);
+}
+
+void Scheduler::releaseRun(ServerState &S, const RunId &Id, Duration Pause,
+                           TimePoint Now) {
+  ServerBook::removeRun(S, Id);
+  LiveJob *Job = m_Jobs.find(Id.m_Task.m_Job);
+  TaskState *T = Job ? Job->task(Id.m_Task) : nullptr;
+  if (!T)
+    return;
+  forgetPlace(*T, S.m_Registration.m_Id, Id.m_Number);
+  T->m_AwaySince = Now;
+  if (!isFinal(Job->m_State))
+    m_Jobs.requeue(*Job, Id.m_Task, Now + Pause);
+}
+
+void Scheduler::releaseAllRuns(ServerState &S, const char *Why, TimePoint Now) {
+  if (!S.m_Runs.empty())
+    logEvent(Event::RunsLost, {{"server", S.m_Registration.m_Id.m_Text},
+                               {"runs", std::to_string(S.m_Runs.size())},
+                               {"why", Why}});
+  while (!S.m_Runs.empty()) {
+    RunId Id = S.m_Runs.begin()->first;
+    releaseRun(S, Id, Duration(0), Now);
+  }
+}
+
+void Scheduler::startNewLife(ServerState &S, std::int64_t BornMs,
+                             TimePoint Now) {
+  releaseAllRuns(S, "the server has started anew", Now);
+  S.m_Registration.m_BornMs = BornMs;
+  S.m_Vetted = false;
+  S.m_ClockKnown = false;
+  S.m_EndsSeen = S.m_EndsRecorded = S.m_EndsAcknowledged = 0;
+  S.m_Unrecorded.clear();
+  S.m_FailuresInRow = 0;
+  S.m_NextLook = Now;
+}
+
+void Scheduler::countServerFailure(ServerState &S, bool Failed, TimePoint Now) {
+  if (!Failed) {
+    S.m_FailuresInRow = 0;
+    return;
+  }
+  if (++S.m_FailuresInRow < FailuresToSuspend)
+    return;
+  S.m_SuspendedUntil = Now + SuspendFor;
+  logEvent(Event::BackendSuspended,
+           {{"server", S.m_Registration.m_Id.m_Text},
+            {"failures_in_row", std::to_string(S.m_FailuresInRow)}});
+}
+
+void Scheduler::endRun(ServerState &S, const EndReport &End, TimePoint Now) {
+  S.m_EndsSeen = End.m_Number;
+  LiveJob *Job = m_Jobs.find(End.m_Run.m_Task.m_Job);
+  TaskState *T = Job ? Job->task(End.m_Run.m_Task) : nullptr;
+  ServerBook::removeRun(S, End.m_Run);
+  std::uint64_t Change = 0;
+  if (T && !isFinal(Job->m_State)) {
+    const TaskId &Task = End.m_Run.m_Task;
+    const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
+    forgetPlace(*T, S.m_Registration.m_Id, End.m_Run.m_Number);
+    T->m_LastRun = std::max(T->m_LastRun, End.m_Run.m_Number);
+    T->m_AwaySince = Now;
+    if (!End.m_Saved.empty())
+      T->m_Saved = End.m_Saved;
+    Duration Pause{0};
+    if (End.m_Kind == EndKind::Done && !Step.m_Lasting) {
+      if (Step.m_Gang) {
+        for (std::uint32_t I = 0; I < Step.m_Count; ++I)
+          m_Jobs.markDone(*Job, {Task.m_Job, Task.m_Occurrence, Task.m_Step, I},
+                          Now);
+      } else if (m_Jobs.markDone(*Job, Task, Now)) {
+        stopOtherRuns(*Job, Task, Now);
+      }
+      Change = ++m_LastChange;
+    } else if (End.m_Kind == EndKind::Failed && !Step.m_Lasting) {
+      if (m_Jobs.markFailed(*Job, Task, End.m_Run.m_Number))
+        Change = ++m_LastChange;
+      if (Job->m_State == JobState::Failed)
+        stopRuns(*Job, Now);
+    } else if (Step.m_Lasting) {
+      Pause = LastingRestartPause;
+    }
+    if (!isFinal(Job->m_State))
+      m_Jobs.requeue(*Job, Task, Now + Pause);
+    if (!Step.m_Lasting)
+      countServerFailure(S, End.m_Kind == EndKind::Failed, Now);
+  }
+  // An end that changes nothing needs no record, but ends are acknowledged in
+  // their order.
+  if (Change == 0 && S.m_Unrecorded.empty())
+    S.m_EndsRecorded = End.m_Number;
+  else
+    S.m_Unrecorded.emplace_back(End.m_Number,
+                                Change ? Change : S.m_Unrecorded.back().second);
+}
+
+void Scheduler::checkListed(ServerState &S, const LookOrder &,
+                            const LookReply &Reply, TimePoint Now) {
+  std::set<RunId> Listed;
+  for (const RunReport &Report : Reply.m_Running) {
+    Listed.insert(Report.m_Run);
+    auto It = S.m_Runs.find(Report.m_Run);
+    if (It == S.m_Runs.end()) {
+      adoptOrStop(S, Report, Now);
+      continue;
+    }
+    ActiveRun &Run = It->second;
+    if (Run.m_Phase == RunPhase::Doubtful) {
+      Run.m_Phase = RunPhase::Running;
+      Run.m_ConfirmedAt = S.m_LookSentAt;
+    }
+    if (Run.m_Percent != Report.m_Percent)
+      Run.m_PercentAt = Now;
+    Run.m_Percent = Report.m_Percent;
+    Run.m_Measure = Report.m_Measure;
+    if (!Report.m_Saved.empty() && Report.m_Saved != Run.m_Saved) {
+      Run.m_Saved = Report.m_Saved;
+      if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
+        if (TaskState *T = Job->task(Report.m_Run.m_Task))
+          T->m_Saved = Report.m_Saved;
+    }
+    if (Run.m_Phase == RunPhase::Stopping && !Run.m_StopPending &&
+        Run.m_ConfirmedAt == TimePoint::max())
+      orderStop(S, Report.m_Run, Now);
+  }
+  std::vector<RunId> Gone, Unsure;
+  for (const auto &[Id, Run] : S.m_Runs) {
+    if (Listed.count(Id))
+      continue;
+    if (Run.m_ConfirmedAt < S.m_LookSentAt)
+      Gone.push_back(Id);
+    else if ((Run.m_Phase == RunPhase::Doubtful ||
+              Run.m_Phase == RunPhase::Stopping) &&
+             !Run.m_StopPending && Run.m_ConfirmedAt == TimePoint::max())
+      Unsure.push_back(Id);
+  }
+  for (const RunId &Id : Gone)
+    releaseRun(S, Id, Duration(0), Now);
+  for (const RunId &Id : Unsure)
+    orderStop(S, Id, Now);
+}
+
+void Scheduler::adoptOrStop(ServerState &S, const RunReport &Report,
+                            TimePoint Now) {
+  const TaskId &Task = Report.m_Run.m_Task;
+  LiveJob *Job = m_Jobs.find(Task.m_Job);
+  TaskState *T = Job ? Job->task(Task) : nullptr;
+  ActiveRun Run;
+  Run.m_Phase = RunPhase::Running;
+  Run.m_ConfirmedAt = S.m_LookSentAt;
+  Run.m_Percent = Report.m_Percent;
+  Run.m_PercentAt = Now;
+  bool Wanted = T && !T->m_Done && !isFinal(Job->m_State) && T->m_Runs.empty();
+  if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
+    const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
+    Run.m_Charge = Step.m_Need;
+    if (Step.m_Fills)
+      Run.m_Charge.m_MilliCores = 0;
+    Run.m_Lasting = Step.m_Lasting;
+    Run.m_Fills = Step.m_Fills;
+  }
+  ServerBook::addRun(S, Report.m_Run, Run);
+  if (!Wanted) {
+    if (T)
+      T->m_Runs.push_back({S.m_Registration.m_Id, Report.m_Run.m_Number});
+    orderStop(S, Report.m_Run, Now);
+    return;
+  }
+  ++m_Counters.m_Adopted;
+  T->m_Runs.push_back({S.m_Registration.m_Id, Report.m_Run.m_Number});
+  T->m_LastRun = std::max(T->m_LastRun, Report.m_Run.m_Number);
+  if (T->m_Ready) {
+    T->m_Ready = false;
+    auto &R = Job->m_Ready;
+    R.erase(std::remove_if(R.begin(), R.end(),
+                           [&](const ReadyTask &A) {
+                             return A.m_Occurrence == Task.m_Occurrence &&
+                                    A.m_Step == Task.m_Step &&
+                                    A.m_Index == Task.m_Index;
+                           }),
+            R.end());
+  }
+  if (Job->m_State == JobState::Queued) {
+    Job->m_State = JobState::Running;
+    m_Jobs.touch(*Job);
+  }
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/scheduling/ServerBook.cpp
@@ -0,0 +1,55 @@
+//===- ServerBook.cpp - Backend servers and what runs on them -------------===//
+
+#include "scheduling/ServerBook.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+/// Added to the end of a lease for rounding to whole milliseconds and for the
+/// time that a server takes to end what it runs.
+constexpr Duration LeaseSlack = std::chrono::milliseconds(100);
+
+} // namespace
+
+std::int64_t ServerState::clockAtLeast(TimePoint Now) const {
+  auto Since =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now - m_ClockAt);
+  return m_ClockMs +
+         static_cast<std::int64_t>(static_cast<double>(Since.count()) *
+                                   SlowestServerClock);
+}
+
+ServerState *ServerBook::find(const ServerId &Id) {
+  auto It = m_Servers.find(Id);
+  return It == m_Servers.end() ? nullptr : &It->second;
+}
+
+ServerState &ServerBook::upsert(const ServerRegistration &R) {
+  ServerState &S = m_Servers[R.m_Id];
+  S.m_Registration = R;
+  S.m_Registered = true;
+  return S;
+}
+
+void ServerBook::noteLease(ServerState &S, TimePoint Now, Duration Length) {
+  auto Longest =
+      std::chrono::duration_cast<Duration>(Length / SlowestServerClock);
+  S.m_LeasesEnd = std::max(S.m_LeasesEnd, Now + Longest + LeaseSlack);
+}
+
+ActiveRun &ServerBook::addRun(ServerState &S, const RunId &Id, ActiveRun Run) {
+  S.m_Used += Run.m_Charge;
+  return S.m_Runs[Id] = std::move(Run);
+}
+
+void ServerBook::removeRun(ServerState &S, const RunId &Id) {
+  auto It = S.m_Runs.find(Id);
+  if (It == S.m_Runs.end())
+    return;
+  S.m_Used -= It->second.m_Charge;
+  S.m_Runs.erase(It);
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/scheduling/ServerBook.h
@@ -0,0 +1,113 @@
+//===- ServerBook.h - Backend servers and what runs on them -----*- C++ -*-===//
+
+#ifndef POLLENSPOOL_SCHEDULING_SERVERBOOK_H
+#define POLLENSPOOL_SCHEDULING_SERVERBOOK_H
+
+#include "scheduling/Messages.h"
+#include <deque>
+#include <map>
+
+namespace pollenspool {
+
+enum class RunPhase : std::uint8_t {
+  /// Ordered, not yet answered.
+  Starting,
+  Running,
+  /// The order was not answered; it may be carried out now or later.
+  Doubtful,
+  /// Ordered to stop.
+  Stopping,
+};
+
+/// A run that a server has, may have or may yet get.
+struct ActiveRun {
+  RunPhase m_Phase = RunPhase::Starting;
+  /// What it takes of the server's room.
+  Resources m_Charge;
+  bool m_Lasting = false;
+  bool m_Fills = false;
+  TimePoint m_OrderedAt{};
+  /// When the server's answer to the last order arrived; a look sent later has
+  /// to show the run.
+  TimePoint m_ConfirmedAt = TimePoint::max();
+  bool m_StopPending = false;
+  int m_Percent = 0;
+  TimePoint m_PercentAt{};
+  std::string m_Saved;
+  double m_Measure = 0;
+  std::uint32_t m_Pace = 100;
+};
+
+/// One life of a backend server, as this term knows it.
+struct ServerState {
+  ServerRegistration m_Registration;
+  bool m_Registered = true;
+  TimePoint m_UnregisteredAt{};
+  /// It has answered this term, so it refuses orders of earlier ones.
+  bool m_Vetted = false;
+  bool m_Reachable = true;
+  std::uint32_t m_FailedLooks = 0;
+
+  bool m_ClockKnown = false;
+  std::int64_t m_ClockMs = 0;
+  TimePoint m_ClockAt{};
+  /// By then every lease that was granted has run out.
+  TimePoint m_LeasesEnd{};
+
+  bool m_LookPending = false;
+  TimePoint m_LookSentAt{};
+  TimePoint m_NextLook{};
+  /// Whether anything makes a next look necessary.
+  bool m_WantsLook = true;
+
+  std::uint64_t m_EndsSeen = 0;
+  /// Ends that are not yet recorded, with the change that records them.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> m_Unrecorded;
+  std::uint64_t m_EndsRecorded = 0;
+  std::uint64_t m_EndsAcknowledged = 0;
+
+  Resources m_Used;
+  std::map<RunId, ActiveRun> m_Runs;
+
+  /// Failed runs since the last that was done.
+  std::uint32_t m_FailuresInRow = 0;
+  TimePoint m_SuspendedUntil{};
+  /// About to be moved or taken down for upkeep: nothing new is started.
+  bool m_Reserved = false;
+
+  ServerAddress address() const {
+    return {m_Registration.m_Id, m_Registration.m_Address};
+  }
+  Resources room() const {
+    Resources R = m_Registration.m_Capacity;
+    R -= m_Used;
+    return R;
+  }
+  /// The server's clock, at the least, at \p Now.
+  std::int64_t clockAtLeast(TimePoint Now) const;
+};
+
+/// Slowest rate of a backend server's clock against ours (2% slow, by the
+/// platform's promise).
+constexpr double SlowestServerClock = 0.98;
+
+/// The servers of this term, by ID. One thread.
+class ServerBook {
+public:
+  ServerState *find(const ServerId &Id);
+  std::map<ServerId, ServerState> &all() { return m_Servers; }
+  ServerState &upsert(const ServerRegistration &R);
+  void erase(const ServerId &Id) { m_Servers.erase(Id); }
+
+  /// Notes that \p S was promised a lease of \p Length from \p Now on.
+  static void noteLease(ServerState &S, TimePoint Now, Duration Length);
+  static ActiveRun &addRun(ServerState &S, const RunId &Id, ActiveRun Run);
+  static void removeRun(ServerState &S, const RunId &Id);
+
+private:
+  std::map<ServerId, ServerState> m_Servers;
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_SCHEDULING_SERVERBOOK_H
--- /dev/null
+++ b/src/store/TableMirror.cpp
@@ -0,0 +1,134 @@
+//===- TableMirror.cpp - A table followed by its change feed --------------===//
+
+#include "store/TableMirror.h"
+
+namespace pollenspool {
+
+namespace {
+
+/// Rows asked for in one call: the store's own limit.
+constexpr std::size_t PageRows = 500;
+/// A reading is answered in about 4 ms; a store that is 60 times slower still
+/// answers within this.
+constexpr Duration ReadTimeout = std::chrono::milliseconds(800);
+/// Pause after a failed call: short against the bound on configuration (2 s),
+/// and few enough calls during an outage (they are priced).
+constexpr Duration RetryPause = std::chrono::milliseconds(150);
+
+} // namespace
+
+TableMirror::TableMirror(EventLoop &Loop, MetadataStore &Store,
+                         std::string Table, Duration Wait, Listener Notify)
+    : m_Loop(Loop), m_Store(Store), m_Table(std::move(Table)), m_Wait(Wait),
+      m_Notify(std::move(Notify)) {}
+
+std::shared_ptr<TableMirror>
+TableMirror::create(EventLoop &Loop, MetadataStore &Store, std::string Table,
+                    Duration Wait, Listener Notify) {
+  return std::shared_ptr<TableMirror>(
+      new TableMirror(Loop, Store, std::move(Table), Wait, std::move(Notify)));
+}
+
+void TableMirror::start() { readPage({}); }
+
+void TableMirror::readPage(const std::string &From) {
+  if (From.empty()) {
+    m_Reading.clear();
+    m_ReadingFrom = 0;
+  }
+  m_Store.read(
+      m_Table, From, PageRows, ReadTimeout,
+      [Self = shared_from_this(), Asked = m_Loop.now()](Result<RowPage> Page) {
+        Self->onPage(std::move(Page), Asked);
+      });
+}
+
+void TableMirror::onPage(Result<RowPage> Page, TimePoint Asked) {
+  if (m_Stopped)
+    return;
+  if (!Page)
+    return onFailure(Page.error());
+  // Changes between two pages come again with the feed.
+  if (m_ReadingFrom == 0)
+    m_ReadingFrom = Page.value().m_Version;
+  for (const StoredRow &Row : Page.value().m_Rows) {
+    m_Reading[Row.m_At.m_Key] = Row.m_Version;
+    apply(Row);
+  }
+  if (Page.value().m_HasMore && !Page.value().m_Rows.empty())
+    return readPage(Page.value().m_Rows.back().m_At.m_Key + '\0');
+  dropUnseen();
+  m_After = m_ReadingFrom;
+  m_Synced = true;
+  noteAnswer(Asked);
+  followOnce();
+}
+
+void TableMirror::dropUnseen() {
+  std::vector<std::string> Gone;
+  for (const auto &[Key, Version] : m_Versions)
+    if (!m_Reading.count(Key))
+      Gone.push_back(Key);
+  for (const std::string &Key : Gone)
+    apply({{m_Table, Key}, {}, m_ReadingFrom, true});
+}
+
+void TableMirror::followOnce() {
+  if (m_Stopped)
+    return;
+  m_Store.follow(m_Table, m_After, m_Wait,
+                 [Self = shared_from_this(),
+                  Asked = m_Loop.now()](Result<RowPage> Changes) {
+                   Self->onChanges(std::move(Changes), Asked);
+                 });
+}
+
+void TableMirror::onChanges(Result<RowPage> Changes, TimePoint Asked) {
+  if (m_Stopped)
+    return;
+  if (!Changes) {
+    if (Changes.error().m_Code == ErrorCode::NotFound)
+      return readPage({});
+    return onFailure(Changes.error());
+  }
+  for (const StoredRow &Row : Changes.value().m_Rows)
+    apply(Row);
+  m_After = std::max(m_After, Changes.value().m_Version);
+  noteAnswer(Asked);
+  followOnce();
+}
+
+void TableMirror::apply(const StoredRow &Row) {
+  RowVersion &Known = m_Versions[Row.m_At.m_Key];
+  if (Row.m_Version <= Known && !(Row.m_Removed && Row.m_Version == Known))
+    return;
+  Known = Row.m_Version;
+  if (Row.m_Removed)
+    m_Versions.erase(Row.m_At.m_Key);
+  m_Notify.m_OnRow(Row);
+}
+
+void TableMirror::noteAnswer(TimePoint Asked) {
+  m_AnsweredAt = Asked;
+  if (m_Failing)
+    m_AnsweringSince = m_Loop.now();
+  m_Failing = false;
+  if (m_Notify.m_OnAnswer)
+    m_Notify.m_OnAnswer();
+}
+
+void TableMirror::onFailure(const Error &Why) {
+  m_Failing = true;
+  if (m_Notify.m_OnFailure)
+    m_Notify.m_OnFailure(Why);
+  m_Loop.after(RetryPause, [Self = shared_from_this()] {
+    if (Self->m_Stopped)
+      return;
+    if (Self->m_Synced)
+      Self->followOnce();
+    else
+      Self->readPage({});
+  });
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/store/TableMirror.h
@@ -0,0 +1,74 @@
+//===- TableMirror.h - A table followed by its change feed ------*- C++ -*-===//
+
+#ifndef POLLENSPOOL_STORE_TABLEMIRROR_H
+#define POLLENSPOOL_STORE_TABLEMIRROR_H
+
+#include "net/EventLoop.h"
+#include "store/MetadataStore.h"
+#include <map>
+#include <memory>
+
+namespace pollenspool {
+
+/// Reads a table once, then follows its feed, and starts over when the feed's
+/// history is gone. Rows are reported in the order of their versions, each
+/// version once; a row that vanished between two readings is reported as
+/// removed. One thread: the event loop's.
+class TableMirror : public std::enable_shared_from_this<TableMirror> {
+public:
+  struct Listener {
+    std::function<void(const StoredRow &)> m_OnRow;
+    /// After each answer of the store, once all its rows have been reported.
+    std::function<void()> m_OnAnswer;
+    /// After each failed call.
+    std::function<void(const Error &)> m_OnFailure;
+  };
+
+  /// \p Loop and \p Store must outlive the mirror. \p Wait is how long one call
+  /// of the feed may wait for a change.
+  static std::shared_ptr<TableMirror> create(EventLoop &Loop,
+                                             MetadataStore &Store,
+                                             std::string Table, Duration Wait,
+                                             Listener Notify);
+  void start();
+  /// No more calls are made and nothing more is reported.
+  void stop() { m_Stopped = true; }
+
+  bool isSynced() const { return m_Synced; }
+  /// When the store was asked for the newest answer.
+  TimePoint answeredAt() const { return m_AnsweredAt; }
+  /// When the feed began to answer without a failure in between.
+  TimePoint answeringSince() const { return m_AnsweringSince; }
+
+private:
+  TableMirror(EventLoop &Loop, MetadataStore &Store, std::string Table,
+              Duration Wait, Listener Notify);
+  void readPage(const std::string &From);
+  void onPage(Result<RowPage> Page, TimePoint Asked);
+  void followOnce();
+  void onChanges(Result<RowPage> Changes, TimePoint Asked);
+  void apply(const StoredRow &Row);
+  void dropUnseen();
+  void onFailure(const Error &Why);
+  void noteAnswer(TimePoint Asked);
+
+  EventLoop &m_Loop;
+  MetadataStore &m_Store;
+  std::string m_Table;
+  Duration m_Wait;
+  Listener m_Notify;
+  std::map<std::string, RowVersion> m_Versions;
+  /// Versions of the reading under way; what it lacks has been removed.
+  std::map<std::string, RowVersion> m_Reading;
+  RowVersion m_After = 0;
+  RowVersion m_ReadingFrom = 0;
+  bool m_Synced = false;
+  bool m_Stopped = false;
+  bool m_Failing = true;
+  TimePoint m_AnsweredAt{};
+  TimePoint m_AnsweringSince{};
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_STORE_TABLEMIRROR_H
