Move instances by demand and carry out maintenance waves

New decision core FleetPlanner: pools follow held demand, the spare pool takes and gives; a wave empties instances first and keeps lasting tasks available. Progress of waves is recorded.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -16,6 +16,8 @@
 constexpr Duration FeedWait = std::chrono::milliseconds(1000);
 /// Between two readings of the instance list.
 constexpr Duration ListEvery = std::chrono::milliseconds(1000);
+/// Added to the gap between two leaders' orders for one instance.
+constexpr Duration OrderGapSlack = std::chrono::milliseconds(300);
 /// Events that arrive together are acted on together.
 constexpr Duration TickDelay = std::chrono::milliseconds(2);
 /// Last states are removed this long after callers may no longer ask.
@@ -36,6 +38,13 @@
   Options.m_FarFactor = Settings.m_FarFactor;
   m_Core = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
   m_Writer = ProgressWriter::create(*m_Core, Lead.termCondition());
+  FleetPlannerOptions Fleet;
+  Fleet.m_MoveTime = Settings.m_MoveTime;
+  Fleet.m_UpkeepTime = Settings.m_UpkeepTime;
+  if (Lead.term() > 1)
+    Fleet.m_NotBefore =
+        Loop.now() + Settings.m_InstanceOrderGap + OrderGapSlack;
+  m_Planner = FleetPlanner::create(Fleet, *m_Core);
 }
 
 std::shared_ptr<Leader> Leader::create(EventLoop &Loop, EntryPorts Ports,
@@ -47,6 +56,7 @@
 void Leader::start() {
   m_Ports.m_Backend.sendResultsTo(this);
   readStates({});
+  readWaves();
   listInstances();
   FleetNews News;
   News.m_OnServer = [this](const ServerRegistration &R) {
@@ -150,9 +160,11 @@
           return;
         Self->m_ListPending = false;
         Self->m_NextList = Self->m_Loop.now() + ListEvery;
-        if (List)
-          Self->m_Core->onInstances(std::move(List.value()), Asked,
-                                    Self->m_Loop.now());
+        if (!List)
+          return;
+        Self->m_Core->onInstances(std::move(List.value()), Asked,
+                                  Self->m_Loop.now());
+        Self->m_Planner->onInstances(Asked);
       });
 }
 
@@ -161,8 +173,6 @@
   tickSoon();
 }
 
-void Leader::onWave(const WaveRequest &) {}
-
 void Leader::tickSoon() {
   if (m_Ticking)
     return;
@@ -186,7 +196,9 @@
     m_Core->tick(Now, wallNow(), m_Lead.isValid(Now));
   if (!m_ListPending && Now >= m_NextList)
     listInstances();
+  orderInstances();
   record();
+  recordWaves();
   removeOldStates();
 }
 
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -5,6 +5,7 @@
 
 #include "entry/EntryPorts.h"
 #include "entry/EntrySettings.h"
+#include "instances/FleetPlanner.h"
 #include "lead/Leadership.h"
 #include "net/EventLoop.h"
 #include "scheduling/ProgressWriter.h"
@@ -51,6 +52,11 @@
   void record();
   void tickSoon();
   void removeOldStates();
+  void orderInstances();
+  void giveOrder(const InstanceOrder &Order);
+  void readWaves();
+  void takeWave(const WaveRequest &Wave);
+  void recordWaves();
 
   EventLoop &m_Loop;
   EntryPorts m_Ports;
@@ -58,6 +64,13 @@
   Leadership &m_Lead;
   std::unique_ptr<Scheduler> m_Core;
   std::unique_ptr<ProgressWriter> m_Writer;
+  std::unique_ptr<FleetPlanner> m_Planner;
+  /// Progress of waves as earlier leaders recorded it.
+  std::map<WaveId, WaveProgress> m_RecordedWaves;
+  std::vector<WaveRequest> m_WavesToTake;
+  bool m_WavesRead = false;
+  bool m_WavesPending = false;
+  TimePoint m_NextPlan{};
   std::shared_ptr<TableMirror> m_Jobs;
   /// State rows as read at the start, for the live jobs among them.
   std::map<std::string, StoredRow> m_States;
--- /dev/null
+++ b/src/instances/FleetPlanner.h
@@ -0,0 +1,135 @@
+//===- FleetPlanner.h - Which instance goes where, and when -----*- C++ -*-===//
+//
+// Sizes the pools by their demand and carries maintenance waves out. A decision
+// core: it reads the scheduler's books and gives orders.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef POLLENSPOOL_INSTANCES_FLEETPLANNER_H
+#define POLLENSPOOL_INSTANCES_FLEETPLANNER_H
+
+#include "instances/InstanceControl.h"
+#include "scheduling/Scheduler.h"
+
+namespace pollenspool {
+
+struct FleetPlannerOptions {
+  Duration m_MoveTime = std::chrono::milliseconds(1500);
+  Duration m_UpkeepTime = std::chrono::seconds(2);
+  /// No order before: an earlier leader's orders may be this recent.
+  TimePoint m_NotBefore{};
+};
+
+/// An order for one instance: to another pool, or for a wave's upkeep.
+struct InstanceOrder {
+  InstanceId m_Instance;
+  /// Empty: an upkeep.
+  PoolName m_To;
+  WaveId m_Wave;
+
+  bool isMove() const { return !m_To.empty(); }
+};
+
+/// What must survive a change of leader about a wave.
+struct WaveProgress {
+  /// Wall time at which a leader first saw the wave.
+  std::chrono::milliseconds m_SeenAt{0};
+  std::set<InstanceId> m_Done;
+  bool m_Complete = false;
+};
+
+/// One thread.
+class FleetPlanner {
+public:
+  /// \p Core must outlive the planner.
+  static std::unique_ptr<FleetPlanner>
+  create(const FleetPlannerOptions &Options, Scheduler &Core);
+
+  /// A wave is asked for; \p Progress is what earlier leaders recorded.
+  void onWave(const WaveRequest &Wave, const WaveProgress &Progress);
+  bool knows(const WaveId &Id) const { return m_Waves.count(Id) != 0; }
+  /// A new list was given to the scheduler; it was asked for at \p Asked.
+  void onInstances(TimePoint Asked);
+  /// The orders that are due now.
+  std::vector<InstanceOrder> plan(TimePoint Now,
+                                  std::chrono::milliseconds Wall);
+  void onOrderResult(const InstanceOrder &Order, InstanceOrderResult R,
+                     TimePoint Now);
+  /// Waves whose progress is not recorded yet.
+  std::vector<WaveId> takeChangedWaves();
+  /// Progress could not be recorded; it is given again.
+  void markChanged(const WaveId &Id) { m_Changed.insert(Id); }
+  const WaveProgress &progress(const WaveId &Id) const;
+
+private:
+  struct WaveState {
+    WaveRequest m_Request;
+    WaveProgress m_Progress;
+  };
+  /// An instance as far as orders go.
+  struct Instance {
+    bool m_Pending = false;
+    /// The last answered order; the list is believed again once it is newer.
+    TimePoint m_OrderedAt{};
+    bool m_Ordered = false;
+    PoolName m_ExpectedPool;
+    TimePoint m_BackAt{};
+    /// Being emptied for a wave since.
+    std::optional<TimePoint> m_EmptyingSince;
+    WaveId m_Wave;
+    TimePoint m_RetryAt{};
+  };
+  /// A pool as one planning pass sees it.
+  struct PoolView {
+    std::vector<const InstanceListing *> m_Instances;
+    std::int64_t m_Wanted = 0;
+    bool m_Spare = false;
+
+    std::int64_t surplus() const {
+      return static_cast<std::int64_t>(m_Instances.size()) - m_Wanted;
+    }
+  };
+  using Pools = std::map<PoolName, PoolView>;
+
+  FleetPlanner(const FleetPlannerOptions &Options, Scheduler &Core)
+      : m_Options(Options), m_Core(Core) {}
+
+  // Sizes of pools (FleetPlanner.cpp).
+  Pools survey(TimePoint Now);
+  void estimateWanted(Pools &All, TimePoint Now);
+  void planMoves(Pools &All, TimePoint Now, std::vector<InstanceOrder> &Out);
+  const InstanceListing *takeFree(PoolView &From, bool OnlyEmpty);
+  std::uint32_t spreadOf(const PoolName &Pool);
+
+  // Waves (WavePlanning.cpp).
+  void planWaves(Pools &All, TimePoint Now, std::chrono::milliseconds Wall,
+                 std::vector<InstanceOrder> &Out);
+  void planWave(WaveState &W, Pools &All, TimePoint Now,
+                std::chrono::milliseconds Wall,
+                std::vector<InstanceOrder> &Out);
+  bool isDown(const InstanceId &Id, TimePoint Now) const;
+  bool emptyForUpkeep(const InstanceListing &L, bool Pressed, TimePoint Now);
+  bool mayEndLastingTasks(const ServerState &S);
+  bool isAtWork(const RunPlace &Place, const TaskId &Task);
+  void stopEmptying(const InstanceId &Id);
+  void finishWave(WaveState &W);
+
+  const InstanceListing *listing(const InstanceId &Id) const;
+  ServerState *serverOf(const InstanceListing &L);
+  bool mayOrder(const InstanceListing &L, TimePoint Now) const;
+  void noteOrdered(const InstanceOrder &Order);
+
+  FleetPlannerOptions m_Options;
+  Scheduler &m_Core;
+  std::map<InstanceId, Instance> m_State;
+  std::map<WaveId, WaveState> m_Waves;
+  std::set<WaveId> m_Changed;
+  TimePoint m_ListAsked{};
+  /// Demand of each pool in thousandths of a core, held at its recent peak.
+  std::map<PoolName, double> m_HeldDemand;
+  TimePoint m_HeldAt{};
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_INSTANCES_FLEETPLANNER_H
--- /dev/null
+++ b/src/instances/WaveRows.cpp
@@ -0,0 +1,35 @@
+//===- WaveRows.cpp - How the progress of waves lies in the store ---------===//
+
+#include "instances/WaveRows.h"
+#include <nlohmann/json.hpp>
+
+namespace pollenspool {
+
+using Json = nlohmann::json;
+
+std::string encodeWaveProgress(const WaveProgress &Progress) {
+  Json Done = Json::array();
+  for (const InstanceId &Id : Progress.m_Done)
+    Done.push_back(Id.m_Text);
+  return Json{{"seen", Progress.m_SeenAt.count()},
+              {"done", Done},
+              {"complete", Progress.m_Complete}}
+      .dump();
+}
+
+Result<WaveProgress> decodeWaveProgress(const std::string &Text) {
+  try {
+    Json J = Json::parse(Text);
+    WaveProgress P;
+    P.m_SeenAt = std::chrono::milliseconds(J.at("seen").get<std::int64_t>());
+    for (const Json &Id : J.at("done"))
+      P.m_Done.insert(InstanceId(Id));
+    P.m_Complete = J.at("complete");
+    return P;
+  } catch (const Json::exception &Bad) {
+    return makeError(ErrorCode::InvalidMessage, "decode wave progress", {},
+                     Bad.what());
+  }
+}
+
+} // namespace pollenspool
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -98,6 +98,16 @@
   S->m_UnregisteredAt = Now;
 }
 
+void Scheduler::onServerEnded(const ServerId &Id, TimePoint Now) {
+  ServerState *S = m_Servers.find(Id);
+  if (!S)
+    return;
+  releaseAllRuns(*S, "its instance was moved or taken down", Now);
+  S->m_Registered = false;
+  S->m_UnregisteredAt = Now - RegistrationGrace;
+  S->m_LeasesEnd = Now;
+}
+
 void Scheduler::onInstances(std::vector<InstanceListing> List, TimePoint Asked,
                             TimePoint Now) {
   m_Instances = std::move(List);
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -73,6 +73,8 @@
   void onJobOver(const JobId &Id, TimePoint Now);
   void onServer(const ServerRegistration &R, TimePoint Now);
   void onServerGone(const ServerId &Id, TimePoint Now);
+  /// The server's instance was moved or taken down: nothing runs there.
+  void onServerEnded(const ServerId &Id, TimePoint Now);
   /// The platform's list, asked for at \p Asked.
   void onInstances(std::vector<InstanceListing> List, TimePoint Asked,
                    TimePoint Now);
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -11,6 +11,9 @@
 /// Run numbers of one task in one term; the next term's numbers start above
 /// them, so that a run of an earlier leader is never numbered again.
 constexpr std::uint32_t RunsPerTerm = 1000;
+/// Weight of a lasting run in thousandths of a core when servers are compared:
+/// more than any server has.
+constexpr std::int64_t LastingBonus = 1000000;
 /// Registration that lapsed with the store counts for this long.
 constexpr Duration RegistrationGrace = std::chrono::seconds(2);
 
@@ -202,11 +205,13 @@
     const std::string &Rack = S->m_Registration.m_Rack.m_Text;
     int Far = (!Step.m_DataRack.empty() && Rack != Step.m_DataRack) ||
               (!RacksInUse.empty() && !RacksInUse.count(Rack));
-    // Serving tasks are spread; everything else is packed, so that other
-    // servers stay empty for large tasks and for moves.
+    // Tasks are packed, lasting ones first of all beside other lasting ones,
+    // so that other servers stay empty for large tasks and for moves.
     std::int64_t Room = S->room().m_MilliCores;
     if (Step.m_Lasting)
-      Room = -Room;
+      Room -= LastingBonus *
+              std::count_if(S->m_Runs.begin(), S->m_Runs.end(),
+                            [](const auto &E) { return E.second.m_Lasting; });
     std::tuple<int, std::uint32_t, std::int64_t> Score{Far, S->m_FailuresInRow,
                                                        Room};
     if (!Best || Score < BestScore) {
