Never start an adopted task again, and give silent servers no leases

A run of a step was adopted before the ends of the earlier step were seen; releasing the step put it into the ready list although it ran. A unit test showed a second fault: each look at a silent server carried a lease and put off the time at which its tasks could be restarted. Ruled out: an unvetted server (both runs were on one vetted server).

Tests: SchedulerTest, 13 cases; the two faults fail without the change.

--- a/src/scheduling/JobBook.cpp
+++ b/src/scheduling/JobBook.cpp
@@ -115,7 +115,10 @@
     S.m_Released = true;
     S.m_ReleasedAt = Now;
     for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
-      if (S.m_Tasks[I].m_Done || S.m_Tasks[I].m_Ready)
+      // A run of an earlier leader may have been found before the ends of the
+      // steps that it waited for.
+      if (S.m_Tasks[I].m_Done || S.m_Tasks[I].m_Ready ||
+          !S.m_Tasks[I].m_Runs.empty())
         continue;
       S.m_Tasks[I].m_Ready = true;
       Job.m_Ready.push_back({O.m_Number, N, I});
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -189,7 +189,9 @@
   Order.m_Server = S.address();
   Order.m_Term = m_Options.m_Term;
   Order.m_EndsRecorded = S.m_EndsRecorded;
-  if (S.m_ClockKnown) {
+  // A look at a silent server carries no lease: each one sent would put off
+  // the time at which its tasks may be started elsewhere.
+  if (S.m_ClockKnown && S.m_Reachable) {
     Order.m_LeaseUntilMs =
         S.clockAtLeast(Now) +
         std::chrono::duration_cast<std::chrono::milliseconds>(m_Options.m_Lease)
@@ -244,7 +246,8 @@
   if (!S)
     return;
   S->m_LookPending = false;
-  if (!S->m_Reachable && S->m_FailedLooks > 0)
+  bool WasSilent = !S->m_Reachable;
+  if (WasSilent && S->m_FailedLooks > 0)
     logEvent(Event::BackendAnswers,
              {{"server", Order.m_Server.m_Id.m_Text},
               {"failed_looks", std::to_string(S->m_FailedLooks)}});
@@ -264,8 +267,8 @@
     if (End.m_Number > S->m_EndsSeen)
       endRun(*S, End, Now);
   checkListed(*S, Order, Reply, Now);
-  // The first answer carried no lease; the runs it showed need one at once.
-  if (First && !S->m_Runs.empty())
+  // This look carried no lease; the runs that it showed need one at once.
+  if ((First || WasSilent) && !S->m_Runs.empty())
     S->m_NextLook = Now;
   else if (!S->m_Unrecorded.empty())
     S->m_NextLook = Now + AcknowledgeAfter;
--- /dev/null
+++ b/src/scheduling/SchedulerTest.cpp
@@ -0,0 +1,217 @@
+//===- SchedulerTest.cpp - Tests of the scheduling core -------------------===//
+
+#include "scheduling/testing/SchedulerWorld.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace pollenspool;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Scheduler){};
+
+TEST(Scheduler, StartsTheTasksOfAReleasedStepOnly) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(2), W.step(1, {0})});
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  CHECK(W.m_Orders.m_Starts[0].m_Run == W.run("j", 0, 0, 1));
+}
+
+TEST(Scheduler, StartsTheNextStepWhenAllTasksAreDone) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(2), W.step(1, {0})});
+  W.tick();
+  W.answerStart(0);
+  W.answerStart(1);
+  W.tick();
+  W.answerLook("s1", {{W.run("j", 0, 1, 1), "", 50, 0}},
+               {{1, W.run("j", 0, 0, 1), EndKind::Done, ""}});
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  W.advance(100ms);
+  W.tick();
+  W.answerLook("s1", {}, {{2, W.run("j", 0, 1, 1), EndKind::Done, ""}});
+  W.tick();
+  CHECK_EQUAL(3u, W.m_Orders.m_Starts.size());
+}
+
+TEST(Scheduler, NeverExceedsAServersRoom) {
+  SchedulerWorld W;
+  W.addServer("s1", 4);
+  W.addJob("j", {W.step(7)});
+  W.tick();
+  W.tick();
+  CHECK_EQUAL(4u, W.m_Orders.m_Starts.size());
+}
+
+TEST(Scheduler, StartsOnNoServerThatHasNotAnsweredThisTerm) {
+  SchedulerWorld W;
+  ServerRegistration R;
+  R.m_Id = ServerId("s1");
+  R.m_Pool = PoolName("desk");
+  R.m_Capacity = {4000, 64000, 0};
+  W.m_Core->onServer(R, W.m_Now);
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
+  CHECK_EQUAL(1u, W.m_Orders.m_Looks.size());
+}
+
+// Found by trouble-1 of the Sangha site: a leader that took over had seen the
+// second step at work before the ends of the first, and started it again.
+TEST(Scheduler, DoesNotStartAnAdoptedTaskAgainWhenItsStepIsReleased) {
+  SchedulerWorld W(2);
+  W.addJob("j", {W.step(1), W.step(1, {0})});
+  W.addServer("s1");
+  W.advance(1s);
+  W.tick();
+  W.addServer("s2");
+  W.tick();
+  W.answerLook("s2", {{W.run("j", 1, 0, 1), "", 10, 0}});
+  W.answerLook("s1", {}, {{1, W.run("j", 0, 0, 1), EndKind::Done, ""}});
+  W.m_Core->onInstances({}, W.m_Now, W.m_Now);
+  W.advance(20s);
+  W.tick();
+  for (const StartOrder &Order : W.m_Orders.m_Starts)
+    CHECK(Order.m_Run.m_Task.m_Step != 1);
+  CHECK_EQUAL(0u, W.m_Orders.m_Stops.size());
+}
+
+TEST(Scheduler, WaitsOutLeasesOfServersThatANewLeaderCannotReach) {
+  SchedulerWorld W(2);
+  W.addJob("j", {W.step(1)});
+  W.addServer("s1");
+  ServerRegistration Silent;
+  Silent.m_Id = ServerId("s2");
+  Silent.m_Pool = PoolName("desk");
+  W.m_Core->onServer(Silent, W.m_Now);
+  W.m_Core->onInstances({}, W.m_Now, W.m_Now);
+  W.advance(9s);
+  W.tick();
+  CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
+  W.advance(2s);
+  W.tick();
+  W.answerLook("s1");
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  CHECK(W.m_Orders.m_Starts[0].m_Run.m_Number > 1000);
+}
+
+TEST(Scheduler, StopsAnUnansweredStartBeforeItStartsTheTaskElsewhere) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addServer("s2");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  std::string At = W.m_Orders.m_Starts[0].m_Server.m_Id.m_Text;
+  W.answerStart(0, OrderResult::Unknown);
+  W.tick();
+  W.answerLook(At);
+  CHECK_EQUAL(1u, W.m_Orders.m_Stops.size());
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  W.m_Core->onStopResult(W.m_Orders.m_Stops[0], OrderResult::Done, W.m_Now);
+  W.advance(50ms);
+  W.tick();
+  W.answerLook(At);
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts[1].m_Run.m_Number);
+}
+
+TEST(Scheduler, RestartsTheTasksOfASilentServerOnlyWhenItsLeasesHaveRunOut) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  W.answerStart(0);
+  W.addServer("s2");
+  W.tick();
+  W.failLook("s1");
+  W.advance(4900ms);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  W.advance(1500ms);
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  STRCMP_EQUAL("s2", W.m_Orders.m_Starts[1].m_Server.m_Id.m_Text.c_str());
+}
+
+TEST(Scheduler, AcknowledgesAnEndOnlyWhenItIsRecorded) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(2)});
+  W.tick();
+  W.answerStart(0);
+  W.answerStart(1);
+  W.tick();
+  W.answerLook("s1", {{W.run("j", 0, 1, 1), "", 50, 0}},
+               {{1, W.run("j", 0, 0, 1), EndKind::Done, ""}});
+  W.advance(600ms);
+  W.tick();
+  CHECK_EQUAL(0u, W.m_Orders.m_Looks.back().m_EndsRecorded);
+  W.answerLook("s1", {{W.run("j", 0, 1, 1), "", 60, 0}},
+               {{1, W.run("j", 0, 0, 1), EndKind::Done, ""}});
+  W.m_Core->onRecorded(W.m_Core->lastChange(), W.m_Now);
+  W.advance(100ms);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Looks.back().m_EndsRecorded);
+}
+
+TEST(Scheduler, FailsAJobAfterItsAttemptsAndCountsAnEndOnce) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  W.answerStart(0);
+  W.tick();
+  W.answerLook("s1", {}, {{1, W.run("j", 0, 0, 1), EndKind::Failed, ""}});
+  W.tick();
+  W.answerStart(1);
+  W.tick();
+  W.answerLook("s1", {{W.run("j", 0, 0, 2), "", 5, 0}},
+               {{1, W.run("j", 0, 0, 1), EndKind::Failed, ""}});
+  CHECK(W.job("j").m_State == JobState::Running);
+  W.advance(600ms);
+  W.tick();
+  W.answerLook("s1", {}, {{2, W.run("j", 0, 0, 2), EndKind::Failed, ""}});
+  CHECK(W.job("j").m_State == JobState::Failed);
+}
+
+TEST(Scheduler, StopsWhatRunsOfAJobThatIsOver) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(2)});
+  W.tick();
+  W.answerStart(0);
+  W.answerStart(1);
+  W.m_Core->onJobOver(JobId("j"), W.m_Now);
+  CHECK_EQUAL(2u, W.m_Orders.m_Stops.size());
+}
+
+TEST(Scheduler, SpreadsAStepAsItsBoundPerServerSays) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addServer("s2");
+  StepSpec Step = W.step(3);
+  Step.m_MaxPerServer = 1;
+  W.addJob("j", {Step});
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+}
+
+TEST(Scheduler, StartsAGangWholeOrNotAtAll) {
+  SchedulerWorld W;
+  W.addServer("s1", 4);
+  StepSpec Gang = W.step(5);
+  Gang.m_Gang = true;
+  W.addJob("j", {Gang});
+  W.tick();
+  CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
+  W.addServer("s2", 4);
+  W.tick();
+  CHECK_EQUAL(5u, W.m_Orders.m_Starts.size());
+  for (const StartOrder &Order : W.m_Orders.m_Starts)
+    CHECK_EQUAL(1u, Order.m_Run.m_Number);
+}
--- /dev/null
+++ b/src/scheduling/testing/SchedulerWorld.h
@@ -0,0 +1,62 @@
+//===- SchedulerWorld.h - Fakes around a scheduler --------------*- C++ -*-===//
+
+#ifndef POLLENSPOOL_SCHEDULING_TESTING_SCHEDULERWORLD_H
+#define POLLENSPOOL_SCHEDULING_TESTING_SCHEDULERWORLD_H
+
+#include "scheduling/ProgressWriter.h"
+#include "scheduling/Scheduler.h"
+
+namespace pollenspool {
+
+/// Keeps the orders that a scheduler gives.
+class FakeOrders : public SchedulerOrders {
+public:
+  std::vector<StartOrder> m_Starts;
+  std::vector<StopOrder> m_Stops;
+  std::vector<LookOrder> m_Looks;
+  std::vector<PaceOrder> m_Paces;
+
+  void start(const StartOrder &Order) override { m_Starts.push_back(Order); }
+  void stop(const StopOrder &Order) override { m_Stops.push_back(Order); }
+  void look(const LookOrder &Order) override { m_Looks.push_back(Order); }
+  void pace(const PaceOrder &Order) override { m_Paces.push_back(Order); }
+};
+
+/// A scheduler with one pool "desk" and one queue "asks", driven by hand.
+class SchedulerWorld {
+public:
+  explicit SchedulerWorld(Term T = 1);
+
+  FakeOrders m_Orders;
+  std::unique_ptr<Scheduler> m_Core;
+  TimePoint m_Now{std::chrono::hours(1)};
+
+  void advance(Duration By) { m_Now += By; }
+  void tick() { m_Core->tick(m_Now, wall(), true); }
+  std::chrono::milliseconds wall() const;
+
+  /// Registers a server that has \p Cores cores and answers its first look.
+  void addServer(const std::string &Id, int Cores = 4);
+  /// Answers the newest look at \p Id with these lists.
+  void answerLook(const std::string &Id, std::vector<RunReport> Running = {},
+                  std::vector<EndReport> Ended = {});
+  /// Lets the newest look at \p Id fail.
+  void failLook(const std::string &Id, OrderResult R = OrderResult::Unknown);
+  /// Answers the start at \p Index.
+  void answerStart(std::size_t Index, OrderResult R = OrderResult::Done);
+
+  static StepSpec step(std::uint32_t Count,
+                       std::vector<std::uint32_t> After = {});
+  static RunId run(const std::string &Job, std::uint32_t Step,
+                   std::uint32_t Index, std::uint32_t Number);
+  void addJob(const std::string &Id, std::vector<StepSpec> Steps,
+              JobProgress Progress = {}, RowVersion Accepted = 1);
+  LiveJob &job(const std::string &Id);
+
+private:
+  const LookOrder &lastLook(const std::string &Id) const;
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_SCHEDULING_TESTING_SCHEDULERWORLD_H
