Take over at once from oneself, and tell the next leader recent orders

Change: a leader of an instance's own name is its own earlier process, so its term is vacant. Instances ordered about recently are announced in the store before the order, and only these are held back by the next leader.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -16,8 +16,6 @@
 constexpr Duration FeedWait = std::chrono::milliseconds(1000);
 /// Between two readings of the instance list.
 constexpr Duration ListEvery = std::chrono::milliseconds(1000);
-/// Added to the gap between two leaders' orders for one instance.
-constexpr Duration OrderGapSlack = std::chrono::milliseconds(300);
 /// Events that arrive together are acted on together.
 constexpr Duration TickDelay = std::chrono::milliseconds(2);
 /// Last states are removed this long after callers may no longer ask.
@@ -41,9 +39,6 @@
   FleetPlannerOptions Fleet;
   Fleet.m_MoveTime = Settings.m_MoveTime;
   Fleet.m_UpkeepTime = Settings.m_UpkeepTime;
-  if (Lead.term() > 1)
-    Fleet.m_NotBefore =
-        Loop.now() + Settings.m_InstanceOrderGap + OrderGapSlack;
   m_Planner = FleetPlanner::create(Fleet, *m_Core);
 }
 
@@ -57,6 +52,7 @@
   m_Ports.m_Backend.sendResultsTo(this);
   readStates({});
   readWaves();
+  readRecentOrders();
   listInstances();
   FleetNews News;
   News.m_OnServer = [this](const ServerRegistration &R) {
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -53,7 +53,9 @@
   void tickSoon();
   void removeOldStates();
   void orderInstances();
+  void announceOrders(std::vector<InstanceOrder> Orders);
   void giveOrder(const InstanceOrder &Order);
+  void readRecentOrders();
   void readWaves();
   void takeWave(const WaveRequest &Wave);
   void recordWaves();
@@ -70,6 +72,10 @@
   std::vector<WaveRequest> m_WavesToTake;
   bool m_WavesRead = false;
   bool m_WavesPending = false;
+  /// Instances ordered about, with the time; kept for the next leader.
+  std::map<InstanceId, TimePoint> m_RecentOrders;
+  bool m_OrdersRead = false;
+  bool m_OrdersPending = false;
   TimePoint m_NextPlan{};
   std::shared_ptr<TableMirror> m_Jobs;
   /// State rows as read at the start, for the live jobs among them.
--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 #include "entry/Leader.h"
 #include "instances/WaveRows.h"
+#include <nlohmann/json.hpp>
 
 namespace pollenspool {
 
@@ -15,6 +16,12 @@
 /// Between two plans for instances: an order takes seconds to have an effect.
 constexpr Duration PlanEvery = std::chrono::milliseconds(100);
 
+/// Added to the gap between two leaders' orders for one instance.
+constexpr Duration OrderGapSlack = std::chrono::milliseconds(300);
+/// Recent orders are told to the next leader for this long beyond the gap: a
+/// leader may go on for a while before the next one begins.
+constexpr Duration OrderMemory = std::chrono::seconds(3);
+
 const char *resultName(InstanceOrderResult R) {
   static constexpr const char *Names[] = {
       "done", "fenced", "busy", "no_wave", "invalid", "refused", "unknown"};
@@ -63,13 +70,81 @@
   m_Planner->onWave(Wave, Progress);
 }
 
+void Leader::readRecentOrders() {
+  m_Ports.m_Store.read(
+      LeadTable, OrdersKey, 1, CallTimeout,
+      [Weak = weak_from_this()](Result<RowPage> Page) {
+        auto Self = Weak.lock();
+        if (!Self || Self->m_Stopped)
+          return;
+        if (!Page) {
+          Self->m_Loop.after(RetryPause, [Weak] {
+            if (auto Again = Weak.lock(); Again && !Again->m_Stopped)
+              Again->readRecentOrders();
+          });
+          return;
+        }
+        // How long ago is not known: clocks differ between instances.
+        TimePoint Until = Self->m_Loop.now() +
+                          Self->m_Settings.m_InstanceOrderGap + OrderGapSlack;
+        for (const StoredRow &Row : Page.value().m_Rows) {
+          if (Row.m_At.m_Key != OrdersKey)
+            continue;
+          auto Ids = nlohmann::json::parse(Row.m_Value, nullptr, false);
+          for (const auto &Id : Ids)
+            if (Id.is_string())
+              Self->m_Planner->holdBack(InstanceId(Id), Until);
+        }
+        Self->m_OrdersRead = true;
+      });
+}
+
 void Leader::orderInstances() {
   TimePoint Now = m_Loop.now();
-  if (Now < m_NextPlan || !m_WavesRead || !m_Lead.isValid(Now))
+  if (Now < m_NextPlan || !m_WavesRead || !m_OrdersRead || m_OrdersPending ||
+      !m_Lead.isValid(Now))
     return;
   m_NextPlan = Now + PlanEvery;
-  for (const InstanceOrder &Order : m_Planner->plan(Now, wallNow()))
-    giveOrder(Order);
+  auto Orders = m_Planner->plan(Now, wallNow());
+  if (!Orders.empty())
+    announceOrders(std::move(Orders));
+}
+
+void Leader::announceOrders(std::vector<InstanceOrder> Orders) {
+  TimePoint Now = m_Loop.now();
+  for (const InstanceOrder &Order : Orders)
+    m_RecentOrders[Order.m_Instance] = Now;
+  nlohmann::json Ids = nlohmann::json::array();
+  Duration Keep = m_Settings.m_InstanceOrderGap + OrderMemory;
+  for (auto It = m_RecentOrders.begin(); It != m_RecentOrders.end();) {
+    if (It->second + Keep < Now) {
+      It = m_RecentOrders.erase(It);
+      continue;
+    }
+    Ids.push_back(It->first.m_Text);
+    ++It;
+  }
+  RowTransaction Txn;
+  Txn.m_Conditions.push_back(m_Lead.termCondition());
+  Txn.m_Puts.push_back({{LeadTable, OrdersKey}, Ids.dump()});
+  m_OrdersPending = true;
+  m_Ports.m_Store.commit(
+      Txn, CallTimeout,
+      [Weak = weak_from_this(), Orders](Result<CommitOutcome> Outcome) {
+        auto Self = Weak.lock();
+        if (!Self || Self->m_Stopped)
+          return;
+        Self->m_OrdersPending = false;
+        TimePoint After = Self->m_Loop.now();
+        bool May = Outcome && Outcome.value().m_Committed &&
+                   Self->m_Lead.isValid(After);
+        for (const InstanceOrder &Order : Orders)
+          if (May)
+            Self->giveOrder(Order);
+          else
+            Self->m_Planner->onOrderResult(Order, InstanceOrderResult::Refused,
+                                           After);
+      });
 }
 
 void Leader::giveOrder(const InstanceOrder &Order) {
--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -63,6 +63,10 @@
   return !I.m_Pending && !I.m_Ordered && Now >= I.m_RetryAt;
 }
 
+bool FleetPlanner::isKnown(const ServerState &S) {
+  return S.m_Vetted && S.m_Reachable;
+}
+
 FleetPlanner::Pools FleetPlanner::survey(TimePoint) {
   Pools All;
   if (const ServingConfig *C = m_Core.config())
@@ -126,7 +130,7 @@
     if (!mayOrder(*L, m_HeldAt) || m_State[L->m_Id].m_EmptyingSince)
       continue;
     ServerState *S = serverOf(*L);
-    if (OnlyEmpty && (!S || !S->m_Runs.empty() || !S->m_Reachable))
+    if (OnlyEmpty && (!S || !isKnown(*S) || !S->m_Runs.empty()))
       continue;
     From.m_Instances.erase(It);
     return L;
@@ -187,8 +191,6 @@
     return Out;
   Pools All = survey(Now);
   estimateWanted(All, Now);
-  if (Now < m_Options.m_NotBefore)
-    return Out;
   planWaves(All, Now, Wall, Out);
   planMoves(All, Now, Out);
   return Out;
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -16,8 +16,6 @@
 struct FleetPlannerOptions {
   Duration m_MoveTime = std::chrono::milliseconds(1500);
   Duration m_UpkeepTime = std::chrono::seconds(2);
-  /// No order before: an earlier leader's orders may be this recent.
-  TimePoint m_NotBefore{};
 };
 
 /// An order for one instance: to another pool, or for a wave's upkeep.
@@ -48,6 +46,10 @@
   /// A wave is asked for; \p Progress is what earlier leaders recorded.
   void onWave(const WaveRequest &Wave, const WaveProgress &Progress);
   bool knows(const WaveId &Id) const { return m_Waves.count(Id) != 0; }
+  /// Gives no order for \p Id before \p Until.
+  void holdBack(const InstanceId &Id, TimePoint Until) {
+    m_State[Id].m_RetryAt = Until;
+  }
   /// A new list was given to the scheduler; it was asked for at \p Asked.
   void onInstances(TimePoint Asked);
   /// The orders that are due now.
@@ -116,6 +118,9 @@
 
   const InstanceListing *listing(const InstanceId &Id) const;
   ServerState *serverOf(const InstanceListing &L);
+  /// Whether the books show all that runs on \p S: a new leader's do so only
+  /// once the server has answered.
+  static bool isKnown(const ServerState &S);
   bool mayOrder(const InstanceListing &L, TimePoint Now) const;
   void noteOrdered(const InstanceOrder &Order);
 
--- /dev/null
+++ b/src/instances/FleetPlannerTest.cpp
@@ -0,0 +1,173 @@
+//===- FleetPlannerTest.cpp - Tests of pool sizes and waves ---------------===//
+
+#include "instances/FleetPlanner.h"
+#include "scheduling/testing/SchedulerWorld.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace pollenspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A scheduler's world with the pool "desk", a spare pool and a planner.
+struct PlannerWorld {
+  SchedulerWorld m_World;
+  std::unique_ptr<FleetPlanner> m_Planner;
+  std::vector<InstanceListing> m_List;
+
+  explicit PlannerWorld(Term T = 1) : m_World(T) {
+    auto Config = std::make_shared<ServingConfig>(*m_World.m_Core->config());
+    Config->m_Pools.push_back({PoolName("reserve"), true, true});
+    m_World.m_Core->onConfig(Config);
+    m_Planner = FleetPlanner::create({}, *m_World.m_Core);
+  }
+  void list(const std::string &Server, const std::string &Pool) {
+    InstanceListing L;
+    L.m_Id = InstanceId("on-" + Server);
+    L.m_Pool = PoolName(Pool);
+    L.m_Capacity = {4000, 64000, 0};
+    if (Pool != "reserve")
+      L.m_Server = ServerId(Server);
+    m_List.push_back(L);
+    giveList();
+  }
+  void giveList() {
+    m_World.advance(1ms);
+    m_World.m_Core->onInstances(m_List, m_World.m_Now, m_World.m_Now);
+    m_Planner->onInstances(m_World.m_Now);
+  }
+  std::vector<InstanceOrder> plan() {
+    return m_Planner->plan(m_World.m_Now, m_World.wall());
+  }
+  void addWave(std::vector<InstanceId> Instances, std::uint32_t AtOnce,
+               std::chrono::milliseconds Within = 60s) {
+    WaveProgress Progress;
+    Progress.m_SeenAt = m_World.wall();
+    m_Planner->onWave({WaveId("1"), std::move(Instances), Within, AtOnce},
+                      Progress);
+  }
+  /// A lasting job of three tasks, one a server, of which one may be away.
+  void addLastingJob() {
+    StepSpec Step = SchedulerWorld::step(3);
+    Step.m_Lasting = true;
+    Step.m_MaxPerServer = 1;
+    Step.m_MaxUnavailable = 1;
+    m_World.addJob("l", {Step});
+  }
+};
+
+} // namespace
+
+TEST_GROUP(FleetPlanner){};
+
+TEST(FleetPlanner, FetchesInstancesFromTheReserveForAQueueThatPeaks) {
+  PlannerWorld W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.list("s2", "reserve");
+  W.list("s3", "reserve");
+  W.m_World.addJob("j", {SchedulerWorld::step(9)});
+  W.m_World.tick();
+  auto Orders = W.plan();
+  CHECK_EQUAL(2u, Orders.size());
+  STRCMP_EQUAL("desk", Orders[0].m_To.m_Text.c_str());
+  // What is on its way counts as there.
+  CHECK_EQUAL(0u, W.plan().size());
+}
+
+TEST(FleetPlanner, SendsIdleInstancesToTheReserveAfterAPeak) {
+  PlannerWorld W;
+  for (const char *Id : {"s1", "s2", "s3", "s4"}) {
+    W.m_World.addServer(Id, 4);
+    W.list(Id, "desk");
+  }
+  CHECK(W.plan().size() >= 2u);
+}
+
+// Found by trouble-1 of the Sangha site: a new leader ordered upkeep for a
+// server whose runs it had not yet seen, and ended a second lasting task.
+TEST(FleetPlanner, OrdersNothingForAServerWhoseRunsAreNotKnown) {
+  PlannerWorld W(2);
+  ServerRegistration R;
+  R.m_Id = ServerId("s1");
+  R.m_Instance = InstanceId("on-s1");
+  R.m_Pool = PoolName("desk");
+  W.m_World.m_Core->onServer(R, W.m_World.m_Now);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-s1")}, 1);
+  CHECK_EQUAL(0u, W.plan().size());
+  W.m_World.tick();
+  W.m_World.answerLook("s1");
+  CHECK_EQUAL(1u, W.plan().size());
+}
+
+TEST(FleetPlanner, TakesNoMoreAtOnceThanTheWaveAllows) {
+  PlannerWorld W;
+  for (const char *Id : {"s1", "s2", "s3"}) {
+    W.m_World.addServer(Id, 4);
+    W.list(Id, "desk");
+  }
+  W.addWave({InstanceId("on-s1"), InstanceId("on-s2"), InstanceId("on-s3")}, 2);
+  std::size_t Upkeeps = 0;
+  for (const InstanceOrder &Order : W.plan())
+    Upkeeps += !Order.isMove();
+  CHECK_EQUAL(2u, Upkeeps);
+}
+
+TEST(FleetPlanner, KeepsLastingTasksAvailableDuringAWave) {
+  PlannerWorld W;
+  std::vector<InstanceId> Instances;
+  for (const char *Id : {"s1", "s2", "s3"}) {
+    W.m_World.addServer(Id, 4);
+    W.list(Id, "desk");
+    Instances.push_back(InstanceId(std::string("on-") + Id));
+  }
+  W.addLastingJob();
+  W.m_World.tick();
+  CHECK_EQUAL(3u, W.m_World.m_Orders.m_Starts.size());
+  for (std::size_t N = 0; N < 3; ++N)
+    W.m_World.answerStart(N);
+  W.m_World.tick();
+  for (const StartOrder &S : W.m_World.m_Orders.m_Starts)
+    W.m_World.answerLook(S.m_Server.m_Id.m_Text, {{S.m_Run, "", 100, 0}});
+  // In a hurry, so that the pool's size holds nothing back.
+  W.addWave(Instances, 3, 1s);
+  std::size_t Upkeeps = 0;
+  for (const InstanceOrder &Order : W.plan())
+    Upkeeps += !Order.isMove();
+  CHECK_EQUAL(1u, Upkeeps);
+}
+
+TEST(FleetPlanner, CompletesAWaveOnlyWhenEveryInstanceHadItsUpkeep) {
+  PlannerWorld W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-s1")}, 1);
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  W.m_Planner->onOrderResult(Orders[0], InstanceOrderResult::Unknown,
+                             W.m_World.m_Now);
+  W.plan();
+  CHECK_FALSE(W.m_Planner->progress(WaveId("1")).m_Complete);
+  W.giveList();
+  W.m_World.advance(1s);
+  W.m_World.tick();
+  W.m_World.answerLook("s1");
+  Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  W.m_Planner->onOrderResult(Orders[0], InstanceOrderResult::Done,
+                             W.m_World.m_Now);
+  W.plan();
+  CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
+}
+
+TEST(FleetPlanner, HoldsBackWhatAnEarlierLeaderOrderedAbout) {
+  PlannerWorld W(2);
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-s1")}, 1);
+  W.m_Planner->holdBack(InstanceId("on-s1"), W.m_World.m_Now + 3s);
+  CHECK_EQUAL(0u, W.plan().size());
+  W.m_World.advance(3s);
+  CHECK_EQUAL(1u, W.plan().size());
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -115,7 +115,7 @@
 bool FleetPlanner::emptyForUpkeep(const InstanceListing &L, bool Pressed,
                                   TimePoint Now) {
   ServerState *S = serverOf(L);
-  if (!S)
+  if (!S || !isKnown(*S))
     return false;
   Instance &I = m_State[L.m_Id];
   if (!I.m_EmptyingSince)
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -78,7 +78,9 @@
 std::optional<RowTransaction> Leadership::tryTakeOver(TimePoint Now) {
   if (m_Leading || m_Trying || !m_SeenAnswer)
     return std::nullopt;
-  bool Vacant = m_RowVersion == 0 || m_Row.m_Released;
+  // A leader of our own name is this instance before it was restarted.
+  bool Vacant =
+      m_RowVersion == 0 || m_Row.m_Released || m_Row.m_Leader == m_Name;
   Duration Wait =
       m_Options.m_OwnDelay + (Vacant ? Duration(0) : m_Options.m_TakeOverAfter);
   // The silence counts only up to the store's last answer.
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -20,6 +20,8 @@
 inline constexpr char LeadTable[] = "lead";
 inline constexpr char TermKey[] = "term";
 inline constexpr char RenewalKey[] = "renewal";
+/// Instances that the leader has ordered about recently, or is about to.
+inline constexpr char OrdersKey[] = "orders";
 
 /// The term's row.
 struct TermRow {
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -11,6 +11,8 @@
 /// How long a server may wait for an end in a look: several looks fit into one
 /// lease, so that a lost one does not let it run out.
 constexpr std::chrono::milliseconds LookWait{1000};
+/// The same while a run is being stopped.
+constexpr std::chrono::milliseconds StoppingLookWait{150};
 /// What a look may take beyond its wait. A server answers in a few
 /// milliseconds.
 constexpr std::chrono::milliseconds LookSlack{600};
@@ -184,6 +186,18 @@
   }
 }
 
+std::chrono::milliseconds Scheduler::lookWait(const ServerState &S) {
+  std::chrono::milliseconds Wait = LookWait;
+  for (const auto &[Id, Run] : S.m_Runs) {
+    if (Run.m_Phase == RunPhase::Doubtful)
+      return std::chrono::milliseconds(0);
+    // A run that was never there has no end that the server could wait for.
+    if (Run.m_Phase == RunPhase::Stopping)
+      Wait = StoppingLookWait;
+  }
+  return Wait;
+}
+
 void Scheduler::sendLook(ServerState &S, TimePoint Now) {
   LookOrder Order;
   Order.m_Server = S.address();
@@ -198,13 +212,9 @@
             .count();
     ServerBook::noteLease(S, Now, m_Options.m_Lease);
   }
-  bool Settled =
-      std::none_of(S.m_Runs.begin(), S.m_Runs.end(), [](const auto &Entry) {
-        return Entry.second.m_Phase == RunPhase::Doubtful;
-      });
-  if (S.m_Vetted && S.m_Reachable && Settled && !S.m_Runs.empty() &&
+  if (S.m_Vetted && S.m_Reachable && !S.m_Runs.empty() &&
       S.m_Unrecorded.empty())
-    Order.m_Wait = LookWait;
+    Order.m_Wait = lookWait(S);
   Order.m_Timeout = Order.m_Wait + LookSlack;
   S.m_LookPending = true;
   S.m_LookSentAt = Now;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -147,6 +147,7 @@
 
   void lookWhereDue(TimePoint Now, bool MayExtend);
   void sendLook(ServerState &S, TimePoint Now);
+  static std::chrono::milliseconds lookWait(const ServerState &S);
   void expireLeases(TimePoint Now);
   void markReadyPools();
 
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -112,8 +112,11 @@
   W.tick();
   CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
   W.m_Core->onStopResult(W.m_Orders.m_Stops[0], OrderResult::Done, W.m_Now);
+  // This look was sent before the stop was answered and proves nothing.
+  W.answerLook(At);
   W.advance(50ms);
   W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
   W.answerLook(At);
   W.tick();
   CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
