Go on with known work while the store is away

The next leader waits for servers that it cannot reach as long as this may last. Test Scheduler.DoesNotTakeLeasesAsRunOutWhileItsTermIsUncertain fails without the mend.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -87,7 +87,8 @@
       logEvent(Event::StoreRegained);
     m_StoreAnswering = true;
     m_StoreAnswered = m_Loop.now();
-    m_Lead.onStoreAnswer(m_LeadRows->answeringSince(), m_Loop.now());
+    m_Lead.onStoreAnswer(m_LeadRows->answeringSince(), m_LeadRows->answeredAt(),
+                         m_LeadRows->version(), m_Loop.now());
   };
   Listen.m_OnFailure = [this](const Error &Why) {
     if (m_StoreAnswering)
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -16,6 +16,10 @@
 constexpr Duration FeedWait = std::chrono::milliseconds(1000);
 /// Between two readings of the instance list.
 constexpr Duration ListEvery = std::chrono::milliseconds(1000);
+/// How long a leader goes on without knowing whether another has begun. Longer
+/// bridges longer outages of the store, but makes the next leader wait longer
+/// for servers that it cannot reach.
+constexpr Duration GoOnFor = std::chrono::seconds(5);
 /// Events that arrive together are acted on together.
 constexpr Duration TickDelay = std::chrono::milliseconds(2);
 /// Last states are removed this long after callers may no longer ask.
@@ -31,7 +35,7 @@
   SchedulerOptions Options;
   Options.m_Term = Lead.term();
   Options.m_TermVersion = Lead.termCondition().m_Version;
-  Options.m_LongestLease = Settings.m_LongestLease;
+  Options.m_EarlierLeaderFor = GoOnFor;
   Options.m_Lease = std::min(Options.m_Lease, Settings.m_LongestLease);
   Options.m_FarFactor = Settings.m_FarFactor;
   m_Core = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
@@ -191,10 +195,14 @@
   if (m_Stopped || !m_Running || !m_ServersRead)
     return;
   TimePoint Now = m_Loop.now();
-  // Leases are extended while the store is away, but not for so long that a
-  // later leader could not wait them out.
-  if (Now < m_Lead.confirmedSent() + m_Settings.m_LongestLease)
-    m_Core->tick(Now, wallNow(), m_Lead.isValid(Now));
+  // While the store is away nobody else can take over, so work goes on; but
+  // not for so long that a later leader could not wait its leases out.
+  Authority May;
+  May.m_IsCertain = m_Lead.isValid(Now);
+  if (!May.m_IsCertain)
+    May.m_StartUpTo = m_Lead.uncontestedVersion();
+  if (Now < m_Lead.uncontestedAt() + GoOnFor)
+    m_Core->tick(Now, wallNow(), May);
   if (!m_ListPending && Now >= m_NextList)
     listInstances();
   orderInstances();
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -69,8 +69,11 @@
   m_Leading = false;
 }
 
-void Leadership::onStoreAnswer(TimePoint Since, TimePoint Now) {
+void Leadership::onStoreAnswer(TimePoint Since, TimePoint Asked,
+                               RowVersion Version, TimePoint Now) {
   m_SeenAnswer = true;
+  m_AnswerAsked = Asked;
+  m_AnswerVersion = Version;
   m_LastAnswer = Now;
   m_SilentSince = std::max(m_SilentSince, Since);
 }
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -79,7 +79,9 @@
   /// A row of the lead table, as the feed reports it.
   void onRow(const StoredRow &Row, TimePoint Now);
   /// The feed answered; \p Since: it has done so without a failure since then.
-  void onStoreAnswer(TimePoint Since, TimePoint Now);
+  /// It was asked at \p Asked and has shown everything up to \p Version.
+  void onStoreAnswer(TimePoint Since, TimePoint Asked, RowVersion Version,
+                     TimePoint Now);
 
   /// Whether to try to take the term now, and with which transaction.
   std::optional<RowTransaction> tryTakeOver(TimePoint Now);
@@ -99,7 +101,12 @@
   bool isValid(TimePoint Now) const {
     return m_Leading && Now < m_ConfirmedSent + m_Options.m_ValidFor;
   }
-  TimePoint confirmedSent() const { return m_ConfirmedSent; }
+  /// The last moment at which nobody else had taken over, and the store's
+  /// version then.
+  TimePoint uncontestedAt() const {
+    return std::max(m_ConfirmedSent, m_AnswerAsked);
+  }
+  RowVersion uncontestedVersion() const { return m_AnswerVersion; }
   Term term() const { return m_Row.m_Term; }
   /// The term's row as a condition.
   RowCondition termCondition() const {
@@ -120,6 +127,8 @@
   TimePoint m_SilentSince{};
   bool m_SeenAnswer = false;
   TimePoint m_LastAnswer{};
+  TimePoint m_AnswerAsked{};
+  RowVersion m_AnswerVersion = 0;
   bool m_Leading = false;
   bool m_Trying = false;
   TimePoint m_ConfirmedSent{};
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -13,8 +13,9 @@
 /// Changes that end no job wait this long for company: calls are priced, and an
 /// unrecorded end only delays its acknowledgement.
 constexpr Duration GroupFor = std::chrono::milliseconds(60);
-/// Pause after a transaction that failed.
+/// Pause after a transaction that failed, growing with each up to the longest.
 constexpr Duration RetryPause = std::chrono::milliseconds(100);
+constexpr std::uint32_t MaxPauses = 4;
 
 } // namespace
 
@@ -69,12 +70,14 @@
 void ProgressWriter::onResult(const Result<CommitOutcome> &Outcome,
                               TimePoint Now) {
   m_UnderWay = false;
+  if (Outcome)
+    m_Failures = 0;
   if (Outcome && Outcome.value().m_Committed)
     return onCommitted(Outcome.value().m_Version, Now);
   if (!Outcome) {
     logEvent(Event::RecordFailed, {{"jobs", std::to_string(m_Batch.size())},
                                    {"error", Outcome.error().describe()}});
-    m_NotBefore = Now + RetryPause;
+    m_NotBefore = Now + RetryPause * std::min(++m_Failures, MaxPauses);
   }
   // Everything of this round is written again, and its changes count as
   // recorded only then.
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -37,6 +37,7 @@
   Scheduler &m_Core;
   std::vector<Pending> m_Batch;
   bool m_UnderWay = false;
+  std::uint32_t m_Failures = 0;
   /// The changes that are recorded once this round's jobs are written.
   std::uint64_t m_RoundChange = 0;
   std::size_t m_RoundLeft = 0;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -25,6 +25,11 @@
 constexpr Duration LookSpacing = std::chrono::milliseconds(40);
 /// An idle server's ends are acknowledged after this, if no other look did.
 constexpr Duration AcknowledgeAfter = std::chrono::milliseconds(500);
+/// Added to the time in which an earlier leader's runs may go on.
+constexpr Duration TakeOverSlack = std::chrono::milliseconds(500);
+/// Between two looks at a server whose ends cannot be recorded: it answers at
+/// once, since it lists them again.
+constexpr Duration UnrecordedSpacing = std::chrono::milliseconds(150);
 /// How long an unregistered server counts as present: entries that lapsed with
 /// the store are back within two seconds of its return.
 constexpr Duration RegistrationGrace = std::chrono::seconds(2);
@@ -36,10 +41,10 @@
     : m_Options(Options), m_Orders(Orders) {
   // The first term has no predecessor that could have started anything.
   if (Options.m_Term > 1)
-    m_UncertainUntil = Now +
+    m_UncertainUntil = Now + Options.m_EarlierLeaderFor +
                        std::chrono::duration_cast<Duration>(
-                           Options.m_LongestLease / SlowestServerClock) +
-                       std::chrono::milliseconds(500);
+                           Options.m_Lease / SlowestServerClock) +
+                       TakeOverSlack;
 }
 
 std::unique_ptr<Scheduler> Scheduler::create(const SchedulerOptions &Options,
@@ -162,13 +167,11 @@
 }
 
 void Scheduler::tick(TimePoint Now, std::chrono::milliseconds Wall,
-                     bool MayStart) {
-  // An end that is forgotten after the next leader has read the store's rows
-  // would be lost to it.
-  m_MayAcknowledge = MayStart;
+                     const Authority &May) {
+  m_May = May;
   m_Jobs.releaseDue(Now, Wall);
   expireLeases(Now);
-  if (MayStart && m_Config && !m_Deposed) {
+  if (m_Config && !m_Deposed) {
     std::set<PoolName> Pools;
     for (auto &[Id, Job] : m_Jobs.all())
       if (!Job->m_Ready.empty() && !isFinal(Job->m_State))
@@ -182,7 +185,9 @@
 void Scheduler::expireLeases(TimePoint Now) {
   std::vector<ServerId> Gone;
   for (auto &[Id, S] : m_Servers.all()) {
-    if (!S.m_Runs.empty() && Now >= S.m_LeasesEnd && !S.m_Reachable) {
+    // A later leader that we do not know of may have extended the leases.
+    if (!S.m_Runs.empty() && Now >= S.m_LeasesEnd && !S.m_Reachable &&
+        m_May.m_IsCertain) {
       ++m_Counters.m_Lapsed;
       releaseAllRuns(S, "its leases have run out", Now);
     }
@@ -223,8 +228,10 @@
   LookOrder Order;
   Order.m_Server = S.address();
   Order.m_Term = m_Options.m_Term;
+  // An end that is forgotten after the next leader has read the store's rows
+  // would be lost to it.
   Order.m_EndsRecorded =
-      m_MayAcknowledge ? S.m_EndsRecorded : S.m_EndsAcknowledged;
+      m_May.m_IsCertain ? S.m_EndsRecorded : S.m_EndsAcknowledged;
   // A look at a silent server carries no lease: each one sent would put off
   // the time at which its tasks may be started elsewhere.
   if (S.m_ClockKnown && S.m_Reachable) {
@@ -303,7 +310,7 @@
   if ((First || WasSilent) && !S->m_Runs.empty())
     S->m_NextLook = Now;
   else if (!S->m_Unrecorded.empty())
-    S->m_NextLook = Now + AcknowledgeAfter;
+    S->m_NextLook = Now + UnrecordedSpacing;
   else
     S->m_NextLook = Now + (S->m_Runs.empty() ? AcknowledgeAfter : LookSpacing);
 }
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -29,14 +29,23 @@
   /// Version of the store when the term began; jobs accepted later cannot have
   /// been started by an earlier leader.
   RowVersion m_TermVersion = 0;
-  /// The longest lease that any leader may have granted.
-  Duration m_LongestLease = std::chrono::seconds(10);
+  /// How long an earlier leader may have gone on after this term began.
+  Duration m_EarlierLeaderFor = std::chrono::seconds(8);
   /// The lease that this leader grants.
   Duration m_Lease = std::chrono::seconds(5);
   /// How much longer a task takes away from its data.
   double m_FarFactor = 1.0;
 };
 
+/// What the leader may do at the moment, by what it knows of its term.
+struct Authority {
+  /// The term is certainly in force: ends may be forgotten by their servers.
+  bool m_IsCertain = true;
+  /// Jobs accepted up to this version of the store may be started. A later
+  /// leader takes them for jobs that may have been started.
+  RowVersion m_StartUpTo = ~RowVersion(0);
+};
+
 struct SchedulerCounters {
   std::uint64_t m_Starts = 0;
   std::uint64_t m_Stops = 0;
@@ -90,9 +99,9 @@
   /// All changes up to \p Change are recorded.
   void onRecorded(std::uint64_t Change, TimePoint Now);
 
-  /// Places what is ready and looks where a look is due. \p MayStart: whether
-  /// the term is known to be in force; otherwise only leases are extended.
-  void tick(TimePoint Now, std::chrono::milliseconds Wall, bool MayStart);
+  /// Places what is ready and looks where a look is due.
+  void tick(TimePoint Now, std::chrono::milliseconds Wall,
+            const Authority &May = {});
 
   /// Whether a server has seen a later term: this one is over.
   bool isDeposed() const { return m_Deposed; }
@@ -165,7 +174,7 @@
   std::uint64_t m_LastChange = 0;
   std::uint64_t m_RecordedChange = 0;
   bool m_Deposed = false;
-  bool m_MayAcknowledge = true;
+  Authority m_May;
   SchedulerCounters m_Counters;
 };
 
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -73,7 +73,8 @@
   for (auto &[Id, Job] : m_Jobs.all()) {
     if (Job->m_Ready.empty() || isFinal(Job->m_State) || poolOf(*Job) != Pool)
       continue;
-    if (mayHaveUnknownRuns(*Job, Now))
+    if (mayHaveUnknownRuns(*Job, Now) ||
+        Job->m_AcceptedVersion > m_May.m_StartUpTo)
       continue;
     bool Lasting = Job->m_Spec.m_Steps[Job->m_Ready.front().m_Step].m_Lasting;
     TimePoint Objective = objectiveOf(*Job);
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -87,10 +87,11 @@
   Silent.m_Pool = PoolName("desk");
   W.m_Core->onServer(Silent, W.m_Now);
   W.m_Core->onInstances({}, W.m_Now, W.m_Now);
-  W.advance(9s);
+  // An earlier leader may go on for 8 s and leave leases of 5 s.
+  W.advance(13s);
   W.tick();
   CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
-  W.advance(2s);
+  W.advance(1s);
   W.tick();
   W.answerLook("s1");
   W.tick();
@@ -218,3 +219,63 @@
   for (const StartOrder &Order : W.m_Orders.m_Starts)
     CHECK_EQUAL(1u, Order.m_Run.m_Number);
 }
+
+// Pattern: the store is away for seconds while servers and work are there.
+TEST(Scheduler, GoesOnWithKnownJobsWhileItsTermIsUncertain) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("known", {W.step(1), W.step(1, {0})}, {}, 50);
+  W.addJob("new", {W.step(1)}, {}, 70);
+  Authority May;
+  May.m_IsCertain = false;
+  May.m_StartUpTo = 60;
+  W.m_Core->tick(W.m_Now, W.wall(), May);
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  STRCMP_EQUAL("known",
+               W.m_Orders.m_Starts[0].m_Run.m_Task.m_Job.m_Text.c_str());
+  W.answerStart(0);
+  W.m_Core->tick(W.m_Now, W.wall(), May);
+  W.answerLook("s1", {}, {{1, W.run("known", 0, 0, 1), EndKind::Done, ""}});
+  W.m_Core->tick(W.m_Now, W.wall(), May);
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  // Even a recorded end is not acknowledged: the next leader may have read the
+  // store before it was recorded.
+  W.m_Core->onRecorded(W.m_Core->lastChange(), W.m_Now);
+  W.advance(200ms);
+  W.m_Core->tick(W.m_Now, W.wall(), May);
+  CHECK_EQUAL(0u, W.m_Orders.m_Looks.back().m_EndsRecorded);
+}
+
+// An end recorded by the earlier leader after this one had read the rows.
+TEST(Scheduler, TakesOverWhatAnEarlierLeaderRecordedLast) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(1), W.step(1, {0})});
+  JobProgress Stored;
+  Stored.m_Done[{0, 0}] = {true};
+  W.m_Core->onRecordedElsewhere(W.job("j"), Stored, W.m_Now);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts[0].m_Run.m_Task.m_Step);
+}
+
+// Found by trouble-1 of the Sangha site: a leader that was cut off took the
+// leases of servers beyond the cut as run out, which the next leader extended.
+TEST(Scheduler, DoesNotTakeLeasesAsRunOutWhileItsTermIsUncertain) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  W.answerStart(0);
+  W.addServer("s2");
+  W.tick();
+  W.failLook("s1");
+  W.advance(7s);
+  Authority May;
+  May.m_IsCertain = false;
+  W.m_Core->tick(W.m_Now, W.wall(), May);
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  W.tick();
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+}
--- a/src/scheduling/testing/SchedulerWorld.h
+++ b/src/scheduling/testing/SchedulerWorld.h
@@ -32,7 +32,7 @@
   TimePoint m_Now{std::chrono::hours(1)};
 
   void advance(Duration By) { m_Now += By; }
-  void tick() { m_Core->tick(m_Now, wall(), true); }
+  void tick() { m_Core->tick(m_Now, wall()); }
   std::chrono::milliseconds wall() const;
 
   /// Registers a server that has \p Cores cores and answers its first look.
--- a/src/store/TableMirror.h
+++ b/src/store/TableMirror.h
@@ -37,6 +37,8 @@
   bool isSynced() const { return m_Synced; }
   /// When the store was asked for the newest answer.
   TimePoint answeredAt() const { return m_AnsweredAt; }
+  /// Everything up to this version of the store has been reported.
+  RowVersion version() const { return m_After; }
   /// When the feed began to answer without a failure in between.
   TimePoint answeringSince() const { return m_AnsweringSince; }
 
