Let lasting tasks of one step leave a server one by one

Ruled out: pools that lack instances (those waits ended within 6 s). Change: placement spreads a lasting step so that one server may leave; where more run together, they are relocated one by one. Each wait is logged with its reason. Tests: SpreadsALastingStepSoThatOneServerMayLeave, RelocatesTasksThatMayNotLeave- Together; both fail without the change.

--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -80,6 +80,7 @@
     std::optional<TimePoint> m_EmptyingSince;
     WaveId m_Wave;
     TimePoint m_RetryAt{};
+    TimePoint m_WaitNoted{};
   };
   /// A pool as one planning pass sees it.
   struct PoolView {
@@ -110,8 +111,13 @@
                 std::chrono::milliseconds Wall,
                 std::vector<InstanceOrder> &Out);
   bool isDown(const InstanceId &Id, TimePoint Now) const;
-  bool emptyForUpkeep(const InstanceListing &L, bool Pressed, TimePoint Now);
-  bool mayEndLastingTasks(const ServerState &S);
+  /// Why the upkeep of \p L cannot begin yet; empty if it can.
+  std::string emptyForUpkeep(const InstanceListing &L, bool Pressed,
+                             TimePoint Now);
+  void noteWait(const InstanceListing &L, const std::string &Why,
+                TimePoint Now);
+  /// A lasting task that must not be ended now; empty if there is none.
+  std::string keptTask(const ServerState &S, TimePoint Now);
   bool isAtWork(const RunPlace &Place, const TaskId &Task);
   void stopEmptying(const InstanceId &Id);
   void finishWave(WaveState &W);
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -171,3 +171,25 @@
   W.m_World.advance(3s);
   CHECK_EQUAL(1u, W.plan().size());
 }
+
+// Found by quiet-1 of the Sangha site: two tasks of a step on one server, of
+// which one may be away, kept the server from its upkeep for good.
+TEST(FleetPlanner, RelocatesTasksThatMayNotLeaveTogether) {
+  PlannerWorld W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  StepSpec Step = SchedulerWorld::step(2);
+  Step.m_Lasting = true;
+  Step.m_MaxUnavailable = 1;
+  W.m_World.addJob("l", {Step});
+  W.m_World.tick();
+  CHECK_EQUAL(2u, W.m_World.m_Orders.m_Starts.size());
+  W.m_World.answerStart(0);
+  W.m_World.answerStart(1);
+  W.m_World.tick();
+  W.m_World.answerLook("s1", {{SchedulerWorld::run("l", 0, 0, 1), "", 100, 0},
+                              {SchedulerWorld::run("l", 0, 1, 1), "", 100, 0}});
+  W.addWave({InstanceId("on-s1")}, 1, 1s);
+  CHECK_EQUAL(0u, W.plan().size());
+  CHECK_EQUAL(1u, W.m_World.m_Orders.m_Stops.size());
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -15,6 +15,8 @@
 constexpr Duration EmptyWithinPressed = std::chrono::milliseconds(1200);
 /// What one round of a wave takes beyond the upkeep itself.
 constexpr Duration RoundOverhead = std::chrono::milliseconds(2500);
+/// A waiting instance is logged this often.
+constexpr Duration NoteWaitEvery = std::chrono::seconds(2);
 /// A wave is in a hurry when less than this many times the time that its
 /// rounds need is left.
 constexpr double HurryFactor = 1.5;
@@ -102,21 +104,39 @@
     // Without a hurry no pool is made to lack what it needs.
     bool Emptying = m_State[L->m_Id].m_EmptyingSince.has_value();
     if (!Spare && !Emptying && !Pressed && Pool != All.end() &&
-        Pool->second.surplus() < 0)
+        Pool->second.surplus() < 0) {
+      noteWait(*L, "its pool lacks instances", Now);
       continue;
+    }
     --Room;
-    if (!Spare && !emptyForUpkeep(*L, Pressed, Now))
+    std::string Why = Spare ? "" : emptyForUpkeep(*L, Pressed, Now);
+    if (!Why.empty()) {
+      noteWait(*L, Why, Now);
       continue;
+    }
     Out.push_back({L->m_Id, {}, W.m_Request.m_Id});
     noteOrdered(Out.back());
   }
 }
 
-bool FleetPlanner::emptyForUpkeep(const InstanceListing &L, bool Pressed,
-                                  TimePoint Now) {
+void FleetPlanner::noteWait(const InstanceListing &L, const std::string &Why,
+                            TimePoint Now) {
+  Instance &I = m_State[L.m_Id];
+  if (Now < I.m_WaitNoted + NoteWaitEvery)
+    return;
+  I.m_WaitNoted = Now;
+  logEvent(
+      Event::UpkeepWaits,
+      {{"instance", L.m_Id.m_Text}, {"pool", L.m_Pool.m_Text}, {"why", Why}});
+}
+
+std::string FleetPlanner::emptyForUpkeep(const InstanceListing &L, bool Pressed,
+                                         TimePoint Now) {
   ServerState *S = serverOf(L);
-  if (!S || !isKnown(*S))
-    return false;
+  if (!S)
+    return "its server is not registered";
+  if (!isKnown(*S))
+    return "its server does not answer";
   Instance &I = m_State[L.m_Id];
   if (!I.m_EmptyingSince)
     I.m_EmptyingSince = Now;
@@ -126,8 +146,8 @@
                   [](const auto &Entry) { return !Entry.second.m_Lasting; });
   Duration Waited = Now - *I.m_EmptyingSince;
   if (TasksLeft && Waited < (Pressed ? EmptyWithinPressed : EmptyWithin))
-    return false;
-  return mayEndLastingTasks(*S);
+    return "its tasks have not ended";
+  return keptTask(*S, Now);
 }
 
 bool FleetPlanner::isAtWork(const RunPlace &Place, const TaskId &Task) {
@@ -142,13 +162,15 @@
   return State == m_State.end() || !State->second.m_Pending;
 }
 
-bool FleetPlanner::mayEndLastingTasks(const ServerState &S) {
+std::string FleetPlanner::keptTask(const ServerState &S, TimePoint Now) {
   // Tasks of one step that this order would end, besides those away already.
-  std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, std::uint32_t> Ends;
+  std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, std::vector<RunId>>
+      Ends;
   for (const auto &[Id, Run] : S.m_Runs)
     if (Run.m_Lasting)
-      ++Ends[{Id.m_Task.m_Job, Id.m_Task.m_Occurrence, Id.m_Task.m_Step}];
-  for (const auto &[Where, Count] : Ends) {
+      Ends[{Id.m_Task.m_Job, Id.m_Task.m_Occurrence, Id.m_Task.m_Step}]
+          .push_back(Id);
+  for (const auto &[Where, Runs] : Ends) {
     const auto &[JobName, Occurrence, StepNumber] = Where;
     LiveJob *Job = m_Core.jobs().find(JobName);
     StepState *Step = Job ? Job->step(Occurrence, StepNumber) : nullptr;
@@ -160,15 +182,19 @@
     std::uint32_t Away = 0;
     for (std::uint32_t I = 0; I < Step->m_Tasks.size(); ++I) {
       TaskId Task{JobName, Occurrence, StepNumber, I};
-      const auto &Runs = Step->m_Tasks[I].m_Runs;
-      if (std::none_of(Runs.begin(), Runs.end(),
+      const auto &Places = Step->m_Tasks[I].m_Runs;
+      if (std::none_of(Places.begin(), Places.end(),
                        [&](const RunPlace &P) { return isAtWork(P, Task); }))
         ++Away;
     }
-    if (Away + Count > Bound)
-      return false;
+    // More of the step run here than may be away: they leave one by one.
+    if (Away == 0 && Runs.size() > Bound)
+      m_Core.relocate(S.m_Registration.m_Id, Runs.front(), Now);
+    if (Away + Runs.size() > Bound)
+      return "job " + JobName.m_Text + " has " + std::to_string(Away) +
+             " tasks away and may have " + std::to_string(Bound);
   }
-  return true;
+  return {};
 }
 
 void FleetPlanner::stopEmptying(const InstanceId &Id) {
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -199,11 +199,16 @@
         if (ServerState *S = m_Servers.find(P.m_Server))
           RacksInUse.insert(S->m_Registration.m_Rack.m_Text);
   ServerState *Best = nullptr;
-  std::tuple<int, std::uint32_t, std::int64_t> BestScore;
+  std::tuple<int, int, std::uint32_t, std::int64_t> BestScore;
   for (ServerState *S : Servers) {
     if (!isUsable(*S, Now) || !canTake(*S, Job, Task, Need))
       continue;
     const std::string &Rack = S->m_Registration.m_Rack.m_Text;
+    // One order for the server should not take more of a step away than may be
+    // away at once.
+    int Crowded = Step.m_Lasting && Step.m_MaxUnavailable > 0 &&
+                  runsOfStepOn(Job, Task, S->m_Registration.m_Id) >=
+                      Step.m_MaxUnavailable;
     int Far = (!Step.m_DataRack.empty() && Rack != Step.m_DataRack) ||
               (!RacksInUse.empty() && !RacksInUse.count(Rack));
     // Tasks are packed, lasting ones first of all beside other lasting ones,
@@ -213,8 +218,8 @@
       Room -= LastingBonus *
               std::count_if(S->m_Runs.begin(), S->m_Runs.end(),
                             [](const auto &E) { return E.second.m_Lasting; });
-    std::tuple<int, std::uint32_t, std::int64_t> Score{Far, S->m_FailuresInRow,
-                                                       Room};
+    std::tuple<int, int, std::uint32_t, std::int64_t> Score{
+        Crowded, Far, S->m_FailuresInRow, Room};
     if (!Best || Score < BestScore) {
       Best = S;
       BestScore = Score;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -135,6 +135,12 @@
   m_Orders.stop({S.address(), Id, m_Options.m_Term});
 }
 
+void Scheduler::relocate(const ServerId &Server, const RunId &Run,
+                         TimePoint Now) {
+  if (ServerState *S = m_Servers.find(Server))
+    orderStop(*S, Run, Now);
+}
+
 void Scheduler::stopRuns(const LiveJob &Job, TimePoint Now) {
   for (const auto &[Number, O] : Job.m_Occurrences)
     for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N)
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -205,6 +205,20 @@
   CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
 }
 
+TEST(Scheduler, SpreadsALastingStepSoThatOneServerMayLeave) {
+  SchedulerWorld W;
+  W.addServer("s1");
+  W.addServer("s2");
+  StepSpec Step = W.step(2);
+  Step.m_Lasting = true;
+  Step.m_MaxUnavailable = 1;
+  W.addJob("j", {Step});
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  CHECK(W.m_Orders.m_Starts[0].m_Server.m_Id !=
+        W.m_Orders.m_Starts[1].m_Server.m_Id);
+}
+
 TEST(Scheduler, StartsAGangWholeOrNotAtAll) {
   SchedulerWorld W;
   W.addServer("s1", 4);
