Do not take runs as over when an order may have been done before

Cause: an upkeep whose answer was lost is ordered again; the platform then answers that it is done, without having ended anything, and the books dropped the runs of the server that had come back. Change: after an unknown outcome, or an earlier leader's order, a success releases nothing; looks tell. Results are applied to the server that the order was about. Test: DoesNotTakeRunsAsOverWhenAnOrderMayHaveBeenDoneBefore, fails without it.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -196,30 +196,36 @@
   return Out;
 }
 
-void FleetPlanner::noteOrdered(const InstanceOrder &Order) {
+void FleetPlanner::noteOrdered(InstanceOrder &Order) {
   Instance &I = m_State[Order.m_Instance];
   I.m_Pending = true;
   I.m_ExpectedPool = Order.m_To;
   I.m_Wave = Order.m_Wave;
   if (const InstanceListing *L = listing(Order.m_Instance))
-    if (ServerState *S = serverOf(*L))
+    if (ServerState *S = serverOf(*L)) {
       S->m_Reserved = true;
+      Order.m_Server = S->m_Registration.m_Id;
+    }
 }
 
 void FleetPlanner::onOrderResult(const InstanceOrder &Order,
                                  InstanceOrderResult R, TimePoint Now) {
   Instance &I = m_State[Order.m_Instance];
   I.m_Pending = false;
-  const InstanceListing *L = listing(Order.m_Instance);
-  ServerState *S = L ? serverOf(*L) : nullptr;
+  ServerState *S = m_Core.servers().find(Order.m_Server);
   if (R == InstanceOrderResult::Done) {
     I.m_Ordered = true;
     I.m_OrderedAt = Now;
     I.m_EmptyingSince.reset();
     I.m_BackAt =
         Now + (Order.isMove() ? m_Options.m_MoveTime : m_Options.m_UpkeepTime);
-    if (S)
-      m_Core.onServerEnded(S->m_Registration.m_Id, Now);
+    // If an earlier order did it, this server may be a later one that runs on;
+    // looks will tell.
+    if (S && !I.m_MaybeDone)
+      m_Core.onServerEnded(Order.m_Server, Now);
+    else if (S)
+      S->m_Reserved = false;
+    I.m_MaybeDone = false;
     if (!Order.isMove()) {
       m_Waves[Order.m_Wave].m_Progress.m_Done.insert(Order.m_Instance);
       m_Changed.insert(Order.m_Wave);
@@ -234,6 +240,7 @@
   }
   if (R == InstanceOrderResult::Unknown) {
     // It may be down now or soon; it keeps its place until the list tells.
+    I.m_MaybeDone = true;
     I.m_Ordered = true;
     I.m_OrderedAt = Now;
     return;
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -24,6 +24,8 @@
   /// Empty: an upkeep.
   PoolName m_To;
   WaveId m_Wave;
+  /// The server that the order ends; empty if none runs there.
+  ServerId m_Server{};
 
   bool isMove() const { return !m_To.empty(); }
 };
@@ -46,9 +48,11 @@
   /// A wave is asked for; \p Progress is what earlier leaders recorded.
   void onWave(const WaveRequest &Wave, const WaveProgress &Progress);
   bool knows(const WaveId &Id) const { return m_Waves.count(Id) != 0; }
-  /// Gives no order for \p Id before \p Until.
+  /// An earlier leader may have given an order for \p Id; none is given before
+  /// \p Until.
   void holdBack(const InstanceId &Id, TimePoint Until) {
     m_State[Id].m_RetryAt = Until;
+    m_State[Id].m_MaybeDone = true;
   }
   /// A new list was given to the scheduler; it was asked for at \p Asked.
   void onInstances(TimePoint Asked);
@@ -81,6 +85,9 @@
     WaveId m_Wave;
     TimePoint m_RetryAt{};
     TimePoint m_WaitNoted{};
+    /// An order whose outcome is unknown may have been carried out, so the
+    /// next success does not show that anything was ended by it.
+    bool m_MaybeDone = false;
   };
   /// A pool as one planning pass sees it.
   struct PoolView {
@@ -128,7 +135,7 @@
   /// once the server has answered.
   static bool isKnown(const ServerState &S);
   bool mayOrder(const InstanceListing &L, TimePoint Now) const;
-  void noteOrdered(const InstanceOrder &Order);
+  void noteOrdered(InstanceOrder &Order);
 
   FleetPlannerOptions m_Options;
   Scheduler &m_Core;
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -193,3 +193,31 @@
   CHECK_EQUAL(0u, W.plan().size());
   CHECK_EQUAL(1u, W.m_World.m_Orders.m_Stops.size());
 }
+
+// An upkeep whose answer was lost is ordered again and is then done already;
+// the server that came back runs on.
+TEST(FleetPlanner, DoesNotTakeRunsAsOverWhenAnOrderMayHaveBeenDoneBefore) {
+  PlannerWorld W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-s1")}, 1, 1s);
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  W.m_Planner->onOrderResult(Orders[0], InstanceOrderResult::Unknown,
+                             W.m_World.m_Now);
+  W.giveList();
+  ServerState &S = *W.m_World.m_Core->servers().find(ServerId("s1"));
+  S.m_Reserved = false;
+  W.m_World.addJob("j", {SchedulerWorld::step(1)});
+  W.m_World.tick();
+  CHECK_EQUAL(1u, W.m_World.m_Orders.m_Starts.size());
+  W.m_World.answerStart(0);
+  W.m_World.advance(2s);
+  Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  W.m_Planner->onOrderResult(Orders[0], InstanceOrderResult::Done,
+                             W.m_World.m_Now);
+  W.m_World.tick();
+  CHECK_EQUAL(1u, W.m_World.m_Orders.m_Starts.size());
+  CHECK_EQUAL(1u, S.m_Runs.size());
+}
