Record progress part by part after a failure; no gap after oneself

And after all processes were killed, the restarted leader held back instances that it had itself ordered about. Change: after a failure each part gets transactions of its own with its own pause; an end waits for its own job's record only; a leader that follows itself keeps no gap, and recent orders are remembered for the gap only. Tests: ProgressWriterTest (4 cases), among them the load of a third of the parts down for seconds; it fails with one transaction for all.

--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -18,9 +18,6 @@
 
 /// Added to the gap between two leaders' orders for one instance.
 constexpr Duration OrderGapSlack = std::chrono::milliseconds(300);
-/// Recent orders are told to the next leader for this long beyond the gap: a
-/// leader may go on for a while before the next one begins.
-constexpr Duration OrderMemory = std::chrono::seconds(3);
 
 const char *resultName(InstanceOrderResult R) {
   static constexpr const char *Names[] = {
@@ -84,9 +81,12 @@
           });
           return;
         }
-        // How long ago is not known: clocks differ between instances.
-        TimePoint Until = Self->m_Loop.now() +
-                          Self->m_Settings.m_InstanceOrderGap + OrderGapSlack;
+        // How long ago is not known: clocks differ between instances. Orders of
+        // one and the same leader need no gap.
+        Duration Gap = Self->m_Settings.m_InstanceOrderGap + OrderGapSlack;
+        TimePoint Until =
+            Self->m_Loop.now() +
+            (Self->m_Lead.isSuccessorOfItself() ? Duration(0) : Gap);
         for (const StoredRow &Row : Page.value().m_Rows) {
           if (Row.m_At.m_Key != OrdersKey)
             continue;
@@ -115,7 +115,7 @@
   for (const InstanceOrder &Order : Orders)
     m_RecentOrders[Order.m_Instance] = Now;
   nlohmann::json Ids = nlohmann::json::array();
-  Duration Keep = m_Settings.m_InstanceOrderGap + OrderMemory;
+  Duration Keep = m_Settings.m_InstanceOrderGap + OrderGapSlack;
   for (auto It = m_RecentOrders.begin(); It != m_RecentOrders.end();) {
     if (It->second + Keep < Now) {
       It = m_RecentOrders.erase(It);
--- a/src/scheduling/JobBook.h
+++ b/src/scheduling/JobBook.h
@@ -77,6 +77,9 @@
   std::uint32_t m_Attempts = 1;
   /// Its state row is behind.
   bool m_Dirty = false;
+  /// Counts the changes that have to be recorded, and those that are.
+  std::uint64_t m_Change = 0;
+  std::uint64_t m_RecordedChange = 0;
 
   bool hasStarted() const { return m_State != JobState::Queued; }
   TaskState *task(const TaskId &Id);
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -13,7 +13,10 @@
 /// Changes that end no job wait this long for company: calls are priced, and an
 /// unrecorded end only delays its acknowledgement.
 constexpr Duration GroupFor = std::chrono::milliseconds(60);
-/// Pause after a transaction that failed, growing with each up to the longest.
+/// How long parts are written apart after a failure: outages last seconds.
+constexpr Duration ApartFor = std::chrono::seconds(2);
+/// Pause after a part's transaction failed, growing with each up to the
+/// longest.
 constexpr Duration RetryPause = std::chrono::milliseconds(100);
 constexpr std::uint32_t MaxPauses = 4;
 
@@ -23,46 +26,59 @@
   return std::unique_ptr<ProgressWriter>(new ProgressWriter(Core));
 }
 
+bool ProgressWriter::isUrgent() const {
+  const auto &Dirty = m_Core.jobs().dirty();
+  return std::any_of(Dirty.begin(), Dirty.end(), [this](const JobId &Id) {
+    LiveJob *Job = m_Core.jobs().find(Id);
+    return Job && isFinal(Job->m_State);
+  });
+}
+
+std::vector<JobId> ProgressWriter::take(TimePoint Now) {
+  auto &Dirty = m_Core.jobs().dirty();
+  std::vector<JobId> Taken, Left;
+  std::string Only;
+  for (JobId &Id : Dirty) {
+    if (!m_Core.jobs().find(Id))
+      continue;
+    std::string Part = jobStateAddress(Id).m_Part;
+    auto It = m_Parts.find(Part);
+    bool Waits = It != m_Parts.end() && Now < It->second.m_Until;
+    if (!Waits && Now < m_ApartUntil) {
+      if (Only.empty())
+        Only = Part;
+      Waits = Part != Only;
+    }
+    if (Waits || Taken.size() >= JobsPerTransaction)
+      Left.push_back(std::move(Id));
+    else
+      Taken.push_back(std::move(Id));
+  }
+  Dirty = std::move(Left);
+  return Taken;
+}
+
 std::optional<RowTransaction>
 ProgressWriter::next(TimePoint Now, std::chrono::milliseconds Wall) {
-  auto &Dirty = m_Core.jobs().dirty();
-  if (m_UnderWay || Dirty.empty() || Now < m_NotBefore)
+  if (m_UnderWay || m_Core.jobs().dirty().empty() ||
+      (Now < m_LastWrite + GroupFor && !isUrgent()))
     return std::nullopt;
-  bool Urgent =
-      std::any_of(Dirty.begin(), Dirty.end(), [this](const JobId &Id) {
-        LiveJob *Job = m_Core.jobs().find(Id);
-        return Job && isFinal(Job->m_State);
-      });
-  if (!Urgent && Now < m_LastWrite + GroupFor)
-    return std::nullopt;
-  if (m_RoundLeft == 0) {
-    m_RoundChange = m_Core.lastChange();
-    m_RoundLeft = Dirty.size();
-  }
   RowTransaction Txn;
   m_Batch.clear();
-  std::size_t Taken = std::min({Dirty.size(), m_RoundLeft, JobsPerTransaction});
-  for (std::size_t I = 0; I < Taken; ++I) {
-    LiveJob *Job = m_Core.jobs().find(Dirty[I]);
-    if (!Job)
-      continue;
-    Job->m_Dirty = false;
-    RowAddress State = jobStateAddress(Dirty[I]);
-    Txn.m_Conditions.push_back({State, Job->m_StateVersion});
+  for (const JobId &Id : take(Now)) {
+    LiveJob &Job = *m_Core.jobs().find(Id);
+    Job.m_Dirty = false;
+    RowAddress State = jobStateAddress(Id);
+    Txn.m_Conditions.push_back({State, Job.m_StateVersion});
     Txn.m_Puts.push_back(
-        {State, encodeProgress(m_Core.jobs().progressOf(*Job, Wall))});
-    if (isFinal(Job->m_State))
-      Txn.m_Removes.push_back(liveJobAddress(Dirty[I]));
-    m_Batch.push_back({Dirty[I], Job->m_State});
+        {State, encodeProgress(m_Core.jobs().progressOf(Job, Wall))});
+    if (isFinal(Job.m_State))
+      Txn.m_Removes.push_back(liveJobAddress(Id));
+    m_Batch.push_back({Id, Job.m_State, Job.m_Change});
   }
-  Dirty.erase(Dirty.begin(), Dirty.begin() + static_cast<long>(Taken));
-  m_RoundLeft -= Taken;
-  m_LastWrite = Now;
-  if (m_Batch.empty()) {
-    if (m_RoundLeft == 0)
-      m_Core.onRecorded(m_RoundChange, Now);
+  if (m_Batch.empty())
     return std::nullopt;
-  }
+  m_LastWrite = Now;
   m_UnderWay = true;
   return Txn;
 }
@@ -70,23 +86,33 @@
 void ProgressWriter::onResult(const Result<CommitOutcome> &Outcome,
                               TimePoint Now) {
   m_UnderWay = false;
-  if (Outcome)
-    m_Failures = 0;
-  if (Outcome && Outcome.value().m_Committed)
+  if (!Outcome)
+    return onFailed(Outcome.error(), Now);
+  for (const Pending &P : m_Batch)
+    m_Parts.erase(jobStateAddress(P.m_Job).m_Part);
+  if (Outcome.value().m_Committed)
     return onCommitted(Outcome.value().m_Version, Now);
-  if (!Outcome) {
-    logEvent(Event::RecordFailed, {{"jobs", std::to_string(m_Batch.size())},
-                                   {"error", Outcome.error().describe()}});
-    m_NotBefore = Now + RetryPause * std::min(++m_Failures, MaxPauses);
-  }
-  // Everything of this round is written again, and its changes count as
-  // recorded only then.
   for (const Pending &P : m_Batch)
     if (LiveJob *Job = m_Core.jobs().find(P.m_Job))
       m_Core.jobs().touch(*Job);
-  m_RoundLeft = 0;
-  if (Outcome)
-    onConflicts(Outcome.value().m_Conflicts, Now);
+  onConflicts(Outcome.value().m_Conflicts, Now);
+}
+
+void ProgressWriter::onFailed(const Error &Why, TimePoint Now) {
+  logEvent(Event::RecordFailed, {{"jobs", std::to_string(m_Batch.size())},
+                                 {"error", Why.describe()}});
+  std::set<std::string> Parts;
+  for (const Pending &P : m_Batch) {
+    Parts.insert(jobStateAddress(P.m_Job).m_Part);
+    if (LiveJob *Job = m_Core.jobs().find(P.m_Job))
+      m_Core.jobs().touch(*Job);
+  }
+  m_ApartUntil = Now + ApartFor;
+  // Which of several parts failed is not known.
+  if (Parts.size() > 1)
+    return;
+  Backoff &B = m_Parts[*Parts.begin()];
+  B.m_Until = Now + RetryPause * std::min(++B.m_Failures, MaxPauses);
 }
 
 void ProgressWriter::onCommitted(RowVersion Version, TimePoint Now) {
@@ -95,6 +121,7 @@
     if (!Job)
       continue;
     Job->m_StateVersion = Version;
+    Job->m_RecordedChange = P.m_Change;
     if (!isFinal(P.m_State))
       continue;
     logEvent(
@@ -103,8 +130,7 @@
          {"state", P.m_State == JobState::Completed ? "completed" : "failed"}});
     m_Core.onJobOver(P.m_Job, Now);
   }
-  if (m_RoundLeft == 0)
-    m_Core.onRecorded(m_RoundChange, Now);
+  m_Core.onRecorded(Now);
 }
 
 void ProgressWriter::onConflicts(const std::vector<StoredRow> &Rows,
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -13,6 +13,10 @@
 /// transaction depends on the version of every row that it replaces, so one
 /// that the store applies late changes nothing. It does not depend on the term:
 /// that a task is done stays true whoever leads. One thread.
+///
+/// Usually a transaction spans all parts of the store. After a failure each
+/// part gets its own for a while, so that a part that is down holds up no
+/// other.
 class ProgressWriter {
 public:
   /// \p Core must outlive the writer.
@@ -26,22 +30,29 @@
 
 private:
   explicit ProgressWriter(Scheduler &Core) : m_Core(Core) {}
+  std::vector<JobId> take(TimePoint Now);
+  bool isUrgent() const;
   void onCommitted(RowVersion Version, TimePoint Now);
+  void onFailed(const Error &Why, TimePoint Now);
   void onConflicts(const std::vector<StoredRow> &Rows, TimePoint Now);
 
   struct Pending {
     JobId m_Job;
     JobState m_State;
+    std::uint64_t m_Change;
+  };
+  /// A part of the store that failed lately.
+  struct Backoff {
+    std::uint32_t m_Failures = 0;
+    TimePoint m_Until{};
   };
 
   Scheduler &m_Core;
   std::vector<Pending> m_Batch;
   bool m_UnderWay = false;
-  std::uint32_t m_Failures = 0;
-  /// The changes that are recorded once this round's jobs are written.
-  std::uint64_t m_RoundChange = 0;
-  std::size_t m_RoundLeft = 0;
-  TimePoint m_NotBefore{};
+  /// Until then each transaction is of one part.
+  TimePoint m_ApartUntil{};
+  std::map<std::string, Backoff> m_Parts;
   TimePoint m_LastWrite{};
 };
 
--- /dev/null
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -0,0 +1,95 @@
+//===- ProgressWriterTest.cpp - Tests of recording progress ---------------===//
+
+#include "scheduling/testing/SchedulerWorld.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace pollenspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// \p Count jobs of one task each, all done and waiting to be recorded.
+void finishJobs(SchedulerWorld &W, std::size_t Count) {
+  W.addServer("s1", static_cast<int>(Count));
+  for (std::size_t N = 0; N < Count; ++N)
+    W.addJob("job" + std::to_string(N), {W.step(1)});
+  W.tick();
+  std::vector<EndReport> Ends;
+  for (std::size_t N = 0; N < Count; ++N) {
+    W.answerStart(N);
+    Ends.push_back({N + 1, W.m_Orders.m_Starts[N].m_Run, EndKind::Done, ""});
+  }
+  W.tick();
+  W.answerLook("s1", {}, Ends);
+}
+
+std::set<std::string> partsOf(const RowTransaction &Txn) {
+  std::set<std::string> Parts;
+  for (const RowPut &P : Txn.m_Puts)
+    Parts.insert(P.m_At.m_Part);
+  return Parts;
+}
+
+const Error Down = makeError(ErrorCode::Unavailable, "commit");
+
+} // namespace
+
+TEST_GROUP(ProgressWriter){};
+
+TEST(ProgressWriter, RecordsManyJobsInOneTransaction) {
+  SchedulerWorld W;
+  finishJobs(W, 20);
+  auto Txn = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(Txn.has_value());
+  CHECK_EQUAL(20u, Txn->m_Puts.size());
+  CHECK_EQUAL(20u, Txn->m_Removes.size());
+  W.m_Writer->onResult(CommitOutcome{true, 500, {}}, W.m_Now);
+  CHECK_EQUAL(0u, W.m_Core->jobs().all().size());
+}
+
+// Pattern: a third of the store's parts are down for seconds (scale-1 of the
+// Sangha site); no job was shown as completed until all were back.
+TEST(ProgressWriter, APartThatIsDownHoldsUpNoOther) {
+  SchedulerWorld W;
+  finishJobs(W, 20);
+  auto Txn = W.m_Writer->next(W.m_Now, W.wall());
+  const std::string Bad = Txn->m_Puts.front().m_At.m_Part;
+  W.m_Writer->onResult(Down, W.m_Now);
+  for (int Tries = 0; Tries < 200; ++Tries) {
+    W.advance(10ms);
+    Txn = W.m_Writer->next(W.m_Now, W.wall());
+    if (!Txn)
+      continue;
+    bool Fails = partsOf(*Txn).count(Bad) != 0;
+    if (Fails)
+      W.m_Writer->onResult(Down, W.m_Now);
+    else
+      W.m_Writer->onResult(CommitOutcome{true, 500, {}}, W.m_Now);
+  }
+  CHECK(!W.m_Core->jobs().all().empty());
+  for (const auto &[Id, Job] : W.m_Core->jobs().all())
+    STRCMP_EQUAL(Bad.c_str(), jobStateAddress(Id).m_Part.c_str());
+}
+
+TEST(ProgressWriter, TakesAConflictWithALastStateAsTheEndOfTheJob) {
+  SchedulerWorld W;
+  finishJobs(W, 1);
+  W.m_Writer->next(W.m_Now, W.wall());
+  JobProgress Cancelled;
+  Cancelled.m_State = JobState::Cancelled;
+  CommitOutcome Conflict;
+  Conflict.m_Conflicts.push_back(
+      {jobStateAddress(JobId("job0")), encodeProgress(Cancelled), 77, false});
+  W.m_Writer->onResult(Conflict, W.m_Now);
+  CHECK_EQUAL(0u, W.m_Core->jobs().all().size());
+}
+
+TEST(ProgressWriter, WritesAgainAfterALostAnswer) {
+  SchedulerWorld W;
+  finishJobs(W, 1);
+  W.m_Writer->next(W.m_Now, W.wall());
+  W.m_Writer->onResult(makeError(ErrorCode::Timeout, "commit"), W.m_Now);
+  CHECK_FALSE(W.m_Writer->next(W.m_Now, W.wall()).has_value());
+  W.advance(100ms);
+  CHECK(W.m_Writer->next(W.m_Now, W.wall()).has_value());
+}
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -149,13 +149,16 @@
     }
 }
 
-void Scheduler::onRecorded(std::uint64_t Change, TimePoint Now) {
-  m_RecordedChange = std::max(m_RecordedChange, Change);
+bool Scheduler::isRecorded(const UnrecordedEnd &End) {
+  LiveJob *Job = m_Jobs.find(End.m_Job);
+  return !Job || Job->m_RecordedChange >= End.m_Change;
+}
+
+void Scheduler::onRecorded(TimePoint Now) {
   for (auto &[Id, S] : m_Servers.all()) {
     bool Any = false;
-    while (!S.m_Unrecorded.empty() &&
-           S.m_Unrecorded.front().second <= m_RecordedChange) {
-      S.m_EndsRecorded = S.m_Unrecorded.front().first;
+    while (!S.m_Unrecorded.empty() && isRecorded(S.m_Unrecorded.front())) {
+      S.m_EndsRecorded = S.m_Unrecorded.front().m_Number;
       S.m_Unrecorded.pop_front();
       Any = true;
     }
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -98,8 +98,8 @@
   /// The job's state row holds more than was known.
   void onRecordedElsewhere(LiveJob &Job, const JobProgress &Stored,
                            TimePoint Now);
-  /// All changes up to \p Change are recorded.
-  void onRecorded(std::uint64_t Change, TimePoint Now);
+  /// Changes of jobs have been recorded: ends may now be acknowledged.
+  void onRecorded(TimePoint Now);
 
   /// Places what is ready and looks where a look is due.
   void tick(TimePoint Now, std::chrono::milliseconds Wall,
@@ -111,8 +111,6 @@
   ServerBook &servers() { return m_Servers; }
   const std::vector<InstanceListing> &instances() const { return m_Instances; }
   const ServingConfig *config() const { return m_Config.get(); }
-  /// The number of the newest change that has to be recorded.
-  std::uint64_t lastChange() const { return m_LastChange; }
   /// Accepted jobs of each queue of which no task has started.
   std::map<QueueName, std::uint32_t> waitingJobs() const;
   std::map<PoolName, PoolDemand> demand();
@@ -163,7 +161,7 @@
   void sendLook(ServerState &S, TimePoint Now);
   static std::chrono::milliseconds lookWait(const ServerState &S);
   void expireLeases(TimePoint Now);
-  void markReadyPools();
+  bool isRecorded(const UnrecordedEnd &End);
 
   SchedulerOptions m_Options;
   SchedulerOrders &m_Orders;
@@ -173,8 +171,6 @@
   std::vector<InstanceListing> m_Instances;
   bool m_InstancesKnown = false;
   TimePoint m_UncertainUntil{};
-  std::uint64_t m_LastChange = 0;
-  std::uint64_t m_RecordedChange = 0;
   bool m_Deposed = false;
   Authority m_May;
   SchedulerCounters m_Counters;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -230,10 +230,10 @@
       } else if (m_Jobs.markDone(*Job, Task, Now)) {
         stopOtherRuns(*Job, Task, Now);
       }
-      Change = ++m_LastChange;
+      Change = ++Job->m_Change;
     } else if (End.m_Kind == EndKind::Failed && !Step.m_Lasting) {
       if (m_Jobs.markFailed(*Job, Task, End.m_Run.m_Number))
-        Change = ++m_LastChange;
+        Change = ++Job->m_Change;
       if (Job->m_State == JobState::Failed)
         stopRuns(*Job, Now);
     } else if (Step.m_Lasting) {
@@ -249,8 +249,7 @@
   if (Change == 0 && S.m_Unrecorded.empty())
     S.m_EndsRecorded = End.m_Number;
   else
-    S.m_Unrecorded.emplace_back(End.m_Number,
-                                Change ? Change : S.m_Unrecorded.back().second);
+    S.m_Unrecorded.push_back({End.m_Number, End.m_Run.m_Task.m_Job, Change});
 }
 
 void Scheduler::checkListed(ServerState &S, const LookOrder &,
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -157,7 +157,7 @@
   CHECK_EQUAL(0u, W.m_Orders.m_Looks.back().m_EndsRecorded);
   W.answerLook("s1", {{W.run("j", 0, 1, 1), "", 60, 0}},
                {{1, W.run("j", 0, 0, 1), EndKind::Done, ""}});
-  W.m_Core->onRecorded(W.m_Core->lastChange(), W.m_Now);
+  W.record();
   W.advance(100ms);
   W.tick();
   CHECK_EQUAL(1u, W.m_Orders.m_Looks.back().m_EndsRecorded);
@@ -254,7 +254,7 @@
   CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
   // Even a recorded end is not acknowledged: the next leader may have read the
   // store before it was recorded.
-  W.m_Core->onRecorded(W.m_Core->lastChange(), W.m_Now);
+  W.record();
   W.advance(200ms);
   W.m_Core->tick(W.m_Now, W.wall(), May);
   CHECK_EQUAL(0u, W.m_Orders.m_Looks.back().m_EndsRecorded);
--- a/src/scheduling/ServerBook.h
+++ b/src/scheduling/ServerBook.h
@@ -38,6 +38,14 @@
   std::uint32_t m_Pace = 100;
 };
 
+/// An end that its server must not forget yet.
+struct UnrecordedEnd {
+  std::uint64_t m_Number = 0;
+  /// The job, and the change of it that records the end.
+  JobId m_Job;
+  std::uint64_t m_Change = 0;
+};
+
 /// One life of a backend server, as this term knows it.
 struct ServerState {
   ServerRegistration m_Registration;
@@ -61,8 +69,8 @@
   bool m_WantsLook = true;
 
   std::uint64_t m_EndsSeen = 0;
-  /// Ends that are not yet recorded, with the change that records them.
-  std::deque<std::pair<std::uint64_t, std::uint64_t>> m_Unrecorded;
+  /// Ends that are not yet recorded, in their order.
+  std::deque<UnrecordedEnd> m_Unrecorded;
   std::uint64_t m_EndsRecorded = 0;
   std::uint64_t m_EndsAcknowledged = 0;
 
--- a/src/scheduling/testing/SchedulerWorld.cpp
+++ b/src/scheduling/testing/SchedulerWorld.cpp
@@ -10,6 +10,7 @@
   Options.m_Term = T;
   Options.m_TermVersion = 100;
   m_Core = Scheduler::create(Options, m_Orders, m_Now);
+  m_Writer = ProgressWriter::create(*m_Core);
   auto Config = std::make_shared<ServingConfig>();
   QueuePolicy Queue;
   Queue.m_Name = QueueName("asks");
@@ -71,6 +72,14 @@
   m_Core->onStartResult(Order, R, m_Now);
 }
 
+void SchedulerWorld::record() {
+  advance(std::chrono::seconds(1));
+  while (auto Txn = m_Writer->next(m_Now, wall())) {
+    m_Writer->onResult(CommitOutcome{true, ++m_StoreVersion, {}}, m_Now);
+    advance(std::chrono::seconds(1));
+  }
+}
+
 StepSpec SchedulerWorld::step(std::uint32_t Count,
                               std::vector<std::uint32_t> After) {
   StepSpec S;
--- a/src/scheduling/testing/SchedulerWorld.h
+++ b/src/scheduling/testing/SchedulerWorld.h
@@ -29,6 +29,7 @@
 
   FakeOrders m_Orders;
   std::unique_ptr<Scheduler> m_Core;
+  std::unique_ptr<ProgressWriter> m_Writer;
   TimePoint m_Now{std::chrono::hours(1)};
 
   void advance(Duration By) { m_Now += By; }
@@ -45,6 +46,9 @@
   /// Answers the start at \p Index.
   void answerStart(std::size_t Index, OrderResult R = OrderResult::Done);
 
+  /// Records all changes, as the store would.
+  void record();
+
   static StepSpec step(std::uint32_t Count,
                        std::vector<std::uint32_t> After = {});
   static RunId run(const std::string &Job, std::uint32_t Step,
@@ -54,6 +58,7 @@
   LiveJob &job(const std::string &Id);
 
 private:
+  RowVersion m_StoreVersion = 1000;
   const LookOrder &lastLook(const std::string &Id) const;
 };
 
