Simulate leaders and servers with faults; follow servers into new lives

Two faults of the product: (1) after a server had started anew under its ID, ends of the new life were acknowledged with numbers of the earlier one, so done ends were forgotten unseen; (2) its registration made the books drop runs that were on the new life already. Faults of the simulation were late orders that outlived their server. Change: silent servers get no acknowledgement, a start's answer with a clock that began anew makes the server silent, and a new life's runs are compared with its list instead of dropped.

--- a/src/entry/EntryPorts.h
+++ b/src/entry/EntryPorts.h
@@ -16,7 +16,8 @@
 class OrderResults {
 public:
   virtual ~OrderResults() = default;
-  virtual void onStartResult(const StartOrder &Order, OrderResult R) = 0;
+  virtual void onStartResult(const StartOrder &Order,
+                             const StartReply &Reply) = 0;
   virtual void onStopResult(const StopOrder &Order, OrderResult R) = 0;
   virtual void onLookReply(const LookOrder &Order, const LookReply &Reply) = 0;
   virtual void onLookFailed(const LookOrder &Order, OrderResult R) = 0;
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -262,8 +262,8 @@
   return Row;
 }
 
-void Leader::onStartResult(const StartOrder &Order, OrderResult R) {
-  m_Core->onStartResult(Order, R, m_Loop.now());
+void Leader::onStartResult(const StartOrder &Order, const StartReply &Reply) {
+  m_Core->onStartResult(Order, Reply, m_Loop.now());
   tickSoon();
 }
 
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -37,7 +37,7 @@
   RenewalRow renewal();
   const SchedulerCounters &counters() const { return m_Core->counters(); }
 
-  void onStartResult(const StartOrder &Order, OrderResult R) override;
+  void onStartResult(const StartOrder &Order, const StartReply &Reply) override;
   void onStopResult(const StopOrder &Order, OrderResult R) override;
   void onLookReply(const LookOrder &Order, const LookReply &Reply) override;
   void onLookFailed(const LookOrder &Order, OrderResult R) override;
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -129,6 +129,13 @@
 
 std::string_view orderResultName(OrderResult R);
 
+/// A server's answer to a start.
+struct StartReply {
+  OrderResult m_Result = OrderResult::Unknown;
+  /// The server's clock in milliseconds; 0: not told.
+  std::int64_t m_ClockMs = 0;
+};
+
 /// Why a run is over.
 enum class EndKind : std::uint8_t {
   Done,
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -83,18 +83,19 @@
 }
 
 void Scheduler::onServer(const ServerRegistration &R, TimePoint Now) {
-  if (ServerState *Known = m_Servers.find(R.m_Id)) {
-    if (R.m_BornMs != 0 && Known->m_Registration.m_BornMs != 0 &&
-        R.m_BornMs > Known->m_Registration.m_BornMs) {
-      startNewLife(*Known, R.m_BornMs, Now);
-    } else if (R.m_BornMs < Known->m_Registration.m_BornMs) {
-      ServerRegistration Newer = R;
-      Newer.m_BornMs = Known->m_Registration.m_BornMs;
-      m_Servers.upsert(Newer);
-      return;
-    }
+  ServerState *Known = m_Servers.find(R.m_Id);
+  std::int64_t KnownBorn = Known ? Known->m_Registration.m_BornMs : 0;
+  bool NewLife = KnownBorn != 0 && R.m_BornMs > KnownBorn;
+  ServerState &S = m_Servers.upsert(R);
+  if (KnownBorn == 0)
+    return;
+  // Which of our runs are on the new life, only its own list tells; until then
+  // the books are of the life that was known.
+  S.m_Registration.m_BornMs = KnownBorn;
+  if (NewLife) {
+    S.m_Vetted = false;
+    S.m_NextLook = Now;
   }
-  m_Servers.upsert(R);
 }
 
 void Scheduler::onServerGone(const ServerId &Id, TimePoint Now) {
@@ -232,9 +233,12 @@
   Order.m_Server = S.address();
   Order.m_Term = m_Options.m_Term;
   // An end that is forgotten after the next leader has read the store's rows
-  // would be lost to it.
-  Order.m_EndsRecorded =
-      m_May.m_IsCertain ? S.m_EndsRecorded : S.m_EndsAcknowledged;
+  // would be lost to it. And a server that was silent may be a new life, whose
+  // ends are numbered anew.
+  if (m_May.m_IsCertain && S.m_Reachable)
+    Order.m_EndsRecorded = S.m_EndsRecorded;
+  else if (S.m_Reachable)
+    Order.m_EndsRecorded = S.m_EndsAcknowledged;
   // A look at a silent server carries no lease: each one sent would put off
   // the time at which its tasks may be started elsewhere.
   if (S.m_ClockKnown && S.m_Reachable) {
@@ -297,14 +301,16 @@
   S->m_FailedLooks = 0;
   if (Reply.m_BornMs != 0 && S->m_Registration.m_BornMs != 0 &&
       Reply.m_BornMs != S->m_Registration.m_BornMs)
-    startNewLife(*S, Reply.m_BornMs, Now);
+    startNewLife(*S);
+  else
+    S->m_EndsAcknowledged =
+        std::max(S->m_EndsAcknowledged, Order.m_EndsRecorded);
   S->m_Registration.m_BornMs = Reply.m_BornMs;
   bool First = !S->m_Vetted;
   S->m_Vetted = true;
   S->m_ClockKnown = true;
   S->m_ClockMs = Reply.m_ClockMs;
   S->m_ClockAt = Now;
-  S->m_EndsAcknowledged = std::max(S->m_EndsAcknowledged, Order.m_EndsRecorded);
   for (const EndReport &End : Reply.m_Ended)
     if (End.m_Number > S->m_EndsSeen)
       endRun(*S, End, Now);
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -90,7 +90,8 @@
   void onInstances(std::vector<InstanceListing> List, TimePoint Asked,
                    TimePoint Now);
 
-  void onStartResult(const StartOrder &Order, OrderResult R, TimePoint Now);
+  void onStartResult(const StartOrder &Order, const StartReply &Reply,
+                     TimePoint Now);
   void onStopResult(const StopOrder &Order, OrderResult R, TimePoint Now);
   void onLookReply(const LookOrder &Order, const LookReply &Reply,
                    TimePoint Now);
@@ -136,7 +137,10 @@
   void orderStop(ServerState &S, const RunId &Id, TimePoint Now);
   void stopOtherRuns(const LiveJob &Job, const TaskId &Task, TimePoint Now);
   void stopRuns(const LiveJob &Job, TimePoint Now);
-  void startNewLife(ServerState &S, std::int64_t BornMs, TimePoint Now);
+  void checkLife(ServerState &S, const StartReply &Reply, TimePoint Now);
+  /// The server has another life than the books say. Its runs are compared
+  /// with its list next, which shows those that are on the new life already.
+  static void startNewLife(ServerState &S);
 
   // Placement (SchedulerPlacement.cpp).
   void placePool(const PoolName &Pool, TimePoint Now);
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -19,6 +19,10 @@
 constexpr std::uint32_t FailuresToSuspend = 3;
 constexpr Duration SuspendFor = std::chrono::seconds(2);
 
+/// How far a server's clock may be behind what we take it to be at the least:
+/// answers may overtake each other by this much.
+constexpr std::chrono::milliseconds ClockTolerance{1000};
+
 std::string runName(const RunId &Id) {
   return Id.m_Task.m_Job.m_Text + "." + std::to_string(Id.m_Task.m_Occurrence) +
          "." + std::to_string(Id.m_Task.m_Step) + "." +
@@ -37,11 +41,24 @@
 
 } // namespace
 
-void Scheduler::onStartResult(const StartOrder &Order, OrderResult R,
+void Scheduler::checkLife(ServerState &S, const StartReply &Reply,
+                          TimePoint Now) {
+  if (Reply.m_ClockMs == 0 || !S.m_ClockKnown ||
+      Reply.m_ClockMs + ClockTolerance.count() >= S.clockAtLeast(Now))
+    return;
+  // Its clock has begun anew: another life, whose ends are numbered anew. The
+  // next look acknowledges nothing and shows which.
+  S.m_Reachable = false;
+  S.m_NextLook = Now;
+}
+
+void Scheduler::onStartResult(const StartOrder &Order, const StartReply &Reply,
                               TimePoint Now) {
   ServerState *S = m_Servers.find(Order.m_Server.m_Id);
   if (!S)
     return;
+  OrderResult R = Reply.m_Result;
+  checkLife(*S, Reply, Now);
   auto It = S->m_Runs.find(Order.m_Run);
   if (R == OrderResult::Fenced)
     m_Deposed = true;
@@ -182,16 +199,12 @@
   }
 }
 
-void Scheduler::startNewLife(ServerState &S, std::int64_t BornMs,
-                             TimePoint Now) {
-  releaseAllRuns(S, "the server has started anew", Now);
-  S.m_Registration.m_BornMs = BornMs;
-  S.m_Vetted = false;
-  S.m_ClockKnown = false;
+void Scheduler::startNewLife(ServerState &S) {
+  logEvent(Event::BackendReborn, {{"server", S.m_Registration.m_Id.m_Text},
+                                  {"runs", std::to_string(S.m_Runs.size())}});
   S.m_EndsSeen = S.m_EndsRecorded = S.m_EndsAcknowledged = 0;
   S.m_Unrecorded.clear();
   S.m_FailuresInRow = 0;
-  S.m_NextLook = Now;
 }
 
 void Scheduler::countServerFailure(ServerState &S, bool Failed, TimePoint Now) {
--- /dev/null
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -0,0 +1,419 @@
+//===- JobSimulation.cpp - Leaders, servers and demand in virtual time ----===//
+
+#include "scheduling/testing/JobSimulation.h"
+#include <algorithm>
+#include <cmath>
+
+namespace pollenspool {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration OneWay = milliseconds(1);
+constexpr Duration CommitTime = milliseconds(7);
+constexpr Duration TickEvery = milliseconds(5);
+constexpr Duration OrderTimeout = milliseconds(500);
+/// How long a replaced leader goes on, as the product does.
+constexpr Duration GoOnFor = std::chrono::seconds(5);
+
+} // namespace
+
+/// A leader: a scheduling core whose orders reach the simulated servers.
+class JobSimulation::Instance : public SchedulerOrders {
+public:
+  Instance(JobSimulation &World, int Number, Term T, RowVersion TermVersion)
+      : m_World(World), m_Number(Number) {
+    SchedulerOptions Options;
+    Options.m_Term = T;
+    Options.m_TermVersion = TermVersion;
+    Options.m_EarlierLeaderFor = GoOnFor;
+    m_Core = Scheduler::create(Options, *this, World.m_Clock.m_Now);
+    m_Writer = ProgressWriter::create(*m_Core);
+  }
+
+  std::unique_ptr<Scheduler> m_Core;
+  std::unique_ptr<ProgressWriter> m_Writer;
+  bool m_Alive = true;
+  /// Set when a later term has begun.
+  std::optional<TimePoint> m_ReplacedAt;
+  RowVersion m_SeenVersion = 0;
+
+  void tick() {
+    if (!m_Alive)
+      return;
+    TimePoint Now = m_World.m_Clock.m_Now;
+    Authority May;
+    May.m_IsCertain = !m_ReplacedAt;
+    if (m_ReplacedAt)
+      May.m_StartUpTo = m_SeenVersion;
+    if (m_ReplacedAt && Now >= *m_ReplacedAt + GoOnFor)
+      m_Alive = false;
+    if (m_Core->isDeposed())
+      m_Alive = false;
+    if (m_Alive)
+      m_Core->tick(Now, m_World.wall(), May);
+    record();
+    m_World.m_Clock.after(TickEvery, [this] { tick(); });
+  }
+
+  void start(const StartOrder &Order) override {
+    SimServer *S = find(Order.m_Server.m_Id);
+    LiveJob *Job = m_Core->jobs().find(Order.m_Run.m_Task.m_Job);
+    if (S && Job)
+      S->noteNeed(Order.m_Run.m_Task,
+                  Job->m_Spec.m_Steps[Order.m_Run.m_Task.m_Step].m_Need);
+    Duration Work = m_World.workOf(Order.m_Run.m_Task);
+    bool Fails = m_World.chance(m_World.m_Settings.m_Faults.m_FailedRuns);
+    send(
+        S, Order,
+        [Work, Fails](SimServer &To, const StartOrder &O) {
+          return To.start(O, Work, Fails);
+        },
+        [this, S](const StartOrder &O, OrderResult R) {
+          std::int64_t ClockMs =
+              R == OrderResult::Unknown || !S ? 0 : S->clockMs();
+          m_Core->onStartResult(O, {R, ClockMs}, m_World.m_Clock.m_Now);
+        });
+  }
+
+  void stop(const StopOrder &Order) override {
+    send(
+        find(Order.m_Server.m_Id), Order,
+        [](SimServer &To, const StopOrder &O) { return To.stop(O); },
+        [this](const StopOrder &O, OrderResult R) {
+          m_Core->onStopResult(O, R, m_World.m_Clock.m_Now);
+        });
+  }
+
+  void look(const LookOrder &Order) override {
+    SimServer *S = find(Order.m_Server.m_Id);
+    auto Answered = std::make_shared<bool>(false);
+    m_World.m_Clock.after(Order.m_Timeout, [this, Order, Answered] {
+      if (!std::exchange(*Answered, true) && m_Alive)
+        m_Core->onLookFailed(Order, OrderResult::Unknown,
+                             m_World.m_Clock.m_Now);
+    });
+    if (!reaches(S))
+      return;
+    m_World.m_Clock.after(OneWay, [this, S, Order, Answered] {
+      if (!reaches(S))
+        return;
+      S->look(Order, [this, S, Order, Answered](OrderResult R, LookReply L) {
+        m_World.m_Clock.after(OneWay, [=] {
+          if (!reaches(S) || std::exchange(*Answered, true) || !m_Alive)
+            return;
+          if (R == OrderResult::Done)
+            m_Core->onLookReply(Order, L, m_World.m_Clock.m_Now);
+          else
+            m_Core->onLookFailed(Order, R, m_World.m_Clock.m_Now);
+        });
+      });
+    });
+  }
+
+  void pace(const PaceOrder &) override {}
+
+private:
+  SimServer *find(const ServerId &Id) {
+    for (auto &S : m_World.m_Servers)
+      if (S->m_Registration.m_Id == Id)
+        return S.get();
+    return nullptr;
+  }
+  bool reaches(SimServer *S) const {
+    return S && S->m_Up && !S->m_CutFrom.count(m_Number);
+  }
+
+  template <typename Order, typename Do, typename Then>
+  void send(SimServer *S, const Order &O, Do Carry, Then Report) {
+    const SimFaults &Faults = m_World.m_Settings.m_Faults;
+    bool Late = m_World.chance(Faults.m_LateOrders);
+    bool Lost = Late || m_World.chance(Faults.m_LostAnswers) || !reaches(S);
+    if (S && (reaches(S) || Late)) {
+      Duration Delay =
+          Late ? milliseconds(2000 + m_World.m_Random() % 4000) : OneWay;
+      // An order that waits at a server ends with the server's life.
+      auto Life = S->m_Registration.m_BornMs;
+      m_World.m_Clock.after(Delay, [=] {
+        if (!S->m_Up || (!Late && !reaches(S)) ||
+            Life != S->m_Registration.m_BornMs)
+          return;
+        OrderResult R = Carry(*S, O);
+        if (!Lost)
+          m_World.m_Clock.after(OneWay, [=] {
+            if (m_Alive)
+              Report(O, R);
+          });
+      });
+    }
+    if (Lost)
+      m_World.m_Clock.after(OrderTimeout, [=] {
+        if (m_Alive)
+          Report(O, OrderResult::Unknown);
+      });
+  }
+
+  void record() {
+    if (!m_Alive)
+      return;
+    auto Txn = m_Writer->next(m_World.m_Clock.m_Now, m_World.wall());
+    if (!Txn)
+      return;
+    bool Lost = m_World.chance(m_World.m_Settings.m_Faults.m_LostAnswers);
+    bool Late = m_World.chance(m_World.m_Settings.m_Faults.m_LateOrders);
+    auto Apply = [this, Txn = *Txn, Lost, Late] {
+      CommitOutcome Outcome = m_World.apply(Txn);
+      if (!Lost && !Late && m_Alive)
+        m_Writer->onResult(Outcome, m_World.m_Clock.m_Now);
+    };
+    m_World.m_Clock.after(Late ? Duration(milliseconds(1500)) : CommitTime,
+                          Apply);
+    if (Lost || Late)
+      m_World.m_Clock.after(OrderTimeout, [this] {
+        if (m_Alive)
+          m_Writer->onResult(makeError(ErrorCode::Timeout, "commit"),
+                             m_World.m_Clock.m_Now);
+      });
+  }
+
+  JobSimulation &m_World;
+  int m_Number;
+};
+
+JobSimulation::JobSimulation(const SimulationSettings &Settings)
+    : m_Settings(Settings), m_Random(Settings.m_Seed) {
+  for (std::size_t N = 0; N < Settings.m_Servers; ++N) {
+    ServerRegistration R;
+    R.m_Id = ServerId("s" + std::to_string(N));
+    R.m_Instance = InstanceId("i" + std::to_string(N));
+    R.m_Pool = PoolName("desk");
+    R.m_Address = R.m_Id.m_Text;
+    R.m_Capacity = {Settings.m_CoresPerServer * 1000, 1 << 20, 0};
+    R.m_BornMs = 1;
+    m_Servers.push_back(
+        std::make_unique<SimServer>(m_Clock, m_Random, m_Oracle, R));
+  }
+  startTerm();
+}
+
+JobSimulation::~JobSimulation() = default;
+
+Scheduler &JobSimulation::core() { return *m_Leaders.back()->m_Core; }
+
+std::string JobSimulation::describeLive() {
+  if (m_Live.empty())
+    return "none";
+  JobId Id(m_Live.begin()->first);
+  LiveJob *Job = core().jobs().find(Id);
+  if (!Job)
+    return Id.m_Text + ": the leader does not know it";
+  std::string Text = Id.m_Text + ": state " +
+                     std::to_string(static_cast<int>(Job->m_State)) + ", " +
+                     std::to_string(Job->m_Ready.size()) + " ready";
+  for (const auto &[Number, O] : Job->m_Occurrences)
+    for (std::size_t N = 0; N < O.m_Steps.size(); ++N)
+      for (std::size_t I = 0; I < O.m_Steps[N].m_Tasks.size(); ++I) {
+        const TaskState &T = O.m_Steps[N].m_Tasks[I];
+        if (!T.m_Done)
+          Text +=
+              "\n  step " + std::to_string(N) + " task " + std::to_string(I) +
+              (T.m_Ready ? " ready" : "") + ", " +
+              std::to_string(T.m_Runs.size()) + " runs" +
+              (T.m_Runs.empty() ? "" : " on " + T.m_Runs[0].m_Server.m_Text);
+      }
+  return Text;
+}
+
+milliseconds JobSimulation::wall() const {
+  return std::chrono::duration_cast<milliseconds>(
+      m_Clock.m_Now.time_since_epoch());
+}
+
+bool JobSimulation::chance(double Share) {
+  return Share > 0 && std::uniform_real_distribution<>(0, 1)(m_Random) < Share;
+}
+
+Duration JobSimulation::workOf(const TaskId &) {
+  std::lognormal_distribution<> Length(0, 0.5);
+  return std::chrono::duration_cast<Duration>(m_Settings.m_MeanWork *
+                                              Length(m_Random));
+}
+
+void JobSimulation::startTerm() {
+  RowVersion TermVersion = ++m_Version;
+  m_Leaders.push_back(std::make_unique<Instance>(
+      *this, static_cast<int>(m_Leaders.size()), ++m_Term, TermVersion));
+  ++m_Figures.m_Terms;
+  Instance &Leader = *m_Leaders.back();
+  auto Config = std::make_shared<ServingConfig>();
+  QueuePolicy Queue;
+  Queue.m_Name = QueueName("asks");
+  Queue.m_Pool = PoolName("desk");
+  Queue.m_Attempts = m_Settings.m_Attempts;
+  Queue.m_Stretch = 1.6;
+  Queue.m_Slack = milliseconds(600);
+  Config->m_Queues.push_back(Queue);
+  Config->m_Pools.push_back({PoolName("desk"), false, true});
+  Leader.m_Core->onConfig(Config);
+  for (auto &[Id, Row] : m_Live)
+    Leader.m_Core->onJob(Row.m_Spec, m_States[Id].m_Progress, Row.m_Version,
+                         m_States[Id].m_Version, m_Clock.m_Now, wall());
+  for (auto &S : m_Servers)
+    Leader.m_Core->onServer(S->m_Registration, m_Clock.m_Now);
+  std::vector<InstanceListing> List;
+  for (auto &S : m_Servers) {
+    InstanceListing L;
+    L.m_Id = S->m_Registration.m_Instance;
+    L.m_Pool = S->m_Registration.m_Pool;
+    L.m_Server = S->m_Registration.m_Id;
+    List.push_back(L);
+  }
+  Leader.m_Core->onInstances(List, m_Clock.m_Now, m_Clock.m_Now);
+  Leader.tick();
+}
+
+void JobSimulation::changeLeader() {
+  Instance &Old = *m_Leaders.back();
+  Old.m_ReplacedAt = m_Clock.m_Now;
+  Old.m_SeenVersion = m_Version;
+  // The next one begins only after the earlier one's term is certainly over.
+  m_Clock.runUntil(m_Clock.m_Now + milliseconds(300));
+  startTerm();
+}
+
+void JobSimulation::killLeader() {
+  m_Leaders.back()->m_Alive = false;
+  m_Clock.runUntil(m_Clock.m_Now + milliseconds(1500));
+  startTerm();
+}
+
+void JobSimulation::crashServer(std::size_t Index) {
+  SimServer &S = *m_Servers[Index];
+  S.crash();
+  m_Clock.after(milliseconds(300), [this, &S] {
+    for (auto &L : m_Leaders)
+      if (L->m_Alive && !L->m_ReplacedAt)
+        L->m_Core->onServer(S.m_Registration, m_Clock.m_Now);
+  });
+}
+
+void JobSimulation::cutServer(std::size_t Index) {
+  m_Servers[Index]->m_CutFrom.insert(static_cast<int>(m_Leaders.size()) - 1);
+}
+
+void JobSimulation::heal() {
+  for (auto &S : m_Servers)
+    S->m_CutFrom.clear();
+}
+
+CommitOutcome JobSimulation::apply(const RowTransaction &Txn) {
+  CommitOutcome Outcome;
+  for (const RowCondition &C : Txn.m_Conditions) {
+    const StateRow &Row = m_States[C.m_At.m_Key];
+    if (Row.m_Version != C.m_Version)
+      Outcome.m_Conflicts.push_back(
+          {C.m_At, encodeProgress(Row.m_Progress), Row.m_Version, false});
+  }
+  if (!Outcome.m_Conflicts.empty())
+    return Outcome;
+  Outcome.m_Committed = true;
+  Outcome.m_Version = ++m_Version;
+  for (const RowPut &P : Txn.m_Puts) {
+    StateRow &Row = m_States[P.m_At.m_Key];
+    Row.m_Progress = decodeProgress(P.m_Value).value();
+    Row.m_Version = m_Version;
+  }
+  for (const RowAddress &At : Txn.m_Removes) {
+    auto It = m_Live.find(At.m_Key);
+    if (It == m_Live.end())
+      continue;
+    if (m_States[At.m_Key].m_Progress.m_State == JobState::Completed) {
+      ++m_Figures.m_Completed;
+      m_Figures.m_OnTime += m_Clock.m_Now <= It->second.m_Objective;
+    } else {
+      ++m_Figures.m_Failed;
+    }
+    m_Live.erase(It);
+  }
+  return Outcome;
+}
+
+void JobSimulation::submit() {
+  JobSpec Job;
+  Job.m_Id = JobId("job" + std::to_string(++m_Figures.m_Submitted));
+  Job.m_Queue = QueueName("asks");
+  Job.m_Pool = PoolName("desk");
+  std::uint32_t Steps = 1 + m_Random() % m_Settings.m_MaxSteps;
+  for (std::uint32_t N = 0; N < Steps; ++N) {
+    StepSpec S;
+    S.m_Count = 1 + m_Random() % m_Settings.m_MaxWidth;
+    S.m_Need = {
+        m_Settings.m_MeanMilliCores / 2 +
+            static_cast<std::int64_t>(m_Random() % m_Settings.m_MeanMilliCores),
+        1000, 0};
+    S.m_Estimate =
+        std::chrono::duration_cast<milliseconds>(m_Settings.m_MeanWork);
+    if (N > 0)
+      S.m_After = {N - 1};
+    Job.m_Steps.push_back(S);
+  }
+  Job.m_AcceptedAt = wall();
+  m_Oracle.onJob(Job, m_Settings.m_Attempts);
+  LiveRow Row{Job, ++m_Version, m_Clock.m_Now,
+              m_Clock.m_Now + milliseconds(600) +
+                  std::chrono::duration_cast<Duration>(m_Settings.m_MeanWork *
+                                                       1.6 * Steps)};
+  m_Live[Job.m_Id.m_Text] = Row;
+  m_States[Job.m_Id.m_Text] = {{}, m_Version};
+  m_Clock.after(milliseconds(5), [this, Row] {
+    for (auto &L : m_Leaders)
+      if (L->m_Alive && !L->m_ReplacedAt &&
+          m_Live.count(Row.m_Spec.m_Id.m_Text))
+        L->m_Core->onJob(Row.m_Spec, {}, Row.m_Version, Row.m_Version,
+                         m_Clock.m_Now, wall());
+  });
+}
+
+void JobSimulation::scheduleSubmit() {
+  std::exponential_distribution<> Gap(m_Settings.m_Rate);
+  m_Clock.after(std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(Gap(m_Random))),
+                [this] {
+                  if (!m_Demand)
+                    return;
+                  submit();
+                  scheduleSubmit();
+                });
+}
+
+void JobSimulation::cancelSomeJob() {
+  if (m_Live.empty())
+    return;
+  auto It = m_Live.begin();
+  std::advance(It, static_cast<long>(m_Random() % m_Live.size()));
+  JobId Id(It->first);
+  m_Live.erase(It);
+  StateRow &Row = m_States[Id.m_Text];
+  Row.m_Progress = {};
+  Row.m_Progress.m_State = JobState::Cancelled;
+  Row.m_Version = ++m_Version;
+  m_Oracle.onCancelled(Id, m_Clock.m_Now);
+  ++m_Figures.m_Failed;
+  m_Clock.after(milliseconds(5), [this, Id] {
+    for (auto &L : m_Leaders)
+      if (L->m_Alive && !L->m_ReplacedAt)
+        L->m_Core->onJobOver(Id, m_Clock.m_Now);
+  });
+}
+
+void JobSimulation::run(Duration For, bool WithDemand) {
+  if (WithDemand && !m_Demand) {
+    m_Demand = true;
+    scheduleSubmit();
+  }
+  m_Demand = WithDemand;
+  m_Clock.runUntil(m_Clock.m_Now + For);
+}
+
+} // namespace pollenspool
--- a/src/scheduling/testing/SchedulerWorld.cpp
+++ b/src/scheduling/testing/SchedulerWorld.cpp
@@ -69,7 +69,7 @@
 void SchedulerWorld::answerStart(std::size_t Index, OrderResult R) {
   StartOrder Order = m_Orders.m_Starts.at(Index);
   advance(std::chrono::milliseconds(1));
-  m_Core->onStartResult(Order, R, m_Now);
+  m_Core->onStartResult(Order, {R, 0}, m_Now);
 }
 
 void SchedulerWorld::record() {
