--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -137,8 +137,14 @@
       auto Life = S->m_Registration.m_BornMs;
       m_World.m_Clock.after(Delay, [=] {
         if (!S->m_Up || (!Late && !reaches(S)) ||
-            Life != S->m_Registration.m_BornMs)
+            Life != S->m_Registration.m_BornMs) {
+          if (!Lost)
+            m_World.m_Clock.after(OrderTimeout, [=] {
+              if (m_Alive)
+                Report(O, OrderResult::Unknown);
+            });
           return;
+        }
         OrderResult R = Carry(*S, O);
         if (!Lost)
           m_World.m_Clock.after(OneWay, [=] {
