Place ready jobs only, rank by usefulness, index the planner

Cause: on the grown sites a leader's cores scanned all jobs and lists in each pass. Change: ready jobs are kept apart, room is bounded before servers are compared, the planner indexes the list once a plan; jobs past three times their objective come last.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -29,25 +29,30 @@
   return std::unique_ptr<FleetPlanner>(new FleetPlanner(Options, Core));
 }
 
+void FleetPlanner::index() {
+  m_Listed.clear();
+  m_ServerAt.clear();
+  for (auto &[Id, S] : m_Core.servers().all())
+    if (S.m_Registered)
+      m_ServerAt[S.m_Registration.m_Instance] = &S;
+  for (const InstanceListing &L : m_Core.instances()) {
+    m_Listed[L.m_Id] = &L;
+    if (ServerState *S = m_Core.servers().find(L.m_Server))
+      m_ServerAt[L.m_Id] = S;
+  }
+}
+
 const InstanceListing *FleetPlanner::listing(const InstanceId &Id) const {
-  for (const InstanceListing &L : m_Core.instances())
-    if (L.m_Id == Id)
-      return &L;
-  return nullptr;
+  auto It = m_Listed.find(Id);
+  return It == m_Listed.end() ? nullptr : It->second;
 }
 
 ServerState *FleetPlanner::serverOf(const InstanceListing &L) {
-  if (!L.m_Server.empty())
-    if (ServerState *S = m_Core.servers().find(L.m_Server))
-      return S;
-  for (auto &[Id, S] : m_Core.servers().all())
-    if (S.m_Registration.m_Instance == L.m_Id && S.m_Registered)
-      return &S;
-  return nullptr;
+  auto It = m_ServerAt.find(L.m_Id);
+  return It == m_ServerAt.end() ? nullptr : It->second;
 }
 
 void FleetPlanner::onInstances(TimePoint Asked) {
-  m_ListAsked = Asked;
   for (auto &[Id, State] : m_State)
     if (State.m_Ordered && !State.m_Pending && Asked > State.m_OrderedAt)
       State.m_Ordered = false;
@@ -67,7 +72,7 @@
   return S.m_Vetted && S.m_Reachable;
 }
 
-FleetPlanner::Pools FleetPlanner::survey(TimePoint) {
+FleetPlanner::Pools FleetPlanner::survey() {
   Pools All;
   if (const ServingConfig *C = m_Core.config())
     for (const PoolPolicy &P : C->m_Pools)
@@ -138,8 +143,7 @@
   return nullptr;
 }
 
-void FleetPlanner::planMoves(Pools &All, TimePoint Now,
-                             std::vector<InstanceOrder> &Out) {
+void FleetPlanner::planMoves(Pools &All, std::vector<InstanceOrder> &Out) {
   PoolName Spare;
   for (auto &[Name, P] : All)
     if (P.m_Spare)
@@ -181,7 +185,6 @@
       Order(L, Spare);
     }
   }
-  (void)Now;
 }
 
 std::vector<InstanceOrder> FleetPlanner::plan(TimePoint Now,
@@ -189,10 +192,11 @@
   std::vector<InstanceOrder> Out;
   if (!m_Core.config() || m_Core.instances().empty())
     return Out;
-  Pools All = survey(Now);
+  index();
+  Pools All = survey();
   estimateWanted(All, Now);
   planWaves(All, Now, Wall, Out);
-  planMoves(All, Now, Out);
+  planMoves(All, Out);
   return Out;
 }
 
@@ -245,9 +249,9 @@
     I.m_OrderedAt = Now;
     return;
   }
+  I.m_EmptyingSince.reset();
   if (S)
     S->m_Reserved = false;
-  stopEmptying(Order.m_Instance);
 }
 
 } // namespace pollenspool
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -105,9 +105,9 @@
       : m_Options(Options), m_Core(Core) {}
 
   // Sizes of pools (FleetPlanner.cpp).
-  Pools survey(TimePoint Now);
+  Pools survey();
   void estimateWanted(Pools &All, TimePoint Now);
-  void planMoves(Pools &All, TimePoint Now, std::vector<InstanceOrder> &Out);
+  void planMoves(Pools &All, std::vector<InstanceOrder> &Out);
   const InstanceListing *takeFree(PoolView &From, bool OnlyEmpty);
   std::uint32_t spreadOf(const PoolName &Pool);
 
@@ -126,9 +126,9 @@
   /// A lasting task that must not be ended now; empty if there is none.
   std::string keptTask(const ServerState &S, TimePoint Now);
   bool isAtWork(const RunPlace &Place, const TaskId &Task);
-  void stopEmptying(const InstanceId &Id);
   void finishWave(WaveState &W);
 
+  void index();
   const InstanceListing *listing(const InstanceId &Id) const;
   ServerState *serverOf(const InstanceListing &L);
   /// Whether the books show all that runs on \p S: a new leader's do so only
@@ -142,7 +142,9 @@
   std::map<InstanceId, Instance> m_State;
   std::map<WaveId, WaveState> m_Waves;
   std::set<WaveId> m_Changed;
-  TimePoint m_ListAsked{};
+  /// The list and the servers by instance, made anew for each plan.
+  std::map<InstanceId, const InstanceListing *> m_Listed;
+  std::map<InstanceId, ServerState *> m_ServerAt;
   /// Demand of each pool in thousandths of a core, held at its recent peak.
   std::map<PoolName, double> m_HeldDemand;
   TimePoint m_HeldAt{};
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -197,13 +197,6 @@
   return {};
 }
 
-void FleetPlanner::stopEmptying(const InstanceId &Id) {
-  m_State[Id].m_EmptyingSince.reset();
-  if (const InstanceListing *L = listing(Id))
-    if (ServerState *S = serverOf(*L))
-      S->m_Reserved = false;
-}
-
 void FleetPlanner::finishWave(WaveState &W) {
   W.m_Progress.m_Complete = true;
   m_Changed.insert(W.m_Request.m_Id);
--- a/src/scheduling/JobBook.cpp
+++ b/src/scheduling/JobBook.cpp
@@ -20,7 +20,7 @@
 }
 
 LiveJob &JobBook::add(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
-                      RowVersion State, std::uint32_t Attempts, TimePoint Now,
+                      RowVersion State, TimePoint Now,
                       std::chrono::milliseconds Wall) {
   auto Made = std::make_unique<LiveJob>();
   LiveJob &Job = *Made;
@@ -29,7 +29,6 @@
   Job.m_State = Job.m_Restored.m_State;
   Job.m_AcceptedVersion = Accepted;
   Job.m_StateVersion = State;
-  Job.m_Attempts = Attempts;
   Job.m_AcceptedAt = Now - std::max(std::chrono::milliseconds(0),
                                     Wall - Job.m_Spec.m_AcceptedAt);
   JobId Id = Job.m_Spec.m_Id;
@@ -45,6 +44,7 @@
 
 void JobBook::remove(const JobId &Id) {
   m_WithDueTimes.erase(Id);
+  m_ReadyJobs.erase(Id);
   m_Jobs.erase(Id);
 }
 
@@ -114,6 +114,7 @@
       continue;
     S.m_Released = true;
     S.m_ReleasedAt = Now;
+    m_ReadyJobs.insert(Job.m_Spec.m_Id);
     for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
       // A run of an earlier leader may have been found before the ends of the
       // steps that it waited for.
@@ -184,6 +185,7 @@
   T->m_Ready = true;
   T->m_NotBefore = NotBefore;
   Job.m_Ready.push_back({Id.m_Occurrence, Id.m_Step, Id.m_Index});
+  m_ReadyJobs.insert(Job.m_Spec.m_Id);
 }
 
 void JobBook::touch(LiveJob &Job) {
--- a/src/scheduling/JobBook.h
+++ b/src/scheduling/JobBook.h
@@ -73,6 +73,10 @@
   JobProgress m_Restored;
   /// When it was accepted, on the local clock.
   TimePoint m_AcceptedAt{};
+  /// When it has to be done for its caller to be on time, and when at the
+  /// latest for it to be of use.
+  TimePoint m_Objective{};
+  TimePoint m_LastUse{};
   /// Failed runs of one task after which the job fails.
   std::uint32_t m_Attempts = 1;
   /// Its state row is behind.
@@ -91,8 +95,7 @@
 public:
   /// Takes a job in. \p Now and \p Wall are the same moment.
   LiveJob &add(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
-               RowVersion State, std::uint32_t Attempts, TimePoint Now,
-               std::chrono::milliseconds Wall);
+               RowVersion State, TimePoint Now, std::chrono::milliseconds Wall);
   /// Forgets a job; its runs are the caller's concern.
   void remove(const JobId &Id);
   LiveJob *find(const JobId &Id);
@@ -115,6 +118,9 @@
   JobProgress progressOf(const LiveJob &Job,
                          std::chrono::milliseconds Wall) const;
 
+  /// Jobs that may have tasks to start; those that have none are left out once
+  /// they are found.
+  std::set<JobId> &ready() { return m_ReadyJobs; }
   /// Jobs whose state row is behind, in the order in which they changed.
   std::vector<JobId> &dirty() { return m_Dirty; }
 
@@ -124,6 +130,7 @@
 
   std::map<JobId, std::unique_ptr<LiveJob>> m_Jobs;
   std::set<JobId> m_WithDueTimes;
+  std::set<JobId> m_ReadyJobs;
   std::vector<JobId> m_Dirty;
 };
 
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -56,8 +56,7 @@
 void Scheduler::onConfig(std::shared_ptr<const ServingConfig> Config) {
   m_Config = std::move(Config);
   for (auto &[Id, Job] : m_Jobs.all())
-    if (const QueuePolicy *Q = m_Config->queue(Job->m_Spec.m_Queue))
-      Job->m_Attempts = Q->m_Attempts;
+    setObjective(*Job);
 }
 
 void Scheduler::onJob(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
@@ -65,9 +64,9 @@
                       std::chrono::milliseconds Wall) {
   if (m_Jobs.find(Spec.m_Id) || isFinal(Progress.m_State))
     return;
-  const QueuePolicy *Q = m_Config ? m_Config->queue(Spec.m_Queue) : nullptr;
   LiveJob &Job = m_Jobs.add(std::move(Spec), std::move(Progress), Accepted,
-                            State, Q ? Q->m_Attempts : 1, Now, Wall);
+                            State, Now, Wall);
+  setObjective(Job);
   if (Job.m_OccurrencesDone == Job.m_Spec.occurrences()) {
     Job.m_State = JobState::Completed;
     m_Jobs.touch(Job);
@@ -120,16 +119,20 @@
                             TimePoint Now) {
   m_Instances = std::move(List);
   m_InstancesKnown = true;
+  std::map<InstanceId, const InstanceListing *> ById;
   for (const InstanceListing &L : m_Instances)
-    for (auto &[Id, S] : m_Servers.all()) {
-      if (S.m_Registration.m_Instance != L.m_Id || S.m_Runs.empty())
-        continue;
-      bool Over = L.m_Condition != InstanceCondition::Up ||
-                  (!L.m_Server.empty() && L.m_Server != Id);
-      // An answer newer than the list shows that the server lives.
-      if (Over && S.m_ClockAt < Asked && !S.m_Reachable)
-        releaseAllRuns(S, "the instance is listed without this server", Now);
-    }
+    ById[L.m_Id] = &L;
+  for (auto &[Id, S] : m_Servers.all()) {
+    auto It = ById.find(S.m_Registration.m_Instance);
+    if (S.m_Runs.empty() || It == ById.end())
+      continue;
+    const InstanceListing &L = *It->second;
+    bool Over = L.m_Condition != InstanceCondition::Up ||
+                (!L.m_Server.empty() && L.m_Server != Id);
+    // An answer newer than the list shows that the server lives.
+    if (Over && S.m_ClockAt < Asked && !S.m_Reachable)
+      releaseAllRuns(S, "the instance is listed without this server", Now);
+  }
 }
 
 void Scheduler::onRecordedElsewhere(LiveJob &Job, const JobProgress &Stored,
@@ -175,14 +178,8 @@
   m_May = May;
   m_Jobs.releaseDue(Now, Wall);
   expireLeases(Now);
-  if (m_Config && !m_Deposed) {
-    std::set<PoolName> Pools;
-    for (auto &[Id, Job] : m_Jobs.all())
-      if (!Job->m_Ready.empty() && !isFinal(Job->m_State))
-        Pools.insert(poolOf(*Job));
-    for (const PoolName &Pool : Pools)
-      placePool(Pool, Now);
-  }
+  if (m_Config && !m_Deposed)
+    placeReady(Now);
   lookWhereDue(Now, !m_Deposed);
 }
 
@@ -361,22 +358,4 @@
   return Pools;
 }
 
-TimePoint Scheduler::objectiveOf(const LiveJob &Job) const {
-  const QueuePolicy *Q =
-      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
-  std::vector<std::chrono::milliseconds> Chain;
-  std::chrono::milliseconds Longest{0};
-  for (const StepSpec &Step : Job.m_Spec.m_Steps) {
-    std::chrono::milliseconds Before{0};
-    for (std::uint32_t Earlier : Step.m_After)
-      Before = std::max(Before, Chain[Earlier]);
-    Chain.push_back(Before + Step.m_Estimate);
-    Longest = std::max(Longest, Chain.back());
-  }
-  double Stretch = Q ? Q->m_Stretch : 1.0;
-  return Job.m_AcceptedAt +
-         std::chrono::duration_cast<Duration>(Longest * Stretch) +
-         (Q ? Q->m_Slack : std::chrono::milliseconds(0));
-}
-
 } // namespace pollenspool
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -117,8 +117,6 @@
   std::map<PoolName, PoolDemand> demand();
   /// The pool that runs \p Job now.
   PoolName poolOf(const LiveJob &Job) const;
-  /// When \p Job has to be done for its caller to be on time.
-  TimePoint objectiveOf(const LiveJob &Job) const;
   const SchedulerCounters &counters() const { return m_Counters; }
 
 private:
@@ -143,13 +141,25 @@
   static void startNewLife(ServerState &S);
 
   // Placement (SchedulerPlacement.cpp).
-  void placePool(const PoolName &Pool, TimePoint Now);
-  bool placeTasks(LiveJob &Job, std::vector<ServerState *> &Servers,
-                  TimePoint Now);
-  bool placeGang(LiveJob &Job, const ReadyTask &First,
-                 std::vector<ServerState *> &Servers, TimePoint Now);
-  ServerState *choose(LiveJob &Job, const ReadyTask &Task,
-                      std::vector<ServerState *> &Servers, TimePoint Now);
+  /// The servers of one pool during one pass of placement.
+  struct PoolRoom {
+    std::vector<ServerState *> m_Servers;
+    /// No server has more room than this of any kind.
+    Resources m_Most;
+
+    void measure();
+  };
+  void placeReady(TimePoint Now);
+  void placePool(const PoolName &Pool, std::vector<LiveJob *> &Jobs,
+                 TimePoint Now);
+  void placeTasks(LiveJob &Job, PoolRoom &Room, TimePoint Now);
+  bool placeGang(LiveJob &Job, const ReadyTask &First, PoolRoom &Room,
+                 TimePoint Now);
+  ServerState *choose(LiveJob &Job, const ReadyTask &Task, PoolRoom &Room);
+  static bool mayFit(const LiveJob &Job, const PoolRoom &Room);
+  static Resources chargeOf(const StepSpec &Step);
+  void setObjective(LiveJob &Job) const;
+  static std::chrono::milliseconds longestChain(const JobSpec &Job);
   bool canTake(const ServerState &S, const LiveJob &Job, const ReadyTask &Task,
                const Resources &Need) const;
   std::uint32_t runsOfStepOn(const LiveJob &Job, const ReadyTask &Task,
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -14,6 +14,8 @@
 /// Weight of a lasting run in thousandths of a core when servers are compared:
 /// more than any server has.
 constexpr std::int64_t LastingBonus = 1000000;
+/// A job done later than this many times its objective is of no use.
+constexpr int LateFactor = 3;
 /// Registration that lapsed with the store counts for this long.
 constexpr Duration RegistrationGrace = std::chrono::seconds(2);
 
@@ -57,48 +59,114 @@
          (Pool != Job.m_Spec.m_Pool && !isPoolVetted(Job.m_Spec.m_Pool));
 }
 
-void Scheduler::placePool(const PoolName &Pool, TimePoint Now) {
-  std::vector<ServerState *> Servers;
+std::chrono::milliseconds Scheduler::longestChain(const JobSpec &Job) {
+  std::vector<std::chrono::milliseconds> Chain;
+  std::chrono::milliseconds Longest{0};
+  for (const StepSpec &Step : Job.m_Steps) {
+    std::chrono::milliseconds Before{0};
+    for (std::uint32_t Earlier : Step.m_After)
+      Before = std::max(Before, Chain[Earlier]);
+    Chain.push_back(Before + Step.m_Estimate);
+    Longest = std::max(Longest, Chain.back());
+  }
+  return Longest;
+}
+
+void Scheduler::setObjective(LiveJob &Job) const {
+  const QueuePolicy *Q =
+      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+  if (Q)
+    Job.m_Attempts = Q->m_Attempts;
+  Duration Allowed = std::chrono::duration_cast<Duration>(
+      longestChain(Job.m_Spec) * (Q ? Q->m_Stretch : 1.0));
+  if (Q)
+    Allowed += Q->m_Slack;
+  Job.m_Objective = Job.m_AcceptedAt + Allowed;
+  Job.m_LastUse = Job.m_AcceptedAt + Allowed * LateFactor;
+}
+
+void Scheduler::PoolRoom::measure() {
+  m_Most = {};
+  for (const ServerState *S : m_Servers) {
+    Resources R = S->room();
+    m_Most.m_MilliCores = std::max(m_Most.m_MilliCores, R.m_MilliCores);
+    m_Most.m_MemoryMb = std::max(m_Most.m_MemoryMb, R.m_MemoryMb);
+    m_Most.m_Gpus = std::max(m_Most.m_Gpus, R.m_Gpus);
+  }
+}
+
+Resources Scheduler::chargeOf(const StepSpec &Step) {
+  Resources Charge = Step.m_Need;
+  if (Step.m_Fills)
+    Charge.m_MilliCores = 0;
+  return Charge;
+}
+
+void Scheduler::placeReady(TimePoint Now) {
+  std::map<PoolName, std::vector<LiveJob *>> Pools;
+  auto &Ready = m_Jobs.ready();
+  for (auto It = Ready.begin(); It != Ready.end();) {
+    LiveJob *Job = m_Jobs.find(*It);
+    if (!Job || Job->m_Ready.empty() || isFinal(Job->m_State)) {
+      It = Ready.erase(It);
+      continue;
+    }
+    Pools[poolOf(*Job)].push_back(Job);
+    ++It;
+  }
+  for (auto &[Pool, Jobs] : Pools)
+    placePool(Pool, Jobs, Now);
+}
+
+void Scheduler::placePool(const PoolName &Pool, std::vector<LiveJob *> &Jobs,
+                          TimePoint Now) {
+  PoolRoom Room;
   for (auto &[Id, S] : m_Servers.all())
     if (S.m_Registration.m_Pool == Pool && isUsable(S, Now))
-      Servers.push_back(&S);
-  if (Servers.empty())
+      Room.m_Servers.push_back(&S);
+  if (Room.m_Servers.empty())
     return;
-  struct Candidate {
-    std::uint32_t m_Class;
-    TimePoint m_Objective;
-    LiveJob *m_Job;
+  Room.measure();
+  // Lasting tasks come first: they are few and owed all the time. Then jobs
+  // that can be on time, then those that can still be of use.
+  auto Rank = [Now](const LiveJob &Job) {
+    if (Job.m_Spec.m_Steps[Job.m_Ready.front().m_Step].m_Lasting)
+      return 0;
+    return Now < Job.m_Objective ? 1 : Now < Job.m_LastUse ? 2 : 3;
   };
-  std::vector<Candidate> Order;
-  for (auto &[Id, Job] : m_Jobs.all()) {
-    if (Job->m_Ready.empty() || isFinal(Job->m_State) || poolOf(*Job) != Pool)
-      continue;
-    if (mayHaveUnknownRuns(*Job, Now) ||
-        Job->m_AcceptedVersion > m_May.m_StartUpTo)
+  std::vector<std::tuple<int, TimePoint, LiveJob *>> Order;
+  for (LiveJob *Job : Jobs)
+    if (Job->m_AcceptedVersion <= m_May.m_StartUpTo &&
+        !mayHaveUnknownRuns(*Job, Now))
+      Order.emplace_back(Rank(*Job), Job->m_Objective, Job);
+  std::sort(Order.begin(), Order.end(), [](const auto &A, const auto &B) {
+    return std::tie(std::get<0>(A), std::get<1>(A),
+                    std::get<2>(A)->m_Spec.m_Id) <
+           std::tie(std::get<0>(B), std::get<1>(B),
+                    std::get<2>(B)->m_Spec.m_Id);
+  });
+  for (const auto &[R, Objective, Job] : Order)
+    if (mayFit(*Job, Room))
+      placeTasks(*Job, Room, Now);
+}
+
+bool Scheduler::mayFit(const LiveJob &Job, const PoolRoom &Room) {
+  std::uint32_t Last = ~0u;
+  for (const ReadyTask &R : Job.m_Ready) {
+    if (R.m_Step == Last)
       continue;
-    bool Lasting = Job->m_Spec.m_Steps[Job->m_Ready.front().m_Step].m_Lasting;
-    TimePoint Objective = objectiveOf(*Job);
-    // Lasting tasks first: they are few and owed all the time. Jobs that have
-    // missed their objective come after those that can still be on time.
-    std::uint32_t Class = Lasting ? 0 : Now < Objective ? 1 : 2;
-    Order.push_back({Class, Objective, Job.get()});
+    Last = R.m_Step;
+    if (chargeOf(Job.m_Spec.m_Steps[R.m_Step]).fitsIn(Room.m_Most))
+      return true;
   }
-  std::sort(Order.begin(), Order.end(),
-            [](const Candidate &A, const Candidate &B) {
-              return std::tie(A.m_Class, A.m_Objective, A.m_Job->m_Spec.m_Id) <
-                     std::tie(B.m_Class, B.m_Objective, B.m_Job->m_Spec.m_Id);
-            });
-  for (const Candidate &C : Order)
-    placeTasks(*C.m_Job, Servers, Now);
+  return false;
 }
 
-bool Scheduler::placeTasks(LiveJob &Job, std::vector<ServerState *> &Servers,
-                           TimePoint Now) {
+void Scheduler::placeTasks(LiveJob &Job, PoolRoom &Room, TimePoint Now) {
   std::vector<ReadyTask> Left;
   std::vector<ReadyTask> Tasks = std::move(Job.m_Ready);
   Job.m_Ready.clear();
   std::set<std::pair<std::uint32_t, std::uint32_t>> Skip;
-  bool Any = false;
   for (const ReadyTask &R : Tasks) {
     StepState *Step = Job.step(R.m_Occurrence, R.m_Step);
     TaskState &T = Step->m_Tasks[R.m_Index];
@@ -110,29 +178,26 @@
     }
     if (Job.m_Spec.m_Steps[R.m_Step].m_Gang) {
       Skip.insert({R.m_Occurrence, R.m_Step});
-      if (placeGang(Job, R, Servers, Now))
-        Any = true;
-      else
+      if (!placeGang(Job, R, Room, Now))
         Left.push_back(R);
       continue;
     }
-    ServerState *S = choose(Job, R, Servers, Now);
+    ServerState *S = choose(Job, R, Room);
     if (!S) {
       Skip.insert({R.m_Occurrence, R.m_Step});
       Left.push_back(R);
       continue;
     }
     start(Job, R, *S, nextRunNumber(T), Now);
-    Any = true;
+    Room.measure();
   }
   for (const ReadyTask &R : Left)
     if (Job.step(R.m_Occurrence, R.m_Step)->m_Tasks[R.m_Index].m_Ready)
       Job.m_Ready.push_back(R);
-  return Any;
 }
 
-bool Scheduler::placeGang(LiveJob &Job, const ReadyTask &First,
-                          std::vector<ServerState *> &Servers, TimePoint Now) {
+bool Scheduler::placeGang(LiveJob &Job, const ReadyTask &First, PoolRoom &Room,
+                          TimePoint Now) {
   StepState &Step = *Job.step(First.m_Occurrence, First.m_Step);
   std::uint32_t Number = 0;
   for (const TaskState &T : Step.m_Tasks) {
@@ -141,23 +206,25 @@
       return false;
     Number = std::max(Number, nextRunNumber(T));
   }
+  Resources Charge = chargeOf(Job.m_Spec.m_Steps[First.m_Step]);
   std::vector<std::pair<ReadyTask, ServerState *>> Plan;
   bool Complete = true;
   for (std::uint32_t I = 0; I < Step.m_Tasks.size() && Complete; ++I) {
     ReadyTask R{First.m_Occurrence, First.m_Step, I};
-    ServerState *S = choose(Job, R, Servers, Now);
+    ServerState *S = choose(Job, R, Room);
     Complete = S != nullptr;
     if (!Complete)
       break;
     Plan.emplace_back(R, S);
-    S->m_Used += Job.m_Spec.m_Steps[First.m_Step].m_Need;
+    S->m_Used += Charge;
   }
   for (auto &[R, S] : Plan)
-    S->m_Used -= Job.m_Spec.m_Steps[First.m_Step].m_Need;
+    S->m_Used -= Charge;
   if (!Complete)
     return false;
   for (auto &[R, S] : Plan)
     start(Job, R, *S, Number, Now);
+  Room.measure();
   return true;
 }
 
@@ -186,12 +253,11 @@
 }
 
 ServerState *Scheduler::choose(LiveJob &Job, const ReadyTask &Task,
-                               std::vector<ServerState *> &Servers,
-                               TimePoint Now) {
+                               PoolRoom &Room) {
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
-  Resources Need = Step.m_Need;
-  if (Step.m_Fills)
-    Need.m_MilliCores = 0;
+  Resources Need = chargeOf(Step);
+  if (!Need.fitsIn(Room.m_Most))
+    return nullptr;
   std::set<std::string> RacksInUse;
   if (Step.m_SameRack)
     for (const TaskState &T : Job.step(Task.m_Occurrence, Task.m_Step)->m_Tasks)
@@ -200,8 +266,8 @@
           RacksInUse.insert(S->m_Registration.m_Rack.m_Text);
   ServerState *Best = nullptr;
   std::tuple<int, int, std::uint32_t, std::int64_t> BestScore;
-  for (ServerState *S : Servers) {
-    if (!isUsable(*S, Now) || !canTake(*S, Job, Task, Need))
+  for (ServerState *S : Room.m_Servers) {
+    if (!canTake(*S, Job, Task, Need))
       continue;
     const std::string &Rack = S->m_Registration.m_Rack.m_Text;
     // One order for the server should not take more of a step away than may be
@@ -213,13 +279,13 @@
               (!RacksInUse.empty() && !RacksInUse.count(Rack));
     // Tasks are packed, lasting ones first of all beside other lasting ones,
     // so that other servers stay empty for large tasks and for moves.
-    std::int64_t Room = S->room().m_MilliCores;
+    std::int64_t Free = S->room().m_MilliCores;
     if (Step.m_Lasting)
-      Room -= LastingBonus *
+      Free -= LastingBonus *
               std::count_if(S->m_Runs.begin(), S->m_Runs.end(),
                             [](const auto &E) { return E.second.m_Lasting; });
     std::tuple<int, int, std::uint32_t, std::int64_t> Score{
-        Crowded, Far, S->m_FailuresInRow, Room};
+        Crowded, Far, S->m_FailuresInRow, Free};
     if (!Best || Score < BestScore) {
       Best = S;
       BestScore = Score;
@@ -247,9 +313,7 @@
           .count();
   ServerBook::noteLease(S, Now, m_Options.m_Lease);
   ActiveRun Run;
-  Run.m_Charge = Step.m_Need;
-  if (Step.m_Fills)
-    Run.m_Charge.m_MilliCores = 0;
+  Run.m_Charge = chargeOf(Step);
   Run.m_Lasting = Step.m_Lasting;
   Run.m_Fills = Step.m_Fills;
   Run.m_OrderedAt = Now;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -324,9 +324,7 @@
   bool Wanted = T && !T->m_Done && !isFinal(Job->m_State) && T->m_Runs.empty();
   if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
     const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
-    Run.m_Charge = Step.m_Need;
-    if (Step.m_Fills)
-      Run.m_Charge.m_MilliCores = 0;
+    Run.m_Charge = chargeOf(Step);
     Run.m_Lasting = Step.m_Lasting;
     Run.m_Fills = Step.m_Fills;
   }
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -240,10 +240,26 @@
   return Share > 0 && std::uniform_real_distribution<>(0, 1)(m_Random) < Share;
 }
 
-Duration JobSimulation::workOf(const TaskId &) {
+Duration JobSimulation::workOf(const TaskId &Task) {
+  // The same task takes the same time wherever and whenever it runs.
+  std::uint64_t Seed = m_Settings.m_Seed;
+  for (char C : Task.m_Job.m_Text)
+    Seed = Seed * 31 + static_cast<unsigned char>(C);
+  std::mt19937_64 Own(Seed * 1000003 + Task.m_Step * 1009 + Task.m_Index);
   std::lognormal_distribution<> Length(0, 0.5);
   return std::chrono::duration_cast<Duration>(m_Settings.m_MeanWork *
-                                              Length(m_Random));
+                                              Length(Own));
+}
+
+Duration JobSimulation::chainOf(const JobSpec &Job) {
+  Duration Chain{0};
+  for (std::uint32_t N = 0; N < Job.m_Steps.size(); ++N) {
+    Duration Longest{0};
+    for (std::uint32_t I = 0; I < Job.m_Steps[N].m_Count; ++I)
+      Longest = std::max(Longest, workOf({Job.m_Id, 0, N, I}));
+    Chain += Longest;
+  }
+  return Chain;
 }
 
 void JobSimulation::startTerm() {
@@ -336,7 +352,13 @@
       continue;
     if (m_States[At.m_Key].m_Progress.m_State == JobState::Completed) {
       ++m_Figures.m_Completed;
-      m_Figures.m_OnTime += m_Clock.m_Now <= It->second.m_Objective;
+      const LiveRow &Row = It->second;
+      bool OnTime = m_Clock.m_Now <= Row.m_Objective;
+      m_Figures.m_OnTime += OnTime;
+      m_Figures.m_Late +=
+          !OnTime &&
+          m_Clock.m_Now <=
+              Row.m_SubmittedAt + (Row.m_Objective - Row.m_SubmittedAt) * 3;
     } else {
       ++m_Figures.m_Failed;
     }
@@ -368,8 +390,7 @@
   m_Oracle.onJob(Job, m_Settings.m_Attempts);
   LiveRow Row{Job, ++m_Version, m_Clock.m_Now,
               m_Clock.m_Now + milliseconds(600) +
-                  std::chrono::duration_cast<Duration>(m_Settings.m_MeanWork *
-                                                       1.6 * Steps)};
+                  std::chrono::duration_cast<Duration>(chainOf(Job) * 1.6)};
   m_Live[Job.m_Id.m_Text] = Row;
   m_States[Job.m_Id.m_Text] = {{}, m_Version};
   m_Clock.after(milliseconds(5), [this, Row] {
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -32,6 +32,8 @@
   std::uint64_t m_Submitted = 0;
   std::uint64_t m_Completed = 0;
   std::uint64_t m_OnTime = 0;
+  /// After the objective, but within three times of it.
+  std::uint64_t m_Late = 0;
   std::uint64_t m_Failed = 0;
   std::uint64_t m_Terms = 0;
 };
@@ -54,6 +56,7 @@
   void cutServer(std::size_t Index);
   void heal();
   void cancelSomeJob();
+  void setRate(double JobsASecond) { m_Settings.m_Rate = JobsASecond; }
   void setFaults(const SimFaults &Faults) { m_Settings.m_Faults = Faults; }
 
   const SimulationFigures &figures() const { return m_Figures; }
@@ -84,6 +87,7 @@
   std::chrono::milliseconds wall() const;
   bool chance(double Share);
   Duration workOf(const TaskId &Task);
+  Duration chainOf(const JobSpec &Job);
 
   SimulationSettings m_Settings;
   VirtualClock m_Clock;
