Give the first term to instances with processor time

Starts within 0.3 s of each other hid the delay of 0.35 s. Change: before the first term the own delay counts four times; 0.8 s at the most later.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -20,7 +20,7 @@
 constexpr Duration StoreSilence = std::chrono::milliseconds(900);
 /// Longest extra wait of an instance with little processor time before it
 /// takes over.
-constexpr Duration MaxOwnDelay = std::chrono::milliseconds(600);
+constexpr Duration MaxOwnDelay = std::chrono::milliseconds(800);
 
 LeadershipOptions leadershipOptions(const EntrySettings &Settings) {
   LeadershipOptions Options;
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -8,6 +8,14 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+/// Before the first term nothing is lost by waiting, and instances start within
+/// 0.3 s of each other: the ones with more processor time have to be there.
+constexpr int FirstTermFactor = 4;
+
+} // namespace
+
 std::string encodeTerm(const TermRow &Row) {
   return Json{{"term", Row.m_Term},
               {"leader", Row.m_Leader},
@@ -84,8 +92,10 @@
   // A leader of our own name is this instance before it was restarted.
   bool Vacant =
       m_RowVersion == 0 || m_Row.m_Released || m_Row.m_Leader == m_Name;
-  Duration Wait =
-      m_Options.m_OwnDelay + (Vacant ? Duration(0) : m_Options.m_TakeOverAfter);
+  Duration Wait = m_RowVersion == 0
+                      ? m_Options.m_OwnDelay * FirstTermFactor
+                      : m_Options.m_OwnDelay +
+                            (Vacant ? Duration(0) : m_Options.m_TakeOverAfter);
   // The silence counts only up to the store's last answer.
   TimePoint Until = Vacant ? Now : m_LastAnswer;
   if (Until < m_SilentSince + Wait)
