Serve metrics, log to standard output without blocking, test with real processes

New: tests/jobs_check.py plays real entry instances against standins/jobs, a stand-in of the users' platform (store with feed, backend servers with leases, instances): a job from submit to completed, a repeated submit, a cancel, a killed leader, the loss of all processes, a store that is away or loses answers, a wave, a clean stop.

--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,9 +1,11 @@
 //===- Log.cpp - Numbered, structured log events --------------------------===//
 
 #include "base/Log.h"
+#include "base/BoundedWriter.h"
 #include <algorithm>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -13,14 +15,49 @@
 #include <chrono>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace pollenspool {
 
 namespace {
 
 namespace logging = boost::log;
-using Sink =
-    logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+
+/// Lines that may wait for a reader: some seconds of a busy instance.
+constexpr std::size_t MaxWaitingBytes = 256 * 1024;
+/// Lines a second that are written at the most; a busy instance writes a tenth.
+constexpr std::uint64_t MaxLinesPerSecond = 1000;
+
+/// Boost.Log's end of a BoundedWriter on standard output.
+class BoundedBackend : public logging::sinks::basic_formatted_sink_backend<
+                           char, logging::sinks::synchronized_feeding> {
+public:
+  void consume(const logging::record_view &, const std::string &Line) {
+    auto Second = std::chrono::duration_cast<std::chrono::seconds>(
+                      std::chrono::steady_clock::now().time_since_epoch())
+                      .count();
+    if (Second != m_Second) {
+      m_Second = Second;
+      m_LinesThisSecond = 0;
+      std::uint64_t Dropped = m_TooMany + m_Writer.takeDropped();
+      m_TooMany = 0;
+      if (Dropped > 0)
+        m_Writer.add("{\"event\":105,\"name\":\"LogDropped\",\"lines\":\"" +
+                     std::to_string(Dropped) + "\"}");
+    }
+    if (++m_LinesThisSecond > MaxLinesPerSecond)
+      ++m_TooMany;
+    else
+      m_Writer.add(Line);
+    m_Writer.flush();
+  }
+
+private:
+  BoundedWriter m_Writer{STDOUT_FILENO, MaxWaitingBytes};
+  std::int64_t m_Second = 0;
+  std::uint64_t m_LinesThisSecond = 0;
+  std::uint64_t m_TooMany = 0;
+};
 
 struct LogState {
   Severity m_Lowest = Severity::Info;
@@ -66,18 +103,25 @@
   return "error";
 }
 
-void setUpLog(Severity Lowest, std::string Process) {
+/// Makes \p Backend the only sink, with lines as they are.
+template <typename T> void useBackend(const boost::shared_ptr<T> &Backend) {
+  auto Front = boost::make_shared<logging::sinks::synchronous_sink<T>>(Backend);
+  Front->set_formatter(logging::expressions::stream
+                       << logging::expressions::smessage);
+  logging::core::get()->remove_all_sinks();
+  logging::core::get()->add_sink(Front);
+}
+
+void setUpLog(Severity Lowest, std::string Process, LogTarget Target) {
   state().m_Lowest = Lowest;
   state().m_Process = std::move(Process);
+  if (Target == LogTarget::StandardOutput)
+    return useBackend(boost::make_shared<BoundedBackend>());
   auto Backend = boost::make_shared<logging::sinks::text_ostream_backend>();
   Backend->add_stream(
       boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
   Backend->auto_flush(true);
-  auto Front = boost::make_shared<Sink>(Backend);
-  Front->set_formatter(logging::expressions::stream
-                       << logging::expressions::smessage);
-  logging::core::get()->remove_all_sinks();
-  logging::core::get()->add_sink(Front);
+  useBackend(Backend);
 }
 
 void logEvent(Event Id, const std::vector<Field> &Fields) {
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -1,8 +1,7 @@
 //===- Log.h - Numbered, structured log events ------------------*- C++ -*-===//
 //
 // Each event has a number, a severity and a text in Events.def; the catalogue
-// in docs/EVENTS.md is checked against that file. Lines are JSON objects on
-// standard error.
+// in docs/EVENTS.md is checked against that file. Lines are JSON objects.
 //
 //===----------------------------------------------------------------------===//
 
@@ -44,9 +43,14 @@
 /// The lowercase name of \p Level, as it stands in log lines and docs.
 std::string_view severityName(Severity Level);
 
+/// Where lines go. Writing to standard error waits for its reader; writing to
+/// standard output never does, and drops and counts lines instead.
+enum class LogTarget { StandardError, StandardOutput };
+
 /// Sets the lowest severity that is written and the process's name in each
 /// line. Call once before threads start.
-void setUpLog(Severity Lowest, std::string Process);
+void setUpLog(Severity Lowest, std::string Process,
+              LogTarget Target = LogTarget::StandardError);
 
 /// Writes one event. Thread safe.
 void logEvent(Event Id, const std::vector<Field> &Fields = {});
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -28,6 +28,9 @@
   /// The configuration in force; null before the first is known.
   const ServingConfig *config() const { return m_Config.get(); }
   JobIntake &intake() { return *m_Intake; }
+  const JobIntakeCounters &intakeCounters() const {
+    return m_Intake->counters();
+  }
   /// Accepted jobs of the queue of which no task has started; nothing while no
   /// leader has told.
   std::optional<std::uint32_t> waiting(const QueueName &Queue) const;
--- /dev/null
+++ b/src/entry/EntryMetrics.cpp
@@ -0,0 +1,197 @@
+//===- EntryMetrics.cpp - What an entry instance counts -------------------===//
+
+#include "entry/EntryMetrics.h"
+#include <array>
+#include <map>
+#include <prometheus/histogram.h>
+#include <prometheus/text_serializer.h>
+
+namespace pollenspool {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+/// Bounds in seconds: from a cached answer up to a caller's whole patience.
+const prometheus::Histogram::BucketBoundaries LatencyBuckets = {
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0};
+
+constexpr std::array<const char *, 4> CallNames = {"submit", "state", "cancel",
+                                                   "waiting"};
+
+/// Everything a sample can be taken from.
+struct Sources {
+  const Entry &m_Service;
+  const HttpClient &m_Client;
+
+  SchedulerCounters scheduler() const {
+    return m_Service.leader() ? m_Service.leader()->counters()
+                              : SchedulerCounters{};
+  }
+  const JobIntakeCounters &intake() const { return m_Service.intakeCounters(); }
+};
+
+struct Sample {
+  const char *m_Name;
+  MetricType m_Type;
+  const char *m_Help;
+  double (*m_Read)(const Sources &);
+};
+
+double number(std::uint64_t Value) { return static_cast<double>(Value); }
+
+constexpr Sample Samples[] = {
+    {"pollenspool_jobs_accepted_total", MetricType::Counter,
+     "Jobs that this instance has stored.",
+     [](const Sources &S) { return number(S.intake().m_Accepted); }},
+    {"pollenspool_jobs_repeated_total", MetricType::Counter,
+     "Submits of a job that was stored already.",
+     [](const Sources &S) { return number(S.intake().m_Repeated); }},
+    {"pollenspool_jobs_not_stored_total", MetricType::Counter,
+     "Submits that the store did not take.",
+     [](const Sources &S) { return number(S.intake().m_NotStored); }},
+    {"pollenspool_jobs_unsure_total", MetricType::Counter,
+     "Submits of which the store did not say whether it took them.",
+     [](const Sources &S) { return number(S.intake().m_Unsure); }},
+    {"pollenspool_jobs_cancelled_total", MetricType::Counter,
+     "Jobs cancelled through this instance.",
+     [](const Sources &S) { return number(S.intake().m_Cancelled); }},
+    {"pollenspool_state_reads_total", MetricType::Counter,
+     "Requests for a job's state.",
+     [](const Sources &S) { return number(S.intake().m_StateReads); }},
+    {"pollenspool_state_cache_hits_total", MetricType::Counter,
+     "Requests for a state that were answered from memory.",
+     [](const Sources &S) { return number(S.intake().m_StateCacheHits); }},
+    {"pollenspool_ready", MetricType::Gauge,
+     "1 while the balancer may send callers here.",
+     [](const Sources &S) { return S.m_Service.isReady() ? 1.0 : 0.0; }},
+    {"pollenspool_leading", MetricType::Gauge, "1 while this instance leads.",
+     [](const Sources &S) { return S.m_Service.leader() ? 1.0 : 0.0; }},
+    {"pollenspool_term", MetricType::Gauge, "The newest term seen.",
+     [](const Sources &S) { return number(S.m_Service.leadership().term()); }},
+    {"pollenspool_config_version", MetricType::Gauge,
+     "Version of the configuration in force.",
+     [](const Sources &S) {
+       return S.m_Service.config() ? number(S.m_Service.config()->m_Version)
+                                   : 0.0;
+     }},
+    {"pollenspool_starts_total", MetricType::Counter,
+     "Starts ordered in this term.",
+     [](const Sources &S) { return number(S.scheduler().m_Starts); }},
+    {"pollenspool_stops_total", MetricType::Counter,
+     "Stops ordered in this term.",
+     [](const Sources &S) { return number(S.scheduler().m_Stops); }},
+    {"pollenspool_looks_total", MetricType::Counter,
+     "Looks at backend servers in this term.",
+     [](const Sources &S) { return number(S.scheduler().m_Looks); }},
+    {"pollenspool_starts_without_room_total", MetricType::Counter,
+     "Starts that a backend server refused for want of room.",
+     [](const Sources &S) { return number(S.scheduler().m_NoRoom); }},
+    {"pollenspool_starts_doubtful_total", MetricType::Counter,
+     "Starts that were not answered.",
+     [](const Sources &S) { return number(S.scheduler().m_Doubtful); }},
+    {"pollenspool_servers_lapsed_total", MetricType::Counter,
+     "Times that a silent backend server's leases have run out.",
+     [](const Sources &S) { return number(S.scheduler().m_Lapsed); }},
+    {"pollenspool_runs_adopted_total", MetricType::Counter,
+     "Runs of earlier leaders taken over in this term.",
+     [](const Sources &S) { return number(S.scheduler().m_Adopted); }},
+    {"pollenspool_http_calls_total", MetricType::Counter,
+     "HTTP calls made to the platform and to backend servers.",
+     [](const Sources &S) { return number(S.m_Client.counters().m_Calls); }},
+    {"pollenspool_http_connections_total", MetricType::Counter,
+     "Connections opened for these calls.",
+     [](const Sources &S) {
+       return number(S.m_Client.counters().m_Connections);
+     }},
+    {"pollenspool_http_timeouts_total", MetricType::Counter,
+     "Calls that were not answered in time.",
+     [](const Sources &S) { return number(S.m_Client.counters().m_Timeouts); }},
+    {"pollenspool_http_lost_total", MetricType::Counter,
+     "Calls whose connection could not be made or broke.",
+     [](const Sources &S) { return number(S.m_Client.counters().m_Lost); }},
+};
+
+MetricFamily familyOf(const Sample &S, double Value) {
+  MetricFamily Family;
+  Family.name = S.m_Name;
+  Family.help = S.m_Help;
+  Family.type = S.m_Type;
+  ClientMetric Metric;
+  if (S.m_Type == MetricType::Counter)
+    Metric.counter.value = Value;
+  else
+    Metric.gauge.value = Value;
+  Family.metric.push_back(Metric);
+  return Family;
+}
+
+} // namespace
+
+struct EntryMetrics::Parts {
+  std::array<prometheus::Histogram, CallNames.size()> m_Latency = {
+      prometheus::Histogram(LatencyBuckets),
+      prometheus::Histogram(LatencyBuckets),
+      prometheus::Histogram(LatencyBuckets),
+      prometheus::Histogram(LatencyBuckets)};
+  std::map<std::string, std::uint64_t> m_Refusals;
+
+  MetricFamily latencyFamily() const {
+    MetricFamily Family;
+    Family.name = "pollenspool_request_seconds";
+    Family.help = "Time from reading a caller's request to its answer.";
+    Family.type = MetricType::Histogram;
+    for (std::size_t N = 0; N < m_Latency.size(); ++N) {
+      ClientMetric Metric = m_Latency[N].Collect();
+      Metric.label.push_back({"call", CallNames[N]});
+      Family.metric.push_back(Metric);
+    }
+    return Family;
+  }
+
+  MetricFamily refusalFamily() const {
+    MetricFamily Family;
+    Family.name = "pollenspool_refusals_total";
+    Family.help = "Requests answered without being served, by reason.";
+    Family.type = MetricType::Counter;
+    for (const auto &[Reason, Count] : m_Refusals) {
+      ClientMetric Metric;
+      Metric.counter.value = number(Count);
+      Metric.label.push_back({"reason", Reason});
+      Family.metric.push_back(Metric);
+    }
+    return Family;
+  }
+};
+
+EntryMetrics::EntryMetrics(std::unique_ptr<Parts> P) : m_Parts(std::move(P)) {}
+EntryMetrics::~EntryMetrics() = default;
+
+std::unique_ptr<EntryMetrics> EntryMetrics::create() {
+  return std::unique_ptr<EntryMetrics>(
+      new EntryMetrics(std::make_unique<Parts>()));
+}
+
+void EntryMetrics::observe(CallerCall Call, Duration Took) {
+  m_Parts->m_Latency[static_cast<std::size_t>(Call)].Observe(
+      std::chrono::duration<double>(Took).count());
+}
+
+void EntryMetrics::countRefusal(const std::string &Reason) {
+  ++m_Parts->m_Refusals[Reason];
+}
+
+std::string EntryMetrics::render(const Entry &Service,
+                                 const HttpClient &Client) const {
+  std::vector<MetricFamily> Families;
+  Sources From{Service, Client};
+  for (const Sample &S : Samples)
+    Families.push_back(familyOf(S, S.m_Read(From)));
+  Families.push_back(m_Parts->latencyFamily());
+  Families.push_back(m_Parts->refusalFamily());
+  return prometheus::TextSerializer().Serialize(Families);
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/tests/jobs_check.py
@@ -0,0 +1,285 @@
+#!/usr/bin/env python3
+"""Plays jobs against real entry instances and the stand-in of the platform.
+
+  jobs_check.py BUILD_DIR [--seed N]
+
+Checks what callers and backend servers see: a job from submit to completed, a
+repeated submit, a cancel, a leader that is killed at work, all processes killed and
+started again, a store that is away, a maintenance wave, a clean stop. The stand-in
+notes each task that runs twice.
+"""
+import base64
+import http.client
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PATIENCE_S = 30
+HOST = "jobs.example"
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def call(address, method, path, body=None, headers=None, timeout=5):
+    """Returns (status, decoded body), or (0, reason) if there was no answer."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, path, json.dumps(body) if body is not None else None,
+                           {"Host": HOST, **(headers or {})})
+        reply = connection.getresponse()
+        text = reply.read()
+        return reply.status, json.loads(text) if text else {}
+    except (OSError, http.client.HTTPException) as error:
+        return 0, str(error)
+    finally:
+        connection.close()
+
+
+class Entry:
+    def __init__(self, build, folder, number, platform):
+        self.name = f"entry-{number}"
+        self.callers, self.ready, self.metrics = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        self.settings = folder / f"{self.name}.yaml"
+        self.settings.write_text(f"""
+node-name: "{self.name}"
+zone: "z1"
+ip: "127.0.0.1"
+listen-addrs: {{frontend: "{self.callers}", ready-addr: "{self.ready}"}}
+internal-ports: [{self.metrics.split(":")[1]}]
+limits: {{cpu-share: 0.5}}
+bounds: {{hold-max-ms: 10000, grace-s: 3, lease-ms: 500, move-s: 0.3, upkeep-s: 0.3}}
+platform: {{addr: "{platform['store']}"}}
+cloud-api: {{addr: "{platform['cloud']}"}}
+""")
+        self.program = [str(build / "pollenspool-entry"), "--config", str(self.settings)]
+        self.log = folder / f"{self.name}.log"
+        self.process = None
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(self.program, stdout=log, stderr=log)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def leads(self):
+        """Whether its newest word on leadership is that it leads."""
+        words = [line for line in self.log.read_text().splitlines()
+                 if '"TermWon"' in line or '"TermLost"' in line or '"TermSeen"' in line]
+        return bool(words) and '"TermWon"' in words[-1]
+
+
+class Check:
+    def __init__(self, build, seed, folder):
+        self.random = random.Random(seed)
+        self.standin = subprocess.Popen(
+            [sys.executable, str(ROOT / "standins/jobs/platform.py"), "--seed", str(seed)],
+            stdout=subprocess.PIPE, text=True)
+        self.platform = json.loads(self.standin.stdout.readline())
+        self.entries = [Entry(build, folder, n, self.platform) for n in range(3)]
+        self.put_row("op", "config", {
+            "version": 3,
+            "routes": [{"name": "asks", "host": HOST, "prefix": "/asks/", "service": "desk",
+                        "attempts": 3, "stretch": 2.0, "slo-ms": 600, "priority": 0}],
+            "services": [{"name": "desk", "rejects-overload": True},
+                         {"name": "spare", "spare": True}]})
+
+    def put_row(self, table, key, value):
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        status, _ = call(self.platform["store"], "POST", "/rows-tx", {
+            "precondition": [], "remove": [],
+            "puts": [{"table": table, "part": "", "key": key, "value": text}]})
+        assert status == 200, status
+
+    def until(self, what, test):
+        end = time.monotonic() + PATIENCE_S
+        while time.monotonic() < end:
+            if test():
+                return
+            time.sleep(0.05)
+        raise AssertionError(f"not within {PATIENCE_S} s: {what}")
+
+    def report(self):
+        return call(self.platform["store"], "GET", "/report")[1]
+
+    def is_ready(self, entry):
+        return call(entry.ready, "GET", "/readyz")[0] == 200
+
+    def start_all(self):
+        for entry in self.entries:
+            entry.start()
+        self.until("all entry instances are ready", lambda: all(map(self.is_ready, self.entries)))
+
+    def submit(self, steps=2, width=3, spec="work", lasting=False, entry=None):
+        job = f"{self.random.getrandbits(64):016x}"
+        body = {"spec": spec, "steps": [
+            {"count": width, "cpu": 1000, "mem-mb": 100, "estimate-ms": 300,
+             **({"after": [n - 1]} if n else {}),
+             **({"long-running": True, "max-unavailable": 1} if lasting else {})}
+            for n in range(steps)]}
+        entry = entry or self.random.choice(self.entries)
+        status, reply = call(entry.callers, "POST", f"/asks/{job}", body)
+        assert status == 200, (status, reply)
+        return job
+
+    def state(self, job, entry=None):
+        status, reply = call((entry or self.entries[0]).callers, "GET", f"/asks/{job}")
+        return reply["state"] if status == 200 else status
+
+    def wait_for(self, job, state):
+        self.until(f"{job} is {state}",
+                   lambda: any(self.state(job, e) == state for e in self.entries))
+
+    def leader(self):
+        self.until("an instance leads", lambda: any(e.leads() for e in self.entries))
+        return next(e for e in self.entries if e.leads())
+
+    def plays_a_job(self):
+        job = self.submit()
+        self.wait_for(job, "completed")
+        assert all(self.state(job, e) == "completed" for e in self.entries)
+        done = [t for t in self.report()["done"] if t.startswith(job)]
+        assert len(done) == 6, done
+
+    def refuses_what_it_cannot_read(self):
+        entry = self.entries[0].callers
+        assert call(entry, "POST", "/asks/0123456789abcdef", {"steps": []})[0] == 400
+        assert call(entry, "POST", "/asks/short", {"steps": [{"count": 1}]})[0] == 400
+        assert call(entry, "GET", "/asks/0123456789abcdef")[0] == 410
+        assert call(entry, "GET", "/other/")[0] == 404
+        assert call(entry, "GET", "/asks/")[1]["waiting"] >= 0
+
+    def keeps_a_repeated_job_one(self):
+        job = self.submit()
+        body = {"spec": "work", "steps": [{"count": 3, "cpu": 1000, "estimate-ms": 300}]}
+        for entry in self.entries:
+            assert call(entry.callers, "POST", f"/asks/{job}", body)[0] == 200
+        self.wait_for(job, "completed")
+
+    def cancels_a_job(self):
+        job = self.submit(steps=1, spec="lasts", lasting=True)
+        self.until("its tasks run",
+                   lambda: sum(t.startswith(job) for t in self.report()["running"]) == 3)
+        assert call(self.entries[1].callers, "DELETE", f"/asks/{job}")[0] == 200
+        assert self.state(job) == "cancelled"
+        self.until("its tasks are stopped",
+                   lambda: not any(t.startswith(job) for t in self.report()["running"]))
+
+    def survives_a_killed_leader(self):
+        jobs = [self.submit(steps=3) for _ in range(6)]
+        leader = self.leader()
+        leader.kill()
+        for job in jobs:
+            self.wait_for(job, "completed")
+        leader.start()
+        self.until("it is ready again", lambda: self.is_ready(leader))
+
+    def survives_the_loss_of_all(self):
+        jobs = [self.submit(steps=3) for _ in range(6)]
+        for entry in self.entries:
+            entry.kill()
+        self.start_all()
+        for job in jobs:
+            self.wait_for(job, "completed")
+
+    def survives_an_outage_of_the_store(self):
+        jobs = [self.submit(steps=3) for _ in range(4)]
+        call(self.platform["store"], "GET", "/faults?store=down")
+        self.until("it is not ready", lambda: not self.is_ready(self.entries[0]))
+        status, _ = call(self.entries[0].callers, "POST", "/asks/00000000000000aa",
+                         {"steps": [{"count": 1}]})
+        assert status == 503, status
+        call(self.platform["store"], "GET", "/faults?store=ok")
+        for job in jobs:
+            self.wait_for(job, "completed")
+        assert self.state("00000000000000aa") == 410
+
+    def survives_lost_answers(self):
+        call(self.platform["store"], "GET", "/faults?store=lost")
+        jobs = []
+        for _ in range(6):
+            job = f"{self.random.getrandbits(64):016x}"
+            body = {"spec": "work", "steps": [{"count": 2, "cpu": 500, "estimate-ms": 300}]}
+            self.until("a submit is answered", lambda: call(
+                self.random.choice(self.entries).callers, "POST", f"/asks/{job}", body)[0] == 200)
+            jobs.append(job)
+        call(self.platform["store"], "GET", "/faults?store=ok")
+        for job in jobs:
+            self.wait_for(job, "completed")
+
+    def carries_out_a_wave(self):
+        machines = sorted(self.report()["machines"])
+        self.put_row("op", "wave/1", {"wave": 1, "machines": machines, "complete-by-s": 20,
+                                      "cap": 2})
+        def is_complete():
+            rows = call(self.platform["store"], "GET",
+                        "/rows-get?table=status&part=&from=wave/1")[1]["rows"]
+            return any(b"completed" in base64.b64decode(r["value"]) for r in rows)
+        self.until("the wave is complete", is_complete)
+        assert all(self.report()["upkeep"].values()), self.report()["upkeep"]
+
+    def stops_cleanly(self):
+        leader = self.leader()
+        leader.process.send_signal(signal.SIGTERM)
+        job = self.submit(entry=next(e for e in self.entries if e is not leader))
+        assert leader.process.wait(timeout=PATIENCE_S) == 0
+        self.wait_for(job, "completed")
+
+    def shows_metrics(self):
+        entry = next(e for e in self.entries if e.process.poll() is None)
+        connection = http.client.HTTPConnection(entry.metrics, timeout=5)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        assert "pollenspool_jobs_accepted_total" in text, text[:300]
+
+    STEPS = (plays_a_job, refuses_what_it_cannot_read, keeps_a_repeated_job_one, cancels_a_job,
+             survives_a_killed_leader, survives_the_loss_of_all,
+             survives_an_outage_of_the_store, survives_lost_answers, carries_out_a_wave,
+             stops_cleanly, shows_metrics)
+
+    def run(self):
+        self.start_all()
+        for step in self.STEPS:
+            step(self)
+            breaches = self.report()["breaches"]
+            assert not breaches, (step.__name__, breaches)
+            print(f"ok {step.__name__}", flush=True)
+
+    def close(self):
+        for child in [self.standin] + [e.process for e in self.entries if e.process]:
+            if child.poll() is None:
+                child.kill()
+                child.wait()
+
+
+def main():
+    build = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else "build").resolve()
+    seed = int(sys.argv[sys.argv.index("--seed") + 1]) if "--seed" in sys.argv else 1
+    with tempfile.TemporaryDirectory() as folder:
+        check = Check(build, seed, pathlib.Path(folder))
+        try:
+            check.run()
+        except BaseException:
+            for entry in check.entries:
+                if entry.log.exists():
+                    print(f"--- {entry.name}\n{entry.log.read_text()[-3000:]}")
+            raise
+        finally:
+            check.close()
+    print("jobs_check: ok")
+
+
+if __name__ == "__main__":
+    main()
