--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -127,7 +127,9 @@
     logEvent(
         Event::JobOver,
         {{"job", P.m_Job.m_Text},
-         {"state", P.m_State == JobState::Completed ? "completed" : "failed"}});
+         {"state", P.m_State == JobState::Completed ? "completed" : "failed"},
+         {"took_ms", std::to_string((Now - Job->m_AcceptedAt) /
+                                    std::chrono::milliseconds(1))}});
     m_Core.onJobOver(P.m_Job, Now);
   }
   m_Core.onRecorded(Now);
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -324,6 +324,12 @@
   if (Job.m_State == JobState::Queued) {
     Job.m_State = JobState::Running;
     m_Jobs.touch(Job);
+    logEvent(Event::JobStarted,
+             {{"job", Job.m_Spec.m_Id.m_Text},
+              {"server", S.m_Registration.m_Id.m_Text},
+              {"waited_ms", std::to_string((Now - Job.m_AcceptedAt) /
+                                           std::chrono::milliseconds(1))},
+              {"term", std::to_string(m_Options.m_Term)}});
   }
   ++m_Counters.m_Starts;
   m_Orders.start(Order);
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -184,6 +184,9 @@
     return;
   forgetPlace(*T, S.m_Registration.m_Id, Id.m_Number);
   T->m_AwaySince = Now;
+  logEvent(Event::TaskAgain, {{"run", runName(Id)},
+                              {"server", S.m_Registration.m_Id.m_Text},
+                              {"end", "not_there"}});
   if (!isFinal(Job->m_State))
     m_Jobs.requeue(*Job, Id.m_Task, Now + Pause);
 }
@@ -252,6 +255,12 @@
     } else if (Step.m_Lasting) {
       Pause = LastingRestartPause;
     }
+    if (End.m_Kind != EndKind::Done)
+      logEvent(Event::TaskAgain,
+               {{"run", runName(End.m_Run)},
+                {"server", S.m_Registration.m_Id.m_Text},
+                {"end", std::string(endKindName(End.m_Kind))},
+                {"failures", std::to_string(T->m_FailedRuns.size())}});
     if (!isFinal(Job->m_State))
       m_Jobs.requeue(*Job, Task, Now + Pause);
     if (!Step.m_Lasting)
