Let no upkeep of an inherited wave end runs by its answer alone

Cause: an order for an upkeep that an earlier leader has done and could not record is answered as done and ends nothing; the books then dropped the runs of the server that had come back, and a lasting task ran twice. Also: a move no longer clears the mark of an order that may have been done. Change: for such orders the server is suspected; a look or the next list decides. Test: DoesNotTakeRunsAsOverAfterAnUpkeepOfAnInheritedWave, fails without the change.

--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -64,7 +64,7 @@
   WaveProgress Progress = m_RecordedWaves[Wave.m_Id];
   if (Progress.m_SeenAt.count() == 0)
     Progress.m_SeenAt = wallNow();
-  m_Planner->onWave(Wave, Progress);
+  m_Planner->onWave(Wave, Progress, m_Lead.term() > 1);
 }
 
 void Leader::readRecentOrders() {
--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -212,6 +212,12 @@
     }
 }
 
+bool FleetPlanner::endsServer(const InstanceOrder &Order) {
+  if (m_State[Order.m_Instance].m_MaybeDone)
+    return false;
+  return Order.isMove() || !m_Waves[Order.m_Wave].m_Inherited;
+}
+
 void FleetPlanner::onOrderResult(const InstanceOrder &Order,
                                  InstanceOrderResult R, TimePoint Now) {
   Instance &I = m_State[Order.m_Instance];
@@ -223,13 +229,14 @@
     I.m_EmptyingSince.reset();
     I.m_BackAt =
         Now + (Order.isMove() ? m_Options.m_MoveTime : m_Options.m_UpkeepTime);
-    // If an earlier order did it, this server may be a later one that runs on;
-    // looks will tell.
-    if (S && !I.m_MaybeDone)
+    if (S && endsServer(Order)) {
       m_Core.onServerEnded(Order.m_Server, Now);
-    else if (S)
+    } else if (S) {
+      // An earlier order may have done it; then this server came later and runs
+      // on. A look, or the next list, tells.
       S->m_Reserved = false;
-    I.m_MaybeDone = false;
+      m_Core.suspect(Order.m_Server, Now);
+    }
     if (!Order.isMove()) {
       m_Waves[Order.m_Wave].m_Progress.m_Done.insert(Order.m_Instance);
       m_Changed.insert(Order.m_Wave);
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -46,7 +46,9 @@
   create(const FleetPlannerOptions &Options, Scheduler &Core);
 
   /// A wave is asked for; \p Progress is what earlier leaders recorded.
-  void onWave(const WaveRequest &Wave, const WaveProgress &Progress);
+  /// \p Inherited: whether an earlier leader may have ordered for it.
+  void onWave(const WaveRequest &Wave, const WaveProgress &Progress,
+              bool Inherited);
   bool knows(const WaveId &Id) const { return m_Waves.count(Id) != 0; }
   /// An earlier leader may have given an order for \p Id; none is given before
   /// \p Until.
@@ -71,6 +73,8 @@
   struct WaveState {
     WaveRequest m_Request;
     WaveProgress m_Progress;
+    /// Earlier leaders may have carried out more of it than they recorded.
+    bool m_Inherited = false;
   };
   /// An instance as far as orders go.
   struct Instance {
@@ -135,6 +139,8 @@
   /// once the server has answered.
   static bool isKnown(const ServerState &S);
   bool mayOrder(const InstanceListing &L, TimePoint Now) const;
+  /// Whether the order's success shows that it ended its server.
+  bool endsServer(const InstanceOrder &Order);
   void noteOrdered(InstanceOrder &Order);
 
   FleetPlannerOptions m_Options;
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -14,6 +14,7 @@
   SchedulerWorld m_World;
   std::unique_ptr<FleetPlanner> m_Planner;
   std::vector<InstanceListing> m_List;
+  bool m_Inherited = false;
 
   explicit PlannerWorld(Term T = 1) : m_World(T) {
     auto Config = std::make_shared<ServingConfig>(*m_World.m_Core->config());
@@ -44,7 +45,7 @@
     WaveProgress Progress;
     Progress.m_SeenAt = m_World.wall();
     m_Planner->onWave({WaveId("1"), std::move(Instances), Within, AtOnce},
-                      Progress);
+                      Progress, m_Inherited);
   }
   /// A lasting job of three tasks, one a server, of which one may be away.
   void addLastingJob() {
@@ -221,3 +222,33 @@
   CHECK_EQUAL(1u, W.m_World.m_Orders.m_Starts.size());
   CHECK_EQUAL(1u, S.m_Runs.size());
 }
+
+// Found by trouble-1 --seed 763560103170 of the Osei site: a new leader ordered
+// an upkeep that the earlier one had done and could not record. The answer was
+// "done", and a lasting task that ran on was started again.
+TEST(FleetPlanner, DoesNotTakeRunsAsOverAfterAnUpkeepOfAnInheritedWave) {
+  PlannerWorld W;
+  W.m_Inherited = true;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  StepSpec Step = SchedulerWorld::step(1);
+  Step.m_Lasting = true;
+  W.m_World.addJob("l", {Step});
+  W.m_World.tick();
+  W.m_World.answerStart(0);
+  W.m_World.tick();
+  W.m_World.addServer("s2", 4);
+  W.addWave({InstanceId("on-s1")}, 1, 1s);
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  W.m_Planner->onOrderResult(Orders[0], InstanceOrderResult::Done,
+                             W.m_World.m_Now);
+  W.m_World.tick();
+  CHECK_EQUAL(1u, W.m_World.m_Orders.m_Starts.size());
+  // Nothing new is started there before it answers.
+  W.m_World.addJob("j", {SchedulerWorld::step(1)});
+  W.m_World.tick();
+  CHECK_EQUAL(2u, W.m_World.m_Orders.m_Starts.size());
+  STRCMP_EQUAL("s2",
+               W.m_World.m_Orders.m_Starts[1].m_Server.m_Id.m_Text.c_str());
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -23,9 +23,9 @@
 
 } // namespace
 
-void FleetPlanner::onWave(const WaveRequest &Wave,
-                          const WaveProgress &Progress) {
-  m_Waves[Wave.m_Id] = {Wave, Progress};
+void FleetPlanner::onWave(const WaveRequest &Wave, const WaveProgress &Progress,
+                          bool Inherited) {
+  m_Waves[Wave.m_Id] = {Wave, Progress, Inherited};
   if (!Progress.m_Complete)
     m_Changed.insert(Wave.m_Id);
 }
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -105,6 +105,13 @@
   S->m_UnregisteredAt = Now;
 }
 
+void Scheduler::suspect(const ServerId &Id, TimePoint Now) {
+  if (ServerState *S = m_Servers.find(Id)) {
+    S->m_Reachable = false;
+    S->m_NextLook = Now;
+  }
+}
+
 void Scheduler::onServerEnded(const ServerId &Id, TimePoint Now) {
   ServerState *S = m_Servers.find(Id);
   if (!S)
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -84,6 +84,8 @@
   void onServerGone(const ServerId &Id, TimePoint Now);
   /// Ends a run so that its task starts on another server.
   void relocate(const ServerId &Server, const RunId &Run, TimePoint Now);
+  /// The server may have ended; nothing is started there until a look answers.
+  void suspect(const ServerId &Id, TimePoint Now);
   /// The server's instance was moved or taken down: nothing runs there.
   void onServerEnded(const ServerId &Id, TimePoint Now);
   /// The platform's list, asked for at \p Asked.
