--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -21,8 +21,6 @@
   std::string m_Metrics;
   std::string m_Store;
   std::string m_InstanceService;
-  /// Empty: no queue asks for placement advice.
-  std::string m_Adviser;
   /// Share of a core that this instance has.
   double m_CpuShare = 0.25;
 
@@ -35,14 +33,8 @@
   /// How long a changed pool takes, and an upkeep.
   Duration m_MoveTime = std::chrono::milliseconds(1500);
   Duration m_UpkeepTime = std::chrono::seconds(2);
-  /// A lasting task that was not at work for this long counts as away.
-  Duration m_AwayAfter = std::chrono::milliseconds(4500);
-  /// How long a serving task may be over its target.
-  Duration m_HarmAfter = std::chrono::seconds(4);
   /// How long callers may ask for a job that is over.
   Duration m_KeepStates = std::chrono::seconds(120);
-  /// How much longer a task takes away from its data.
-  double m_FarFactor = 1.0;
 };
 
 } // namespace pollenspool
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -183,10 +183,6 @@
 
 void HttpServer::drain() { m_Parts->m_Shared->m_Draining = true; }
 
-void HttpServer::setLimits(HttpServerLimits Limits) {
-  m_Parts->m_Shared->m_Limits = Limits;
-}
-
 unsigned HttpServer::port() const {
   error_code Ignored;
   return m_Parts->m_Acceptor.local_endpoint(Ignored).port();
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -44,8 +44,6 @@
   /// From now on each reply closes its connection. Connections go on being
   /// accepted, since callers may still be routed here.
   void drain();
-  /// Changes the limits of requests that begin from now on.
-  void setLimits(HttpServerLimits Limits);
   /// The bound port.
   unsigned port() const;
   /// Requests that have been read and not answered.
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -30,9 +30,6 @@
 /// Between two looks at a server whose ends cannot be recorded: it answers at
 /// once, since it lists them again.
 constexpr Duration UnrecordedSpacing = std::chrono::milliseconds(150);
-/// How long an unregistered server counts as present: entries that lapsed with
-/// the store are back within two seconds of its return.
-constexpr Duration RegistrationGrace = std::chrono::seconds(2);
 
 } // namespace
 
@@ -318,7 +315,7 @@
   for (const EndReport &End : Reply.m_Ended)
     if (End.m_Number > S->m_EndsSeen)
       endRun(*S, End, Now);
-  checkListed(*S, Order, Reply, Now);
+  checkListed(*S, Reply, Now);
   // This look carried no lease; the runs that it showed need one at once.
   if ((First || WasSilent) && !S->m_Runs.empty())
     S->m_NextLook = Now;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -33,8 +33,6 @@
   Duration m_EarlierLeaderFor = std::chrono::seconds(8);
   /// The lease that this leader grants.
   Duration m_Lease = std::chrono::seconds(5);
-  /// How much longer a task takes away from its data.
-  double m_FarFactor = 1.0;
 };
 
 /// What the leader may do at the moment, by what it knows of its term.
@@ -128,8 +126,7 @@
   // Runs and their ends (SchedulerRuns.cpp).
   void endRun(ServerState &S, const EndReport &End, TimePoint Now);
   void countServerFailure(ServerState &S, bool Failed, TimePoint Now);
-  void checkListed(ServerState &S, const LookOrder &Order,
-                   const LookReply &Reply, TimePoint Now);
+  void checkListed(ServerState &S, const LookReply &Reply, TimePoint Now);
   void adoptOrStop(ServerState &S, const RunReport &Report, TimePoint Now);
   void releaseRun(ServerState &S, const RunId &Id, Duration Pause,
                   TimePoint Now);
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -16,8 +16,6 @@
 constexpr std::int64_t LastingBonus = 1000000;
 /// A job done later than this many times its objective is of no use.
 constexpr int LateFactor = 3;
-/// Registration that lapsed with the store counts for this long.
-constexpr Duration RegistrationGrace = std::chrono::seconds(2);
 
 } // namespace
 
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -274,8 +274,8 @@
     S.m_Unrecorded.push_back({End.m_Number, End.m_Run.m_Task.m_Job, Change});
 }
 
-void Scheduler::checkListed(ServerState &S, const LookOrder &,
-                            const LookReply &Reply, TimePoint Now) {
+void Scheduler::checkListed(ServerState &S, const LookReply &Reply,
+                            TimePoint Now) {
   std::set<RunId> Listed;
   for (const RunReport &Report : Reply.m_Running) {
     Listed.insert(Report.m_Run);
--- a/src/scheduling/ServerBook.h
+++ b/src/scheduling/ServerBook.h
@@ -95,6 +95,10 @@
   std::int64_t clockAtLeast(TimePoint Now) const;
 };
 
+/// How long an unregistered server counts as present: entries that lapsed with
+/// the store are back within two seconds of its return.
+constexpr Duration RegistrationGrace = std::chrono::seconds(2);
+
 /// Slowest rate of a backend server's clock against ours (2% slow, by the
 /// platform's promise).
 constexpr double SlowestServerClock = 0.98;
--- a/src/serving/ServingConfig.h
+++ b/src/serving/ServingConfig.h
@@ -46,9 +46,6 @@
   std::uint64_t m_Version = 0;
   std::vector<QueuePolicy> m_Queues;
   std::vector<PoolPolicy> m_Pools;
-  std::size_t m_HeaderBytes = 16 * 1024;
-  std::size_t m_BodyBytes = 256 * 1024;
-  std::chrono::milliseconds m_IdleTimeout{15000};
 
   /// The queue of \p Host whose prefix is the longest that \p Path begins with;
   /// null if there is none. Thread safe.
