Relieve a leader that falls behind

Change: the delays of the timer and of answers to starts are watched; a leader that is late for 3 s says so in its renewals, an instance that is a quarter stronger offers to lead, and the leader releases its term. Speed of the link counts for who takes over first. Looks become rarer while there is delay. Tests: Leadership, DelayWatch.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -18,15 +18,20 @@
 /// elsewhere. The feed is answered at least every 400 ms, and a slow store adds
 /// up to 300 ms.
 constexpr Duration StoreSilence = std::chrono::milliseconds(900);
-/// Longest extra wait of an instance with little processor time before it
-/// takes over.
+/// Longest extra wait of a weak instance before it takes over.
 constexpr Duration MaxOwnDelay = std::chrono::milliseconds(800);
+/// What leading the largest planned deployment takes: 350 backend servers with
+/// 1,000 starts a second need a third of a core and 20 Mbit/s at the peak.
+constexpr double FullCpuShare = 0.5;
+constexpr double FullLinkMbps = 100;
 
 LeadershipOptions leadershipOptions(const EntrySettings &Settings) {
   LeadershipOptions Options;
+  Options.m_Strength = std::min({1.0, Settings.m_CpuShare / FullCpuShare,
+                                 Settings.m_LinkMbps / FullLinkMbps});
   std::mt19937_64 Random(std::random_device{}());
-  // Half a core or more comes first; a tie is broken by chance.
-  double Lack = std::max(0.0, 0.5 - Settings.m_CpuShare) / 0.5;
+  // Strong instances come first; a tie is broken by chance.
+  double Lack = 1 - Options.m_Strength;
   Options.m_OwnDelay =
       std::chrono::duration_cast<Duration>(MaxOwnDelay * Lack * Lack) +
       std::chrono::milliseconds(
@@ -67,7 +72,7 @@
   };
   m_Ports.m_Feed.followOperators(std::move(News));
   followLead();
-  tick();
+  tick(m_Loop.now());
 }
 
 void Entry::followLead() {
@@ -100,14 +105,20 @@
   m_LeadRows->start();
 }
 
-void Entry::tick() {
+void Entry::tick(TimePoint Due) {
+  TimePoint Now = m_Loop.now();
+  m_TimerDelay.note(Now - Due, Now);
   tryLead();
   renew();
+  offerRelief();
+  if (m_Leader && m_Lead.isRelieved())
+    releaseTerm("a stronger instance relieves this one");
   if (m_Leader && (m_Leader->isDeposed() || !m_Lead.isLeading()))
     stopLeading("an order was refused for a later term");
   if (m_Leader)
-    m_Leader->tick();
-  m_Loop.after(m_Leader ? LeaderTick : FollowerTick, [this] { tick(); });
+    m_Leader->tick(m_TimerDelay.mean());
+  Duration Wait = m_Leader ? LeaderTick : FollowerTick;
+  m_Loop.after(Wait, [this, Next = m_Loop.now() + Wait] { tick(Next); });
 }
 
 void Entry::tryLead() {
@@ -135,8 +146,11 @@
 void Entry::renew() {
   if (!m_Leader || !m_Lead.isRenewalDue(m_Loop.now()))
     return;
+  RenewalRow Row = m_Leader->renewal();
+  Row.m_IsBehind =
+      m_TimerDelay.isBehind(m_Loop.now()) || m_Leader->areOrdersLate();
   m_Ports.m_Store.commit(
-      m_Lead.renew(m_Leader->renewal(), m_Loop.now()), CallTimeout,
+      m_Lead.renew(std::move(Row), m_Loop.now()), CallTimeout,
       [this, Sent = m_Loop.now()](Result<CommitOutcome> Outcome) {
         m_Lead.onRenewResult(Outcome, Sent);
         if (!Outcome)
@@ -157,11 +171,32 @@
   if (m_Draining)
     return;
   m_Draining = true;
-  if (!m_Leader)
+  if (m_Leader)
+    releaseTerm("the process stops");
+}
+
+void Entry::offerRelief() {
+  if (m_Draining || !m_Config || m_TimerDelay.isBehind(m_Loop.now()))
+    return;
+  auto Offer = m_Lead.offerRelief(m_Loop.now());
+  if (!Offer)
     return;
+  m_Ports.m_Store.commit(
+      *Offer, CallTimeout,
+      [Term = m_Lead.term()](const Result<CommitOutcome> &Outcome) {
+        const char *Result = !Outcome ? "unknown"
+                             : Outcome.value().m_Committed
+                                 ? "offered"
+                                 : "another came first";
+        logEvent(Event::ReliefOffered,
+                 {{"term", std::to_string(Term)}, {"result", Result}});
+      });
+}
+
+void Entry::releaseTerm(const char *Why) {
   // No order is given after the term has been given up.
-  RowTransaction Release = m_Lead.release();
-  stopLeading("the process stops");
+  RowTransaction Release = m_Lead.release(m_Loop.now());
+  stopLeading(Why);
   m_Ports.m_Store.commit(Release, CallTimeout, [](Result<CommitOutcome> R) {
     if (!R)
       logEvent(Event::TermUnconfirmed, {{"error", R.error().describe()}});
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -5,6 +5,7 @@
 
 #include "entry/Leader.h"
 #include "jobs/JobIntake.h"
+#include "lead/DelayWatch.h"
 #include "net/HttpServer.h"
 #include <random>
 
@@ -42,11 +43,13 @@
 
 private:
   Entry(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings);
-  void tick();
+  void tick(TimePoint Due);
   void followLead();
   void tryLead();
   void renew();
+  void offerRelief();
   void stopLeading(const char *Why);
+  void releaseTerm(const char *Why);
 
   EventLoop &m_Loop;
   EntryPorts m_Ports;
@@ -55,6 +58,8 @@
   std::shared_ptr<JobIntake> m_Intake;
   std::shared_ptr<TableMirror> m_LeadRows;
   std::shared_ptr<Leader> m_Leader;
+  /// Of the regular timer.
+  DelayWatch m_TimerDelay;
   std::shared_ptr<const ServingConfig> m_Config;
   std::map<WaveId, WaveRequest> m_Waves;
   TimePoint m_StoreAnswered{};
--- a/src/entry/EntryPorts.h
+++ b/src/entry/EntryPorts.h
@@ -21,6 +21,8 @@
   virtual void onStopResult(const StopOrder &Order, OrderResult R) = 0;
   virtual void onLookReply(const LookOrder &Order, const LookReply &Reply) = 0;
   virtual void onLookFailed(const LookOrder &Order, OrderResult R) = 0;
+  virtual void onAdvice(const AdviceOrder &Order,
+                        const Result<AdviceReply> &Reply) = 0;
 };
 
 /// Orders to backend servers, with a place for their results.
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -21,8 +21,12 @@
   std::string m_Metrics;
   std::string m_Store;
   std::string m_InstanceService;
+  /// The placement adviser; empty if there is none.
+  std::string m_Adviser;
   /// Share of a core that this instance has.
   double m_CpuShare = 0.25;
+  /// Speed of its link in megabits a second.
+  double m_LinkMbps = 1000;
 
   /// The longest lease that a backend server grants.
   Duration m_LongestLease = std::chrono::seconds(10);
@@ -33,6 +37,8 @@
   /// How long a changed pool takes, and an upkeep.
   Duration m_MoveTime = std::chrono::milliseconds(1500);
   Duration m_UpkeepTime = std::chrono::seconds(2);
+  /// How many times as long a task takes away from its data.
+  double m_FarFactor = 3;
   /// How long callers may ask for a job that is over.
   Duration m_KeepStates = std::chrono::seconds(120);
 };
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -37,6 +37,7 @@
   Options.m_TermVersion = Lead.termCondition().m_Version;
   Options.m_EarlierLeaderFor = GoOnFor;
   Options.m_Lease = std::min(Options.m_Lease, Settings.m_LongestLease);
+  Options.m_FarFactor = Settings.m_FarFactor;
   m_Core = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
   m_Writer = ProgressWriter::create(*m_Core);
   FleetPlannerOptions Fleet;
@@ -186,11 +187,16 @@
     if (!Self || Self->m_Stopped)
       return;
     Self->m_Ticking = false;
-    Self->tick();
+    Self->decide();
   });
 }
 
-void Leader::tick() {
+void Leader::tick(Duration Lag) {
+  m_Core->setLag(std::max(Lag, m_OrderDelay.mean()));
+  decide();
+}
+
+void Leader::decide() {
   if (m_Stopped || !m_Running || !m_ServersRead)
     return;
   TimePoint Now = m_Loop.now();
@@ -261,7 +267,12 @@
   return Row;
 }
 
+bool Leader::areOrdersLate() const {
+  return m_OrderDelay.isBehind(m_Loop.now());
+}
+
 void Leader::onStartResult(const StartOrder &Order, const StartReply &Reply) {
+  m_OrderDelay.note(m_Loop.now() - Order.m_OrderedAt, m_Loop.now());
   m_Core->onStartResult(Order, Reply, m_Loop.now());
   tickSoon();
 }
@@ -276,6 +287,12 @@
   tickSoon();
 }
 
+void Leader::onAdvice(const AdviceOrder &Order,
+                      const Result<AdviceReply> &Reply) {
+  m_Core->onAdvice(Order, Reply, m_Loop.now());
+  tickSoon();
+}
+
 void Leader::onLookFailed(const LookOrder &Order, OrderResult R) {
   m_Core->onLookFailed(Order, R, m_Loop.now());
   tickSoon();
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -6,6 +6,7 @@
 #include "entry/EntryPorts.h"
 #include "entry/EntrySettings.h"
 #include "instances/FleetPlanner.h"
+#include "lead/DelayWatch.h"
 #include "lead/Leadership.h"
 #include "net/EventLoop.h"
 #include "scheduling/ProgressWriter.h"
@@ -29,10 +30,13 @@
 
   void onConfig(std::shared_ptr<const ServingConfig> Config);
   void onWave(const WaveRequest &Wave);
-  /// Runs the decision cores; to be called every few milliseconds.
-  void tick();
+  /// Runs the decision cores; to be called every few milliseconds. \p Lag is
+  /// how late the event loop is.
+  void tick(Duration Lag);
   /// Whether the term has ended without our doing.
   bool isDeposed() const;
+  /// Whether backend servers' answers have been late for seconds.
+  bool areOrdersLate() const;
   /// What the other instances are told.
   RenewalRow renewal();
   const SchedulerCounters &counters() const { return m_Core->counters(); }
@@ -41,6 +45,8 @@
   void onStopResult(const StopOrder &Order, OrderResult R) override;
   void onLookReply(const LookOrder &Order, const LookReply &Reply) override;
   void onLookFailed(const LookOrder &Order, OrderResult R) override;
+  void onAdvice(const AdviceOrder &Order,
+                const Result<AdviceReply> &Reply) override;
 
 private:
   Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
@@ -50,6 +56,7 @@
   void onLiveRow(const StoredRow &Row);
   void listInstances();
   void record();
+  void decide();
   void tickSoon();
   void removeOldStates();
   void orderInstances();
@@ -77,6 +84,8 @@
   bool m_OrdersRead = false;
   bool m_OrdersPending = false;
   TimePoint m_NextPlan{};
+  /// Of answers to starts.
+  DelayWatch m_OrderDelay;
   std::shared_ptr<TableMirror> m_Jobs;
   /// State rows as read at the start, for the live jobs among them.
   std::map<std::string, StoredRow> m_States;
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -11,8 +11,12 @@
 namespace {
 
 /// Before the first term nothing is lost by waiting, and instances start within
-/// 0.3 s of each other: the ones with more processor time have to be there.
+/// 0.3 s of each other: the stronger ones have to be there.
 constexpr int FirstTermFactor = 4;
+/// How much stronger than the leader an instance has to be to relieve it: a
+/// change of leader costs seconds of orders for instances, which a small gain
+/// would not bring in.
+constexpr double ReliefRatio = 1.25;
 
 } // namespace
 
@@ -36,15 +40,19 @@
   Json Queues = Json::object();
   for (const auto &[Name, Load] : Row.m_Queues)
     Queues[Name.m_Text] = {Load.m_WaitingJobs, Load.m_Wait.count()};
-  return Json{
-      {"term", Row.m_Term}, {"number", Row.m_Number}, {"queues", Queues}}
+  return Json{{"term", Row.m_Term},
+              {"number", Row.m_Number},
+              {"queues", Queues},
+              {"strength", Row.m_Strength},
+              {"behind", Row.m_IsBehind}}
       .dump();
 }
 
 Result<RenewalRow> decodeRenewal(const std::string &Text) {
   try {
     Json J = Json::parse(Text);
-    RenewalRow Row{J.at("term"), J.at("number"), {}};
+    RenewalRow Row{
+        J.at("term"), J.at("number"), {}, J.at("strength"), J.at("behind")};
     for (const auto &[Name, Load] : J.at("queues").items())
       Row.m_Queues[QueueName(Name)] = {
           Load.at(0),
@@ -56,7 +64,26 @@
   }
 }
 
+std::string encodeOffer(const OfferRow &Row) {
+  return Json{{"term", Row.m_Term}, {"from", Row.m_From}}.dump();
+}
+
+Result<OfferRow> decodeOffer(const std::string &Text) {
+  try {
+    Json J = Json::parse(Text);
+    return OfferRow{J.at("term"), J.at("from")};
+  } catch (const Json::exception &Bad) {
+    return makeError(ErrorCode::InvalidMessage, "decode offer", {}, Bad.what());
+  }
+}
+
 void Leadership::onRow(const StoredRow &Row, TimePoint Now) {
+  if (Row.m_At.m_Key == OfferKey) {
+    m_OfferVersion = std::max(m_OfferVersion, Row.m_Version);
+    if (auto Read = decodeOffer(Row.m_Value))
+      m_Offer = std::move(Read.value());
+    return;
+  }
   if (Row.m_At.m_Key == RenewalKey) {
     auto Read = decodeRenewal(Row.m_Value);
     // A renewal that the store applied late is no sign of life.
@@ -66,12 +93,18 @@
     m_Renewal = std::move(Read.value());
     m_RenewalSeen = Now;
     m_SilentSince = Now;
+    if (!m_Renewal.m_IsBehind)
+      m_BehindSince.reset();
+    else if (!m_BehindSince)
+      m_BehindSince = Now;
     return;
   }
   if (Row.m_At.m_Key != TermKey || Row.m_Version <= m_RowVersion)
     return;
   m_RowVersion = Row.m_Version;
-  m_SilentSince = Now;
+  // After a release of its own this instance waits longer.
+  m_SilentSince = std::max(m_SilentSince, Now);
+  m_BehindSince.reset();
   if (auto Read = decodeTerm(Row.m_Value))
     m_Row = std::move(Read.value());
   m_Leading = false;
@@ -140,6 +173,7 @@
   m_LastRenew = Now;
   Row.m_Term = m_Row.m_Term;
   Row.m_Number = ++m_RenewNumber;
+  Row.m_Strength = m_Options.m_Strength;
   RowTransaction Txn;
   Txn.m_Conditions.push_back(termCondition());
   Txn.m_Puts.push_back({{LeadTable, RenewalKey, LeadPart}, encodeRenewal(Row)});
@@ -156,12 +190,28 @@
     m_Leading = false;
 }
 
-RowTransaction Leadership::release() {
+RowTransaction Leadership::release(TimePoint Now) {
   RowTransaction Txn;
   Txn.m_Conditions.push_back(termCondition());
   Txn.m_Puts.push_back({{LeadTable, TermKey, LeadPart},
                         encodeTerm({m_Row.m_Term, m_Name, true})});
   m_Leading = false;
+  m_SilentSince = Now + m_Options.m_TakeOverAfter;
+  return Txn;
+}
+
+std::optional<RowTransaction> Leadership::offerRelief(TimePoint Now) {
+  bool Wanted = !m_Leading && m_BehindSince && m_Renewal.m_Term == term() &&
+                m_OfferedTo != term() && m_Offer.m_Term != term() &&
+                m_Options.m_Strength >= m_Renewal.m_Strength * ReliefRatio;
+  if (!Wanted || Now < *m_BehindSince + m_Options.m_OwnDelay)
+    return std::nullopt;
+  m_OfferedTo = term();
+  RowTransaction Txn;
+  Txn.m_Conditions.push_back(termCondition());
+  Txn.m_Conditions.push_back({{LeadTable, OfferKey, LeadPart}, m_OfferVersion});
+  Txn.m_Puts.push_back(
+      {{LeadTable, OfferKey, LeadPart}, encodeOffer({term(), m_Name})});
   return Txn;
 }
 
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -3,7 +3,9 @@
 // One row of the store holds the term: its number and its leader. A leader
 // renews a second row; a follower that sees the store answer without a renewal
 // for long enough replaces the term's row under the condition that nobody else
-// has. There is no other agreement between instances.
+// has. A leader that cannot keep up says so in its renewals; a stronger
+// instance then offers to lead, and the leader gives its term up. There is no
+// other agreement between instances.
 //
 //===----------------------------------------------------------------------===//
 
@@ -25,6 +27,8 @@
 inline constexpr char RenewalKey[] = "renewal";
 /// Instances that the leader has ordered about recently, or is about to.
 inline constexpr char OrdersKey[] = "orders";
+/// The last offer to relieve a leader.
+inline constexpr char OfferKey[] = "offer";
 
 /// The term's row.
 struct TermRow {
@@ -46,6 +50,17 @@
   Term m_Term = 0;
   std::uint64_t m_Number = 0;
   std::map<QueueName, QueueLoad> m_Queues;
+  /// \see LeadershipOptions::m_Strength.
+  double m_Strength = 0;
+  /// The leader falls behind its work.
+  bool m_IsBehind = false;
+};
+
+/// The offer's row: a stronger instance would lead instead.
+struct OfferRow {
+  /// The term that it would relieve.
+  Term m_Term = 0;
+  std::string m_From;
 };
 
 /// Thread safe. Errors: InvalidMessage.
@@ -53,6 +68,8 @@
 Result<TermRow> decodeTerm(const std::string &Text);
 std::string encodeRenewal(const RenewalRow &Row);
 Result<RenewalRow> decodeRenewal(const std::string &Text);
+std::string encodeOffer(const OfferRow &Row);
+Result<OfferRow> decodeOffer(const std::string &Text);
 
 /// Times of the election.
 struct LeadershipOptions {
@@ -66,8 +83,11 @@
   /// takes over.
   Duration m_TakeOverAfter = std::chrono::milliseconds(1400);
   /// Added to m_TakeOverAfter by this instance, so that not all try at once
-  /// and instances with more processor time come first.
+  /// and stronger instances come first.
   Duration m_OwnDelay = std::chrono::milliseconds(0);
+  /// What this instance can carry as a leader, against the largest planned
+  /// deployment.
+  double m_Strength = 1;
 };
 
 /// The decision core; one thread.
@@ -91,8 +111,14 @@
   bool isRenewalDue(TimePoint Now) const;
   RowTransaction renew(RenewalRow Row, TimePoint Now);
   void onRenewResult(const Result<CommitOutcome> &Outcome, TimePoint Sent);
-  /// The transaction that gives the term up.
-  RowTransaction release();
+  /// The transaction that gives the term up. This instance does not begin the
+  /// next one before the others had their time to.
+  RowTransaction release(TimePoint Now);
+  /// The offer to relieve a leader that falls behind, if this instance should
+  /// make it now. Each term gets at most one from this instance.
+  std::optional<RowTransaction> offerRelief(TimePoint Now);
+  /// Whether another instance has offered to relieve this term.
+  bool isRelieved() const { return m_Leading && m_Offer.m_Term == term(); }
   /// A later term was seen by some other way.
   void depose() { m_Leading = false; }
 
@@ -137,6 +163,11 @@
   TimePoint m_ConfirmedSent{};
   TimePoint m_LastRenew{};
   std::uint64_t m_RenewNumber = 0;
+  OfferRow m_Offer;
+  RowVersion m_OfferVersion = 0;
+  /// When the leader was first seen to fall behind, in its latest such spell.
+  std::optional<TimePoint> m_BehindSince;
+  Term m_OfferedTo = 0;
 };
 
 } // namespace pollenspool
