--- a/src/scheduling/JobBook.cpp
+++ b/src/scheduling/JobBook.cpp
@@ -19,6 +19,20 @@
   return &S->m_Tasks[Id.m_Index];
 }
 
+void LiveJob::unready(const TaskId &Id) {
+  TaskState *T = task(Id);
+  if (!T || !T->m_Ready)
+    return;
+  T->m_Ready = false;
+  m_Ready.erase(std::remove_if(m_Ready.begin(), m_Ready.end(),
+                               [&](const ReadyTask &R) {
+                                 return R.m_Occurrence == Id.m_Occurrence &&
+                                        R.m_Step == Id.m_Step &&
+                                        R.m_Index == Id.m_Index;
+                               }),
+                m_Ready.end());
+}
+
 LiveJob &JobBook::add(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
                       RowVersion State, TimePoint Now,
                       std::chrono::milliseconds Wall) {
@@ -34,10 +48,10 @@
   JobId Id = Job.m_Spec.m_Id;
   m_Jobs[Id] = std::move(Made);
   if (Job.m_Spec.m_Occurrences == 0) {
-    releaseOccurrence(Job, Now);
+    releaseOccurrence(Job);
   } else {
     m_WithDueTimes.insert(Id);
-    releaseDue(Now, Wall);
+    releaseDue(Wall);
   }
   return Job;
 }
@@ -53,7 +67,7 @@
   return It == m_Jobs.end() ? nullptr : It->second.get();
 }
 
-bool JobBook::releaseDue(TimePoint Now, std::chrono::milliseconds Wall) {
+bool JobBook::releaseDue(std::chrono::milliseconds Wall) {
   bool Any = false;
   for (auto It = m_WithDueTimes.begin(); It != m_WithDueTimes.end();) {
     LiveJob *Job = find(*It);
@@ -61,7 +75,7 @@
            Job->m_Spec.m_FirstDue +
                    Job->m_NextOccurrence * Job->m_Spec.m_Interval <=
                Wall) {
-      releaseOccurrence(*Job, Now);
+      releaseOccurrence(*Job);
       Any = true;
     }
     if (!Job || Job->m_NextOccurrence >= Job->m_Spec.m_Occurrences)
@@ -72,7 +86,7 @@
   return Any;
 }
 
-void JobBook::releaseOccurrence(LiveJob &Job, TimePoint Now) {
+void JobBook::releaseOccurrence(LiveJob &Job) {
   Occurrence O;
   O.m_Number = Job.m_NextOccurrence++;
   for (std::uint32_t N = 0; N < Job.m_Spec.m_Steps.size(); ++N) {
@@ -80,7 +94,6 @@
     S.m_Tasks.resize(Job.m_Spec.m_Steps[N].m_Count);
     auto Done = Job.m_Restored.m_Done.find({O.m_Number, N});
     for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
-      S.m_Tasks[I].m_AwaySince = Now;
       if (Done != Job.m_Restored.m_Done.end() && I < Done->second.size() &&
           Done->second[I]) {
         S.m_Tasks[I].m_Done = true;
@@ -99,10 +112,10 @@
     ++Job.m_OccurrencesDone;
     return;
   }
-  release(Job, Kept, Now);
+  release(Job, Kept);
 }
 
-void JobBook::release(LiveJob &Job, Occurrence &O, TimePoint Now) {
+void JobBook::release(LiveJob &Job, Occurrence &O) {
   for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N) {
     StepState &S = O.m_Steps[N];
     if (S.m_Released || S.isDone())
@@ -113,7 +126,6 @@
         }))
       continue;
     S.m_Released = true;
-    S.m_ReleasedAt = Now;
     m_ReadyJobs.insert(Job.m_Spec.m_Id);
     for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
       // A run of an earlier leader may have been found before the ends of the
@@ -127,7 +139,7 @@
   }
 }
 
-bool JobBook::markDone(LiveJob &Job, const TaskId &Id, TimePoint Now) {
+bool JobBook::markDone(LiveJob &Job, const TaskId &Id) {
   TaskState *T = Job.task(Id);
   if (!T || T->m_Done)
     return false;
@@ -135,23 +147,13 @@
   StepState &S = O.m_Steps[Id.m_Step];
   T->m_Done = true;
   ++S.m_DoneCount;
-  if (T->m_Ready) {
-    T->m_Ready = false;
-    auto &R = Job.m_Ready;
-    R.erase(std::remove_if(R.begin(), R.end(),
-                           [&](const ReadyTask &A) {
-                             return A.m_Occurrence == Id.m_Occurrence &&
-                                    A.m_Step == Id.m_Step &&
-                                    A.m_Index == Id.m_Index;
-                           }),
-            R.end());
-  }
+  Job.unready(Id);
   if (S.isDone()) {
     ++O.m_StepsDone;
     if (O.m_StepsDone == O.m_Steps.size())
       ++Job.m_OccurrencesDone;
     else
-      release(Job, O, Now);
+      release(Job, O);
   }
   if (Job.m_OccurrencesDone == Job.m_Spec.occurrences())
     Job.m_State = JobState::Completed;
--- a/src/scheduling/JobBook.h
+++ b/src/scheduling/JobBook.h
@@ -28,19 +28,17 @@
   std::vector<std::uint32_t> m_FailedRuns;
   /// Progress from which the next run resumes; empty: none.
   std::string m_Saved;
+  /// New starts because its server was slow.
+  std::uint32_t m_Moves = 0;
   /// Not to be started before.
   TimePoint m_NotBefore{};
   std::vector<RunPlace> m_Runs;
-  /// When the last run ended, for lasting tasks.
-  TimePoint m_AwaySince{};
 };
 
 struct StepState {
   std::vector<TaskState> m_Tasks;
   std::uint32_t m_DoneCount = 0;
   bool m_Released = false;
-  /// When the step could start.
-  TimePoint m_ReleasedAt{};
 
   bool isDone() const { return m_DoneCount == m_Tasks.size(); }
 };
@@ -79,6 +77,8 @@
   TimePoint m_LastUse{};
   /// Failed runs of one task after which the job fails.
   std::uint32_t m_Attempts = 1;
+  /// Of its queue; 0 comes first.
+  std::uint32_t m_Priority = 0;
   /// Its state row is behind.
   bool m_Dirty = false;
   /// Counts the changes that have to be recorded, and those that are.
@@ -88,6 +88,8 @@
   bool hasStarted() const { return m_State != JobState::Queued; }
   TaskState *task(const TaskId &Id);
   StepState *step(std::uint32_t Occurrence, std::uint32_t Step);
+  /// Takes a task out of the ready list, if it is in it.
+  void unready(const TaskId &Id);
 };
 
 /// All jobs that are not over. One thread.
@@ -103,11 +105,11 @@
 
   /// Releases occurrences that are due at \p Wall. Returns whether there is
   /// anything new to start.
-  bool releaseDue(TimePoint Now, std::chrono::milliseconds Wall);
+  bool releaseDue(std::chrono::milliseconds Wall);
 
   /// Marks the task done, releases what waited for it, and completes the job
   /// with its last task. Returns false if it was done already.
-  bool markDone(LiveJob &Job, const TaskId &Id, TimePoint Now);
+  bool markDone(LiveJob &Job, const TaskId &Id);
   /// Counts a failed run. Returns false if that run was counted already.
   bool markFailed(LiveJob &Job, const TaskId &Id, std::uint32_t Run);
   /// Puts a task back into the ready list unless it is done, ready or running.
@@ -125,8 +127,8 @@
   std::vector<JobId> &dirty() { return m_Dirty; }
 
 private:
-  void release(LiveJob &Job, Occurrence &O, TimePoint Now);
-  void releaseOccurrence(LiveJob &Job, TimePoint Now);
+  void release(LiveJob &Job, Occurrence &O);
+  void releaseOccurrence(LiveJob &Job);
 
   std::map<JobId, std::unique_ptr<LiveJob>> m_Jobs;
   std::set<JobId> m_WithDueTimes;
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -7,6 +7,7 @@
 #include "base/Error.h"
 #include "base/Time.h"
 #include "jobs/JobSpec.h"
+#include <map>
 #include <optional>
 
 namespace pollenspool {
@@ -75,6 +76,8 @@
   std::int64_t m_LeaseUntilMs = 0;
   Term m_Term = 0;
   std::string m_Ticket;
+  /// On our clock.
+  TimePoint m_OrderedAt{};
 };
 
 struct StopOrder {
@@ -97,6 +100,32 @@
   std::chrono::milliseconds m_Timeout{0};
 };
 
+/// One step of one occurrence of a job.
+struct StepId {
+  JobId m_Job;
+  std::uint32_t m_Occurrence = 0;
+  std::uint32_t m_Step = 0;
+
+  friend bool operator<(const StepId &A, const StepId &B) {
+    return std::tie(A.m_Job, A.m_Occurrence, A.m_Step) <
+           std::tie(B.m_Job, B.m_Occurrence, B.m_Step);
+  }
+};
+
+/// Asks the adviser which of these servers may run a step.
+struct AdviceOrder {
+  StepId m_Step;
+  std::vector<ServerId> m_Servers;
+  Duration m_Timeout{0};
+};
+
+struct AdviceReply {
+  /// Tickets of the servers that may.
+  std::map<ServerId, std::string> m_Tickets;
+  /// How long the tickets are good.
+  std::chrono::milliseconds m_Valid{0};
+};
+
 struct PaceOrder {
   ServerAddress m_Server;
   RunId m_Run;
@@ -184,6 +213,7 @@
   virtual void stop(const StopOrder &Order) = 0;
   virtual void look(const LookOrder &Order) = 0;
   virtual void pace(const PaceOrder &Order) = 0;
+  virtual void advise(const AdviceOrder &Order) = 0;
 };
 
 } // namespace pollenspool
--- /dev/null
+++ b/src/scheduling/PacingTest.cpp
@@ -0,0 +1,94 @@
+//===- PacingTest.cpp - Tests of how filling tasks are slowed down --------===//
+
+#include "scheduling/Pacing.h"
+#include "scheduling/testing/SchedulerWorld.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace pollenspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+const RunId Serving{{JobId("web"), 0, 0, 0}, 1};
+const RunId Filling{{JobId("batch"), 0, 0, 0}, 1};
+
+/// A serving run with a target of 100 ms beside one that fills.
+ServerState server(double Tail) {
+  ServerState S;
+  ActiveRun Web, Batch;
+  Web.m_Phase = Batch.m_Phase = RunPhase::Running;
+  Web.m_TailTarget = 100;
+  Web.m_Measure = Tail;
+  Batch.m_Fills = true;
+  S.m_Runs[Serving] = Web;
+  S.m_Runs[Filling] = Batch;
+  return S;
+}
+
+} // namespace
+
+TEST_GROUP(Pacing) { TimePoint m_Now{100s}; };
+
+TEST(Pacing, LeavesWhatFillsAloneWhileTheTailIsGood) {
+  ServerState S = server(50);
+  CHECK_EQUAL(0u, adjustPaces(S, 7, m_Now).size());
+}
+
+// The tail stays over its target whatever is done: what fills has to stand
+// still well before the four seconds that the users allow.
+TEST(Pacing, WhatFillsStandsStillWithinThreeSecondsOfHarm) {
+  ServerState S = server(150);
+  for (TimePoint End = m_Now + 3s; m_Now < End; m_Now += 100ms)
+    for (const PaceOrder &Order : adjustPaces(S, 7, m_Now)) {
+      CHECK(Order.m_Run == Filling);
+      CHECK_EQUAL(7u, Order.m_Term);
+    }
+  CHECK_EQUAL(0u, S.m_Runs[Filling].m_Pace);
+}
+
+TEST(Pacing, AStandstillIsOrderedAgainWhileTheHarmLasts) {
+  ServerState S = server(150);
+  S.m_Runs[Filling].m_Pace = 0;
+  CHECK_EQUAL(1u, adjustPaces(S, 7, m_Now).size());
+  CHECK_EQUAL(0u, adjustPaces(S, 7, m_Now + 100ms).size());
+  CHECK_EQUAL(1u, adjustPaces(S, 7, m_Now + 700ms).size());
+}
+
+TEST(Pacing, WhatFillsGetsItsPaceBackStepByStep) {
+  ServerState S = server(20);
+  S.m_Runs[Filling].m_Pace = 0;
+  std::uint32_t Last = 0;
+  for (TimePoint End = m_Now + 10s; m_Now < End; m_Now += 100ms)
+    for (const PaceOrder &Order : adjustPaces(S, 7, m_Now)) {
+      CHECK(Order.m_Percent > Last && Order.m_Percent <= Last + 15);
+      Last = Order.m_Percent;
+    }
+  CHECK_EQUAL(100u, Last);
+}
+
+TEST(Pacing, BetweenTheTwoBoundsThePaceIsKept) {
+  ServerState S = server(80);
+  S.m_Runs[Filling].m_Pace = 40;
+  CHECK_EQUAL(0u, adjustPaces(S, 7, m_Now).size());
+}
+
+TEST(Pacing, TheSchedulerPacesByWhatALookShows) {
+  SchedulerWorld W;
+  W.addServer("s1", 4);
+  StepSpec Web = W.step(1), Batch = W.step(1);
+  Web.m_Lasting = true;
+  Web.m_TailTarget = 100ms;
+  Batch.m_Fills = true;
+  W.addJob("web", {Web});
+  W.tick();
+  W.answerStart(0);
+  W.addJob("batch", {Batch});
+  W.tick();
+  W.answerStart(1);
+  W.tick();
+  W.advance(1s);
+  W.answerLook("s1", {{Serving, "", 100, 180}, {Filling, "", 10, 900}});
+  CHECK_EQUAL(1u, W.m_Orders.m_Paces.size());
+  CHECK(W.m_Orders.m_Paces[0].m_Run == Filling);
+  CHECK_EQUAL(50u, W.m_Orders.m_Paces[0].m_Percent);
+}
--- /dev/null
+++ b/src/scheduling/RunSpeedTest.cpp
@@ -0,0 +1,174 @@
+//===- RunSpeedTest.cpp - Tests of how slow servers are found -------------===//
+
+#include "scheduling/RunSpeed.h"
+#include "scheduling/testing/JobSimulation.h"
+#include "scheduling/testing/SchedulerWorld.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace pollenspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+ActiveRun watched(TimePoint Since) {
+  ActiveRun Run;
+  Run.m_Phase = RunPhase::Running;
+  Run.m_Estimate = 1s;
+  Run.m_WatchedSince = Since;
+  Run.m_PercentAt = Since;
+  return Run;
+}
+
+/// Two servers at work on a job of two tasks, one on each.
+struct TwoAtWork {
+  SchedulerWorld W;
+
+  TwoAtWork() {
+    W.addServer("s1", 2);
+    W.addServer("s2", 1);
+    W.addJob("j", {W.step(2)});
+    W.tick();
+    W.answerStart(0);
+    W.answerStart(1);
+    W.tick();
+    CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  }
+
+  std::string serverOf(std::size_t Start) const {
+    return W.m_Orders.m_Starts[Start].m_Server.m_Id.m_Text;
+  }
+  /// \p Server reports its run at \p Percent.
+  void report(const std::string &Server, int Percent) {
+    std::uint32_t Index = serverOf(0) == Server ? 0 : 1;
+    W.answerLook(Server, {{W.run("j", 0, Index, 1), "", Percent, 0}});
+    W.advance(50ms);
+    W.tick();
+  }
+};
+
+} // namespace
+
+TEST_GROUP(RunSpeed) { TimePoint m_Now{100s}; };
+
+TEST(RunSpeed, SaysNothingTooEarlyOrWithoutAnEstimate) {
+  ActiveRun Run = watched(m_Now - 200ms);
+  CHECK_FALSE(isSlow(Run, m_Now).has_value());
+  Run = watched(m_Now - 2s);
+  Run.m_Estimate = {};
+  CHECK_FALSE(isSlow(Run, m_Now).has_value());
+}
+
+TEST(RunSpeed, ARunOfTwiceItsEstimateIsNotSlow) {
+  ActiveRun Run = watched(m_Now - 1s);
+  noteProgress(Run, {{}, "", 50, 0}, m_Now);
+  CHECK(isSlow(Run, m_Now) == false);
+}
+
+TEST(RunSpeed, ARunAtASixthOfTheSpeedIsSlowAndWorthMoving) {
+  ActiveRun Run = watched(m_Now - 1s);
+  noteProgress(Run, {{}, "", 16, 0}, m_Now);
+  CHECK(isSlow(Run, m_Now) == true);
+  CHECK(isWorthMoving(Run, m_Now));
+}
+
+TEST(RunSpeed, ASlowRunThatIsNearlyDoneIsLeft) {
+  ActiveRun Run = watched(m_Now - 6s);
+  noteProgress(Run, {{}, "", 95, 0}, m_Now);
+  CHECK(isSlow(Run, m_Now) == true);
+  CHECK_FALSE(isWorthMoving(Run, m_Now));
+}
+
+TEST(RunSpeed, ARunThatStandsStillAfterAGoodStartIsSlow) {
+  ActiveRun Run = watched(m_Now - 1s);
+  noteProgress(Run, {{}, "", 80, 0}, m_Now - 500ms);
+  noteProgress(Run, {{}, "", 80, 0}, m_Now);
+  CHECK(isSlow(Run, m_Now) == true);
+  CHECK(isWorthMoving(Run, m_Now));
+}
+
+TEST(RunSpeed, OneSlowRunAmongSoundOnesDoesNotMakeTheServerSlow) {
+  ServerState S;
+  for (std::uint32_t I = 0; I < 4; ++I) {
+    ActiveRun Run = watched(m_Now - 1s);
+    noteProgress(Run, {{}, "", I == 0 ? 10 : 90, 0}, m_Now);
+    S.m_Runs[{{JobId("j"), 0, 0, I}, 1}] = Run;
+  }
+  CHECK_FALSE(isSlow(S, m_Now));
+}
+
+// Standing for srv_grey (hang) and srv_slow of the users' sites: health and
+// answers of the server are good, its tasks stand still or crawl.
+TEST(RunSpeed, ATaskThatStandsStillIsStartedOnASoundServer) {
+  TwoAtWork T;
+  std::string Stuck = "s2", Sound = "s1";
+  T.report(Sound, 5);
+  T.report(Stuck, 5);
+  T.W.advance(400ms);
+  T.report(Sound, 50);
+  T.report(Stuck, 5);
+  CHECK_EQUAL(1u, T.W.m_Orders.m_Stops.size());
+  STRCMP_EQUAL(Stuck.c_str(),
+               T.W.m_Orders.m_Stops[0].m_Server.m_Id.m_Text.c_str());
+  RunId Stopped = T.W.m_Orders.m_Stops[0].m_Run;
+  T.W.m_Core->onStopResult(T.W.m_Orders.m_Stops[0], OrderResult::Done,
+                           T.W.m_Now);
+  T.W.advance(10ms);
+  T.W.tick();
+  T.W.answerLook(Stuck, {}, {{1, Stopped, EndKind::Stopped, ""}});
+  T.W.tick();
+  CHECK_EQUAL(3u, T.W.m_Orders.m_Starts.size());
+  STRCMP_EQUAL(Sound.c_str(), T.serverOf(2).c_str());
+}
+
+TEST(RunSpeed, ATaskIsLeftWhereItIsIfNoOtherServerHasRoom) {
+  SchedulerWorld W;
+  W.addServer("s1", 1);
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  W.answerStart(0);
+  W.tick();
+  for (int I = 0; I < 5; ++I) {
+    W.answerLook("s1", {{W.run("j", 0, 0, 1), "", 5, 0}});
+    W.advance(500ms);
+    W.tick();
+  }
+  CHECK_EQUAL(0u, W.m_Orders.m_Stops.size());
+}
+
+// A server found slow, or failing what it starts, gets one task at a time until
+// one has ended well.
+TEST(RunSpeed, AServerOnProbationGetsOneTask) {
+  SchedulerWorld W;
+  W.addServer("s1", 4);
+  W.m_Core->servers().find(ServerId("s1"))->m_OnProbation = true;
+  W.addJob("j", {W.step(3)});
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  W.answerStart(0);
+  W.tick();
+  W.advance(600ms);
+  W.answerLook("s1", {}, {{1, W.run("j", 0, 0, 1), EndKind::Done, ""}});
+  W.tick();
+  CHECK_EQUAL(3u, W.m_Orders.m_Starts.size());
+}
+
+// A tenth of the servers stands still for some seconds while demand is at two
+// thirds of the capacity.
+TEST(RunSpeed, JobsAreOnTimeWhileOneServerStandsStill) {
+  SimulationSettings S;
+  S.m_Seed = 5;
+  S.m_Servers = 10;
+  S.m_Rate = 9;
+  JobSimulation World(S);
+  World.run(5s);
+  World.slowServer(3, 1000);
+  World.run(6s);
+  World.slowServer(3, 1);
+  World.run(5s);
+  World.run(30s, false);
+  const SimulationFigures &F = World.figures();
+  CHECK_EQUAL(0u, World.liveJobs());
+  // Jobs that have a task on the server when it stops are late; 6 s at 9 jobs a
+  // second of some 14 tasks each reach it if nothing is done.
+  CHECK(F.m_OnTime * 100 >= F.m_Submitted * 85);
+}
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduling/Scheduler.h"
 #include "base/Log.h"
+#include "scheduling/Pacing.h"
 #include <algorithm>
 
 namespace pollenspool {
@@ -23,6 +24,10 @@
 /// Between an answered look and the next at a busy server, so that ends that
 /// come close together cost one look.
 constexpr Duration LookSpacing = std::chrono::milliseconds(40);
+/// A late process collects more ends with each look: the spacing grows by this
+/// many times its lag, up to the bound, which leaves a lease several looks.
+constexpr int LagFactor = 4;
+constexpr Duration MaxLookSpacing = std::chrono::milliseconds(600);
 /// An idle server's ends are acknowledged after this, if no other look did.
 constexpr Duration AcknowledgeAfter = std::chrono::milliseconds(500);
 /// Added to the time in which an earlier leader's runs may go on.
@@ -75,6 +80,7 @@
   if (!Job)
     return;
   stopRuns(*Job, Now);
+  m_Advice.forget(Id);
   m_Jobs.remove(Id);
 }
 
@@ -145,7 +151,7 @@
   for (const auto &[Where, Bits] : Stored.m_Done)
     for (std::uint32_t I = 0; I < Bits.size(); ++I) {
       TaskId Task{Id, Where.first, Where.second, I};
-      if (Bits[I] && m_Jobs.markDone(Job, Task, Now))
+      if (Bits[I] && m_Jobs.markDone(Job, Task))
         stopOtherRuns(Job, Task, Now);
     }
   for (const auto &[Where, Runs] : Stored.m_Failures)
@@ -180,7 +186,7 @@
 void Scheduler::tick(TimePoint Now, std::chrono::milliseconds Wall,
                      const Authority &May) {
   m_May = May;
-  m_Jobs.releaseDue(Now, Wall);
+  m_Jobs.releaseDue(Wall);
   expireLeases(Now);
   if (m_Config && !m_Deposed)
     placeReady(Now);
@@ -229,6 +235,10 @@
   return Wait;
 }
 
+Duration Scheduler::lookSpacing() const {
+  return std::min(LookSpacing + m_Lag * LagFactor, MaxLookSpacing);
+}
+
 void Scheduler::sendLook(ServerState &S, TimePoint Now) {
   LookOrder Order;
   Order.m_Server = S.address();
@@ -316,13 +326,19 @@
     if (End.m_Number > S->m_EndsSeen)
       endRun(*S, End, Now);
   checkListed(*S, Reply, Now);
+  watchSpeed(*S, Now);
+  for (const PaceOrder &Pace : adjustPaces(*S, m_Options.m_Term, Now)) {
+    ++m_Counters.m_Paces;
+    m_Orders.pace(Pace);
+  }
   // This look carried no lease; the runs that it showed need one at once.
   if ((First || WasSilent) && !S->m_Runs.empty())
     S->m_NextLook = Now;
   else if (!S->m_Unrecorded.empty())
     S->m_NextLook = Now + UnrecordedSpacing;
   else
-    S->m_NextLook = Now + (S->m_Runs.empty() ? AcknowledgeAfter : LookSpacing);
+    S->m_NextLook =
+        Now + (S->m_Runs.empty() ? AcknowledgeAfter : lookSpacing());
 }
 
 PoolName Scheduler::poolOf(const LiveJob &Job) const {
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -14,6 +14,7 @@
 #ifndef POLLENSPOOL_SCHEDULING_SCHEDULER_H
 #define POLLENSPOOL_SCHEDULING_SCHEDULER_H
 
+#include "scheduling/AdviceBook.h"
 #include "scheduling/JobBook.h"
 #include "scheduling/ServerBook.h"
 #include "serving/ServingConfig.h"
@@ -33,6 +34,8 @@
   Duration m_EarlierLeaderFor = std::chrono::seconds(8);
   /// The lease that this leader grants.
   Duration m_Lease = std::chrono::seconds(5);
+  /// How many times as long a task takes away from its data or its rack.
+  double m_FarFactor = 3;
 };
 
 /// What the leader may do at the moment, by what it knows of its term.
@@ -52,6 +55,10 @@
   std::uint64_t m_Lapsed = 0;
   std::uint64_t m_Doubtful = 0;
   std::uint64_t m_Adopted = 0;
+  std::uint64_t m_AdviceCalls = 0;
+  std::uint64_t m_Paces = 0;
+  /// Runs ended on slow servers to begin elsewhere.
+  std::uint64_t m_Moved = 0;
 };
 
 /// Demand on a pool, for planning its size and for admission.
@@ -96,6 +103,8 @@
   void onLookReply(const LookOrder &Order, const LookReply &Reply,
                    TimePoint Now);
   void onLookFailed(const LookOrder &Order, OrderResult R, TimePoint Now);
+  void onAdvice(const AdviceOrder &Order, const Result<AdviceReply> &Reply,
+                TimePoint Now);
   /// The job's state row holds more than was known.
   void onRecordedElsewhere(LiveJob &Job, const JobProgress &Stored,
                            TimePoint Now);
@@ -106,6 +115,9 @@
   void tick(TimePoint Now, std::chrono::milliseconds Wall,
             const Authority &May = {});
 
+  /// How late the process is with its work: looks become rarer with it.
+  void setLag(Duration Lag) { m_Lag = Lag; }
+
   /// Whether a server has seen a later term: this one is over.
   bool isDeposed() const { return m_Deposed; }
   JobBook &jobs() { return m_Jobs; }
@@ -125,7 +137,7 @@
 
   // Runs and their ends (SchedulerRuns.cpp).
   void endRun(ServerState &S, const EndReport &End, TimePoint Now);
-  void countServerFailure(ServerState &S, bool Failed, TimePoint Now);
+  void countServerFailure(ServerState &S, TimePoint Now);
   void checkListed(ServerState &S, const LookReply &Reply, TimePoint Now);
   void adoptOrStop(ServerState &S, const RunReport &Report, TimePoint Now);
   void releaseRun(ServerState &S, const RunId &Id, Duration Pause,
@@ -154,13 +166,23 @@
   void placeTasks(LiveJob &Job, PoolRoom &Room, TimePoint Now);
   bool placeGang(LiveJob &Job, const ReadyTask &First, PoolRoom &Room,
                  TimePoint Now);
-  ServerState *choose(LiveJob &Job, const ReadyTask &Task, PoolRoom &Room);
+  /// The members of a gang that have found their places so far.
+  using Company = std::vector<const ServerState *>;
+  /// How well a server suits a task; less is better.
+  using Placement = std::tuple<int, int, int, std::uint32_t, std::int64_t>;
+  ServerState *choose(LiveJob &Job, const ReadyTask &Task, const PoolRoom &Room,
+                      const Company &Beside, TimePoint Now);
+  Placement rate(const ServerState &S, const LiveJob &Job,
+                 const ReadyTask &Task, const Company &Beside) const;
   static bool mayFit(const LiveJob &Job, const PoolRoom &Room);
   static Resources chargeOf(const StepSpec &Step);
+  static void describeRun(ActiveRun &Run, const StepSpec &Step);
   void setObjective(LiveJob &Job) const;
   static std::chrono::milliseconds longestChain(const JobSpec &Job);
   bool canTake(const ServerState &S, const LiveJob &Job, const ReadyTask &Task,
-               const Resources &Need) const;
+               const Resources &Need, const Company &Beside) const;
+  bool isFar(const ServerState &S, const LiveJob &Job, const ReadyTask &Task,
+             const Company &Beside) const;
   std::uint32_t runsOfStepOn(const LiveJob &Job, const ReadyTask &Task,
                              const ServerId &Server) const;
   void start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
@@ -170,9 +192,18 @@
   bool mayHaveUnknownRuns(const LiveJob &Job, TimePoint Now);
   bool isPoolVetted(const PoolName &Pool);
 
+  // Advice (SchedulerAdvice.cpp).
+  const AdvicePolicy *advicePolicy(const LiveJob &Job) const;
+  void askAdvice(LiveJob &Job, const PoolRoom &Room, TimePoint Now);
+
+  // Slow servers (SchedulerStragglers.cpp).
+  void watchSpeed(ServerState &S, TimePoint Now);
+  bool mayMove(const RunId &Id, const ServerState &From, TimePoint Now);
+
   void lookWhereDue(TimePoint Now, bool MayExtend);
   void sendLook(ServerState &S, TimePoint Now);
   static std::chrono::milliseconds lookWait(const ServerState &S);
+  Duration lookSpacing() const;
   void expireLeases(TimePoint Now);
   bool isRecorded(const UnrecordedEnd &End);
 
@@ -181,11 +212,13 @@
   std::shared_ptr<const ServingConfig> m_Config;
   JobBook m_Jobs;
   ServerBook m_Servers;
+  AdviceBook m_Advice;
   std::vector<InstanceListing> m_Instances;
   bool m_InstancesKnown = false;
   TimePoint m_UncertainUntil{};
   bool m_Deposed = false;
   Authority m_May;
+  Duration m_Lag{0};
   SchedulerCounters m_Counters;
 };
 
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -73,8 +73,10 @@
 void Scheduler::setObjective(LiveJob &Job) const {
   const QueuePolicy *Q =
       m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
-  if (Q)
+  if (Q) {
     Job.m_Attempts = Q->m_Attempts;
+    Job.m_Priority = Q->m_Priority;
+  }
   Duration Allowed = std::chrono::duration_cast<Duration>(
       longestChain(Job.m_Spec) * (Q ? Q->m_Stretch : 1.0));
   if (Q)
@@ -126,26 +128,29 @@
     return;
   Room.measure();
   // Lasting tasks come first: they are few and owed all the time. Then jobs
-  // that can be on time, then those that can still be of use.
+  // that can be on time, then those that can still be of use; among these, by
+  // the operators' priority.
   auto Rank = [Now](const LiveJob &Job) {
     if (Job.m_Spec.m_Steps[Job.m_Ready.front().m_Step].m_Lasting)
       return 0;
     return Now < Job.m_Objective ? 1 : Now < Job.m_LastUse ? 2 : 3;
   };
-  std::vector<std::tuple<int, TimePoint, LiveJob *>> Order;
+  std::vector<std::tuple<int, std::uint32_t, TimePoint, LiveJob *>> Order;
   for (LiveJob *Job : Jobs)
     if (Job->m_AcceptedVersion <= m_May.m_StartUpTo &&
         !mayHaveUnknownRuns(*Job, Now))
-      Order.emplace_back(Rank(*Job), Job->m_Objective, Job);
+      Order.emplace_back(Rank(*Job), Job->m_Priority, Job->m_Objective, Job);
   std::sort(Order.begin(), Order.end(), [](const auto &A, const auto &B) {
-    return std::tie(std::get<0>(A), std::get<1>(A),
-                    std::get<2>(A)->m_Spec.m_Id) <
-           std::tie(std::get<0>(B), std::get<1>(B),
-                    std::get<2>(B)->m_Spec.m_Id);
+    const auto &[RankA, PriorityA, ObjectiveA, JobA] = A;
+    const auto &[RankB, PriorityB, ObjectiveB, JobB] = B;
+    return std::tie(RankA, PriorityA, ObjectiveA, JobA->m_Spec.m_Id) <
+           std::tie(RankB, PriorityB, ObjectiveB, JobB->m_Spec.m_Id);
   });
-  for (const auto &[R, Objective, Job] : Order)
+  for (const auto &[R, Priority, Objective, Job] : Order) {
     if (mayFit(*Job, Room))
       placeTasks(*Job, Room, Now);
+    askAdvice(*Job, Room, Now);
+  }
 }
 
 bool Scheduler::mayFit(const LiveJob &Job, const PoolRoom &Room) {
@@ -180,7 +185,7 @@
         Left.push_back(R);
       continue;
     }
-    ServerState *S = choose(Job, R, Room);
+    ServerState *S = choose(Job, R, Room, {}, Now);
     if (!S) {
       Skip.insert({R.m_Occurrence, R.m_Step});
       Left.push_back(R);
@@ -206,14 +211,16 @@
   }
   Resources Charge = chargeOf(Job.m_Spec.m_Steps[First.m_Step]);
   std::vector<std::pair<ReadyTask, ServerState *>> Plan;
+  Company Beside;
   bool Complete = true;
   for (std::uint32_t I = 0; I < Step.m_Tasks.size() && Complete; ++I) {
     ReadyTask R{First.m_Occurrence, First.m_Step, I};
-    ServerState *S = choose(Job, R, Room);
+    ServerState *S = choose(Job, R, Room, Beside, Now);
     Complete = S != nullptr;
     if (!Complete)
       break;
     Plan.emplace_back(R, S);
+    Beside.push_back(S);
     S->m_Used += Charge;
   }
   for (auto &[R, S] : Plan)
@@ -237,61 +244,100 @@
 }
 
 bool Scheduler::canTake(const ServerState &S, const LiveJob &Job,
-                        const ReadyTask &Task, const Resources &Need) const {
+                        const ReadyTask &Task, const Resources &Need,
+                        const Company &Beside) const {
   if (!Need.fitsIn(S.room()))
     return false;
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
+  if (S.m_OnProbation && !Step.m_Lasting && S.hasPassingRuns())
+    return false;
   const auto &Labels = S.m_Registration.m_Labels;
   if (!Step.m_RequiredLabel.empty() &&
       std::find(Labels.begin(), Labels.end(), Step.m_RequiredLabel) ==
           Labels.end())
     return false;
-  return Step.m_MaxPerServer == 0 ||
-         runsOfStepOn(Job, Task, S.m_Registration.m_Id) < Step.m_MaxPerServer;
+  if (Step.m_MaxPerServer == 0)
+    return true;
+  auto Planned = std::count(Beside.begin(), Beside.end(), &S);
+  return runsOfStepOn(Job, Task, S.m_Registration.m_Id) + Planned <
+         Step.m_MaxPerServer;
 }
 
-ServerState *Scheduler::choose(LiveJob &Job, const ReadyTask &Task,
-                               PoolRoom &Room) {
+bool Scheduler::isFar(const ServerState &S, const LiveJob &Job,
+                      const ReadyTask &Task, const Company &Beside) const {
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
-  Resources Need = chargeOf(Step);
+  const RackName &Rack = S.m_Registration.m_Rack;
+  if (!Step.m_DataRack.empty() && Rack.m_Text != Step.m_DataRack)
+    return true;
+  if (!Step.m_SameRack)
+    return false;
+  std::set<RackName> InUse;
+  for (const ServerState *Other : Beside)
+    InUse.insert(Other->m_Registration.m_Rack);
+  for (const TaskState &T :
+       Job.m_Occurrences.at(Task.m_Occurrence).m_Steps[Task.m_Step].m_Tasks)
+    for (const RunPlace &P : T.m_Runs)
+      if (const ServerState *Other = m_Servers.find(P.m_Server))
+        InUse.insert(Other->m_Registration.m_Rack);
+  return !InUse.empty() && !InUse.count(Rack);
+}
+
+Scheduler::Placement Scheduler::rate(const ServerState &S, const LiveJob &Job,
+                                     const ReadyTask &Task,
+                                     const Company &Beside) const {
+  const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
+  // One order for the server should not take more of a step away than may be
+  // away at once.
+  bool Crowded =
+      Step.m_Lasting && Step.m_MaxUnavailable > 0 &&
+      runsOfStepOn(Job, Task, S.m_Registration.m_Id) >= Step.m_MaxUnavailable;
+  // Tasks are packed, lasting ones first of all beside other lasting ones, so
+  // that other servers stay empty for large tasks and for moves. What fills
+  // takes the cores that are left over, and goes where most are.
+  std::int64_t Free = S.room().m_MilliCores;
+  for (const auto &[Id, Run] : S.m_Runs) {
+    if (Step.m_Fills && Run.m_Fills)
+      Free -= Step.m_Need.m_MilliCores;
+    else if (Step.m_Lasting && Run.m_Lasting && !Step.m_Fills)
+      Free -= LastingBonus;
+  }
+  if (Step.m_Fills)
+    Free = -Free;
+  return {Crowded, S.m_OnProbation, isFar(S, Job, Task, Beside),
+          S.m_FailuresInRow, Free};
+}
+
+ServerState *Scheduler::choose(LiveJob &Job, const ReadyTask &Task,
+                               const PoolRoom &Room, const Company &Beside,
+                               TimePoint Now) {
+  Resources Need = chargeOf(Job.m_Spec.m_Steps[Task.m_Step]);
   if (!Need.fitsIn(Room.m_Most))
     return nullptr;
-  std::set<std::string> RacksInUse;
-  if (Step.m_SameRack)
-    for (const TaskState &T : Job.step(Task.m_Occurrence, Task.m_Step)->m_Tasks)
-      for (const RunPlace &P : T.m_Runs)
-        if (ServerState *S = m_Servers.find(P.m_Server))
-          RacksInUse.insert(S->m_Registration.m_Rack.m_Text);
+  const StepId Step{Job.m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
+  bool NeedsTicket = advicePolicy(Job) != nullptr;
   ServerState *Best = nullptr;
-  std::tuple<int, int, std::uint32_t, std::int64_t> BestScore;
+  Placement BestRating;
   for (ServerState *S : Room.m_Servers) {
-    if (!canTake(*S, Job, Task, Need))
+    if (!canTake(*S, Job, Task, Need, Beside) ||
+        (NeedsTicket && !m_Advice.ticket(Step, *S, Now)))
       continue;
-    const std::string &Rack = S->m_Registration.m_Rack.m_Text;
-    // One order for the server should not take more of a step away than may be
-    // away at once.
-    int Crowded = Step.m_Lasting && Step.m_MaxUnavailable > 0 &&
-                  runsOfStepOn(Job, Task, S->m_Registration.m_Id) >=
-                      Step.m_MaxUnavailable;
-    int Far = (!Step.m_DataRack.empty() && Rack != Step.m_DataRack) ||
-              (!RacksInUse.empty() && !RacksInUse.count(Rack));
-    // Tasks are packed, lasting ones first of all beside other lasting ones,
-    // so that other servers stay empty for large tasks and for moves.
-    std::int64_t Free = S->room().m_MilliCores;
-    if (Step.m_Lasting)
-      Free -= LastingBonus *
-              std::count_if(S->m_Runs.begin(), S->m_Runs.end(),
-                            [](const auto &E) { return E.second.m_Lasting; });
-    std::tuple<int, int, std::uint32_t, std::int64_t> Score{
-        Crowded, Far, S->m_FailuresInRow, Free};
-    if (!Best || Score < BestScore) {
+    Placement Rating = rate(*S, Job, Task, Beside);
+    if (!Best || Rating < BestRating) {
       Best = S;
-      BestScore = Score;
+      BestRating = Rating;
     }
   }
   return Best;
 }
 
+void Scheduler::describeRun(ActiveRun &Run, const StepSpec &Step) {
+  Run.m_Charge = chargeOf(Step);
+  Run.m_Lasting = Step.m_Lasting;
+  Run.m_Fills = Step.m_Fills;
+  Run.m_TailTarget = static_cast<double>(Step.m_TailTarget.count());
+  Run.m_Estimate = Step.m_Estimate;
+}
+
 void Scheduler::start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
                       std::uint32_t RunNumber, TimePoint Now) {
   TaskState &T = *Job.task(
@@ -305,16 +351,24 @@
   Order.m_Text = Job.m_Spec.m_Text;
   Order.m_Saved = T.m_Saved;
   Order.m_Term = m_Options.m_Term;
+  Order.m_OrderedAt = Now;
   Order.m_LeaseUntilMs =
       S.clockAtLeast(Now) +
       std::chrono::duration_cast<std::chrono::milliseconds>(m_Options.m_Lease)
           .count();
   ServerBook::noteLease(S, Now, m_Options.m_Lease);
+  if (advicePolicy(Job))
+    if (const std::string *Ticket = m_Advice.ticket(
+            {Job.m_Spec.m_Id, Task.m_Occurrence, Task.m_Step}, S, Now))
+      Order.m_Ticket = *Ticket;
   ActiveRun Run;
-  Run.m_Charge = chargeOf(Step);
-  Run.m_Lasting = Step.m_Lasting;
-  Run.m_Fills = Step.m_Fills;
+  describeRun(Run, Step);
+  if (isFar(S, Job, Task, {}))
+    Run.m_Estimate = std::chrono::duration_cast<Duration>(
+        Run.m_Estimate * m_Options.m_FarFactor);
   Run.m_OrderedAt = Now;
+  if (T.m_Saved.empty())
+    Run.m_WatchedSince = Run.m_PercentAt = Now;
   ServerBook::addRun(S, Order.m_Run, Run);
   T.m_Ready = false;
   T.m_LastRun = RunNumber;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -1,6 +1,8 @@
 //===- SchedulerRuns.cpp - Starts, stops and ends of runs -----------------===//
 
 #include "base/Log.h"
+#include "scheduling/Pacing.h"
+#include "scheduling/RunSpeed.h"
 #include "scheduling/Scheduler.h"
 #include <algorithm>
 
@@ -69,7 +71,6 @@
     if (Run.m_Phase == RunPhase::Starting)
       Run.m_Phase = RunPhase::Running;
     Run.m_ConfirmedAt = Now;
-    Run.m_PercentAt = Now;
     S->m_NextLook = std::min(S->m_NextLook, Now);
     return;
   }
@@ -106,8 +107,13 @@
   case OrderResult::Refusing:
     S->m_SuspendedUntil = Now + RefusalPause;
     break;
-  case OrderResult::Invalid:
   case OrderResult::BadTicket:
+    m_Advice.dropTicket({Order.m_Run.m_Task.m_Job,
+                         Order.m_Run.m_Task.m_Occurrence,
+                         Order.m_Run.m_Task.m_Step},
+                        Order.m_Server.m_Id);
+    break;
+  case OrderResult::Invalid:
   case OrderResult::StaleRun:
     S->m_SuspendedUntil = Now + RefusalPause / 4;
     break;
@@ -183,7 +189,6 @@
   if (!T)
     return;
   forgetPlace(*T, S.m_Registration.m_Id, Id.m_Number);
-  T->m_AwaySince = Now;
   logEvent(Event::TaskAgain, {{"run", runName(Id)},
                               {"server", S.m_Registration.m_Id.m_Text},
                               {"end", "not_there"}});
@@ -210,14 +215,11 @@
   S.m_FailuresInRow = 0;
 }
 
-void Scheduler::countServerFailure(ServerState &S, bool Failed, TimePoint Now) {
-  if (!Failed) {
-    S.m_FailuresInRow = 0;
-    return;
-  }
+void Scheduler::countServerFailure(ServerState &S, TimePoint Now) {
   if (++S.m_FailuresInRow < FailuresToSuspend)
     return;
   S.m_SuspendedUntil = Now + SuspendFor;
+  S.m_OnProbation = true;
   logEvent(Event::BackendSuspended,
            {{"server", S.m_Registration.m_Id.m_Text},
             {"failures_in_row", std::to_string(S.m_FailuresInRow)}});
@@ -227,6 +229,8 @@
   S.m_EndsSeen = End.m_Number;
   LiveJob *Job = m_Jobs.find(End.m_Run.m_Task.m_Job);
   TaskState *T = Job ? Job->task(End.m_Run.m_Task) : nullptr;
+  auto Known = S.m_Runs.find(End.m_Run);
+  bool WasInTime = Known == S.m_Runs.end() || endedInTime(Known->second, Now);
   ServerBook::removeRun(S, End.m_Run);
   std::uint64_t Change = 0;
   if (T && !isFinal(Job->m_State)) {
@@ -234,16 +238,15 @@
     const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
     forgetPlace(*T, S.m_Registration.m_Id, End.m_Run.m_Number);
     T->m_LastRun = std::max(T->m_LastRun, End.m_Run.m_Number);
-    T->m_AwaySince = Now;
     if (!End.m_Saved.empty())
       T->m_Saved = End.m_Saved;
     Duration Pause{0};
     if (End.m_Kind == EndKind::Done && !Step.m_Lasting) {
       if (Step.m_Gang) {
         for (std::uint32_t I = 0; I < Step.m_Count; ++I)
-          m_Jobs.markDone(*Job, {Task.m_Job, Task.m_Occurrence, Task.m_Step, I},
-                          Now);
-      } else if (m_Jobs.markDone(*Job, Task, Now)) {
+          m_Jobs.markDone(*Job,
+                          {Task.m_Job, Task.m_Occurrence, Task.m_Step, I});
+      } else if (m_Jobs.markDone(*Job, Task)) {
         stopOtherRuns(*Job, Task, Now);
       }
       Change = ++Job->m_Change;
@@ -263,8 +266,12 @@
                 {"failures", std::to_string(T->m_FailedRuns.size())}});
     if (!isFinal(Job->m_State))
       m_Jobs.requeue(*Job, Task, Now + Pause);
-    if (!Step.m_Lasting)
-      countServerFailure(S, End.m_Kind == EndKind::Failed, Now);
+    if (!Step.m_Lasting && End.m_Kind == EndKind::Failed)
+      countServerFailure(S, Now);
+    else if (!Step.m_Lasting && End.m_Kind == EndKind::Done) {
+      S.m_FailuresInRow = 0;
+      S.m_OnProbation = S.m_OnProbation && !WasInTime;
+    }
   }
   // An end that changes nothing needs no record, but ends are acknowledged in
   // their order.
@@ -289,10 +296,7 @@
       Run.m_Phase = RunPhase::Running;
       Run.m_ConfirmedAt = S.m_LookSentAt;
     }
-    if (Run.m_Percent != Report.m_Percent)
-      Run.m_PercentAt = Now;
-    Run.m_Percent = Report.m_Percent;
-    Run.m_Measure = Report.m_Measure;
+    noteProgress(Run, Report, Now);
     if (!Report.m_Saved.empty() && Report.m_Saved != Run.m_Saved) {
       Run.m_Saved = Report.m_Saved;
       if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
@@ -328,15 +332,12 @@
   ActiveRun Run;
   Run.m_Phase = RunPhase::Running;
   Run.m_ConfirmedAt = S.m_LookSentAt;
-  Run.m_Percent = Report.m_Percent;
-  Run.m_PercentAt = Now;
   bool Wanted = T && !T->m_Done && !isFinal(Job->m_State) && T->m_Runs.empty();
   if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
-    const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
-    Run.m_Charge = chargeOf(Step);
-    Run.m_Lasting = Step.m_Lasting;
-    Run.m_Fills = Step.m_Fills;
+    describeRun(Run, Job->m_Spec.m_Steps[Task.m_Step]);
+    Run.m_Pace = UnknownPace;
   }
+  noteProgress(Run, Report, Now);
   ServerBook::addRun(S, Report.m_Run, Run);
   if (!Wanted) {
     if (T)
@@ -347,17 +348,7 @@
   ++m_Counters.m_Adopted;
   T->m_Runs.push_back({S.m_Registration.m_Id, Report.m_Run.m_Number});
   T->m_LastRun = std::max(T->m_LastRun, Report.m_Run.m_Number);
-  if (T->m_Ready) {
-    T->m_Ready = false;
-    auto &R = Job->m_Ready;
-    R.erase(std::remove_if(R.begin(), R.end(),
-                           [&](const ReadyTask &A) {
-                             return A.m_Occurrence == Task.m_Occurrence &&
-                                    A.m_Step == Task.m_Step &&
-                                    A.m_Index == Task.m_Index;
-                           }),
-            R.end());
-  }
+  Job->unready(Task);
   if (Job->m_State == JobState::Queued) {
     Job->m_State = JobState::Running;
     m_Jobs.touch(*Job);
--- a/src/scheduling/ServerBook.cpp
+++ b/src/scheduling/ServerBook.cpp
@@ -21,11 +21,21 @@
                                    SlowestServerClock);
 }
 
+bool ServerState::hasPassingRuns() const {
+  return std::any_of(m_Runs.begin(), m_Runs.end(),
+                     [](const auto &E) { return !E.second.m_Lasting; });
+}
+
 ServerState *ServerBook::find(const ServerId &Id) {
   auto It = m_Servers.find(Id);
   return It == m_Servers.end() ? nullptr : &It->second;
 }
 
+const ServerState *ServerBook::find(const ServerId &Id) const {
+  auto It = m_Servers.find(Id);
+  return It == m_Servers.end() ? nullptr : &It->second;
+}
+
 ServerState &ServerBook::upsert(const ServerRegistration &R) {
   ServerState &S = m_Servers[R.m_Id];
   S.m_Registration = R;
--- a/src/scheduling/ServerBook.h
+++ b/src/scheduling/ServerBook.h
@@ -31,11 +31,21 @@
   /// to show the run.
   TimePoint m_ConfirmedAt = TimePoint::max();
   bool m_StopPending = false;
+  /// How long it should take on this server; 0: not known.
+  Duration m_Estimate{0};
+  /// Its first report, its newest, and when that last changed.
+  TimePoint m_WatchedSince = TimePoint::max();
+  int m_FirstPercent = 0;
   int m_Percent = 0;
   TimePoint m_PercentAt{};
   std::string m_Saved;
+  /// \see RunReport::m_Measure.
   double m_Measure = 0;
+  /// Bound on the tail of a serving task, in milliseconds; 0: none.
+  double m_TailTarget = 0;
+  /// Share of its pace that a filling task was last given.
   std::uint32_t m_Pace = 100;
+  TimePoint m_PacedAt{};
 };
 
 /// An end that its server must not forget yet.
@@ -80,6 +90,9 @@
   /// Failed runs since the last that was done.
   std::uint32_t m_FailuresInRow = 0;
   TimePoint m_SuspendedUntil{};
+  /// It was found slow or failing: it gets one task at a time until one has
+  /// ended well.
+  bool m_OnProbation = false;
   /// About to be moved or taken down for upkeep: nothing new is started.
   bool m_Reserved = false;
 
@@ -91,6 +104,8 @@
     R -= m_Used;
     return R;
   }
+  /// Whether anything runs here that ends by itself.
+  bool hasPassingRuns() const;
   /// The server's clock, at the least, at \p Now.
   std::int64_t clockAtLeast(TimePoint Now) const;
 };
@@ -107,6 +122,7 @@
 class ServerBook {
 public:
   ServerState *find(const ServerId &Id);
+  const ServerState *find(const ServerId &Id) const;
   std::map<ServerId, ServerState> &all() { return m_Servers; }
   ServerState &upsert(const ServerRegistration &R);
   void erase(const ServerId &Id) { m_Servers.erase(Id); }
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -112,7 +112,9 @@
     });
   }
 
+  // No queue of the simulation asks for advice, and no task fills.
   void pace(const PaceOrder &) override {}
+  void advise(const AdviceOrder &) override {}
 
 private:
   SimServer *find(const ServerId &Id) {
@@ -268,16 +270,14 @@
       *this, static_cast<int>(m_Leaders.size()), ++m_Term, TermVersion));
   ++m_Figures.m_Terms;
   Instance &Leader = *m_Leaders.back();
-  auto Config = std::make_shared<ServingConfig>();
   QueuePolicy Queue;
   Queue.m_Name = QueueName("asks");
   Queue.m_Pool = PoolName("desk");
   Queue.m_Attempts = m_Settings.m_Attempts;
   Queue.m_Stretch = 1.6;
   Queue.m_Slack = milliseconds(600);
-  Config->m_Queues.push_back(Queue);
-  Config->m_Pools.push_back({PoolName("desk"), false, true});
-  Leader.m_Core->onConfig(Config);
+  Leader.m_Core->onConfig(
+      ServingConfig::create(1, {Queue}, {{PoolName("desk"), false, true}}));
   for (auto &[Id, Row] : m_Live)
     Leader.m_Core->onJob(Row.m_Spec, m_States[Id].m_Progress, Row.m_Version,
                          m_States[Id].m_Version, m_Clock.m_Now, wall());
@@ -320,6 +320,10 @@
   });
 }
 
+void JobSimulation::slowServer(std::size_t Index, double Factor) {
+  m_Servers[Index]->setSlowness(Factor);
+}
+
 void JobSimulation::cutServer(std::size_t Index) {
   m_Servers[Index]->m_CutFrom.insert(static_cast<int>(m_Leaders.size()) - 1);
 }
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -52,6 +52,8 @@
   /// As changeLeader(), but the earlier leader is gone at once.
   void killLeader();
   void crashServer(std::size_t Index);
+  /// From now on the server works this many times slower than it should.
+  void slowServer(std::size_t Index, double Factor);
   /// Orders between the leader and the server are lost until heal().
   void cutServer(std::size_t Index);
   void heal();
--- a/src/scheduling/testing/SchedulerWorld.cpp
+++ b/src/scheduling/testing/SchedulerWorld.cpp
@@ -11,16 +11,24 @@
   Options.m_TermVersion = 100;
   m_Core = Scheduler::create(Options, m_Orders, m_Now);
   m_Writer = ProgressWriter::create(*m_Core);
-  auto Config = std::make_shared<ServingConfig>();
   QueuePolicy Queue;
   Queue.m_Name = QueueName("asks");
   Queue.m_Pool = PoolName("desk");
   Queue.m_Attempts = 2;
   Queue.m_Stretch = 1.5;
   Queue.m_Slack = std::chrono::milliseconds(600);
-  Config->m_Queues.push_back(Queue);
-  Config->m_Pools.push_back({PoolName("desk"), false, true});
-  m_Core->onConfig(Config);
+  m_Queues.push_back(Queue);
+  applyConfig();
+}
+
+void SchedulerWorld::applyConfig() {
+  m_Core->onConfig(
+      ServingConfig::create(1, m_Queues, {{PoolName("desk"), false, true}}));
+}
+
+void SchedulerWorld::useAdvice(const AdvicePolicy &Policy) {
+  m_Queues.front().m_Advice = Policy;
+  applyConfig();
 }
 
 std::chrono::milliseconds SchedulerWorld::wall() const {
--- a/src/scheduling/testing/SchedulerWorld.h
+++ b/src/scheduling/testing/SchedulerWorld.h
@@ -15,11 +15,13 @@
   std::vector<StopOrder> m_Stops;
   std::vector<LookOrder> m_Looks;
   std::vector<PaceOrder> m_Paces;
+  std::vector<AdviceOrder> m_Advice;
 
   void start(const StartOrder &Order) override { m_Starts.push_back(Order); }
   void stop(const StopOrder &Order) override { m_Stops.push_back(Order); }
   void look(const LookOrder &Order) override { m_Looks.push_back(Order); }
   void pace(const PaceOrder &Order) override { m_Paces.push_back(Order); }
+  void advise(const AdviceOrder &Order) override { m_Advice.push_back(Order); }
 };
 
 /// A scheduler with one pool "desk" and one queue "asks", driven by hand.
@@ -36,6 +38,8 @@
   void tick() { m_Core->tick(m_Now, wall()); }
   std::chrono::milliseconds wall() const;
 
+  /// Lets the queue ask the adviser from now on.
+  void useAdvice(const AdvicePolicy &Policy);
   /// Registers a server that has \p Cores cores and answers its first look.
   void addServer(const std::string &Id, int Cores = 4);
   /// Answers the newest look at \p Id with these lists.
@@ -58,6 +62,8 @@
   LiveJob &job(const std::string &Id);
 
 private:
+  std::vector<QueuePolicy> m_Queues;
+  void applyConfig();
   RowVersion m_StoreVersion = 1000;
   const LookOrder &lastLook(const std::string &Id) const;
 };
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -153,14 +153,36 @@
     return OrderResult::NoRoom;
   m_Oracle.onStart(m_Registration.m_Id, Order.m_Run, m_Clock.m_Now);
   m_Used = Used;
-  std::uint64_t Token = m_NextToken++;
-  m_Runs[Order.m_Run] = {m_Clock.m_Now, Work, Token};
-  m_Clock.after(Work, [this, Id = Order.m_Run, Token, Fails] {
+  m_Runs[Order.m_Run] = {Work, Duration(0), m_Clock.m_Now, Fails, 0};
+  scheduleEnd(Order.m_Run);
+  return OrderResult::Done;
+}
+
+void SimServer::scheduleEnd(const RunId &Id) {
+  Run &R = m_Runs[Id];
+  R.m_Token = m_NextToken++;
+  auto Left =
+      std::chrono::duration_cast<Duration>((R.m_Work - R.m_Done) * m_Slowness);
+  m_Clock.after(Left, [this, Id, Token = R.m_Token] {
     auto It = m_Runs.find(Id);
     if (It != m_Runs.end() && It->second.m_Token == Token)
-      end(Id, Fails ? EndKind::Failed : EndKind::Done);
+      end(Id, It->second.m_Fails ? EndKind::Failed : EndKind::Done);
   });
-  return OrderResult::Done;
+}
+
+Duration SimServer::workDone(const Run &R) const {
+  return R.m_Done + std::chrono::duration_cast<Duration>(
+                        (m_Clock.m_Now - R.m_Since) / m_Slowness);
+}
+
+void SimServer::setSlowness(double Factor) {
+  for (auto &[Id, R] : m_Runs) {
+    R.m_Done = workDone(R);
+    R.m_Since = m_Clock.m_Now;
+  }
+  m_Slowness = Factor;
+  for (auto &[Id, R] : m_Runs)
+    scheduleEnd(Id);
 }
 
 OrderResult SimServer::stop(const StopOrder &Order) {
@@ -172,9 +194,8 @@
   auto It = m_Runs.find(Order.m_Run);
   if (It != m_Runs.end())
     m_Clock.after(std::chrono::milliseconds(100 + m_Random() % 300),
-                  [this, Id = Order.m_Run, Token = It->second.m_Token] {
-                    auto Still = m_Runs.find(Id);
-                    if (Still != m_Runs.end() && Still->second.m_Token == Token)
+                  [this, Id = Order.m_Run, Born = m_BornAt] {
+                    if (Born == m_BornAt && m_Runs.count(Id))
                       end(Id, EndKind::Stopped);
                   });
   return OrderResult::Done;
@@ -228,8 +249,7 @@
   Reply.m_ClockMs = clockMs();
   Reply.m_BornMs = m_Registration.m_BornMs;
   for (const auto &[Id, R] : m_Runs) {
-    auto Done =
-        (m_Clock.m_Now - R.m_Started) * 100 / std::max(Duration(1), R.m_Work);
+    auto Done = workDone(R) * 100 / std::max(Duration(1), R.m_Work);
     Reply.m_Running.push_back({Id, "", static_cast<int>(Done), 0});
   }
   Reply.m_Ended = m_Ends;
--- a/src/scheduling/testing/SimServers.h
+++ b/src/scheduling/testing/SimServers.h
@@ -95,6 +95,8 @@
   /// Calls \p Then at once, or when a run ends, or when the wait is over.
   void look(const LookOrder &Order,
             std::function<void(OrderResult, LookReply)> Then);
+  /// What runs and is started takes this many times as long from now on.
+  void setSlowness(double Factor);
   /// Everything on it is gone; a new life begins.
   void crash();
   std::int64_t clockMs() const;
@@ -102,9 +104,12 @@
 
 private:
   struct Run {
-    TimePoint m_Started;
     Duration m_Work;
-    std::uint64_t m_Token;
+    /// Work done by m_Since, in the server's normal time.
+    Duration m_Done{0};
+    TimePoint m_Since;
+    bool m_Fails = false;
+    std::uint64_t m_Token = 0;
   };
   struct Waiter {
     LookOrder m_Order;
@@ -112,6 +117,8 @@
     std::uint64_t m_Token;
   };
   void end(const RunId &Id, EndKind Kind);
+  void scheduleEnd(const RunId &Id);
+  Duration workDone(const Run &R) const;
   void answerWaiters();
   LookReply lists() const;
   void extend(std::int64_t UntilMs);
@@ -129,6 +136,7 @@
   std::int64_t m_LeaseUntilMs = 0;
   std::uint64_t m_NextEnd = 1;
   std::uint64_t m_NextToken = 1;
+  double m_Slowness = 1;
   TimePoint m_BornAt;
   std::map<TaskId, Resources> m_Needs;
 
