Keep a soak with real processes, and let the adviser's stand-in say no

Entry instances run as processes; stand-in, callers and a loopback proxy for each link run in the soak, which injects faults from outside, in series and overlapping (kill, pause, end, reload, links delayed, silent, deaf or reset, a store that is down, slow, late, forgetful, servers that crash, stand still, fail or obey late, configurations, waves). An oracle of its own holds TWICE, ORDER, BUDGET, UNASKED, REFUSED, LOST and MIXED from what servers and callers see; when the faults end every accepted job has to end. Every third seed has an adviser.

--- a/standins/jobs/platform.py
+++ b/standins/jobs/job_platform.py
@@ -5,23 +5,33 @@
 backend servers, each on a port of its own, on loopback. It speaks the published
 protocol and shares no code with the product. Work is simulated by waiting.
 
-  platform.py --servers N --pools a,b --spare N --seed N
+  job_platform.py --servers N --pools a,b --spare N --seed N
 
 It prints one line of JSON with its addresses and serves until it is ended.
-GET /faults?store=down|ok|lost on the store's port sets how the store behaves;
-GET /report there tells what the backend servers have seen.
+GET /faults?store=down|ok|lost|slow|late on the store's port sets how the store
+behaves; POST /expect there announces a job, GET /report tells what the backend servers have
+seen. The soak runs it
+in its own process and injects faults into servers as well.
 """
 import argparse
 import asyncio
 import base64
 import json
+import pathlib
 import random
+import sys
 import time
 import urllib.parse
 
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from oracle import Oracle  # noqa: E402
+
 ROW_LIMIT = 500
 FEED_HISTORY = 20000
 MOVE_S = 0.3
+SLOW_STORE_S = 0.25
+CAPACITY = {"cpu": 8000, "mem-mb": 16000, "gpu": 0}
+TICKETS_VALID_MS = 3000
 
 
 def now_ms():
@@ -68,7 +78,7 @@
     def __init__(self, rng):
         self.rows, self.changes, self.version = {}, [], 1
         self.changed = asyncio.Condition()
-        self.mode, self.rng = "ok", rng
+        self.mode, self.rng, self.kept_from = "ok", rng, 0
         self.http = Http(self.handle)
 
     @staticmethod
@@ -95,6 +105,10 @@
         del self.changes[:-FEED_HISTORY]
         asyncio.ensure_future(self.wake())
 
+    def forget_history(self):
+        self.changes.clear()
+        self.kept_from = self.version
+
     async def wake(self):
         async with self.changed:
             self.changed.notify_all()
@@ -105,17 +119,32 @@
             return 200, {}
         if path == "/report":
             return 200, self.report()
+        if path == "/expect":
+            expected = json.loads(body)
+            self.expect(expected["job"], expected["body"], expected["attempts"])
+            return 200, {}
         if self.mode == "down":
             return 503, {}
+        if self.mode == "slow":
+            await asyncio.sleep(SLOW_STORE_S)
         if path == "/rows-tx":
+            if self.mode == "late" and self.rng.random() < 0.3:
+                asyncio.ensure_future(self.transact_later(json.loads(body)))
+                return None
             reply = self.transact(json.loads(body))
             return None if self.mode == "lost" and self.rng.random() < 0.3 else reply
         if path == "/rows-get":
             return 200, self.get(query)
         if path == "/rows-feed":
+            if int(query["after"]) < self.kept_from:
+                return 410, {}
             return 200, await self.feed(query)
         return 404, {}
 
+    async def transact_later(self, tx):
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        self.transact(tx)
+
     def transact(self, tx):
         def at(e):
             return e["table"], e.get("part", ""), e["key"]
@@ -162,41 +191,59 @@
     """One life of a backend server."""
     serial = 0
 
-    def __init__(self, world, machine, pool):
+    def __init__(self, world, machine, pool, server_id=None):
         Server.serial += 1
-        self.id, self.machine, self.pool, self.world = f"s-{Server.serial}", machine, pool, world
+        self.id, self.machine, self.pool, self.world = server_id or f"s-{Server.serial}", machine, pool, world
         self.born = int(time.time() * 1000)
         self.runs, self.ends, self.over = {}, [], {}
         self.fence, self.deadline, self.next_end, self.dead = 0, 0, 1, False
+        self.used, self.needs, self.work_left = 0, {}, {}
+        # Faults: tasks stand still; starts fail; orders are not answered and carried
+        # out late.
+        self.hangs, self.fails, self.late = False, False, False
         self.ended = asyncio.Condition()
-        self.http = Http(self.handle)
+        self.http, self.address = Http(self.handle), None
 
     def clock(self):
         return int(time.time() * 1000) - self.born + 1
 
     async def start(self):
         await self.http.start()
-        asyncio.ensure_future(self.watch_lease())
+        self.address = await self.world.publish(f"127.0.0.1:{self.http.port}")
+        asyncio.ensure_future(self.live())
+        self.register()
+
+    def register(self):
         self.world.store.put(("servers", "", self.id), json.dumps({
-            "service": self.pool, "addr": f"127.0.0.1:{self.http.port}", "zone": "z1",
-            "state": "ready", "capacity": {"cpu": 8000, "mem-mb": 16000, "gpu": 0},
+            "service": self.pool, "addr": self.address, "zone": "z1",
+            "state": "ready", "capacity": CAPACITY,
             "labels": ["a", "r1"], "machine": self.machine, "born": self.born, "sequence": 1}))
 
-    async def watch_lease(self):
+    async def live(self):
+        """Works, and ends everything when the lease runs out."""
+        step = 0.02
         while not self.dead:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(step)
             if self.deadline and self.clock() > self.deadline:
+                self.deadline = 0
+                self.world.oracle.on_lapse(self)
                 for run in list(self.runs):
                     await self.end(run, "lapsed")
+            for run in [] if self.hangs else list(self.work_left):
+                self.work_left[run] -= step
+                if self.work_left[run] <= 0:
+                    await self.end(run, "failed" if self.fails else "done")
 
     async def end(self, run, how):
         if self.runs.pop(run, None) is None or self.dead:
             return
         task, number = run
+        self.work_left.pop(run, None)
+        self.used -= self.needs.pop(run)
         self.over[task] = max(self.over.get(task, 0), number)
         self.ends.append([self.next_end, task, number, how, ""])
         self.next_end += 1
-        self.world.on_end(self, task, how)
+        self.world.oracle.on_end(self, task, number, how)
         async with self.ended:
             self.ended.notify_all()
 
@@ -206,6 +253,17 @@
         if headers.get("x-expected-instance") != self.id:
             return 421, {}
         call = json.loads(body)
+        if self.late and path != "/hold" and self.world.rng.random() < 0.5:
+            asyncio.ensure_future(self.obey_later(path, call))
+            return None
+        return await self.obey(path, call)
+
+    async def obey_later(self, path, call):
+        await asyncio.sleep(self.world.rng.uniform(2, 6))
+        if not self.dead:
+            await self.obey(path, call)
+
+    async def obey(self, path, call):
         if call.get("fence", 0) < self.fence:
             return 409, {"clock-ms": self.clock(), "reason": "fence"}
         self.fence = call["fence"]
@@ -231,17 +289,33 @@
             return 200, {"clock-ms": self.clock()}
         if call["run"] <= self.over.get(call["task"], 0):
             return 409, {"clock-ms": self.clock(), "reason": "old"}
-        self.runs[run] = time.monotonic()
-        self.world.on_start(self, call["task"])
+        need = self.world.need(call["task"])
+        if self.used + need > CAPACITY["cpu"]:
+            return 409, {"clock-ms": self.clock(), "reason": "room"}
+        ticket = self.world.ticket(call["task"], self)
+        if self.world.is_advised and (not ticket or call.get("ticket") != ticket):
+            return 409, {"clock-ms": self.clock(), "reason": "ticket"}
+        self.runs[run] = self.world.work(call["task"])
+        self.needs[run] = need
+        self.used += need
+        self.world.oracle.on_start(self, call["task"], call["run"], call["spec"])
         if call["spec"] != "lasts":
-            asyncio.ensure_future(self.later(self.world.work(call["task"]), run, "done"))
+            self.work_left[run] = self.runs[run]
         return 200, {"clock-ms": self.clock()}
 
     async def later(self, wait, run, how):
         await asyncio.sleep(wait)
         await self.end(run, how)
 
+    def percent(self, run):
+        if run not in self.work_left:
+            return 100
+        return int(100 * (1 - max(self.work_left[run], 0) / self.runs[run]))
+
     async def hold(self, call):
+        for number, task, run, how, _ in self.ends:
+            if number <= call["seen-upto"]:
+                self.world.oracle.on_noted(self, task, run, how)
         self.ends = [e for e in self.ends if e[0] > call["seen-upto"]]
         if not self.ends and call.get("wait-ms"):
             async with self.ended:
@@ -252,14 +326,20 @@
         if self.dead:
             return None
         return 200, {"clock-ms": self.clock(), "born": self.born, "ended": self.ends,
-                     "running": [[t, n, "", 100, 0] for t, n in self.runs]}
+                     "running": [[t, n, "", self.percent((t, n)), 0] for t, n in self.runs]}
 
-    def die(self):
+    def die(self, unregister=True):
         self.dead = True
-        for task, _ in self.runs:
-            self.world.on_end(self, task, "lost")
-        self.world.store.version += 1
-        self.world.store.write(("servers", "", self.id), None)
+        for task, run in self.runs:
+            self.world.oracle.on_end(self, task, run, "lost")
+        self.world.oracle.on_lapse(self)
+        if unregister:
+            self.unregister()
+
+    def unregister(self):
+        if ("servers", "", self.id) in self.world.store.rows:
+            self.world.store.version += 1
+            self.world.store.write(("servers", "", self.id), None)
 
 
 class World:
@@ -267,37 +347,57 @@
         self.rng = random.Random(options.seed)
         self.store = Store(self.rng)
         self.store.report = self.report
+        self.store.expect = lambda *job: self.oracle.on_job(*job)
         self.cloud = Http(self.handle)
         self.machines, self.spare = {}, "spare"
         self.pools = options.pools.split(",")
         self.count, self.spares = options.servers, options.spare
-        self.running, self.done, self.starts, self.breaches = {}, set(), {}, []
+        self.oracle, self.advice = Oracle(), Http(self.advise)
+        self.is_advised, self.advice_calls = options.advice, 0
+
+    async def publish(self, address):
+        """The address under which others reach a server."""
+        return address
 
     def work(self, task):
         return random.Random(task).uniform(0.1, 0.5)
 
-    def on_start(self, server, task):
-        self.starts[task] = self.starts.get(task, 0) + 1
-        if self.running.get(task):
-            self.breaches.append(f"{task} runs twice: on {self.running[task]} and {server.id}")
-        if task in self.done:
-            self.breaches.append(f"{task} starts again after it was done")
-        self.running.setdefault(task, set()).add(server.id)
+    def need(self, task):
+        job, step = self.oracle.split(task)[:2]
+        known = self.oracle.jobs.get(job)
+        return known["steps"][step].get("cpu", 0) if known else 0
+
+    def ticket(self, task, server):
+        """Of a step and one life of a server; a third of the machines gets none."""
+        step = task.rsplit(".", 1)[0]
+        chance = random.Random(step)
+        number = int(server.machine.split("-")[1])
+        if (number + chance.randrange(3)) % 3 == 0:
+            return None
+        return f"{chance.getrandbits(32):x}-{server.id}-{server.born}"
 
-    def on_end(self, server, task, how):
-        self.running.get(task, set()).discard(server.id)
-        if how == "done":
-            self.done.add(task)
+    async def advise(self, method, path, query, headers, body):
+        call = json.loads(body)
+        self.advice_calls += 1
+        await asyncio.sleep(0.005 + 0.001 * len(call["workers"]))
+        servers = {e["server"].id: e["server"] for e in self.machines.values() if e["server"]}
+        good = [[i, t] for i in call["workers"]
+                if i in servers and (t := self.ticket(call["step"] + ".0", servers[i]))]
+        return 200, {"good": good, "valid-ms": TICKETS_VALID_MS}
 
     def report(self):
-        return {"starts": self.starts, "done": sorted(self.done), "breaches": self.breaches,
-                "running": sorted(t for t, on in self.running.items() if on),
+        tasks = self.oracle.tasks
+        return {"starts": {n: len(t.starts) for n, t in tasks.items()},
+                "done": sorted(n for n in tasks if self.oracle.is_done(n)),
+                "breaches": self.oracle.breaches, "advice_calls": self.advice_calls,
+                "running": sorted(n for n, t in tasks.items() if t.running),
                 "machines": {m: e["pool"] for m, e in self.machines.items()},
                 "upkeep": {m: e["upkeep"] for m, e in self.machines.items()}}
 
     async def start(self):
         await self.store.http.start()
         await self.cloud.start()
+        await self.advice.start()
         for n in range(self.count + self.spares):
             pool = self.pools[n % len(self.pools)] if n < self.count else self.spare
             self.machines[f"m-{n}"] = {"pool": pool, "state": "up", "server": None, "upkeep": 0}
@@ -323,7 +423,7 @@
         if path == "/machines":
             return 200, {"next-token": None, "machines": [
                 {"machine": m, "pool": e["pool"], "state": e["state"], "zone": "z1",
-                 "labels": ["a", "r1"], "capacity": {"cpu": 8000, "mem-mb": 16000, "gpu": 0},
+                 "labels": ["a", "r1"], "capacity": CAPACITY,
                  **({"id": e["server"].id} if e["server"] else {})}
                 for m, e in self.machines.items()]}
         call = json.loads(body)
@@ -349,10 +449,12 @@
     parser.add_argument("--spare", type=int, default=2)
     parser.add_argument("--pools", default="desk")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--advice", action="store_true", help="queues need tickets")
     world = World(parser.parse_args())
     await world.start()
     print(json.dumps({"store": f"127.0.0.1:{world.store.http.port}",
-                      "cloud": f"127.0.0.1:{world.cloud.port}"}), flush=True)
+                      "cloud": f"127.0.0.1:{world.cloud.port}",
+                      "advice": f"127.0.0.1:{world.advice.port}"}), flush=True)
     await asyncio.Event().wait()
 
 
--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -22,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PATIENCE_S = 30
+ATTEMPTS = 3
 HOST = "jobs.example"
 
 
@@ -61,6 +62,7 @@
 bounds: {{hold-max-ms: 10000, grace-s: 3, lease-ms: 500, move-s: 0.3, upkeep-s: 0.3}}
 platform: {{addr: "{platform['store']}"}}
 cloud-api: {{addr: "{platform['cloud']}"}}
+advice: "{platform['advice']}"
 """)
         self.program = [str(build / "pollenspool-entry"), "--config", str(self.settings)]
         self.log = folder / f"{self.name}.log"
@@ -85,14 +87,14 @@
     def __init__(self, build, seed, folder):
         self.random = random.Random(seed)
         self.standin = subprocess.Popen(
-            [sys.executable, str(ROOT / "standins/jobs/platform.py"), "--seed", str(seed)],
+            [sys.executable, str(ROOT / "standins/jobs/job_platform.py"), "--seed", str(seed)],
             stdout=subprocess.PIPE, text=True)
         self.platform = json.loads(self.standin.stdout.readline())
         self.entries = [Entry(build, folder, n, self.platform) for n in range(3)]
         self.put_row("op", "config", {
             "version": 3,
             "routes": [{"name": "asks", "host": HOST, "prefix": "/asks/", "service": "desk",
-                        "attempts": 3, "stretch": 2.0, "slo-ms": 600, "priority": 0}],
+                        "attempts": ATTEMPTS, "stretch": 2.0, "slo-ms": 600, "priority": 0}],
             "services": [{"name": "desk", "rejects-overload": True},
                          {"name": "spare", "spare": True}]})
 
@@ -130,10 +132,17 @@
              **({"long-running": True, "max-unavailable": 1} if lasting else {})}
             for n in range(steps)]}
         entry = entry or self.random.choice(self.entries)
+        self.expect(job, body)
         status, reply = call(entry.callers, "POST", f"/asks/{job}", body)
         assert status == 200, (status, reply)
         return job
 
+    def expect(self, job, body):
+        """Announces the job to the stand-in, which knows no other."""
+        status, _ = call(self.platform["store"], "POST", "/expect",
+                         {"job": job, "body": body, "attempts": ATTEMPTS})
+        assert status == 200, status
+
     def state(self, job, entry=None):
         status, reply = call((entry or self.entries[0]).callers, "GET", f"/asks/{job}")
         return reply["state"] if status == 200 else status
@@ -212,6 +221,7 @@
         for _ in range(6):
             job = f"{self.random.getrandbits(64):016x}"
             body = {"spec": "work", "steps": [{"count": 2, "cpu": 500, "estimate-ms": 300}]}
+            self.expect(job, body)
             self.until("a submit is answered", lambda: call(
                 self.random.choice(self.entries).callers, "POST", f"/asks/{job}", body)[0] == 200)
             jobs.append(job)
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,163 @@
+"""Callers of the soak: submit, repeat, cancel and ask, and check the answers."""
+import asyncio
+import json
+import time
+
+HOST = "jobs.example"
+REJECTED = (429, 503)
+ATTEMPTS_OF_A_SUBMIT = 5
+TRY_TIMEOUT_S = 2.0
+ASK_EVERY_S = 0.2
+FINAL = ("completed", "failed", "cancelled")
+
+
+class Connection:
+    """A connection that is kept until it breaks; one call at a time."""
+
+    def __init__(self, address):
+        self.host, self.port = address.split(":")
+        self.reader = self.writer = None
+
+    async def call(self, method, path, body=None):
+        """Returns (status, headers, decoded body); status 0 if there was no answer."""
+        try:
+            return await asyncio.wait_for(self.exchange(method, path, body), TRY_TIMEOUT_S)
+        except (OSError, EOFError, asyncio.TimeoutError, ValueError) as error:
+            self.close()
+            return 0, {}, repr(error)
+
+    async def exchange(self, method, path, body):
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
+        data = json.dumps(body).encode() if body is not None else b""
+        self.writer.write(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Deadline-Ms: 2000\r\n"
+                          f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        headers = {k.lower(): v.strip() for k, v in
+                   (line.split(":", 1) for line in head[1:] if ":" in line)}
+        text = await self.reader.readexactly(int(headers.get("content-length", 0)))
+        if headers.get("connection", "").lower() == "close":
+            self.close()
+        return int(head[0].split(" ")[1]), headers, json.loads(text) if text else {}
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
+class Connections:
+    """Connections to one entry instance, as many as there are calls at a time."""
+
+    def __init__(self, address):
+        self.address, self.idle = address, []
+
+    async def call(self, *what):
+        connection = self.idle.pop() if self.idle else Connection(self.address)
+        try:
+            return await connection.call(*what)
+        finally:
+            self.idle.append(connection)
+
+
+class Client:
+    """One caller. `jobs` holds what it knows of the jobs that were accepted."""
+
+    def __init__(self, soak, rng):
+        self.soak, self.oracle, self.rng = soak, soak.world.oracle, rng
+        self.entries = [Connections(e.callers) for e in soak.entries]
+        self.jobs, self.followers = {}, []
+
+    def breach(self, rule, job, what):
+        self.oracle.breach(rule, job, what)
+
+    async def call(self, method, path, body=None):
+        return await self.rng.choice(self.entries).call(method, path, body)
+
+    async def run(self):
+        while self.soak.has_demand:
+            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+            job, body = self.make_job()
+            self.oracle.on_job(job, body, self.soak.ATTEMPTS)
+            if await self.submit(job, body):
+                self.jobs[job] = {"state": "queued", "body": body, "cancelled": False}
+                self.followers.append(asyncio.ensure_future(self.follow(job)))
+
+    def make_job(self):
+        job = f"{self.rng.getrandbits(64):016x}"
+        if self.rng.random() < 0.15:
+            return job, {"spec": "lasts", "steps": [
+                {"count": self.rng.randint(1, 3), "cpu": 500, "mem-mb": 10,
+                 "long-running": True, "max-unavailable": 1}]}
+        steps = [{"count": self.rng.randint(1, 4), "cpu": self.rng.randint(200, 2000),
+                  "mem-mb": 10, "estimate-ms": 300, **({"after": [n - 1]} if n else {})}
+                 for n in range(self.rng.randint(1, 3))]
+        return job, {"spec": "work", "steps": steps}
+
+    async def submit(self, job, body):
+        """Returns whether the job was accepted."""
+        all_rejected = True
+        for _ in range(ATTEMPTS_OF_A_SUBMIT):
+            status, headers, _ = await self.call("POST", f"/asks/{job}", body)
+            if 200 <= status < 300:
+                return True
+            if status in REJECTED:
+                if "retry-after" not in headers:
+                    self.breach("RETRY", job, f"{status} without Retry-After")
+            elif status in (0, 502, 504):
+                all_rejected = False
+            else:
+                self.breach("CONFIG", job, f"submit was answered with {status}")
+                return False
+            await asyncio.sleep(self.rng.uniform(0.1, 0.6))
+        if all_rejected:
+            self.oracle.on_refused(job)
+        return False
+
+    async def follow(self, job):
+        known = self.jobs[job]
+        lasting = known["body"]["spec"] == "lasts"
+        cancel_at = time.monotonic() + self.rng.uniform(0.5, 6)
+        may_cancel = lasting or self.rng.random() < 0.1
+        while known["state"] not in FINAL:
+            await asyncio.sleep(ASK_EVERY_S * self.rng.uniform(0.5, 2))
+            if may_cancel and time.monotonic() > cancel_at:
+                await self.cancel(job)
+            await self.ask(job)
+            if self.rng.random() < 0.02:
+                await self.call("POST", f"/asks/{job}", known["body"])
+
+    async def cancel(self, job):
+        # From here on it may be cancelled, whatever the answer.
+        self.jobs[job]["cancelled"] = True
+        status, _, _ = await self.call("DELETE", f"/asks/{job}")
+        if 200 <= status < 300:
+            self.oracle.on_cancelled(job)
+        elif status not in (0, 410, 502, 503, 504, 429):
+            self.breach("CANCEL", job, f"answered with {status}")
+
+    async def ask(self, job):
+        known = self.jobs[job]
+        before = known["state"]
+        status, _, reply = await self.call("GET", f"/asks/{job}")
+        if status in (0, 429, 502, 503, 504):
+            return
+        if status != 200:
+            return self.breach("LOST", job, f"an accepted job is answered with {status}")
+        state = reply["state"]
+        if before in FINAL and state != before:
+            self.breach("MIXED", job, f"was {before} and is {state}")
+        if state == "completed":
+            undone = [n for n in self.oracle.names(job) if not self.oracle.is_done(n)]
+            if undone:
+                self.breach("MIXED", undone[0], "its job is shown as completed")
+        if state == "cancelled" and not known["cancelled"]:
+            self.breach("LOST", job, "shown as cancelled, and nobody has cancelled it")
+        if state == "failed" and not self.has_failed(job):
+            self.breach("LOST", job, "shown as failed without cause")
+        known["state"] = state
+
+    def has_failed(self, job):
+        return any(sum(" failed" in line and "forgotten" not in line
+                       for line in self.oracle.tasks[n].history) >= self.soak.ATTEMPTS
+                   for n in self.oracle.names(job))
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,330 @@
+#!/usr/bin/env python3
+"""Random faults around real entry instances, checked by what others see.
+
+  soak.py BUILD_DIR --seed N [--seconds S] [--keep DIR]
+
+Entry instances are processes of their own. The stand-in of the platform, the callers
+and a loopback proxy for each link run here. Faults come from outside, in series and
+overlapping: links that are delayed, silent, deaf one way or reset; processes that are
+killed, paused, ended and asked to reload; a store that is down, slow, loses answers,
+carries writes out late or forgets its history; backend servers that crash, stand still,
+fail tasks or obey late; new configurations and maintenance waves. When the faults end,
+every accepted job has to end too. Clocks and storage aren't touched: an instance has no
+disk, and nobody but the system's owner may set the clock.
+"""
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path[:0] = [str(HERE), str(HERE.parent), str(HERE.parent.parent / "standins/jobs")]
+import jobs_check  # noqa: E402
+from clients import FINAL, Client, HOST  # noqa: E402
+from job_platform import Server, World  # noqa: E402
+from proxy import Link  # noqa: E402
+
+ENTRIES = 3
+CLIENTS = 4
+SERVERS, SPARE = 4, 2
+# Faults under way at a time, at the most.
+INJECTORS = 3
+# Room for the slowest end of a job once all is well: a lease of a server that is gone
+# (5 s), an earlier leader's time (10.6 s), and the work itself.
+SETTLE_S = 60
+READY_S = 20
+# After the faults, leases and bounds of earlier ones have run out.
+CALM_AFTER_S = 12
+
+
+class SoakWorld(World):
+    """The stand-in with a link in front of each of its servers."""
+
+    def __init__(self, seed, is_advised):
+        super().__init__(argparse.Namespace(seed=seed, servers=SERVERS, spare=SPARE,
+                                            pools="desk", advice=is_advised))
+        self.links = {}
+
+    async def publish(self, address):
+        link = self.links[address] = await Link(address).start()
+        return link.address
+
+    def link_of(self, server):
+        return self.links[f"127.0.0.1:{server.http.port}"]
+
+    def servers(self):
+        return [e["server"] for e in self.machines.values()
+                if e["server"] and e["server"].address and not e["server"].dead]
+
+    def write(self, key, value):
+        self.store.put(("op", "", key), json.dumps(value))
+
+
+class Soak:
+    ATTEMPTS = 3
+
+    def __init__(self, build, seed, folder):
+        self.build, self.folder = build, folder
+        self.rng = random.Random(seed)
+        self.world = SoakWorld(seed, is_advised=seed % 3 == 0)
+        self.entries, self.links, self.clients = [], [], []
+        self.has_demand, self.has_faults = True, True
+        self.version, self.waves = 1, 0
+        self.injected = []
+
+    async def start(self):
+        await self.world.start()
+        self.configure()
+        for number in range(ENTRIES):
+            links = {}
+            for name, port in (("store", self.world.store.http.port),
+                               ("cloud", self.world.cloud.port),
+                               ("advice", self.world.advice.port)):
+                links[name] = await Link(f"127.0.0.1:{port}").start()
+            self.links.append(links)
+            self.entries.append(jobs_check.Entry(
+                self.build, self.folder, number,
+                {name: link.address for name, link in links.items()}))
+            self.entries[-1].start()
+        await self.until("all entry instances are ready", READY_S, self.are_ready)
+
+    def configure(self):
+        self.version += self.rng.randint(1, 3)
+        advice = {"advice": {"decide-ms": 5, "each-ms": 1, "valid-ms": 3000}}
+        routes = [{"name": "asks", "host": HOST, "prefix": "/asks/", "service": "desk",
+                   "attempts": self.ATTEMPTS, "stretch": 2.0, "slo-ms": 600, "priority": 0,
+                   **(advice if self.world.is_advised else {})}]
+        routes += [{"name": f"more-{n}", "host": HOST, "prefix": f"/more-{n}/",
+                    "service": "desk", "attempts": 1, "stretch": 1.0, "slo-ms": 600}
+                   for n in range(self.version % 5)]
+        self.world.write("config", {
+            "version": self.version, "routes": routes,
+            "services": [{"name": "desk", "rejects-overload": True},
+                         {"name": "spare", "spare": True}]})
+
+    async def is_ready(self, entry):
+        return (await asyncio.to_thread(jobs_check.call, entry.ready, "GET", "/readyz"))[0] == 200
+
+    async def are_ready(self):
+        return all([await self.is_ready(e) for e in self.entries])
+
+    async def until(self, what, patience, test):
+        end = time.monotonic() + patience
+        while not await test():
+            if time.monotonic() > end:
+                raise AssertionError(f"not within {patience} s: {what}")
+            await asyncio.sleep(0.1)
+
+    # Faults. Each is begun, lasts, and is undone; several are under way at a time.
+
+    async def kill(self, wait):
+        entry = self.rng.choice(self.entries)
+        if entry.process.poll() is None:
+            entry.kill()
+            await asyncio.sleep(wait)
+            entry.start()
+
+    async def kill_all(self, wait):
+        down = [e for e in self.entries if e.process.poll() is None]
+        for entry in down:
+            entry.kill()
+        await asyncio.sleep(wait / 3)
+        for entry in down:
+            entry.start()
+
+    async def pause(self, wait):
+        process = self.rng.choice(self.entries).process
+        if process.poll() is None:
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(wait)
+            process.send_signal(signal.SIGCONT)
+
+    async def end(self, wait):
+        entry = self.rng.choice(self.entries)
+        if entry.process.poll() is None:
+            entry.process.send_signal(signal.SIGTERM)
+            while entry.process.poll() is None:
+                await asyncio.sleep(0.05)
+            entry.start()
+
+    async def reload(self, wait):
+        process = self.rng.choice(self.entries).process
+        if process.poll() is None:
+            process.send_signal(signal.SIGHUP)
+
+    async def spoil_link(self, link, wait):
+        mode = self.rng.choice(("delay", "silent", "deaf", "reset"))
+        link.set(mode, self.rng.uniform(0.02, 0.6))
+        await asyncio.sleep(wait)
+        link.set("ok")
+
+    async def spoil_entry_link(self, wait):
+        links = self.rng.choice(self.links)
+        await self.spoil_link(self.rng.choice((links["store"], links["store"], links["cloud"],
+                                               links["advice"])), wait)
+
+    async def spoil_server_link(self, wait):
+        servers = self.world.servers()
+        if servers:
+            await self.spoil_link(self.world.link_of(self.rng.choice(servers)), wait)
+
+    async def cut_off(self, wait):
+        """One entry instance loses all that it speaks to."""
+        links = self.rng.choice(self.links)
+        for link in links.values():
+            link.set("silent")
+        await asyncio.sleep(wait)
+        for link in links.values():
+            link.set("ok")
+
+    async def spoil_store(self, wait):
+        self.world.store.mode = self.rng.choice(("down", "slow", "lost", "late"))
+        await asyncio.sleep(wait)
+        self.world.store.mode = "ok"
+
+    async def forget_history(self, wait):
+        self.world.store.forget_history()
+
+    async def spoil_server(self, wait):
+        servers = self.world.servers()
+        if not servers:
+            return
+        server = self.rng.choice(servers)
+        fault = self.rng.choice(("hangs", "fails", "late"))
+        setattr(server, fault, True)
+        await asyncio.sleep(wait)
+        setattr(server, fault, False)
+
+    async def crash_server(self, wait):
+        servers = self.world.servers()
+        if not servers:
+            return
+        server = self.rng.choice(servers)
+        entry = self.world.machines[server.machine]
+        server.die(unregister=False)
+        self.world.link_of(server).set(self.rng.choice(("silent", "reset")))
+        # The registration lapses after some heartbeats, or the server is back before
+        # that, under the same ID and at another address.
+        await asyncio.sleep(wait)
+        if entry["server"] is not server:
+            return
+        keeps_id = self.rng.random() < 0.5
+        if not keeps_id:
+            server.unregister()
+        entry["server"] = Server(self.world, server.machine, entry["pool"],
+                                 server.id if keeps_id else None)
+        await entry["server"].start()
+
+    async def change_config(self, wait):
+        for _ in range(self.rng.randint(1, 4)):
+            self.configure()
+            await asyncio.sleep(0.2)
+
+    async def begin_wave(self, wait):
+        self.waves += 1
+        machines = sorted(self.world.machines)
+        self.world.write(f"wave/{self.waves}", {
+            "wave": self.waves, "complete-by-s": 15, "cap": 2,
+            "machines": self.rng.sample(machines, self.rng.randint(1, len(machines)))})
+
+    FAULTS = (kill, kill, kill_all, pause, pause, end, reload, spoil_entry_link,
+              spoil_entry_link, spoil_server_link, spoil_server_link, cut_off, spoil_store,
+              spoil_store, forget_history, spoil_server, spoil_server, crash_server,
+              crash_server, change_config, begin_wave)
+
+    async def inject(self):
+        while self.has_faults:
+            await asyncio.sleep(self.rng.uniform(0.1, 2.5))
+            fault = self.rng.choice(self.FAULTS)
+            self.injected.append(f"{time.monotonic():.3f} {fault.__name__}")
+            await fault(self, self.rng.uniform(0.2, 4))
+
+    async def heal(self, injectors):
+        self.has_faults = self.has_demand = False
+        await asyncio.gather(*injectors)
+        self.world.store.mode = "ok"
+
+    def unfinished(self):
+        """Accepted jobs that have not ended, but for lasting ones."""
+        return [job for client in self.clients for job, known in client.jobs.items()
+                if known["state"] not in FINAL]
+
+    async def settle(self):
+        await self.until("all entry instances are ready", READY_S, self.are_ready)
+
+        async def is_over():
+            return not self.unfinished()
+        try:
+            await self.until("all jobs have ended", SETTLE_S, is_over)
+        except AssertionError as error:
+            raise AssertionError(f"{error}: {self.unfinished()[:5]}") from None
+        await asyncio.gather(*(f for client in self.clients for f in client.followers))
+        await asyncio.sleep(CALM_AFTER_S)
+        for name, task in self.world.oracle.tasks.items():
+            if task.running:
+                self.world.oracle.breach("UNASKED", name, "runs on after its job has ended")
+
+    async def play(self, seconds):
+        await self.start()
+        self.clients = [Client(self, random.Random(self.rng.random())) for _ in range(CLIENTS)]
+        callers = [asyncio.ensure_future(c.run()) for c in self.clients]
+        injectors = [asyncio.ensure_future(self.inject()) for _ in range(INJECTORS)]
+        await asyncio.sleep(seconds)
+        await self.heal(injectors)
+        await asyncio.gather(*callers)
+        await self.settle()
+        jobs = sum(len(c.jobs) for c in self.clients)
+        states = [k["state"] for c in self.clients for k in c.jobs.values()]
+        return (f"{jobs} jobs accepted, {states.count('completed')} completed, "
+                f"{states.count('cancelled')} cancelled, {states.count('failed')} failed; "
+                f"{len(self.injected)} faults")
+
+    def close(self):
+        # What still waits in the stand-in is cut off with the loop.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        for entry in self.entries:
+            if entry.process and entry.process.poll() is None:
+                entry.process.send_signal(signal.SIGCONT)
+                entry.kill()
+
+
+async def play(options, folder):
+    soak = Soak(pathlib.Path(options.build).resolve(), options.seed, folder)
+    failure = None
+    try:
+        result = await soak.play(options.seconds)
+    except AssertionError as error:
+        failure = str(error)
+    finally:
+        soak.close()
+    breaches = soak.world.oracle.breaches
+    if not failure and not breaches:
+        print(f"soak: ok seed {options.seed}: {result}")
+        return 0
+    for line in ([failure] if failure else []) + breaches[:10]:
+        print(f"soak: FAILED seed {options.seed}: {line}")
+    print("faults: " + "; ".join(soak.injected))
+    return 1
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15, help="time with faults")
+    parser.add_argument("--keep", help="folder for the logs of the entry instances")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        kept = pathlib.Path(options.keep or folder)
+        kept.mkdir(parents=True, exist_ok=True)
+        sys.exit(asyncio.run(play(options, kept)))
+
+
+if __name__ == "__main__":
+    main()
