Call instances of a kind, or allowed ones, that a pool lacks

Change: the scheduler tells what no server of a pool may run, and the planner calls one more instance at a time, of the kind, and sends none away meanwhile. Reading demand has a file of its own. Tests: FleetPlanner.CallsAnotherInstance..., CallsAnInstanceOfTheKind...

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Orders in one pass; the platform takes 64 a second from all of us.
-constexpr std::size_t OrdersAtOnce = 12;
 /// Half-life of a pool's held demand: as long as two moves take, so that a
 /// short lull sends nobody away who is needed again before a move pays off.
 constexpr Duration DemandHalfLife = std::chrono::milliseconds(1500);
@@ -22,6 +20,10 @@
 /// Pause before an instance that refused an order is asked again.
 constexpr Duration RefusedPause = std::chrono::milliseconds(700);
 
+bool suits(const InstanceListing &L, const UnservedNeed &Need) {
+  return hasLabel(L.m_Labels, Need.m_Label) && Need.m_Need.fitsIn(L.m_Capacity);
+}
+
 } // namespace
 
 std::unique_ptr<FleetPlanner>
@@ -129,10 +131,12 @@
   }
 }
 
-const InstanceListing *FleetPlanner::takeFree(PoolView &From, bool OnlyEmpty) {
+const InstanceListing *FleetPlanner::takeFree(PoolView &From, bool OnlyEmpty,
+                                              const UnservedNeed *Need) {
   for (auto It = From.m_Instances.begin(); It != From.m_Instances.end(); ++It) {
     const InstanceListing *L = *It;
-    if (!mayOrder(*L, m_HeldAt) || m_State[L->m_Id].m_EmptyingSince)
+    if (!mayOrder(*L, m_HeldAt) || m_State[L->m_Id].m_EmptyingSince ||
+        (Need && !suits(*L, *Need)))
       continue;
     ServerState *S = serverOf(*L);
     if (OnlyEmpty && (!S || !isKnown(*S) || !S->m_Runs.empty()))
@@ -143,18 +147,46 @@
   return nullptr;
 }
 
+void FleetPlanner::orderMove(const InstanceListing &L, const PoolName &To,
+                             Pools &All, std::vector<InstanceOrder> &Out) {
+  Out.push_back({L.m_Id, To, {}});
+  noteOrdered(Out.back());
+  All[To].m_Instances.push_back(&L);
+}
+
+void FleetPlanner::planMissing(Pools &All, std::vector<InstanceOrder> &Out) {
+  for (const UnservedNeed &Need : m_Core.unservedNeeds()) {
+    auto Pool = All.find(Need.m_Pool);
+    if (Pool == All.end() || Out.size() >= m_AtOnce)
+      continue;
+    PoolView &P = Pool->second;
+    bool OnItsWay =
+        std::any_of(P.m_Instances.begin(), P.m_Instances.end(),
+                    [&](const InstanceListing *L) {
+                      ServerState *S = serverOf(*L);
+                      return suits(*L, Need) &&
+                             (!S || S->m_Registration.m_Pool != Need.m_Pool);
+                    });
+    const InstanceListing *L = nullptr;
+    for (auto &[Name, From] : All)
+      if (!OnItsWay && !L && &From != &P &&
+          (From.m_Spare || From.surplus() > 0))
+        L = takeFree(From, !From.m_Spare, &Need);
+    if (L)
+      orderMove(*L, Need.m_Pool, All, Out);
+    // Nothing is sent away before the need is met.
+    P.m_Wanted =
+        std::max(P.m_Wanted, static_cast<std::int64_t>(P.m_Instances.size()));
+  }
+}
+
 void FleetPlanner::planMoves(Pools &All, std::vector<InstanceOrder> &Out) {
   PoolName Spare;
   for (auto &[Name, P] : All)
     if (P.m_Spare)
       Spare = Name;
-  auto Order = [&](const InstanceListing *L, const PoolName &To) {
-    Out.push_back({L->m_Id, To, {}});
-    noteOrdered(Out.back());
-    All[To].m_Instances.push_back(L);
-  };
   // The pool that lacks most is served first, one instance at a time.
-  while (Out.size() < OrdersAtOnce) {
+  while (Out.size() < m_AtOnce) {
     PoolName Neediest;
     std::int64_t Lack = 0;
     for (auto &[Name, P] : All)
@@ -171,24 +203,26 @@
         L = takeFree(P, true);
     if (!L)
       break;
-    Order(L, Neediest);
+    orderMove(*L, Neediest, All, Out);
   }
   if (Spare.empty())
     return;
   for (auto &[Name, P] : All) {
     if (P.m_Spare)
       continue;
-    while (Out.size() < OrdersAtOnce && P.surplus() > 0) {
+    while (Out.size() < m_AtOnce && P.surplus() > 0) {
       const InstanceListing *L = takeFree(P, true);
       if (!L)
         break;
-      Order(L, Spare);
+      orderMove(*L, Spare, All, Out);
     }
   }
 }
 
 std::vector<InstanceOrder> FleetPlanner::plan(TimePoint Now,
-                                              std::chrono::milliseconds Wall) {
+                                              std::chrono::milliseconds Wall,
+                                              std::size_t AtOnce) {
+  m_AtOnce = AtOnce;
   std::vector<InstanceOrder> Out;
   if (!m_Core.config() || m_Core.instances().empty())
     return Out;
@@ -196,6 +230,7 @@
   Pools All = survey();
   estimateWanted(All, Now);
   planWaves(All, Now, Wall, Out);
+  planMissing(All, Out);
   planMoves(All, Out);
   return Out;
 }
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -58,9 +58,9 @@
   }
   /// A new list was given to the scheduler; it was asked for at \p Asked.
   void onInstances(TimePoint Asked);
-  /// The orders that are due now.
-  std::vector<InstanceOrder> plan(TimePoint Now,
-                                  std::chrono::milliseconds Wall);
+  /// The orders that are due now, at most \p AtOnce.
+  std::vector<InstanceOrder> plan(TimePoint Now, std::chrono::milliseconds Wall,
+                                  std::size_t AtOnce = 12);
   void onOrderResult(const InstanceOrder &Order, InstanceOrderResult R,
                      TimePoint Now);
   /// Waves whose progress is not recorded yet.
@@ -112,7 +112,14 @@
   Pools survey();
   void estimateWanted(Pools &All, TimePoint Now);
   void planMoves(Pools &All, std::vector<InstanceOrder> &Out);
-  const InstanceListing *takeFree(PoolView &From, bool OnlyEmpty);
+  /// Calls instances of the kinds that a pool lacks altogether.
+  void planMissing(Pools &All, std::vector<InstanceOrder> &Out);
+  void orderMove(const InstanceListing &L, const PoolName &To, Pools &All,
+                 std::vector<InstanceOrder> &Out);
+  /// An instance of \p From that may be moved, and that suits \p Need if it is
+  /// given; null if there is none.
+  const InstanceListing *takeFree(PoolView &From, bool OnlyEmpty,
+                                  const UnservedNeed *Need = nullptr);
   std::uint32_t spreadOf(const PoolName &Pool);
 
   // Waves (WavePlanning.cpp).
@@ -154,6 +161,8 @@
   /// Demand of each pool in thousandths of a core, held at its recent peak.
   std::map<PoolName, double> m_HeldDemand;
   TimePoint m_HeldAt{};
+  /// Orders that this plan may still give.
+  std::size_t m_AtOnce = 0;
 };
 
 } // namespace pollenspool
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -17,12 +17,15 @@
   bool m_Inherited = false;
 
   explicit PlannerWorld(Term T = 1) : m_World(T) {
+    addReserve();
+    m_Planner = FleetPlanner::create({}, *m_World.m_Core);
+  }
+  void addReserve() {
     const ServingConfig &Config = *m_World.m_Core->config();
     auto Pools = Config.pools();
     Pools.push_back({PoolName("reserve"), true, true});
     m_World.m_Core->onConfig(
         ServingConfig::create(Config.version(), Config.queues(), Pools));
-    m_Planner = FleetPlanner::create({}, *m_World.m_Core);
   }
   void list(const std::string &Server, const std::string &Pool) {
     InstanceListing L;
@@ -87,6 +90,46 @@
   CHECK(W.plan().size() >= 2u);
 }
 
+// Found by the soak (seed 6): the adviser allowed a step on none of the pool's
+// servers, and the job waited for good beside a reserve of others.
+TEST(FleetPlanner, CallsAnotherInstanceIfTheAdviserAllowsNoneOfThePool) {
+  PlannerWorld W;
+  W.m_World.useAdvice({10ms, 1ms, 3000ms});
+  W.addReserve();
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.list("s2", "reserve");
+  W.m_World.addJob("j", {SchedulerWorld::step(1)});
+  W.m_World.tick();
+  CHECK_EQUAL(0u, W.plan().size());
+  W.m_World.m_Core->onAdvice(W.m_World.m_Orders.m_Advice.at(0),
+                             AdviceReply{{}, 3000ms}, W.m_World.m_Now);
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  STRCMP_EQUAL("on-s2", Orders[0].m_Instance.m_Text.c_str());
+  STRCMP_EQUAL("desk", Orders[0].m_To.m_Text.c_str());
+  // One at a time.
+  CHECK_EQUAL(0u, W.plan().size());
+}
+
+TEST(FleetPlanner, CallsAnInstanceOfTheKindThatThePoolLacks) {
+  PlannerWorld W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.list("s2", "reserve");
+  W.m_List.back().m_Labels = {"small"};
+  W.list("s3", "reserve");
+  W.m_List.back().m_Labels = {"large"};
+  W.giveList();
+  StepSpec Step = SchedulerWorld::step(1);
+  Step.m_RequiredLabel = "large";
+  W.m_World.addJob("j", {Step});
+  W.m_World.tick();
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  STRCMP_EQUAL("on-s3", Orders[0].m_Instance.m_Text.c_str());
+}
+
 // Found by trouble-1 of the Sangha site: a new leader ordered upkeep for a
 // server whose runs it had not yet seen, and ended a second lasting task.
 TEST(FleetPlanner, OrdersNothingForAServerWhoseRunsAreNotKnown) {
--- a/src/scheduling/AdviceBook.cpp
+++ b/src/scheduling/AdviceBook.cpp
@@ -43,6 +43,14 @@
   return Valid ? &T.m_Text : nullptr;
 }
 
+bool AdviceBook::isDenied(const StepId &Step, const ServerId &Server) const {
+  auto It = m_Steps.find(Step);
+  if (It == m_Steps.end())
+    return false;
+  auto Known = It->second.m_Servers.find(Server);
+  return Known != It->second.m_Servers.end() && !Known->second.m_Allowed;
+}
+
 void AdviceBook::dropTicket(const StepId &Step, const ServerId &Server) {
   if (auto It = m_Steps.find(Step); It != m_Steps.end())
     if (auto Known = It->second.m_Servers.find(Server);
--- a/src/scheduling/AdviceBook.h
+++ b/src/scheduling/AdviceBook.h
@@ -25,6 +25,8 @@
   /// that is valid at \p Now.
   const std::string *ticket(const StepId &Step, const ServerState &S,
                             TimePoint Now) const;
+  /// Whether the adviser has said that \p Step may not run there.
+  bool isDenied(const StepId &Step, const ServerId &Server) const;
   /// The server refused the ticket.
   void dropTicket(const StepId &Step, const ServerId &Server);
   void forget(const JobId &Job);
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -43,6 +43,7 @@
   InstanceCondition m_Condition = InstanceCondition::Up;
   DataCentreName m_DataCentre;
   Resources m_Capacity;
+  std::vector<std::string> m_Labels;
   RackName m_Rack;
   /// The backend server that runs there; empty if none does.
   ServerId m_Server;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -341,41 +341,4 @@
         Now + (S->m_Runs.empty() ? AcknowledgeAfter : lookSpacing());
 }
 
-PoolName Scheduler::poolOf(const LiveJob &Job) const {
-  const QueuePolicy *Q =
-      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
-  return Q ? Q->m_Pool : Job.m_Spec.m_Pool;
-}
-
-std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
-  std::map<QueueName, std::uint32_t> Waiting;
-  for (auto &[Id, Job] : const_cast<JobBook &>(m_Jobs).all())
-    if (!Job->hasStarted())
-      ++Waiting[Job->m_Spec.m_Queue];
-  return Waiting;
-}
-
-std::map<PoolName, PoolDemand> Scheduler::demand() {
-  std::map<PoolName, PoolDemand> Pools;
-  for (auto &[Id, S] : m_Servers.all()) {
-    PoolDemand &D = Pools[S.m_Registration.m_Pool];
-    D.m_RunningMilliCores += S.m_Used.m_MilliCores;
-    if (S.m_Registered && !S.m_Registration.m_Draining)
-      D.m_CapacityMilliCores += S.m_Registration.m_Capacity.m_MilliCores;
-  }
-  for (auto &[Id, Job] : m_Jobs.all()) {
-    PoolDemand &D = Pools[poolOf(*Job)];
-    for (const ReadyTask &R : Job->m_Ready) {
-      const StepSpec &Step = Job->m_Spec.m_Steps[R.m_Step];
-      D.m_ReadyMilliCores += Step.m_Fills ? 0 : Step.m_Need.m_MilliCores;
-    }
-    for (const auto &[Number, O] : Job->m_Occurrences)
-      for (std::size_t N = 0; N < O.m_Steps.size(); ++N)
-        if (!O.m_Steps[N].m_Released && !Job->m_Spec.m_Steps[N].m_Fills)
-          D.m_BlockedMilliCores += Job->m_Spec.m_Steps[N].m_Count *
-                                   Job->m_Spec.m_Steps[N].m_Need.m_MilliCores;
-  }
-  return Pools;
-}
-
 } // namespace pollenspool
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -70,6 +70,14 @@
   std::int64_t m_CapacityMilliCores = 0;
 };
 
+/// A ready task that no server of its pool may run, whatever room there is.
+struct UnservedNeed {
+  PoolName m_Pool;
+  /// The label that it requires; empty: any will do.
+  std::string m_Label;
+  Resources m_Need;
+};
+
 /// One thread. All \p Now are the local clock since boot, all \p Wall the wall
 /// clock at the same moment.
 class Scheduler {
@@ -127,6 +135,9 @@
   /// Accepted jobs of each queue of which no task has started.
   std::map<QueueName, std::uint32_t> waitingJobs() const;
   std::map<PoolName, PoolDemand> demand();
+  /// What waits for a server of another kind, or for one more that the adviser
+  /// may allow. At most one for each pool and label.
+  std::vector<UnservedNeed> unservedNeeds();
   /// The pool that runs \p Job now.
   PoolName poolOf(const LiveJob &Job) const;
   const SchedulerCounters &counters() const { return m_Counters; }
@@ -192,6 +203,8 @@
   bool mayHaveUnknownRuns(const LiveJob &Job, TimePoint Now);
   bool isPoolVetted(const PoolName &Pool);
 
+  bool hasServerFor(const LiveJob &Job, const ReadyTask &Task) const;
+
   // Advice (SchedulerAdvice.cpp).
   const AdvicePolicy *advicePolicy(const LiveJob &Job) const;
   void askAdvice(LiveJob &Job, const PoolRoom &Room, TimePoint Now);
--- /dev/null
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -0,0 +1,86 @@
+//===- SchedulerDemand.cpp - What runs and waits, for sizing pools --------===//
+
+#include "scheduling/Scheduler.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+/// Jobs that are searched for unserved needs in one call: enough to see all
+/// kinds that wait, few enough for a thousand waiting jobs.
+constexpr std::size_t JobsToSearch = 200;
+
+} // namespace
+
+PoolName Scheduler::poolOf(const LiveJob &Job) const {
+  const QueuePolicy *Q =
+      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+  return Q ? Q->m_Pool : Job.m_Spec.m_Pool;
+}
+
+std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
+  std::map<QueueName, std::uint32_t> Waiting;
+  for (auto &[Id, Job] : const_cast<JobBook &>(m_Jobs).all())
+    if (!Job->hasStarted())
+      ++Waiting[Job->m_Spec.m_Queue];
+  return Waiting;
+}
+
+std::map<PoolName, PoolDemand> Scheduler::demand() {
+  std::map<PoolName, PoolDemand> Pools;
+  for (auto &[Id, S] : m_Servers.all()) {
+    PoolDemand &D = Pools[S.m_Registration.m_Pool];
+    D.m_RunningMilliCores += S.m_Used.m_MilliCores;
+    if (S.m_Registered && !S.m_Registration.m_Draining)
+      D.m_CapacityMilliCores += S.m_Registration.m_Capacity.m_MilliCores;
+  }
+  for (auto &[Id, Job] : m_Jobs.all()) {
+    PoolDemand &D = Pools[poolOf(*Job)];
+    for (const ReadyTask &R : Job->m_Ready) {
+      const StepSpec &Step = Job->m_Spec.m_Steps[R.m_Step];
+      D.m_ReadyMilliCores += Step.m_Fills ? 0 : Step.m_Need.m_MilliCores;
+    }
+    for (const auto &[Number, O] : Job->m_Occurrences)
+      for (std::size_t N = 0; N < O.m_Steps.size(); ++N)
+        if (!O.m_Steps[N].m_Released && !Job->m_Spec.m_Steps[N].m_Fills)
+          D.m_BlockedMilliCores += Job->m_Spec.m_Steps[N].m_Count *
+                                   Job->m_Spec.m_Steps[N].m_Need.m_MilliCores;
+  }
+  return Pools;
+}
+
+bool Scheduler::hasServerFor(const LiveJob &Job, const ReadyTask &Task) const {
+  const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
+  const StepId Id{Job.m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
+  PoolName Pool = poolOf(Job);
+  return std::any_of(
+      m_Servers.all().begin(), m_Servers.all().end(), [&](const auto &E) {
+        const ServerRegistration &R = E.second.m_Registration;
+        return R.m_Pool == Pool && E.second.m_Registered && !R.m_Draining &&
+               hasLabel(R.m_Labels, Step.m_RequiredLabel) &&
+               chargeOf(Step).fitsIn(R.m_Capacity) &&
+               !(advicePolicy(Job) && m_Advice.isDenied(Id, R.m_Id));
+      });
+}
+
+std::vector<UnservedNeed> Scheduler::unservedNeeds() {
+  std::vector<UnservedNeed> Needs;
+  std::set<std::pair<PoolName, std::string>> Seen;
+  std::size_t Searched = 0;
+  for (const JobId &Id : m_Jobs.ready()) {
+    LiveJob *Job = m_Jobs.find(Id);
+    if (!Job || Job->m_Ready.empty())
+      continue;
+    if (++Searched > JobsToSearch)
+      break;
+    const ReadyTask &First = Job->m_Ready.front();
+    const StepSpec &Step = Job->m_Spec.m_Steps[First.m_Step];
+    if (!hasServerFor(*Job, First) &&
+        Seen.insert({poolOf(*Job), Step.m_RequiredLabel}).second)
+      Needs.push_back({poolOf(*Job), Step.m_RequiredLabel, chargeOf(Step)});
+  }
+  return Needs;
+}
+
+} // namespace pollenspool
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -251,10 +251,7 @@
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
   if (S.m_OnProbation && !Step.m_Lasting && S.hasPassingRuns())
     return false;
-  const auto &Labels = S.m_Registration.m_Labels;
-  if (!Step.m_RequiredLabel.empty() &&
-      std::find(Labels.begin(), Labels.end(), Step.m_RequiredLabel) ==
-          Labels.end())
+  if (!hasLabel(S.m_Registration.m_Labels, Step.m_RequiredLabel))
     return false;
   if (Step.m_MaxPerServer == 0)
     return true;
--- a/src/scheduling/ServerBook.cpp
+++ b/src/scheduling/ServerBook.cpp
@@ -21,6 +21,12 @@
                                    SlowestServerClock);
 }
 
+bool hasLabel(const std::vector<std::string> &Labels,
+              const std::string &Required) {
+  return Required.empty() ||
+         std::find(Labels.begin(), Labels.end(), Required) != Labels.end();
+}
+
 bool ServerState::hasPassingRuns() const {
   return std::any_of(m_Runs.begin(), m_Runs.end(),
                      [](const auto &E) { return !E.second.m_Lasting; });
--- a/src/scheduling/ServerBook.h
+++ b/src/scheduling/ServerBook.h
@@ -110,6 +110,10 @@
   std::int64_t clockAtLeast(TimePoint Now) const;
 };
 
+/// Whether \p Labels hold \p Required; an empty one is always held.
+bool hasLabel(const std::vector<std::string> &Labels,
+              const std::string &Required);
+
 /// How long an unregistered server counts as present: entries that lapsed with
 /// the store are back within two seconds of its return.
 constexpr Duration RegistrationGrace = std::chrono::seconds(2);
@@ -124,6 +128,7 @@
   ServerState *find(const ServerId &Id);
   const ServerState *find(const ServerId &Id) const;
   std::map<ServerId, ServerState> &all() { return m_Servers; }
+  const std::map<ServerId, ServerState> &all() const { return m_Servers; }
   ServerState &upsert(const ServerRegistration &R);
   void erase(const ServerId &Id) { m_Servers.erase(Id); }
 
