--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -18,6 +18,9 @@
 /// elsewhere. The feed is answered at least every 400 ms, and a slow store adds
 /// up to 300 ms.
 constexpr Duration StoreSilence = std::chrono::milliseconds(900);
+/// Longest pause between two calls of the lead feed: with the calls' own wait
+/// it stays below StoreSilence.
+constexpr Duration MaxFollowPause = std::chrono::milliseconds(300);
 /// Longest extra wait of a weak instance before it takes over.
 constexpr Duration MaxOwnDelay = std::chrono::milliseconds(800);
 /// What leading the largest planned deployment takes: 350 backend servers with
@@ -102,9 +105,15 @@
   };
   m_LeadRows = TableMirror::create(m_Loop, m_Ports.m_Store, LeadTable,
                                    {LeadPart}, FeedWait, std::move(Listen));
+  followLeadAtEase();
   m_LeadRows->start();
 }
 
+void Entry::followLeadAtEase() {
+  // An instance that takes over later anyway may see renewals later.
+  m_LeadRows->setPause(std::min(m_Lead.options().m_OwnDelay, MaxFollowPause));
+}
+
 void Entry::tick(TimePoint Due) {
   TimePoint Now = m_Loop.now();
   m_TimerDelay.note(Now - Due, Now);
@@ -135,6 +144,8 @@
           return;
         logEvent(Event::TermWon, {{"term", std::to_string(m_Lead.term())}});
         m_LoggedTerm = m_Lead.term();
+        // A leader has to learn at once that it is one no longer.
+        m_LeadRows->setPause(Duration(0));
         m_Leader = Leader::create(m_Loop, m_Ports, m_Settings, m_Lead);
         m_Leader->start();
         m_Leader->onConfig(m_Config);
@@ -165,6 +176,7 @@
   m_Lead.depose();
   m_Leader->stop();
   m_Leader.reset();
+  followLeadAtEase();
 }
 
 void Entry::drain() {
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -45,6 +45,7 @@
   Entry(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings);
   void tick(TimePoint Due);
   void followLead();
+  void followLeadAtEase();
   void tryLead();
   void renew();
   void offerRelief();
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -34,6 +34,8 @@
   Duration m_StopWithin = std::chrono::seconds(6);
   /// Two leaders' orders for one instance are at least this far apart.
   Duration m_InstanceOrderGap = std::chrono::seconds(3);
+  /// Orders for instances that the platform takes from all of us.
+  double m_InstanceOrdersPerSecond = 64;
   /// How long a changed pool takes, and an upkeep.
   Duration m_MoveTime = std::chrono::milliseconds(1500);
   Duration m_UpkeepTime = std::chrono::seconds(2);
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -60,6 +60,7 @@
   void tickSoon();
   void removeOldStates();
   void orderInstances();
+  std::size_t ordersAtOnce() const;
   void announceOrders(std::vector<InstanceOrder> Orders);
   void giveOrder(const InstanceOrder &Order);
   void readRecentOrders();
--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -16,6 +16,9 @@
 /// Between two plans for instances: an order takes seconds to have an effect.
 constexpr Duration PlanEvery = std::chrono::milliseconds(100);
 
+/// Share of the platform's rate of orders that is used: what it refuses is
+/// delayed by more than this.
+constexpr double OrderRateShare = 0.8;
 /// Added to the gap between two leaders' orders for one instance.
 constexpr Duration OrderGapSlack = std::chrono::milliseconds(300);
 
@@ -69,7 +72,7 @@
 
 void Leader::readRecentOrders() {
   m_Ports.m_Store.read(
-      {LeadTable, OrdersKey, LeadPart}, 1, CallTimeout,
+      {OrdersTable, OrdersKey, LeadPart}, 1, CallTimeout,
       [Weak = weak_from_this()](Result<RowPage> Page) {
         auto Self = Weak.lock();
         if (!Self || Self->m_Stopped)
@@ -99,13 +102,20 @@
       });
 }
 
+std::size_t Leader::ordersAtOnce() const {
+  double Share = std::chrono::duration<double>(PlanEvery).count();
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(m_Settings.m_InstanceOrdersPerSecond * Share *
+                                  OrderRateShare));
+}
+
 void Leader::orderInstances() {
   TimePoint Now = m_Loop.now();
   if (Now < m_NextPlan || !m_WavesRead || !m_OrdersRead || m_OrdersPending ||
       !m_Lead.isValid(Now))
     return;
   m_NextPlan = Now + PlanEvery;
-  auto Orders = m_Planner->plan(Now, wallNow());
+  auto Orders = m_Planner->plan(Now, wallNow(), ordersAtOnce());
   if (!Orders.empty())
     announceOrders(std::move(Orders));
 }
@@ -126,7 +136,7 @@
   }
   RowTransaction Txn;
   Txn.m_Conditions.push_back(m_Lead.termCondition());
-  Txn.m_Puts.push_back({{LeadTable, OrdersKey, LeadPart}, Ids.dump()});
+  Txn.m_Puts.push_back({{OrdersTable, OrdersKey, LeadPart}, Ids.dump()});
   m_OrdersPending = true;
   m_Ports.m_Store.commit(
       Txn, CallTimeout,
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -25,7 +25,9 @@
 inline constexpr char LeadPart[] = "lead";
 inline constexpr char TermKey[] = "term";
 inline constexpr char RenewalKey[] = "renewal";
-/// Instances that the leader has ordered about recently, or is about to.
+/// Instances that the leader has ordered about recently, or is about to. In a
+/// table of its own, which nobody follows.
+inline constexpr char OrdersTable[] = "orders";
 inline constexpr char OrdersKey[] = "orders";
 /// The last offer to relieve a leader.
 inline constexpr char OfferKey[] = "offer";
@@ -141,6 +143,7 @@
     return {{LeadTable, TermKey, LeadPart}, m_RowVersion};
   }
   const TermRow &row() const { return m_Row; }
+  const LeadershipOptions &options() const { return m_Options; }
   const RenewalRow &renewal() const { return m_Renewal; }
   TimePoint renewalSeen() const { return m_RenewalSeen; }
 
--- a/src/store/TableMirror.cpp
+++ b/src/store/TableMirror.cpp
@@ -119,7 +119,9 @@
       apply(Row);
   m_After = std::max(m_After, Changes.value().m_Version);
   noteAnswer(Asked);
-  followOnce();
+  if (Changes.value().m_Rows.empty() || m_Pause <= Duration(0))
+    return followOnce();
+  m_Loop.after(m_Pause, [Self = shared_from_this()] { Self->followOnce(); });
 }
 
 void TableMirror::apply(const StoredRow &Row) {
--- a/src/store/TableMirror.h
+++ b/src/store/TableMirror.h
@@ -31,6 +31,9 @@
   create(EventLoop &Loop, MetadataStore &Store, std::string Table,
          std::vector<std::string> Parts, Duration Wait, Listener Notify);
   void start();
+  /// After an answer with changes the next call waits this long, so that close
+  /// changes cost one call. 0 at first.
+  void setPause(Duration Pause) { m_Pause = Pause; }
   /// No more calls are made and nothing more is reported.
   void stop() { m_Stopped = true; }
 
@@ -61,6 +64,7 @@
   std::string m_Table;
   std::vector<std::string> m_Parts;
   Duration m_Wait;
+  Duration m_Pause{0};
   Listener m_Notify;
   std::map<std::string, RowVersion> m_Versions;
   /// Versions of the reading under way; what it lacks has been removed.
