Let the next leader wait only for what is left of the gap between orders

Change: announcements carry the store's time and the leader's name; a new leader waits until the gap has passed since then, counting 0.6 s until an order is given and 0.4 s until it is carried out. An order is dropped if its announcement took longer than 0.6 s.

--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -6,10 +6,12 @@
 #include "entry/EntryPorts.h"
 #include "entry/EntrySettings.h"
 #include "instances/FleetPlanner.h"
+#include "instances/RecentOrders.h"
 #include "lead/DelayWatch.h"
 #include "lead/Leadership.h"
 #include "net/EventLoop.h"
 #include "scheduling/ProgressWriter.h"
+#include "store/StoreClock.h"
 #include "store/TableMirror.h"
 #include <map>
 
@@ -64,6 +66,8 @@
   void announceOrders(std::vector<InstanceOrder> Orders);
   void giveOrder(const InstanceOrder &Order);
   void readRecentOrders();
+  void takeRecentOrders(const StoredRow &Row,
+                        std::chrono::milliseconds StoreTime);
   void readWaves();
   void takeWave(const WaveRequest &Wave);
   void recordWaves();
@@ -80,8 +84,8 @@
   std::vector<WaveRequest> m_WavesToTake;
   bool m_WavesRead = false;
   bool m_WavesPending = false;
-  /// Instances ordered about, with the time; kept for the next leader.
-  std::map<InstanceId, TimePoint> m_RecentOrders;
+  RecentOrders m_RecentOrders;
+  StoreClock m_StoreClock;
   bool m_OrdersRead = false;
   bool m_OrdersPending = false;
   TimePoint m_NextPlan{};
--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -3,7 +3,6 @@
 #include "base/Log.h"
 #include "entry/Leader.h"
 #include "instances/WaveRows.h"
-#include <nlohmann/json.hpp>
 
 namespace pollenspool {
 
@@ -19,8 +18,9 @@
 /// Share of the platform's rate of orders that is used: what it refuses is
 /// delayed by more than this.
 constexpr double OrderRateShare = 0.8;
-/// Added to the gap between two leaders' orders for one instance.
-constexpr Duration OrderGapSlack = std::chrono::milliseconds(300);
+/// Announcements are kept for this much longer than the gap between two
+/// leaders' orders: they count from when an order was carried out.
+constexpr Duration OrderGapSlack = std::chrono::seconds(1);
 
 const char *resultName(InstanceOrderResult R) {
   static constexpr const char *Names[] = {
@@ -84,20 +84,10 @@
           });
           return;
         }
-        // How long ago is not known: clocks differ between instances. Orders of
-        // one and the same leader need no gap.
-        Duration Gap = Self->m_Settings.m_InstanceOrderGap + OrderGapSlack;
-        TimePoint Until =
-            Self->m_Loop.now() +
-            (Self->m_Lead.isSuccessorOfItself() ? Duration(0) : Gap);
-        for (const StoredRow &Row : Page.value().m_Rows) {
-          if (Row.m_At.m_Key != OrdersKey)
-            continue;
-          auto Ids = nlohmann::json::parse(Row.m_Value, nullptr, false);
-          for (const auto &Id : Ids)
-            if (Id.is_string())
-              Self->m_Planner->holdBack(InstanceId(Id), Until);
-        }
+        Self->m_StoreClock.note(Page.value().m_StoreTime, Self->m_Loop.now());
+        for (const StoredRow &Row : Page.value().m_Rows)
+          if (Row.m_At.m_Key == OrdersKey)
+            Self->takeRecentOrders(Row, Page.value().m_StoreTime);
         Self->m_OrdersRead = true;
       });
 }
@@ -120,34 +110,50 @@
     announceOrders(std::move(Orders));
 }
 
+void Leader::takeRecentOrders(const StoredRow &Row,
+                              std::chrono::milliseconds StoreTime) {
+  auto Orders = RecentOrders::decode(Row.m_Value);
+  if (!Orders) {
+    logEvent(Event::RecordUnreadable,
+             {{"row", Row.m_At.m_Key}, {"error", Orders.error().describe()}});
+    return;
+  }
+  m_RecentOrders = std::move(Orders.value());
+  m_RecentOrders.forgetOlder(m_Settings.m_InstanceOrderGap + OrderGapSlack,
+                             StoreTime);
+  TimePoint Now = m_Loop.now();
+  for (const auto &[Id, Entry] : m_RecentOrders.all()) {
+    Duration Wait = RecentOrders::waitAfter(
+        Entry, m_Settings.m_Name, m_Settings.m_InstanceOrderGap, StoreTime);
+    // Also an order that needs no gap may have been carried out.
+    m_Planner->holdBack(Id, Now + Wait);
+  }
+}
+
 void Leader::announceOrders(std::vector<InstanceOrder> Orders) {
   TimePoint Now = m_Loop.now();
+  auto StoreTime = m_StoreClock.at(Now).value_or(std::chrono::milliseconds(0));
+  m_RecentOrders.forgetOlder(m_Settings.m_InstanceOrderGap + OrderGapSlack,
+                             StoreTime);
   for (const InstanceOrder &Order : Orders)
-    m_RecentOrders[Order.m_Instance] = Now;
-  nlohmann::json Ids = nlohmann::json::array();
-  Duration Keep = m_Settings.m_InstanceOrderGap + OrderGapSlack;
-  for (auto It = m_RecentOrders.begin(); It != m_RecentOrders.end();) {
-    if (It->second + Keep < Now) {
-      It = m_RecentOrders.erase(It);
-      continue;
-    }
-    Ids.push_back(It->first.m_Text);
-    ++It;
-  }
+    m_RecentOrders.note(Order.m_Instance, StoreTime, m_Settings.m_Name);
   RowTransaction Txn;
   Txn.m_Conditions.push_back(m_Lead.termCondition());
-  Txn.m_Puts.push_back({{OrdersTable, OrdersKey, LeadPart}, Ids.dump()});
+  Txn.m_Puts.push_back(
+      {{OrdersTable, OrdersKey, LeadPart}, m_RecentOrders.encode()});
   m_OrdersPending = true;
   m_Ports.m_Store.commit(
       Txn, CallTimeout,
-      [Weak = weak_from_this(), Orders](Result<CommitOutcome> Outcome) {
+      [Weak = weak_from_this(), Orders, Now](Result<CommitOutcome> Outcome) {
         auto Self = Weak.lock();
         if (!Self || Self->m_Stopped)
           return;
         Self->m_OrdersPending = false;
         TimePoint After = Self->m_Loop.now();
-        bool May = Outcome && Outcome.value().m_Committed &&
-                   Self->m_Lead.isValid(After);
+        if (Outcome)
+          Self->m_StoreClock.note(Outcome.value().m_StoreTime, After);
+        bool May = After < Now + GiveWithin && Outcome &&
+                   Outcome.value().m_Committed && Self->m_Lead.isValid(After);
         for (const InstanceOrder &Order : Orders)
           if (May)
             Self->giveOrder(Order);
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -134,7 +134,6 @@
   if (Until < m_SilentSince + Wait)
     return std::nullopt;
   m_Trying = true;
-  m_Predecessor = m_Row.m_Leader;
   TermRow Next{m_Row.m_Term + 1, m_Name, false};
   RowTransaction Txn;
   Txn.m_Conditions.push_back(termCondition());
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -125,8 +125,6 @@
   void depose() { m_Leading = false; }
 
   bool isLeading() const { return m_Leading; }
-  /// Whether the term before this one was this instance's too.
-  bool isSuccessorOfItself() const { return m_Predecessor == m_Name; }
   /// Whether the term is certainly in force at \p Now.
   bool isValid(TimePoint Now) const {
     return m_Leading && Now < m_ConfirmedSent + m_Options.m_ValidFor;
@@ -161,7 +159,6 @@
   TimePoint m_AnswerAsked{};
   RowVersion m_AnswerVersion = 0;
   bool m_Leading = false;
-  std::string m_Predecessor;
   bool m_Trying = false;
   TimePoint m_ConfirmedSent{};
   TimePoint m_LastRenew{};
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -32,6 +32,13 @@
 
 const Error Down = makeError(ErrorCode::Unavailable, "commit");
 
+CommitOutcome committed(RowVersion Version) {
+  CommitOutcome Outcome;
+  Outcome.m_Committed = true;
+  Outcome.m_Version = Version;
+  return Outcome;
+}
+
 } // namespace
 
 TEST_GROUP(ProgressWriter){};
@@ -43,7 +50,7 @@
   CHECK(Txn.has_value());
   CHECK_EQUAL(20u, Txn->m_Puts.size());
   CHECK_EQUAL(20u, Txn->m_Removes.size());
-  W.m_Writer->onResult(CommitOutcome{true, 500, {}}, W.m_Now);
+  W.m_Writer->onResult(committed(500), W.m_Now);
   CHECK_EQUAL(0u, W.m_Core->jobs().all().size());
 }
 
@@ -64,7 +71,7 @@
     if (Fails)
       W.m_Writer->onResult(Down, W.m_Now);
     else
-      W.m_Writer->onResult(CommitOutcome{true, 500, {}}, W.m_Now);
+      W.m_Writer->onResult(committed(500), W.m_Now);
   }
   CHECK(!W.m_Core->jobs().all().empty());
   for (const auto &[Id, Job] : W.m_Core->jobs().all())
--- a/src/scheduling/testing/SchedulerWorld.cpp
+++ b/src/scheduling/testing/SchedulerWorld.cpp
@@ -83,7 +83,10 @@
 void SchedulerWorld::record() {
   advance(std::chrono::seconds(1));
   while (auto Txn = m_Writer->next(m_Now, wall())) {
-    m_Writer->onResult(CommitOutcome{true, ++m_StoreVersion, {}}, m_Now);
+    CommitOutcome Outcome;
+    Outcome.m_Committed = true;
+    Outcome.m_Version = ++m_StoreVersion;
+    m_Writer->onResult(Outcome, m_Now);
     advance(std::chrono::seconds(1));
   }
 }
--- a/src/store/MetadataStore.h
+++ b/src/store/MetadataStore.h
@@ -66,6 +66,8 @@
   bool m_Committed = false;
   /// The version that the written rows now have, if committed.
   RowVersion m_Version = 0;
+  /// The store's clock; 0: not told.
+  std::chrono::milliseconds m_StoreTime{0};
   /// If not committed: the rows of the conditions as they stand.
   std::vector<StoredRow> m_Conflicts;
 };
@@ -75,6 +77,8 @@
   std::vector<StoredRow> m_Rows;
   bool m_HasMore = false;
   RowVersion m_Version = 0;
+  /// The store's clock; 0: not told.
+  std::chrono::milliseconds m_StoreTime{0};
 };
 
 /// Calls of the store. Each calls its continuation once, never before the call
