Show operators queues, pools, waves, and why a job waits

pollenspool queues and pollenspool job ID ask any entry instance, by the address of its metrics page; one that does not lead names the leader's address, which renewals carry. whyWaiting goes through what placement checks.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -158,6 +158,7 @@
   if (!m_Leader || !m_Lead.isRenewalDue(m_Loop.now()))
     return;
   RenewalRow Row = m_Leader->renewal();
+  Row.m_Address = m_Settings.m_Metrics;
   Row.m_IsBehind =
       m_TimerDelay.isBehind(m_Loop.now()) || m_Leader->areOrdersLate();
   m_Ports.m_Store.commit(
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -37,7 +37,8 @@
   std::optional<std::uint32_t> waiting(const QueueName &Queue) const;
 
   const Leadership &leadership() const { return m_Lead; }
-  const Leader *leader() const { return m_Leader.get(); }
+  /// Null while another instance leads.
+  Leader *leader() const { return m_Leader.get(); }
   /// Whether a call of the store would most likely wait in vain.
   bool isStoreSilent() const;
 
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -42,6 +42,9 @@
   /// What the other instances are told.
   RenewalRow renewal();
   const SchedulerCounters &counters() const { return m_Core->counters(); }
+  /// For showing their state to operators.
+  Scheduler &core() { return *m_Core; }
+  const FleetPlanner &planner() const { return *m_Planner; }
 
   void onStartResult(const StartOrder &Order, const StartReply &Reply) override;
   void onStopResult(const StopOrder &Order, OrderResult R) override;
--- /dev/null
+++ b/src/entry/StatusPage.cpp
@@ -0,0 +1,138 @@
+//===- StatusPage.cpp - What operators are shown of jobs ------------------===//
+
+#include "entry/StatusPage.h"
+#include <nlohmann/json.hpp>
+
+namespace pollenspool {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+Json leadership(const Entry &Service) {
+  const Leadership &Lead = Service.leadership();
+  return {
+      {"leads", Service.leader() != nullptr},
+      {"leader", Lead.row().m_Leader},
+      {"leader_at", Lead.renewal().m_Address},
+      {"term", Lead.term()},
+      {"config_version", Service.config() ? Service.config()->version() : 0}};
+}
+
+/// Jobs of one queue by whether a task of theirs has started.
+struct QueueCounts {
+  std::size_t m_Waiting = 0;
+  std::size_t m_Running = 0;
+};
+
+Json queues(const Entry &Service, Scheduler &Core) {
+  std::map<QueueName, QueueCounts> Counts;
+  for (const auto &[Id, Job] : Core.jobs().all())
+    ++(Job->hasStarted() ? Counts[Job->m_Spec.m_Queue].m_Running
+                         : Counts[Job->m_Spec.m_Queue].m_Waiting);
+  Json Rows = Json::array();
+  for (const QueuePolicy &Q : Service.config()->queues()) {
+    const QueueCounts &C = Counts[Q.m_Name];
+    Rows.push_back({{"queue", Q.m_Name.m_Text},
+                    {"pool", Q.m_Pool.m_Text},
+                    {"waiting", C.m_Waiting},
+                    {"running", C.m_Running}});
+  }
+  return Rows;
+}
+
+Json pools(const Entry &Service, Scheduler &Core) {
+  struct Counts {
+    std::size_t m_Instances = 0, m_Servers = 0, m_Silent = 0, m_Slow = 0;
+  };
+  std::map<PoolName, Counts> All;
+  for (const InstanceListing &L : Core.instances())
+    ++All[L.m_Pool].m_Instances;
+  for (const auto &[Id, S] : Core.servers().all()) {
+    Counts &C = All[S.m_Registration.m_Pool];
+    C.m_Servers += S.m_Registered;
+    C.m_Silent += !S.m_Reachable;
+    C.m_Slow += S.m_OnProbation;
+  }
+  auto Demand = Core.demand();
+  Json Rows = Json::array();
+  for (const PoolPolicy &P : Service.config()->pools()) {
+    const Counts &C = All[P.m_Name];
+    const PoolDemand &D = Demand[P.m_Name];
+    Rows.push_back({{"pool", P.m_Name.m_Text},
+                    {"spare", P.m_Spare},
+                    {"instances", C.m_Instances},
+                    {"servers", C.m_Servers},
+                    {"silent", C.m_Silent},
+                    {"slow", C.m_Slow},
+                    {"running_millicores", D.m_RunningMilliCores},
+                    {"waiting_millicores", D.m_ReadyMilliCores},
+                    {"capacity_millicores", D.m_CapacityMilliCores}});
+  }
+  return Rows;
+}
+
+Json waves(const FleetPlanner &Planner) {
+  Json Rows = Json::array();
+  for (const WaveOverview &W : Planner.waves())
+    Rows.push_back({{"wave", W.m_Id.m_Text},
+                    {"instances", W.m_Instances},
+                    {"done", W.m_Done},
+                    {"complete", W.m_Complete}});
+  return Rows;
+}
+
+const char *stateName(JobState S) {
+  static constexpr const char *Names[] = {"queued", "running", "completed",
+                                          "failed", "cancelled"};
+  return Names[static_cast<std::size_t>(S)];
+}
+
+Json steps(const LiveJob &Job) {
+  Json Rows = Json::array();
+  for (const auto &[Number, O] : Job.m_Occurrences)
+    for (std::size_t N = 0; N < O.m_Steps.size(); ++N) {
+      std::size_t Ready = 0, Runs = 0;
+      for (const TaskState &T : O.m_Steps[N].m_Tasks) {
+        Ready += T.m_Ready;
+        Runs += T.m_Runs.size();
+      }
+      Rows.push_back({{"occurrence", Number},
+                      {"step", N},
+                      {"tasks", O.m_Steps[N].m_Tasks.size()},
+                      {"done", O.m_Steps[N].m_DoneCount},
+                      {"ready", Ready},
+                      {"runs", Runs}});
+    }
+  return Rows;
+}
+
+} // namespace
+
+std::string renderOverview(const Entry &Service, TimePoint Now) {
+  Json Page = leadership(Service);
+  Page["ready"] = Service.isReady();
+  if (Leader *L = Service.leader(); L && Service.config()) {
+    Page["queues"] = queues(Service, L->core());
+    Page["pools"] = pools(Service, L->core());
+    Page["waves"] = waves(L->planner());
+    Page["term_certain"] = Service.leadership().isValid(Now);
+  }
+  return Page.dump();
+}
+
+std::string renderJob(const Entry &Service, const JobId &Id, TimePoint Now) {
+  Leader *L = Service.leader();
+  if (!L)
+    return {};
+  Json Page{{"job", Id.m_Text}};
+  if (const LiveJob *Job = L->core().jobs().find(Id)) {
+    Page["queue"] = Job->m_Spec.m_Queue.m_Text;
+    Page["state"] = stateName(Job->m_State);
+    Page["steps"] = steps(*Job);
+  }
+  Page["waits"] = L->core().whyWaiting(Id, Now);
+  return Page.dump();
+}
+
+} // namespace pollenspool
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -38,6 +38,14 @@
   bool m_Complete = false;
 };
 
+/// A wave as operators are shown it.
+struct WaveOverview {
+  WaveId m_Id;
+  std::size_t m_Instances = 0;
+  std::size_t m_Done = 0;
+  bool m_Complete = false;
+};
+
 /// One thread.
 class FleetPlanner {
 public:
@@ -68,6 +76,7 @@
   /// Progress could not be recorded; it is given again.
   void markChanged(const WaveId &Id) { m_Changed.insert(Id); }
   const WaveProgress &progress(const WaveId &Id) const;
+  std::vector<WaveOverview> waves() const;
 
 private:
   struct WaveState {
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -197,6 +197,14 @@
   return {};
 }
 
+std::vector<WaveOverview> FleetPlanner::waves() const {
+  std::vector<WaveOverview> All;
+  for (const auto &[Id, W] : m_Waves)
+    All.push_back({Id, W.m_Request.m_Instances.size(),
+                   W.m_Progress.m_Done.size(), W.m_Progress.m_Complete});
+  return All;
+}
+
 void FleetPlanner::finishWave(WaveState &W) {
   W.m_Progress.m_Complete = true;
   m_Changed.insert(W.m_Request.m_Id);
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -40,19 +40,17 @@
   Json Queues = Json::object();
   for (const auto &[Name, Load] : Row.m_Queues)
     Queues[Name.m_Text] = {Load.m_WaitingJobs, Load.m_Wait.count()};
-  return Json{{"term", Row.m_Term},
-              {"number", Row.m_Number},
-              {"queues", Queues},
-              {"strength", Row.m_Strength},
-              {"behind", Row.m_IsBehind}}
+  return Json{{"term", Row.m_Term},       {"number", Row.m_Number},
+              {"queues", Queues},         {"strength", Row.m_Strength},
+              {"behind", Row.m_IsBehind}, {"at", Row.m_Address}}
       .dump();
 }
 
 Result<RenewalRow> decodeRenewal(const std::string &Text) {
   try {
     Json J = Json::parse(Text);
-    RenewalRow Row{
-        J.at("term"), J.at("number"), {}, J.at("strength"), J.at("behind")};
+    RenewalRow Row{J.at("term"),     J.at("number"), {},
+                   J.at("strength"), J.at("at"),     J.at("behind")};
     for (const auto &[Name, Load] : J.at("queues").items())
       Row.m_Queues[QueueName(Name)] = {
           Load.at(0),
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -54,6 +54,8 @@
   std::map<QueueName, QueueLoad> m_Queues;
   /// \see LeadershipOptions::m_Strength.
   double m_Strength = 0;
+  /// Where the leader shows operators its state.
+  std::string m_Address;
   /// The leader falls behind its work.
   bool m_IsBehind = false;
 };
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -135,6 +135,8 @@
   /// Accepted jobs of each queue of which no task has started.
   std::map<QueueName, std::uint32_t> waitingJobs() const;
   std::map<PoolName, PoolDemand> demand();
+  /// Why the next task of a job does not start, for operators.
+  std::string whyWaiting(const JobId &Id, TimePoint Now);
   /// What waits for a server of another kind, or for one more that the adviser
   /// may allow. At most one for each pool and label.
   std::vector<UnservedNeed> unservedNeeds();
--- /dev/null
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -0,0 +1,50 @@
+//===- SchedulerExplain.cpp - Why a job waits -----------------------------===//
+
+#include "scheduling/Scheduler.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+std::string Scheduler::whyWaiting(const JobId &Id, TimePoint Now) {
+  LiveJob *Job = m_Jobs.find(Id);
+  if (!Job)
+    return "it is over, or not known to this leader yet";
+  if (Job->m_Ready.empty())
+    return Job->m_Occurrences.empty() ? "its first time has not come"
+                                      : "it does not wait";
+  if (Job->m_AcceptedVersion > m_May.m_StartUpTo)
+    return "the store does not confirm that this leader still leads";
+  if (mayHaveUnknownRuns(*Job, Now))
+    return "an earlier leader may have started it on a server that has not "
+           "answered";
+  const ReadyTask &First = Job->m_Ready.front();
+  const TaskState &T =
+      Job->step(First.m_Occurrence, First.m_Step)->m_Tasks[First.m_Index];
+  if (Now < T.m_NotBefore)
+    return "its last run ended a moment ago";
+  const PoolName Pool = poolOf(*Job);
+  if (!hasServerFor(*Job, First))
+    return "no server of pool " + Pool.m_Text + " may run it";
+  Resources Need = chargeOf(Job->m_Spec.m_Steps[First.m_Step]);
+  const StepId Step{Id, First.m_Occurrence, First.m_Step};
+  std::size_t Usable = 0, WithRoom = 0, WithTicket = 0;
+  for (const auto &[ServerName, S] : m_Servers.all()) {
+    if (S.m_Registration.m_Pool != Pool || !isUsable(S, Now))
+      continue;
+    ++Usable;
+    if (!canTake(S, *Job, First, Need, {}))
+      continue;
+    ++WithRoom;
+    WithTicket += m_Advice.ticket(Step, S, Now) != nullptr;
+  }
+  std::string Servers =
+      std::to_string(Usable) + " usable servers of pool " + Pool.m_Text;
+  if (WithRoom == 0)
+    return "none of " + Servers + " has room for a task of step " +
+           std::to_string(First.m_Step);
+  if (advicePolicy(*Job) && WithTicket == 0)
+    return "the adviser has allowed none of " + Servers + " yet";
+  return "it is about to start";
+}
+
+} // namespace pollenspool
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -293,3 +293,24 @@
   W.tick();
   CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
 }
+
+TEST(Scheduler, SaysWhyAJobWaits) {
+  SchedulerWorld W;
+  auto Why = [&W](const char *Id) {
+    return W.m_Core->whyWaiting(JobId(Id), W.m_Now);
+  };
+  W.addServer("s1", 2);
+  W.addJob("first", {W.step(2)});
+  W.tick();
+  W.addJob("second", {W.step(1)});
+  W.tick();
+  STRCMP_EQUAL("it does not wait", Why("first").c_str());
+  STRCMP_CONTAINS("none of 1 usable servers of pool desk has room",
+                  Why("second").c_str());
+  StepSpec Labelled = W.step(1);
+  Labelled.m_RequiredLabel = "gpu";
+  W.addJob("third", {Labelled});
+  W.tick();
+  STRCMP_EQUAL("no server of pool desk may run it", Why("third").c_str());
+  STRCMP_CONTAINS("not known", Why("nobody").c_str());
+}
--- a/tools/Command.h
+++ b/tools/Command.h
@@ -62,6 +62,8 @@
 int runMove(const CommandInput &In);
 int runWave(const CommandInput &In);
 int runExplain(const CommandInput &In);
+int runQueues(const CommandInput &In);
+int runJob(const CommandInput &In);
 
 } // namespace pollenspool
 
--- /dev/null
+++ b/tools/JobCommands.cpp
@@ -0,0 +1,89 @@
+//===- JobCommands.cpp - queues and job -----------------------------------===//
+
+#include "Command.h"
+#include <iostream>
+
+namespace pollenspool {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// Asks \p Path of the instance that leads, which any other one names.
+/// Errors: as AdminClient::get; Unavailable if no instance leads.
+Result<AdminResponse> askLeader(const CommandInput &In,
+                                const std::string &Path) {
+  AdminClient Any(In.m_Entries, In.m_Token);
+  auto Overview = Any.get("/v1/overview");
+  if (!Overview || Overview.value().m_Status != 200)
+    return Overview;
+  const Json &Body = Overview.value().m_Body;
+  if (Body.value("leads", false))
+    return Path == "/v1/overview" ? Overview : Any.get(Path);
+  std::string At = Body.value("leader_at", "");
+  if (At.empty())
+    return makeError(ErrorCode::Unavailable, "find the leader",
+                     In.m_Entries.empty() ? "" : In.m_Entries.front(),
+                     "no instance leads at the moment");
+  AdminClient Leader({At}, In.m_Token);
+  return Leader.get(Path);
+}
+
+void printOverview(const Json &Body) {
+  std::cout << "leader " << Body.value("leader", "") << ", term "
+            << Body.value("term", 0) << ", configuration version "
+            << Body.value("config_version", 0) << "\n";
+  for (const Json &Q : Body.value("queues", Json::array()))
+    std::cout << "queue " << Q.value("queue", "") << "  pool "
+              << Q.value("pool", "") << "  waiting " << Q.value("waiting", 0)
+              << "  running " << Q.value("running", 0) << "\n";
+  for (const Json &P : Body.value("pools", Json::array()))
+    std::cout << "pool " << P.value("pool", "") << "  instances "
+              << P.value("instances", 0) << "  servers "
+              << P.value("servers", 0) << "  silent " << P.value("silent", 0)
+              << "  slow " << P.value("slow", 0) << "  millicores running "
+              << P.value("running_millicores", 0) << " waiting "
+              << P.value("waiting_millicores", 0) << " of "
+              << P.value("capacity_millicores", 0) << "\n";
+  for (const Json &W : Body.value("waves", Json::array()))
+    std::cout << "wave " << W.value("wave", "") << "  done "
+              << W.value("done", 0) << " of " << W.value("instances", 0)
+              << (W.value("complete", false) ? "  complete" : "") << "\n";
+}
+
+void printJob(const Json &Body) {
+  std::cout << "job " << Body.value("job", "") << "  "
+            << Body.value("state", "not live")
+            << "  waits: " << Body.value("waits", "") << "\n";
+  for (const Json &S : Body.value("steps", Json::array()))
+    std::cout << "  occurrence " << S.value("occurrence", 0) << " step "
+              << S.value("step", 0) << "  done " << S.value("done", 0) << " of "
+              << S.value("tasks", 0) << "  ready " << S.value("ready", 0)
+              << "  runs " << S.value("runs", 0) << "\n";
+}
+
+int show(const CommandInput &In, const std::string &Path,
+         void (*Print)(const Json &)) {
+  auto Reply = askLeader(In, Path);
+  if (!Reply)
+    return reportError(Reply.error());
+  if (int Exit = reportReply(Reply.value()); Exit != ExitOk)
+    return Exit;
+  if (In.m_Json)
+    std::cout << Reply.value().m_Body.dump() << "\n";
+  else
+    Print(Reply.value().m_Body);
+  return ExitOk;
+}
+
+} // namespace
+
+int runQueues(const CommandInput &In) {
+  return show(In, "/v1/overview", printOverview);
+}
+
+int runJob(const CommandInput &In) {
+  return show(In, "/v1/jobs/" + In.m_Arguments[0], printJob);
+}
+
+} // namespace pollenspool
--- a/tools/Main.cpp
+++ b/tools/Main.cpp
@@ -23,6 +23,9 @@
       {"wave", "start SET [NAME] [BATCH] | status | pause|resume|cancel ID",
        "run maintenance waves over a pool, rack, data_centre or all", 1, 4,
        runWave},
+      {"queues", "", "show queues of jobs, pools, waves and who leads", 0, 0,
+       runQueues},
+      {"job", "ID", "show a job and why it waits", 1, 1, runJob},
       {"explain", "INSTANCE", "say what an instance waits for", 1, 1,
        runExplain},
   };
