Take changed settings over while running

The file is read again on SIGHUP and each second, since it may change without a signal. Settings with faults are logged, and the old ones stay.

--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -76,6 +76,9 @@
         self.process.kill()
         self.process.wait()
 
+    def is_up(self):
+        return self.process is not None and self.process.poll() is None
+
     def leads(self):
         """Whether its newest word on leadership is that it leads."""
         words = [line for line in self.log.read_text().splitlines()
@@ -86,6 +89,7 @@
 class Check:
     def __init__(self, build, seed, folder):
         self.random = random.Random(seed)
+        self.tool = str(build / "pollenspool")
         self.standin = subprocess.Popen(
             [sys.executable, str(ROOT / "standins/jobs/job_platform.py"), "--seed", str(seed)],
             stdout=subprocess.PIPE, text=True)
@@ -254,10 +258,42 @@
         text = connection.getresponse().read().decode()
         assert "pollenspool_jobs_accepted_total" in text, text[:300]
 
+    def shows_operators_the_queues(self):
+        job = self.submit(steps=1, spec="lasts", lasting=True)
+        self.wait_for(job, "running")
+        for entry in self.entries:
+            def tool(*words):
+                return subprocess.run([self.tool, "--entry", entry.metrics, *words],
+                                      capture_output=True, text=True, timeout=PATIENCE_S)
+            shown = tool("queues", "--json")
+            assert shown.returncode == 0, shown
+            queues = {q["queue"]: q for q in json.loads(shown.stdout)["queues"]}
+            assert queues["asks"]["running"] >= 1, queues
+            shown = tool("job", job)
+            assert shown.returncode == 0 and "waits: it does not wait" in shown.stdout, shown
+        assert call(self.entries[0].callers, "DELETE", f"/asks/{job}")[0] == 200
+
+    def takes_changed_settings_over(self):
+        entry = next(e for e in self.entries if e.is_up())
+        for port in ("1", self.platform["cloud"].split(":")[1]):
+            text = entry.settings.read_text()
+            old = text.split('cloud-api: {addr: "')[1].split('"')[0]
+            entry.settings.write_text(text.replace(f'cloud-api: {{addr: "{old}"',
+                                                   f'cloud-api: {{addr: "127.0.0.1:{port}"'))
+            if port != "1":  # the other change comes without a signal
+                entry.process.send_signal(signal.SIGHUP)
+            self.until("the change is in force", lambda: any(
+                '"SettingsReloaded"' in line and f'"127.0.0.1:{port}"' in line
+                for line in entry.log.read_text().splitlines()))
+        entry.settings.write_text("no settings")
+        self.until("the fault is told", lambda: "SettingsRejected" in entry.log.read_text())
+        assert self.is_ready(entry)
+
     STEPS = (plays_a_job, refuses_what_it_cannot_read, keeps_a_repeated_job_one, cancels_a_job,
+             shows_operators_the_queues,
              survives_a_killed_leader, survives_the_loss_of_all,
              survives_an_outage_of_the_store, survives_lost_answers, carries_out_a_wave,
-             stops_cleanly, shows_metrics)
+             stops_cleanly, shows_metrics, takes_changed_settings_over)
 
     def run(self):
         self.start_all()
