Read what earlier leaders recorded in one way, and split what keptTask did

The three reads of a new leader repeated their retry; a failed read is now logged, as is a wave's row that cannot be read (it was skipped silently). keptTask answers, and its caller relocates. Fields for the data centre that nobody read are gone.

--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -14,7 +14,6 @@
 /// the smallest deployment.
 struct EntrySettings {
   std::string m_Name;
-  DataCentreName m_DataCentre;
   /// Listening addresses, "ip:port".
   std::string m_Callers;
   std::string m_Readiness;
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -80,32 +80,41 @@
     m_Jobs->stop();
 }
 
-void Leader::readStates(const RowAddress &From) {
+void Leader::readUntilAnswered(const RowAddress &From, std::size_t Limit,
+                               std::function<void(RowPage &)> Then) {
   m_Ports.m_Store.read(
-      From, PageRows, CallTimeout,
-      [Weak = weak_from_this(), From](Result<RowPage> Page) {
+      From, Limit, CallTimeout,
+      [Weak = weak_from_this(), From, Limit,
+       Then = std::move(Then)](Result<RowPage> Page) {
         auto Self = Weak.lock();
         if (!Self || Self->m_Stopped)
           return;
-        if (!Page) {
-          Self->m_Loop.after(RetryPause, [Weak, From] {
-            if (auto Again = Weak.lock(); Again && !Again->m_Stopped)
-              Again->readStates(From);
-          });
-          return;
-        }
-        for (StoredRow &Row : Page.value().m_Rows)
-          Self->m_States[Row.m_At.m_Key] = Row;
-        if (Page.value().m_HasMore && !Page.value().m_Rows.empty()) {
-          RowAddress Next = Page.value().m_Rows.back().m_At;
-          Next.m_Key += '\0';
-          Self->readStates(Next);
-        } else if (--Self->m_StatePartsLeft == 0) {
-          Self->followJobs();
-        }
+        if (Page)
+          return Then(Page.value());
+        logEvent(Event::ReadFailed, {{"table", From.m_Table},
+                                     {"part", From.m_Part},
+                                     {"error", Page.error().describe()}});
+        Self->m_Loop.after(RetryPause, [Weak, From, Limit, Then] {
+          if (auto Again = Weak.lock(); Again && !Again->m_Stopped)
+            Again->readUntilAnswered(From, Limit, Then);
+        });
       });
 }
 
+void Leader::readStates(const RowAddress &From) {
+  readUntilAnswered(From, PageRows, [this](RowPage &Page) {
+    for (StoredRow &Row : Page.m_Rows)
+      m_States[Row.m_At.m_Key] = Row;
+    if (Page.m_HasMore && !Page.m_Rows.empty()) {
+      RowAddress Next = Page.m_Rows.back().m_At;
+      Next.m_Key += '\0';
+      readStates(Next);
+    } else if (--m_StatePartsLeft == 0) {
+      followJobs();
+    }
+  });
+}
+
 void Leader::followJobs() {
   TableMirror::Listener Listen;
   Listen.m_OnRow = [this](const StoredRow &Row) { onLiveRow(Row); };
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -56,6 +56,9 @@
 private:
   Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
          Leadership &Lead);
+  /// Reads a page of rows, again and again until the store answers.
+  void readUntilAnswered(const RowAddress &From, std::size_t Limit,
+                         std::function<void(RowPage &)> Then);
   void readStates(const RowAddress &From);
   void followJobs();
   void onLiveRow(const StoredRow &Row);
--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration CallTimeout = std::chrono::milliseconds(800);
-constexpr Duration RetryPause = std::chrono::milliseconds(200);
 /// Waves that are kept in the store; one of each three weeks.
 constexpr std::size_t MaxWaves = 500;
 /// Between two plans for instances: an order takes seconds to have an effect.
@@ -31,27 +30,20 @@
 } // namespace
 
 void Leader::readWaves() {
-  m_Ports.m_Store.read(
-      {WavesTable, {}, LeadPart}, MaxWaves, CallTimeout,
-      [Weak = weak_from_this()](Result<RowPage> Page) {
-        auto Self = Weak.lock();
-        if (!Self || Self->m_Stopped)
-          return;
-        if (!Page) {
-          Self->m_Loop.after(RetryPause, [Weak] {
-            if (auto Again = Weak.lock(); Again && !Again->m_Stopped)
-              Again->readWaves();
-          });
-          return;
-        }
-        for (const StoredRow &Row : Page.value().m_Rows)
-          if (auto P = decodeWaveProgress(Row.m_Value))
-            Self->m_RecordedWaves[WaveId(Row.m_At.m_Key)] = P.value();
-        Self->m_WavesRead = true;
-        for (const WaveRequest &Wave : Self->m_WavesToTake)
-          Self->takeWave(Wave);
-        Self->m_WavesToTake.clear();
-      });
+  readUntilAnswered({WavesTable, {}, LeadPart}, MaxWaves,
+                    [this](RowPage &Page) {
+                      for (const StoredRow &Row : Page.m_Rows)
+                        if (auto P = decodeWaveProgress(Row.m_Value))
+                          m_RecordedWaves[WaveId(Row.m_At.m_Key)] = P.value();
+                        else
+                          logEvent(Event::RecordUnreadable,
+                                   {{"row", Row.m_At.m_Key},
+                                    {"error", P.error().describe()}});
+                      m_WavesRead = true;
+                      for (const WaveRequest &Wave : m_WavesToTake)
+                        takeWave(Wave);
+                      m_WavesToTake.clear();
+                    });
 }
 
 void Leader::onWave(const WaveRequest &Wave) {
@@ -71,25 +63,14 @@
 }
 
 void Leader::readRecentOrders() {
-  m_Ports.m_Store.read(
-      {OrdersTable, OrdersKey, LeadPart}, 1, CallTimeout,
-      [Weak = weak_from_this()](Result<RowPage> Page) {
-        auto Self = Weak.lock();
-        if (!Self || Self->m_Stopped)
-          return;
-        if (!Page) {
-          Self->m_Loop.after(RetryPause, [Weak] {
-            if (auto Again = Weak.lock(); Again && !Again->m_Stopped)
-              Again->readRecentOrders();
-          });
-          return;
-        }
-        Self->m_StoreClock.note(Page.value().m_StoreTime, Self->m_Loop.now());
-        for (const StoredRow &Row : Page.value().m_Rows)
-          if (Row.m_At.m_Key == OrdersKey)
-            Self->takeRecentOrders(Row, Page.value().m_StoreTime);
-        Self->m_OrdersRead = true;
-      });
+  readUntilAnswered({OrdersTable, OrdersKey, LeadPart}, 1,
+                    [this](RowPage &Page) {
+                      m_StoreClock.note(Page.m_StoreTime, m_Loop.now());
+                      for (const StoredRow &Row : Page.m_Rows)
+                        if (Row.m_At.m_Key == OrdersKey)
+                          takeRecentOrders(Row, Page.m_StoreTime);
+                      m_OrdersRead = true;
+                    });
 }
 
 std::size_t Leader::ordersAtOnce() const {
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -143,8 +143,14 @@
                              TimePoint Now);
   void noteWait(const InstanceListing &L, const std::string &Why,
                 TimePoint Now);
-  /// A lasting task that must not be ended now; empty if there is none.
-  std::string keptTask(const ServerState &S, TimePoint Now);
+  /// A lasting task that must not be ended now.
+  struct KeptTask {
+    /// Empty: there is none.
+    std::string m_Why;
+    /// A run that may end now, and begin elsewhere.
+    std::optional<RunId> m_ToRelocate;
+  };
+  KeptTask keptTask(const ServerState &S);
   bool isAtWork(const RunPlace &Place, const TaskId &Task);
   void finishWave(WaveState &W);
 
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -147,7 +147,11 @@
   Duration Waited = Now - *I.m_EmptyingSince;
   if (TasksLeft && Waited < (Pressed ? EmptyWithinPressed : EmptyWithin))
     return "its tasks have not ended";
-  return keptTask(*S, Now);
+  KeptTask Kept = keptTask(*S);
+  // More of a step run here than may be away: they leave one by one.
+  if (Kept.m_ToRelocate)
+    m_Core.relocate(S->m_Registration.m_Id, *Kept.m_ToRelocate, Now);
+  return Kept.m_Why;
 }
 
 bool FleetPlanner::isAtWork(const RunPlace &Place, const TaskId &Task) {
@@ -162,7 +166,7 @@
   return State == m_State.end() || !State->second.m_Pending;
 }
 
-std::string FleetPlanner::keptTask(const ServerState &S, TimePoint Now) {
+FleetPlanner::KeptTask FleetPlanner::keptTask(const ServerState &S) {
   // Tasks of one step that this order would end, besides those away already.
   std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, std::vector<RunId>>
       Ends;
@@ -187,12 +191,14 @@
                        [&](const RunPlace &P) { return isAtWork(P, Task); }))
         ++Away;
     }
-    // More of the step run here than may be away: they leave one by one.
+    if (Away + Runs.size() <= Bound)
+      continue;
+    KeptTask Kept;
+    Kept.m_Why = "job " + JobName.m_Text + " has " + std::to_string(Away) +
+                 " tasks away and may have " + std::to_string(Bound);
     if (Away == 0 && Runs.size() > Bound)
-      m_Core.relocate(S.m_Registration.m_Id, Runs.front(), Now);
-    if (Away + Runs.size() > Bound)
-      return "job " + JobName.m_Text + " has " + std::to_string(Away) +
-             " tasks away and may have " + std::to_string(Bound);
+      Kept.m_ToRelocate = Runs.front();
+    return Kept;
   }
   return {};
 }
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -25,7 +25,6 @@
   InstanceId m_Instance;
   PoolName m_Pool;
   std::string m_Address;
-  DataCentreName m_DataCentre;
   bool m_Draining = false;
   Resources m_Capacity;
   std::vector<std::string> m_Labels;
@@ -41,7 +40,6 @@
   InstanceId m_Id;
   PoolName m_Pool;
   InstanceCondition m_Condition = InstanceCondition::Up;
-  DataCentreName m_DataCentre;
   Resources m_Capacity;
   std::vector<std::string> m_Labels;
   RackName m_Rack;
