--- a/src/scheduling/RunSpeedTest.cpp
+++ b/src/scheduling/RunSpeedTest.cpp
@@ -21,28 +21,29 @@
 
 /// Two servers at work on a job of two tasks, one on each.
 struct TwoAtWork {
-  SchedulerWorld W;
+  SchedulerWorld m_World;
 
   TwoAtWork() {
-    W.addServer("s1", 2);
-    W.addServer("s2", 1);
-    W.addJob("j", {W.step(2)});
-    W.tick();
-    W.answerStart(0);
-    W.answerStart(1);
-    W.tick();
-    CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+    m_World.addServer("s1", 2);
+    m_World.addServer("s2", 1);
+    m_World.addJob("j", {m_World.step(2)});
+    m_World.tick();
+    m_World.answerStart(0);
+    m_World.answerStart(1);
+    m_World.tick();
+    CHECK_EQUAL(2u, m_World.m_Orders.m_Starts.size());
   }
 
   std::string serverOf(std::size_t Start) const {
-    return W.m_Orders.m_Starts[Start].m_Server.m_Id.m_Text;
+    return m_World.m_Orders.m_Starts[Start].m_Server.m_Id.m_Text;
   }
   /// \p Server reports its run at \p Percent.
   void report(const std::string &Server, int Percent) {
     std::uint32_t Index = serverOf(0) == Server ? 0 : 1;
-    W.answerLook(Server, {{W.run("j", 0, Index, 1), "", Percent, 0}});
-    W.advance(50ms);
-    W.tick();
+    m_World.answerLook(Server,
+                       {{m_World.run("j", 0, Index, 1), "", Percent, 0}});
+    m_World.advance(50ms);
+    m_World.tick();
   }
 };
 
@@ -103,20 +104,20 @@
   std::string Stuck = "s2", Sound = "s1";
   T.report(Sound, 5);
   T.report(Stuck, 5);
-  T.W.advance(400ms);
+  T.m_World.advance(400ms);
   T.report(Sound, 50);
   T.report(Stuck, 5);
-  CHECK_EQUAL(1u, T.W.m_Orders.m_Stops.size());
+  CHECK_EQUAL(1u, T.m_World.m_Orders.m_Stops.size());
   STRCMP_EQUAL(Stuck.c_str(),
-               T.W.m_Orders.m_Stops[0].m_Server.m_Id.m_Text.c_str());
-  RunId Stopped = T.W.m_Orders.m_Stops[0].m_Run;
-  T.W.m_Core->onStopResult(T.W.m_Orders.m_Stops[0], OrderResult::Done,
-                           T.W.m_Now);
-  T.W.advance(10ms);
-  T.W.tick();
-  T.W.answerLook(Stuck, {}, {{1, Stopped, EndKind::Stopped, ""}});
-  T.W.tick();
-  CHECK_EQUAL(3u, T.W.m_Orders.m_Starts.size());
+               T.m_World.m_Orders.m_Stops[0].m_Server.m_Id.m_Text.c_str());
+  RunId Stopped = T.m_World.m_Orders.m_Stops[0].m_Run;
+  T.m_World.m_Core->onStopResult(T.m_World.m_Orders.m_Stops[0],
+                                 OrderResult::Done, T.m_World.m_Now);
+  T.m_World.advance(10ms);
+  T.m_World.tick();
+  T.m_World.answerLook(Stuck, {}, {{1, Stopped, EndKind::Stopped, ""}});
+  T.m_World.tick();
+  CHECK_EQUAL(3u, T.m_World.m_Orders.m_Starts.size());
   STRCMP_EQUAL(Sound.c_str(), T.serverOf(2).c_str());
 }
 
