Judge servers by standstill alone, not by estimates

A trial that logged what was judged: callers' estimates are off by up to 20 times (74 ms for tasks of 0.7 to 1.6 s), so progress against them says nothing. Ruled out: coarse percents (they rise evenly), the adoption of runs. Change: a run stands still if its percent does not change for 0.7 s although its own pace would have brought four, or for 2 s from its start.

--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -96,7 +96,7 @@
      "Times that a silent backend server's leases have run out.",
      [](const Sources &S) { return number(S.scheduler().m_Lapsed); }},
     {"pollenspool_runs_moved_total", MetricType::Counter,
-     "Runs stopped on slow servers in this term, to begin elsewhere.",
+     "Runs that stood still, stopped in this term to begin elsewhere.",
      [](const Sources &S) { return number(S.scheduler().m_Moved); }},
     {"pollenspool_paces_total", MetricType::Counter,
      "Changes of the pace of filling runs in this term.",
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -38,8 +38,6 @@
   /// How long a changed pool takes, and an upkeep.
   Duration m_MoveTime = std::chrono::milliseconds(1500);
   Duration m_UpkeepTime = std::chrono::seconds(2);
-  /// How many times as long a task takes away from its data.
-  double m_FarFactor = 3;
   /// How long callers may ask for a job that is over.
   Duration m_KeepStates = std::chrono::seconds(120);
 };
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -37,7 +37,6 @@
   Options.m_TermVersion = Lead.termCondition().m_Version;
   Options.m_EarlierLeaderFor = GoOnFor;
   Options.m_Lease = std::min(Options.m_Lease, Settings.m_LongestLease);
-  Options.m_FarFactor = Settings.m_FarFactor;
   m_Core = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
   m_Writer = ProgressWriter::create(*m_Core);
   FleetPlannerOptions Fleet;
--- a/src/scheduling/JobBook.h
+++ b/src/scheduling/JobBook.h
@@ -28,7 +28,7 @@
   std::vector<std::uint32_t> m_FailedRuns;
   /// Progress from which the next run resumes; empty: none.
   std::string m_Saved;
-  /// New starts because its server was slow.
+  /// New starts because it stood still.
   std::uint32_t m_Moves = 0;
   /// Not to be started before.
   TimePoint m_NotBefore{};
--- a/src/scheduling/RunSpeed.cpp
+++ b/src/scheduling/RunSpeed.cpp
@@ -1,43 +1,22 @@
-//===- RunSpeed.cpp - How fast runs get on, and on which server -----------===//
+//===- RunSpeed.cpp - Whether runs get on ---------------------------------===//
 
 #include "scheduling/RunSpeed.h"
 #include <algorithm>
-#include <set>
 
 namespace pollenspool {
 
 namespace {
 
-/// A run is judged after this share of its estimate, but not before the least
-/// time: percents are whole, and reports take their time.
-constexpr double JudgeAfterShare = 0.4;
-constexpr Duration JudgeAfterLeast = std::chrono::milliseconds(400);
-/// A run below this share of the estimated speed is slow. Lengths of sound runs
-/// vary by up to 2.5 times the mean.
-constexpr double SlowSpeed = 0.25;
-/// Share of a server's judged runs that have to be slow.
-constexpr double SlowShare = 0.6;
-/// What stopping a run and starting it elsewhere takes beside its work: a stop
-/// may take 400 ms.
-constexpr Duration MoveCost = std::chrono::milliseconds(500);
+/// No change for this long is a standstill of a run that had got on, if its own
+/// pace would have brought several percents. Reports are up to a second apart.
+constexpr Duration StillFor = std::chrono::milliseconds(700);
+constexpr int StillPercents = 4;
+/// The same for a run that has never got on, which may be a long one.
+constexpr Duration StillFromStart = std::chrono::seconds(2);
 /// What restoring saved progress takes at the most.
 constexpr Duration ResumeTime = std::chrono::milliseconds(700);
-/// How many times shorter the way by a new start has to be.
-constexpr double MoveGain = 1.5;
-
-Duration judgeAfter(const ActiveRun &Run) {
-  return std::max(JudgeAfterLeast, std::chrono::duration_cast<Duration>(
-                                       Run.m_Estimate * JudgeAfterShare));
-}
-
-/// Progress over the time that \p Run was watched, as a share of the work.
-double progress(const ActiveRun &Run) {
-  return (Run.m_Percent - Run.m_FirstPercent) / 100.0;
-}
-
-bool standsStill(const ActiveRun &Run, TimePoint Now) {
-  return Now - Run.m_PercentAt >= judgeAfter(Run);
-}
+/// Share of a server's runs that have to stand still.
+constexpr double StillShare = 0.6;
 
 } // namespace
 
@@ -54,47 +33,24 @@
   Run.m_Measure = Report.m_Measure;
 }
 
-std::optional<bool> isSlow(const ActiveRun &Run, TimePoint Now) {
-  if (Run.m_Estimate.count() == 0 || Run.m_Lasting ||
-      Run.m_Phase != RunPhase::Running ||
-      Now - Run.m_WatchedSince < judgeAfter(Run))
-    return std::nullopt;
-  double Expected = std::chrono::duration<double>(Now - Run.m_WatchedSince) /
-                    std::chrono::duration<double>(Run.m_Estimate);
-  return standsStill(Run, Now) || progress(Run) < SlowSpeed * Expected;
-}
-
-bool isSlow(const ServerState &S, TimePoint Now) {
-  int Judged = 0, Slow = 0;
-  bool AnyStill = false;
-  std::set<JobId> SlowJobs;
-  for (const auto &[Id, Run] : S.m_Runs)
-    if (auto Verdict = isSlow(Run, Now)) {
-      ++Judged;
-      if (!*Verdict)
-        continue;
-      ++Slow;
-      AnyStill = AnyStill || standsStill(Run, Now);
-      SlowJobs.insert(Id.m_Task.m_Job);
-    }
-  // The tasks of one job may all be longer than estimated.
-  return (AnyStill || SlowJobs.size() > 1) && Slow >= SlowShare * Judged;
-}
-
-bool endedInTime(const ActiveRun &Run, TimePoint Now) {
-  return Run.m_WatchedSince >= Now ||
-         Now - Run.m_WatchedSince < judgeAfter(Run) ||
-         (Now - Run.m_WatchedSince) * SlowSpeed <= Run.m_Estimate;
-}
-
-bool isWorthMoving(const ActiveRun &Run, TimePoint Now) {
-  if (isSlow(Run, Now) != true)
+bool standsStill(const ActiveRun &Run, TimePoint Now) {
+  if (Run.m_Lasting || Run.m_Phase != RunPhase::Running)
     return false;
-  if (standsStill(Run, Now) || progress(Run) <= 0)
-    return true;
-  auto Watched = std::chrono::duration<double>(Now - Run.m_WatchedSince);
-  auto Left = Watched / progress(Run) * ((100 - Run.m_Percent) / 100.0);
-  return Left > (MoveCost + Run.m_Estimate) * MoveGain;
+  Duration Unchanged = Now - Run.m_PercentAt;
+  int Done = Run.m_Percent - Run.m_FirstPercent;
+  if (Done <= 0)
+    return Unchanged >= StillFromStart;
+  Duration APercent = (Run.m_PercentAt - Run.m_WatchedSince) / Done;
+  return Unchanged >= std::max(StillFor, APercent * StillPercents);
+}
+
+bool standsStill(const ServerState &S, TimePoint Now) {
+  int Passing = 0, Still = 0;
+  for (const auto &[Id, Run] : S.m_Runs) {
+    Passing += !Run.m_Lasting;
+    Still += standsStill(Run, Now);
+  }
+  return Still > 0 && Still >= StillShare * Passing;
 }
 
 } // namespace pollenspool
--- a/src/scheduling/RunSpeed.h
+++ b/src/scheduling/RunSpeed.h
@@ -1,8 +1,7 @@
-//===- RunSpeed.h - How fast runs get on, and on which server ---*- C++ -*-===//
+//===- RunSpeed.h - Whether runs get on -------------------------*- C++ -*-===//
 //
-// Judged by the progress that servers report against the callers' estimates. A
-// single run may be longer than estimated; when most runs of one server get on
-// at a fraction of the estimate, the server is at fault.
+// Judged by the progress that servers report. Callers' estimates do not serve
+// for it: they are off by up to twenty times.
 //
 //===----------------------------------------------------------------------===//
 
@@ -16,20 +15,12 @@
 /// Takes a server's report of \p Run in, which arrived at \p Now.
 void noteProgress(ActiveRun &Run, const RunReport &Report, TimePoint Now);
 
-/// Whether \p Run gets on at a small fraction of its estimate, or not at all;
-/// nothing while it is too early to say, or if there is no estimate. \p Now is
-/// when its server last reported.
-std::optional<bool> isSlow(const ActiveRun &Run, TimePoint Now);
+/// Whether \p Run stands still, by its own pace so far. \p Now is when its
+/// server last reported. A lasting run never does.
+bool standsStill(const ActiveRun &Run, TimePoint Now);
 
-/// Whether the runs of \p S show that it is slow or stands still.
-bool isSlow(const ServerState &S, TimePoint Now);
-
-/// Whether \p Run, begun again on a sound server, would end much earlier.
-bool isWorthMoving(const ActiveRun &Run, TimePoint Now);
-
-/// Whether \p Run, which ended at \p Now, took no longer than runs on a sound
-/// server may.
-bool endedInTime(const ActiveRun &Run, TimePoint Now);
+/// Whether most runs of \p S that end by themselves stand still.
+bool standsStill(const ServerState &S, TimePoint Now);
 
 } // namespace pollenspool
 
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -34,8 +34,6 @@
   Duration m_EarlierLeaderFor = std::chrono::seconds(8);
   /// The lease that this leader grants.
   Duration m_Lease = std::chrono::seconds(5);
-  /// How many times as long a task takes away from its data or its rack.
-  double m_FarFactor = 3;
 };
 
 /// What the leader may do at the moment, by what it knows of its term.
@@ -57,7 +55,7 @@
   std::uint64_t m_Adopted = 0;
   std::uint64_t m_AdviceCalls = 0;
   std::uint64_t m_Paces = 0;
-  /// Runs ended on slow servers to begin elsewhere.
+  /// Runs that stood still, stopped to begin elsewhere.
   std::uint64_t m_Moved = 0;
 };
 
@@ -211,7 +209,7 @@
   const AdvicePolicy *advicePolicy(const LiveJob &Job) const;
   void askAdvice(LiveJob &Job, const PoolRoom &Room, TimePoint Now);
 
-  // Slow servers (SchedulerStragglers.cpp).
+  // Servers whose tasks stand still (SchedulerStragglers.cpp).
   void watchSpeed(ServerState &S, TimePoint Now);
   bool mayMove(const RunId &Id, const ServerState &From, TimePoint Now);
 
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -332,7 +332,6 @@
   Run.m_Lasting = Step.m_Lasting;
   Run.m_Fills = Step.m_Fills;
   Run.m_TailTarget = static_cast<double>(Step.m_TailTarget.count());
-  Run.m_Estimate = Step.m_Estimate;
 }
 
 void Scheduler::start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
@@ -360,9 +359,6 @@
       Order.m_Ticket = *Ticket;
   ActiveRun Run;
   describeRun(Run, Step);
-  if (isFar(S, Job, Task, {}))
-    Run.m_Estimate = std::chrono::duration_cast<Duration>(
-        Run.m_Estimate * m_Options.m_FarFactor);
   Run.m_OrderedAt = Now;
   if (T.m_Saved.empty())
     Run.m_WatchedSince = Run.m_PercentAt = Now;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -229,8 +229,6 @@
   S.m_EndsSeen = End.m_Number;
   LiveJob *Job = m_Jobs.find(End.m_Run.m_Task.m_Job);
   TaskState *T = Job ? Job->task(End.m_Run.m_Task) : nullptr;
-  auto Known = S.m_Runs.find(End.m_Run);
-  bool WasInTime = Known == S.m_Runs.end() || endedInTime(Known->second, Now);
   ServerBook::removeRun(S, End.m_Run);
   std::uint64_t Change = 0;
   if (T && !isFinal(Job->m_State)) {
@@ -270,7 +268,7 @@
       countServerFailure(S, Now);
     else if (!Step.m_Lasting && End.m_Kind == EndKind::Done) {
       S.m_FailuresInRow = 0;
-      S.m_OnProbation = S.m_OnProbation && !WasInTime;
+      S.m_OnProbation = false;
     }
   }
   // An end that changes nothing needs no record, but ends are acknowledged in
--- a/src/scheduling/SchedulerStragglers.cpp
+++ b/src/scheduling/SchedulerStragglers.cpp
@@ -1,4 +1,4 @@
-//===- SchedulerStragglers.cpp - Runs on servers that are slow ------------===//
+//===- SchedulerStragglers.cpp - Runs on servers that stand still ---------===//
 
 #include "base/Log.h"
 #include "scheduling/RunSpeed.h"
@@ -9,25 +9,26 @@
 
 namespace {
 
-/// How long a server that was found slow gets nothing new.
-constexpr Duration SlowPause = std::chrono::seconds(2);
-/// New starts of one task in one term because of slow servers. The third server
+/// How long a server whose tasks stand still gets nothing new.
+constexpr Duration StillPause = std::chrono::seconds(2);
+/// New starts of one task in one term because it stood still. The third server
 /// in a row points to the task.
 constexpr std::uint32_t MaxMoves = 2;
 
 } // namespace
 
 void Scheduler::watchSpeed(ServerState &S, TimePoint Now) {
-  if (!isSlow(S, Now))
+  if (!standsStill(S, Now))
     return;
   if (!S.m_OnProbation)
-    logEvent(Event::BackendSlow, {{"server", S.m_Registration.m_Id.m_Text},
-                                  {"runs", std::to_string(S.m_Runs.size())}});
+    logEvent(Event::BackendStandsStill,
+             {{"server", S.m_Registration.m_Id.m_Text},
+              {"runs", std::to_string(S.m_Runs.size())}});
   S.m_OnProbation = true;
-  S.m_SuspendedUntil = std::max(S.m_SuspendedUntil, Now + SlowPause);
+  S.m_SuspendedUntil = std::max(S.m_SuspendedUntil, Now + StillPause);
   std::vector<RunId> Moved;
   for (const auto &[Id, Run] : S.m_Runs)
-    if (isWorthMoving(Run, Now) && mayMove(Id, S, Now))
+    if (standsStill(Run, Now) && mayMove(Id, S, Now))
       Moved.push_back(Id);
   for (const RunId &Id : Moved) {
     ++m_Counters.m_Moved;
@@ -40,8 +41,7 @@
   const TaskId &Task = Id.m_Task;
   LiveJob *Job = m_Jobs.find(Task.m_Job);
   TaskState *T = Job ? Job->task(Task) : nullptr;
-  // A gang is broken by the stop of one member, and the others are as slow as
-  // the slowest: it is left to end.
+  // A gang is broken by the stop of one member.
   if (!T || isFinal(Job->m_State) || Job->m_Spec.m_Steps[Task.m_Step].m_Gang ||
       T->m_Moves >= MaxMoves)
     return false;
--- a/src/scheduling/ServerBook.h
+++ b/src/scheduling/ServerBook.h
@@ -31,8 +31,6 @@
   /// to show the run.
   TimePoint m_ConfirmedAt = TimePoint::max();
   bool m_StopPending = false;
-  /// How long it should take on this server; 0: not known.
-  Duration m_Estimate{0};
   /// Its first report, its newest, and when that last changed.
   TimePoint m_WatchedSince = TimePoint::max();
   int m_FirstPercent = 0;
@@ -90,7 +88,7 @@
   /// Failed runs since the last that was done.
   std::uint32_t m_FailuresInRow = 0;
   TimePoint m_SuspendedUntil{};
-  /// It was found slow or failing: it gets one task at a time until one has
+  /// Its tasks stood still or failed: it gets one task at a time until one has
   /// ended well.
   bool m_OnProbation = false;
   /// About to be moved or taken down for upkeep: nothing new is started.
