Take the store's time from the answer that came soonest

Change: of all answers the one that puts the store's time latest counts. Test: RecentOrders.AnAnswerThatIsReadLate..., which fails without the change.

--- a/src/instances/RecentOrdersTest.cpp
+++ b/src/instances/RecentOrdersTest.cpp
@@ -57,6 +57,19 @@
   CHECK_FALSE(RecentOrders::decode("{\"m\":[\"x\",1]}").has_value());
 }
 
+// Found by a day of the hunt on the grown Osei site: a leader that falls behind
+// reads answers late, took the store's time for earlier than it was, and the
+// next leader waited less than the gap.
+TEST(RecentOrders, AnAnswerThatIsReadLateDoesNotSetTheStoresTimeBack) {
+  StoreClock Clock;
+  TimePoint Now{50s};
+  Clock.note(7000ms, Now);
+  Clock.note(8000ms, Now + 3s);
+  CHECK(*Clock.at(Now + 3s) == 10000ms);
+  Clock.note(10500ms, Now + 3s);
+  CHECK(*Clock.at(Now + 3s) == 10500ms);
+}
+
 TEST(RecentOrders, TheStoresTimeGoesOnBetweenAnswers) {
   StoreClock Clock;
   TimePoint Now{50s};
--- a/src/store/StoreClock.h
+++ b/src/store/StoreClock.h
@@ -9,15 +9,16 @@
 namespace pollenspool {
 
 /// Follows the steady clock that the store tells with its answers: the one time
-/// that all instances share. One thread.
+/// that all instances share. Answers arrive late, by seconds where a process
+/// falls behind, so the one that came soonest counts. One thread.
 class StoreClock {
 public:
   /// An answer that arrived at \p Now told \p Told; 0: it told none.
   void note(std::chrono::milliseconds Told, TimePoint Now) {
-    if (Told.count() > 0) {
-      m_Told = Told;
-      m_ToldAt = Now;
-    }
+    if (Told.count() == 0 || (m_Told.count() > 0 && *at(Now) >= Told))
+      return;
+    m_Told = Told;
+    m_ToldAt = Now;
   }
   /// The store's time at \p Now, at the least; nothing before the first answer.
   std::optional<std::chrono::milliseconds> at(TimePoint Now) const {
