Let faults of the soak that meet start an instance once

Faults that met could also start one twice and leave a process behind. Only the soak was at fault; the instances were well in its logs.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -122,12 +122,18 @@
 
     # Faults. Each is begun, lasts, and is undone; several are under way at a time.
 
+    @staticmethod
+    def start_again(entry):
+        """Starts the entry instance unless another fault has done so."""
+        if entry.process.poll() is not None:
+            entry.start()
+
     async def kill(self, wait):
         entry = self.rng.choice(self.entries)
         if entry.process.poll() is None:
             entry.kill()
             await asyncio.sleep(wait)
-            entry.start()
+            self.start_again(entry)
 
     async def kill_all(self, wait):
         down = [e for e in self.entries if e.process.poll() is None]
@@ -135,7 +141,7 @@
             entry.kill()
         await asyncio.sleep(wait / 3)
         for entry in down:
-            entry.start()
+            self.start_again(entry)
 
     async def pause(self, wait):
         process = self.rng.choice(self.entries).process
@@ -146,11 +152,12 @@
 
     async def end(self, wait):
         entry = self.rng.choice(self.entries)
-        if entry.process.poll() is None:
-            entry.process.send_signal(signal.SIGTERM)
-            while entry.process.poll() is None:
+        process = entry.process
+        if process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            while process.poll() is None:
                 await asyncio.sleep(0.05)
-            entry.start()
+            self.start_again(entry)
 
     async def reload(self, wait):
         process = self.rng.choice(self.entries).process
