Replace instances that are being emptied for a wave

The log shows it: a wave had two instances of a pool reserved, waiting for a lasting task to be back; that task had left one of them and found no other place, since the pool was sized with one instance beyond its spread. It waited for more than 10 s, as the wave did. Ruled out: servers taken for slow (none in the log), refused starts (none). Change: instances that are being emptied count as missing in the pool's size. Test: FleetPlanner.ReplacesInstancesThatAreBeingEmptied, which fails without the change.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -121,13 +121,18 @@
                    static_cast<double>(D.m_BlockedMilliCores) * BlockedShare;
     double &Held = m_HeldDemand[Name];
     Held = std::max(Cores, Held * Decay);
-    std::int64_t Largest = 1;
-    for (const InstanceListing *L : P.m_Instances)
+    std::int64_t Largest = 1, Emptying = 0;
+    for (const InstanceListing *L : P.m_Instances) {
       Largest = std::max(Largest, L->m_Capacity.m_MilliCores);
+      Emptying += m_State[L->m_Id].m_EmptyingSince.has_value();
+    }
     double Instances = Held * Headroom / static_cast<double>(Largest);
     P.m_Wanted = std::max<std::int64_t>(
         {1, static_cast<std::int64_t>(std::ceil(Instances)),
          spreadOf(Name) + std::int64_t(1)});
+    // What is being emptied for a wave takes nothing new, and tasks that have
+    // to leave it need another place.
+    P.m_Wanted += Emptying;
   }
 }
 
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -90,6 +90,28 @@
   CHECK(W.plan().size() >= 2u);
 }
 
+// Found by fresh-bf11 of the Sangha site: a wave kept two instances of a pool
+// for itself, and a lasting task that had left one of them found no other
+// place.
+TEST(FleetPlanner, ReplacesInstancesThatAreBeingEmptied) {
+  PlannerWorld W;
+  for (const char *Id : {"s1", "s2", "s3", "s4"}) {
+    W.m_World.addServer(Id, 4);
+    W.list(Id, "desk");
+  }
+  for (const char *Id : {"r1", "r2", "r3"})
+    W.list(Id, "reserve");
+  W.addLastingJob();
+  W.m_World.addJob("j", {SchedulerWorld::step(8)});
+  W.m_World.tick();
+  W.addWave({InstanceId("on-s1"), InstanceId("on-s2")}, 2);
+  W.plan();
+  std::size_t Fetched = 0;
+  for (const InstanceOrder &Order : W.plan())
+    Fetched += Order.isMove() && Order.m_To == PoolName("desk");
+  CHECK(Fetched >= 2u);
+}
+
 // Found by the soak (seed 6): the adviser allowed a step on none of the pool's
 // servers, and the job waited for good beside a reserve of others.
 TEST(FleetPlanner, CallsAnotherInstanceIfTheAdviserAllowsNoneOfThePool) {
