Take twins and dead state out of the scheduling core

Cause, found by reading the change: the look-up of a job's queue stood three times, the first run of a job was noted in two places beside markDone, a step's ID was put together in five. releaseRun had a pause that was always 0, ActiveRun::m_OrderedAt and ServerState::m_WantsLook were read by nobody, and with them went the time that stops were given. mayMove answered and counted. Change: policyOf, JobBook::markStarted, LiveJob::stepId; watchProgress counts what it moves; the parameters and fields are gone. FleetPlanner::plan has no default that only its tests used. No change of behaviour.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -138,7 +138,7 @@
   JobId Id(Row.m_At.m_Key);
   if (Row.m_Removed) {
     m_OverSince[Id.m_Text] = wallNow();
-    m_Core->onJobOver(Id, m_Loop.now());
+    m_Core->onJobOver(Id);
     return;
   }
   auto Job = decodeJob(Row.m_Value);
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -68,7 +68,7 @@
   void onInstances(TimePoint Asked);
   /// The orders that are due now, at most \p AtOnce.
   std::vector<InstanceOrder> plan(TimePoint Now, std::chrono::milliseconds Wall,
-                                  std::size_t AtOnce = 12);
+                                  std::size_t AtOnce);
   void onOrderResult(const InstanceOrder &Order, InstanceOrderResult R,
                      TimePoint Now);
   /// Waves whose progress is not recorded yet.
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -43,7 +43,7 @@
     m_Planner->onInstances(m_World.m_Now);
   }
   std::vector<InstanceOrder> plan() {
-    return m_Planner->plan(m_World.m_Now, m_World.wall());
+    return m_Planner->plan(m_World.m_Now, m_World.wall(), 12);
   }
   void addWave(std::vector<InstanceId> Instances, std::uint32_t AtOnce,
                std::chrono::milliseconds Within = 60s) {
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -150,7 +150,7 @@
   KeptTask Kept = keptTask(*S);
   // More of a step run here than may be away: they leave one by one.
   if (Kept.m_ToRelocate)
-    m_Core.relocate(S->m_Registration.m_Id, *Kept.m_ToRelocate, Now);
+    m_Core.relocate(S->m_Registration.m_Id, *Kept.m_ToRelocate);
   return Kept.m_Why;
 }
 
--- a/src/scheduling/AdviceBook.cpp
+++ b/src/scheduling/AdviceBook.cpp
@@ -121,7 +121,7 @@
 }
 
 void AdviceBook::onReply(const AdviceOrder &Order, const AdviceReply &Reply,
-                         ServerBook &Servers, TimePoint Now) {
+                         const ServerBook &Servers, TimePoint Now) {
   auto It = m_Steps.find(Order.m_Step);
   // The job may be over by now.
   if (It == m_Steps.end())
--- a/src/scheduling/AdviceBook.h
+++ b/src/scheduling/AdviceBook.h
@@ -42,9 +42,9 @@
   /// Notes a call and says how long to wait for its answer.
   Duration noteAsked(const AdviceOrder &Order, const AdvicePolicy &Policy,
                      TimePoint Now);
-  /// \p Born tells the life that a server has now.
+  /// Tickets are good for the lives that \p Servers have now.
   void onReply(const AdviceOrder &Order, const AdviceReply &Reply,
-               ServerBook &Servers, TimePoint Now);
+               const ServerBook &Servers, TimePoint Now);
   /// The call was refused or not answered.
   void onFailure(const AdviceOrder &Order, TimePoint Now);
 
--- a/src/scheduling/AdviceTest.cpp
+++ b/src/scheduling/AdviceTest.cpp
@@ -146,7 +146,7 @@
   for (const char *Id : {"a", "b", "c"})
     W.addJob(Id, {W.step(1)});
   W.tick();
-  W.m_Core->onJobOver(JobId("a"), W.m_Now);
+  W.m_Core->onJobOver(JobId("a"));
   W.tick();
   CHECK_EQUAL(3u, W.m_Orders.m_Advice.size());
   // The late answer of the cancelled job's call changes nothing.
--- a/src/scheduling/JobBook.cpp
+++ b/src/scheduling/JobBook.cpp
@@ -139,6 +139,14 @@
   }
 }
 
+bool JobBook::markStarted(LiveJob &Job) {
+  if (Job.m_State != JobState::Queued)
+    return false;
+  Job.m_State = JobState::Running;
+  touch(Job);
+  return true;
+}
+
 bool JobBook::markDone(LiveJob &Job, const TaskId &Id) {
   TaskState *T = Job.task(Id);
   if (!T || T->m_Done)
@@ -157,8 +165,8 @@
   }
   if (Job.m_OccurrencesDone == Job.m_Spec.occurrences())
     Job.m_State = JobState::Completed;
-  else if (Job.m_State == JobState::Queued)
-    Job.m_State = JobState::Running;
+  else
+    markStarted(Job);
   touch(Job);
   return true;
 }
--- a/src/scheduling/JobBook.h
+++ b/src/scheduling/JobBook.h
@@ -85,6 +85,9 @@
   std::uint64_t m_Change = 0;
   std::uint64_t m_RecordedChange = 0;
 
+  StepId stepId(const ReadyTask &Task) const {
+    return {m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
+  }
   bool hasStarted() const { return m_State != JobState::Queued; }
   TaskState *task(const TaskId &Id);
   StepState *step(std::uint32_t Occurrence, std::uint32_t Step);
@@ -107,6 +110,8 @@
   /// anything new to start.
   bool releaseDue(std::chrono::milliseconds Wall);
 
+  /// Notes that a task of the job has a run. Returns whether it is the first.
+  bool markStarted(LiveJob &Job);
   /// Marks the task done, releases what waited for it, and completes the job
   /// with its last task. Returns false if it was done already.
   bool markDone(LiveJob &Job, const TaskId &Id);
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -95,7 +95,7 @@
   for (const Pending &P : m_Batch)
     if (LiveJob *Job = m_Core.jobs().find(P.m_Job))
       m_Core.jobs().touch(*Job);
-  onConflicts(Outcome.value().m_Conflicts, Now);
+  onConflicts(Outcome.value().m_Conflicts);
 }
 
 void ProgressWriter::onFailed(const Error &Why, TimePoint Now) {
@@ -130,13 +130,12 @@
          {"state", P.m_State == JobState::Completed ? "completed" : "failed"},
          {"took_ms", std::to_string((Now - Job->m_AcceptedAt) /
                                     std::chrono::milliseconds(1))}});
-    m_Core.onJobOver(P.m_Job, Now);
+    m_Core.onJobOver(P.m_Job);
   }
   m_Core.onRecorded(Now);
 }
 
-void ProgressWriter::onConflicts(const std::vector<StoredRow> &Rows,
-                                 TimePoint Now) {
+void ProgressWriter::onConflicts(const std::vector<StoredRow> &Rows) {
   for (const StoredRow &Row : Rows) {
     JobId Id(Row.m_At.m_Key);
     LiveJob *Job = m_Core.jobs().find(Id);
@@ -146,13 +145,13 @@
     // Cancelled by a caller, or ended by an earlier write of ours whose answer
     // was lost.
     if (Row.m_Version == 0 || !Stored || isFinal(Stored.value().m_State)) {
-      m_Core.onJobOver(Id, Now);
+      m_Core.onJobOver(Id);
       continue;
     }
     // An earlier leader's last record, or ours whose answer was lost: ends in
     // it may be forgotten by their servers.
     Job->m_StateVersion = Row.m_Version;
-    m_Core.onRecordedElsewhere(*Job, Stored.value(), Now);
+    m_Core.onRecordedElsewhere(*Job, Stored.value());
   }
 }
 
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -34,7 +34,7 @@
   bool isUrgent() const;
   void onCommitted(RowVersion Version, TimePoint Now);
   void onFailed(const Error &Why, TimePoint Now);
-  void onConflicts(const std::vector<StoredRow> &Rows, TimePoint Now);
+  void onConflicts(const std::vector<StoredRow> &Rows);
 
   struct Pending {
     JobId m_Job;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -75,11 +75,11 @@
   }
 }
 
-void Scheduler::onJobOver(const JobId &Id, TimePoint Now) {
+void Scheduler::onJobOver(const JobId &Id) {
   LiveJob *Job = m_Jobs.find(Id);
   if (!Job)
     return;
-  stopRuns(*Job, Now);
+  stopRuns(*Job);
   m_Advice.forget(Id);
   m_Jobs.remove(Id);
 }
@@ -145,14 +145,13 @@
   }
 }
 
-void Scheduler::onRecordedElsewhere(LiveJob &Job, const JobProgress &Stored,
-                                    TimePoint Now) {
+void Scheduler::onRecordedElsewhere(LiveJob &Job, const JobProgress &Stored) {
   const JobId &Id = Job.m_Spec.m_Id;
   for (const auto &[Where, Bits] : Stored.m_Done)
     for (std::uint32_t I = 0; I < Bits.size(); ++I) {
       TaskId Task{Id, Where.first, Where.second, I};
       if (Bits[I] && m_Jobs.markDone(Job, Task))
-        stopOtherRuns(Job, Task, Now);
+        stopOtherRuns(Job, Task);
     }
   for (const auto &[Where, Runs] : Stored.m_Failures)
     for (std::uint32_t Run : Runs) {
@@ -190,7 +189,8 @@
   expireLeases(Now);
   if (m_Config && !m_Deposed)
     placeReady(Now);
-  lookWhereDue(Now, !m_Deposed);
+  if (!m_Deposed)
+    lookWhereDue(Now);
 }
 
 void Scheduler::expireLeases(TimePoint Now) {
@@ -210,9 +210,7 @@
     m_Servers.erase(Id);
 }
 
-void Scheduler::lookWhereDue(TimePoint Now, bool MayExtend) {
-  if (!MayExtend)
-    return;
+void Scheduler::lookWhereDue(TimePoint Now) {
   for (auto &[Id, S] : m_Servers.all()) {
     if (S.m_LookPending || Now < S.m_NextLook)
       continue;
@@ -326,7 +324,7 @@
     if (End.m_Number > S->m_EndsSeen)
       endRun(*S, End, Now);
   checkListed(*S, Reply, Now);
-  watchSpeed(*S, Now);
+  watchProgress(*S, Now);
   for (const PaceOrder &Pace : adjustPaces(*S, m_Options.m_Term, Now)) {
     ++m_Counters.m_Paces;
     m_Orders.pace(Pace);
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -90,11 +90,11 @@
   void onJob(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
              RowVersion State, TimePoint Now, std::chrono::milliseconds Wall);
   /// The job is over; whatever runs of it is stopped.
-  void onJobOver(const JobId &Id, TimePoint Now);
+  void onJobOver(const JobId &Id);
   void onServer(const ServerRegistration &R, TimePoint Now);
   void onServerGone(const ServerId &Id, TimePoint Now);
   /// Ends a run so that its task starts on another server.
-  void relocate(const ServerId &Server, const RunId &Run, TimePoint Now);
+  void relocate(const ServerId &Server, const RunId &Run);
   /// The server may have ended; nothing is started there until a look answers.
   void suspect(const ServerId &Id, TimePoint Now);
   /// The server's instance was moved or taken down: nothing runs there.
@@ -112,8 +112,7 @@
   void onAdvice(const AdviceOrder &Order, const Result<AdviceReply> &Reply,
                 TimePoint Now);
   /// The job's state row holds more than was known.
-  void onRecordedElsewhere(LiveJob &Job, const JobProgress &Stored,
-                           TimePoint Now);
+  void onRecordedElsewhere(LiveJob &Job, const JobProgress &Stored);
   /// Changes of jobs have been recorded: ends may now be acknowledged.
   void onRecorded(TimePoint Now);
 
@@ -151,12 +150,11 @@
   void countServerFailure(ServerState &S, TimePoint Now);
   void checkListed(ServerState &S, const LookReply &Reply, TimePoint Now);
   void adoptOrStop(ServerState &S, const RunReport &Report, TimePoint Now);
-  void releaseRun(ServerState &S, const RunId &Id, Duration Pause,
-                  TimePoint Now);
+  void releaseRun(ServerState &S, const RunId &Id, TimePoint Now);
   void releaseAllRuns(ServerState &S, const char *Why, TimePoint Now);
-  void orderStop(ServerState &S, const RunId &Id, TimePoint Now);
-  void stopOtherRuns(const LiveJob &Job, const TaskId &Task, TimePoint Now);
-  void stopRuns(const LiveJob &Job, TimePoint Now);
+  void orderStop(ServerState &S, const RunId &Id);
+  void stopOtherRuns(const LiveJob &Job, const TaskId &Task);
+  void stopRuns(const LiveJob &Job);
   void checkLife(ServerState &S, const StartReply &Reply, TimePoint Now);
   /// The server has another life than the books say. Its runs are compared
   /// with its list next, which shows those that are on the new life already.
@@ -206,14 +204,16 @@
   bool hasServerFor(const LiveJob &Job, const ReadyTask &Task) const;
 
   // Advice (SchedulerAdvice.cpp).
+  /// The policy of the job's queue; null if the queue is no longer there.
+  const QueuePolicy *policyOf(const LiveJob &Job) const;
   const AdvicePolicy *advicePolicy(const LiveJob &Job) const;
   void askAdvice(LiveJob &Job, const PoolRoom &Room, TimePoint Now);
 
   // Servers whose tasks stand still (SchedulerStragglers.cpp).
-  void watchSpeed(ServerState &S, TimePoint Now);
+  void watchProgress(ServerState &S, TimePoint Now);
   bool mayMove(const RunId &Id, const ServerState &From, TimePoint Now);
 
-  void lookWhereDue(TimePoint Now, bool MayExtend);
+  void lookWhereDue(TimePoint Now);
   void sendLook(ServerState &S, TimePoint Now);
   static std::chrono::milliseconds lookWait(const ServerState &S);
   Duration lookSpacing() const;
--- a/src/scheduling/SchedulerAdvice.cpp
+++ b/src/scheduling/SchedulerAdvice.cpp
@@ -22,8 +22,7 @@
 } // namespace
 
 const AdvicePolicy *Scheduler::advicePolicy(const LiveJob &Job) const {
-  const QueuePolicy *Q =
-      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+  const QueuePolicy *Q = policyOf(Job);
   return Q && Q->m_Advice ? &*Q->m_Advice : nullptr;
 }
 
@@ -32,7 +31,7 @@
   if (!Policy || Job.m_Ready.empty())
     return;
   const ReadyTask &First = Job.m_Ready.front();
-  StepId Step{Job.m_Spec.m_Id, First.m_Occurrence, First.m_Step};
+  StepId Step = Job.stepId(First);
   if (!m_Advice.mayAsk(Step, Now))
     return;
   auto Tasks = static_cast<std::size_t>(std::count_if(
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -13,9 +13,12 @@
 
 } // namespace
 
+const QueuePolicy *Scheduler::policyOf(const LiveJob &Job) const {
+  return m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+}
+
 PoolName Scheduler::poolOf(const LiveJob &Job) const {
-  const QueuePolicy *Q =
-      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+  const QueuePolicy *Q = policyOf(Job);
   return Q ? Q->m_Pool : Job.m_Spec.m_Pool;
 }
 
@@ -52,7 +55,7 @@
 
 bool Scheduler::hasServerFor(const LiveJob &Job, const ReadyTask &Task) const {
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
-  const StepId Id{Job.m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
+  const StepId Id = Job.stepId(Task);
   PoolName Pool = poolOf(Job);
   return std::any_of(
       m_Servers.all().begin(), m_Servers.all().end(), [&](const auto &E) {
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -26,7 +26,7 @@
   if (!hasServerFor(*Job, First))
     return "no server of pool " + Pool.m_Text + " may run it";
   Resources Need = chargeOf(Job->m_Spec.m_Steps[First.m_Step]);
-  const StepId Step{Id, First.m_Occurrence, First.m_Step};
+  const StepId Step = Job->stepId(First);
   std::size_t Usable = 0, WithRoom = 0, WithTicket = 0;
   for (const auto &[ServerName, S] : m_Servers.all()) {
     if (S.m_Registration.m_Pool != Pool || !isUsable(S, Now))
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -71,8 +71,7 @@
 }
 
 void Scheduler::setObjective(LiveJob &Job) const {
-  const QueuePolicy *Q =
-      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+  const QueuePolicy *Q = policyOf(Job);
   if (Q) {
     Job.m_Attempts = Q->m_Attempts;
     Job.m_Priority = Q->m_Priority;
@@ -310,7 +309,7 @@
   Resources Need = chargeOf(Job.m_Spec.m_Steps[Task.m_Step]);
   if (!Need.fitsIn(Room.m_Most))
     return nullptr;
-  const StepId Step{Job.m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
+  const StepId Step = Job.stepId(Task);
   bool NeedsTicket = advicePolicy(Job) != nullptr;
   ServerState *Best = nullptr;
   Placement BestRating;
@@ -354,28 +353,23 @@
           .count();
   ServerBook::noteLease(S, Now, m_Options.m_Lease);
   if (advicePolicy(Job))
-    if (const std::string *Ticket = m_Advice.ticket(
-            {Job.m_Spec.m_Id, Task.m_Occurrence, Task.m_Step}, S, Now))
+    if (const std::string *Ticket = m_Advice.ticket(Job.stepId(Task), S, Now))
       Order.m_Ticket = *Ticket;
   ActiveRun Run;
   describeRun(Run, Step);
-  Run.m_OrderedAt = Now;
   if (T.m_Saved.empty())
     Run.m_WatchedSince = Run.m_PercentAt = Now;
   ServerBook::addRun(S, Order.m_Run, Run);
   T.m_Ready = false;
   T.m_LastRun = RunNumber;
   T.m_Runs.push_back({S.m_Registration.m_Id, RunNumber});
-  if (Job.m_State == JobState::Queued) {
-    Job.m_State = JobState::Running;
-    m_Jobs.touch(Job);
+  if (m_Jobs.markStarted(Job))
     logEvent(Event::JobStarted,
              {{"job", Job.m_Spec.m_Id.m_Text},
               {"server", S.m_Registration.m_Id.m_Text},
               {"waited_ms", std::to_string((Now - Job.m_AcceptedAt) /
                                            std::chrono::milliseconds(1))},
               {"term", std::to_string(m_Options.m_Term)}});
-  }
   ++m_Counters.m_Starts;
   m_Orders.start(Order);
 }
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -121,7 +121,7 @@
   case OrderResult::Fenced:
     break;
   }
-  releaseRun(*S, Order.m_Run, Duration(0), Now);
+  releaseRun(*S, Order.m_Run, Now);
 }
 
 void Scheduler::onStopResult(const StopOrder &Order, OrderResult R,
@@ -146,43 +146,39 @@
   }
 }
 
-void Scheduler::orderStop(ServerState &S, const RunId &Id, TimePoint Now) {
+void Scheduler::orderStop(ServerState &S, const RunId &Id) {
   auto It = S.m_Runs.find(Id);
   if (It == S.m_Runs.end() || It->second.m_StopPending)
     return;
   It->second.m_Phase = RunPhase::Stopping;
   It->second.m_StopPending = true;
-  It->second.m_OrderedAt = Now;
   It->second.m_ConfirmedAt = TimePoint::max();
   ++m_Counters.m_Stops;
   m_Orders.stop({S.address(), Id, m_Options.m_Term});
 }
 
-void Scheduler::relocate(const ServerId &Server, const RunId &Run,
-                         TimePoint Now) {
+void Scheduler::relocate(const ServerId &Server, const RunId &Run) {
   if (ServerState *S = m_Servers.find(Server))
-    orderStop(*S, Run, Now);
+    orderStop(*S, Run);
 }
 
-void Scheduler::stopRuns(const LiveJob &Job, TimePoint Now) {
+void Scheduler::stopRuns(const LiveJob &Job) {
   for (const auto &[Number, O] : Job.m_Occurrences)
     for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N)
       for (std::uint32_t I = 0; I < O.m_Steps[N].m_Tasks.size(); ++I)
         for (const RunPlace &P : O.m_Steps[N].m_Tasks[I].m_Runs)
           if (ServerState *S = m_Servers.find(P.m_Server))
-            orderStop(*S, {{Job.m_Spec.m_Id, Number, N, I}, P.m_Number}, Now);
+            orderStop(*S, {{Job.m_Spec.m_Id, Number, N, I}, P.m_Number});
 }
 
-void Scheduler::stopOtherRuns(const LiveJob &Job, const TaskId &Task,
-                              TimePoint Now) {
+void Scheduler::stopOtherRuns(const LiveJob &Job, const TaskId &Task) {
   if (const TaskState *T = const_cast<LiveJob &>(Job).task(Task))
     for (const RunPlace &P : T->m_Runs)
       if (ServerState *S = m_Servers.find(P.m_Server))
-        orderStop(*S, {Task, P.m_Number}, Now);
+        orderStop(*S, {Task, P.m_Number});
 }
 
-void Scheduler::releaseRun(ServerState &S, const RunId &Id, Duration Pause,
-                           TimePoint Now) {
+void Scheduler::releaseRun(ServerState &S, const RunId &Id, TimePoint Now) {
   ServerBook::removeRun(S, Id);
   LiveJob *Job = m_Jobs.find(Id.m_Task.m_Job);
   TaskState *T = Job ? Job->task(Id.m_Task) : nullptr;
@@ -193,7 +189,7 @@
                               {"server", S.m_Registration.m_Id.m_Text},
                               {"end", "not_there"}});
   if (!isFinal(Job->m_State))
-    m_Jobs.requeue(*Job, Id.m_Task, Now + Pause);
+    m_Jobs.requeue(*Job, Id.m_Task, Now);
 }
 
 void Scheduler::releaseAllRuns(ServerState &S, const char *Why, TimePoint Now) {
@@ -203,7 +199,7 @@
                                {"why", Why}});
   while (!S.m_Runs.empty()) {
     RunId Id = S.m_Runs.begin()->first;
-    releaseRun(S, Id, Duration(0), Now);
+    releaseRun(S, Id, Now);
   }
 }
 
@@ -245,14 +241,14 @@
           m_Jobs.markDone(*Job,
                           {Task.m_Job, Task.m_Occurrence, Task.m_Step, I});
       } else if (m_Jobs.markDone(*Job, Task)) {
-        stopOtherRuns(*Job, Task, Now);
+        stopOtherRuns(*Job, Task);
       }
       Change = ++Job->m_Change;
     } else if (End.m_Kind == EndKind::Failed && !Step.m_Lasting) {
       if (m_Jobs.markFailed(*Job, Task, End.m_Run.m_Number))
         Change = ++Job->m_Change;
       if (Job->m_State == JobState::Failed)
-        stopRuns(*Job, Now);
+        stopRuns(*Job);
     } else if (Step.m_Lasting) {
       Pause = LastingRestartPause;
     }
@@ -303,7 +299,7 @@
     }
     if (Run.m_Phase == RunPhase::Stopping && !Run.m_StopPending &&
         Run.m_ConfirmedAt == TimePoint::max())
-      orderStop(S, Report.m_Run, Now);
+      orderStop(S, Report.m_Run);
   }
   std::vector<RunId> Gone, Unsure;
   for (const auto &[Id, Run] : S.m_Runs) {
@@ -317,9 +313,9 @@
       Unsure.push_back(Id);
   }
   for (const RunId &Id : Gone)
-    releaseRun(S, Id, Duration(0), Now);
+    releaseRun(S, Id, Now);
   for (const RunId &Id : Unsure)
-    orderStop(S, Id, Now);
+    orderStop(S, Id);
 }
 
 void Scheduler::adoptOrStop(ServerState &S, const RunReport &Report,
@@ -340,17 +336,14 @@
   if (!Wanted) {
     if (T)
       T->m_Runs.push_back({S.m_Registration.m_Id, Report.m_Run.m_Number});
-    orderStop(S, Report.m_Run, Now);
+    orderStop(S, Report.m_Run);
     return;
   }
   ++m_Counters.m_Adopted;
   T->m_Runs.push_back({S.m_Registration.m_Id, Report.m_Run.m_Number});
   T->m_LastRun = std::max(T->m_LastRun, Report.m_Run.m_Number);
   Job->unready(Task);
-  if (Job->m_State == JobState::Queued) {
-    Job->m_State = JobState::Running;
-    m_Jobs.touch(*Job);
-  }
+  m_Jobs.markStarted(*Job);
 }
 
 } // namespace pollenspool
--- a/src/scheduling/SchedulerStragglers.cpp
+++ b/src/scheduling/SchedulerStragglers.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-void Scheduler::watchSpeed(ServerState &S, TimePoint Now) {
+void Scheduler::watchProgress(ServerState &S, TimePoint Now) {
   if (!standsStill(S, Now))
     return;
   if (!S.m_OnProbation)
@@ -32,7 +32,8 @@
       Moved.push_back(Id);
   for (const RunId &Id : Moved) {
     ++m_Counters.m_Moved;
-    orderStop(S, Id, Now);
+    ++m_Jobs.find(Id.m_Task.m_Job)->task(Id.m_Task)->m_Moves;
+    orderStop(S, Id);
   }
 }
 
@@ -47,7 +48,7 @@
     return false;
   const ReadyTask Where{Task.m_Occurrence, Task.m_Step, Task.m_Index};
   Resources Need = chargeOf(Job->m_Spec.m_Steps[Task.m_Step]);
-  bool HasRoom = std::any_of(
+  return std::any_of(
       m_Servers.all().begin(), m_Servers.all().end(), [&](const auto &E) {
         const ServerState &S = E.second;
         return &S != &From &&
@@ -55,8 +56,6 @@
                !S.m_OnProbation && isUsable(S, Now) &&
                canTake(S, *Job, Where, Need, {});
       });
-  T->m_Moves += HasRoom;
-  return HasRoom;
 }
 
 } // namespace pollenspool
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -190,7 +190,7 @@
   W.tick();
   W.answerStart(0);
   W.answerStart(1);
-  W.m_Core->onJobOver(JobId("j"), W.m_Now);
+  W.m_Core->onJobOver(JobId("j"));
   CHECK_EQUAL(2u, W.m_Orders.m_Stops.size());
 }
 
@@ -267,7 +267,7 @@
   W.addJob("j", {W.step(1), W.step(1, {0})});
   JobProgress Stored;
   Stored.m_Done[{0, 0}] = {true};
-  W.m_Core->onRecordedElsewhere(W.job("j"), Stored, W.m_Now);
+  W.m_Core->onRecordedElsewhere(W.job("j"), Stored);
   W.tick();
   CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
   CHECK_EQUAL(1u, W.m_Orders.m_Starts[0].m_Run.m_Task.m_Step);
--- a/src/scheduling/ServerBook.h
+++ b/src/scheduling/ServerBook.h
@@ -26,7 +26,6 @@
   Resources m_Charge;
   bool m_Lasting = false;
   bool m_Fills = false;
-  TimePoint m_OrderedAt{};
   /// When the server's answer to the last order arrived; a look sent later has
   /// to show the run.
   TimePoint m_ConfirmedAt = TimePoint::max();
@@ -73,8 +72,6 @@
   bool m_LookPending = false;
   TimePoint m_LookSentAt{};
   TimePoint m_NextLook{};
-  /// Whether anything makes a next look necessary.
-  bool m_WantsLook = true;
 
   std::uint64_t m_EndsSeen = 0;
   /// Ends that are not yet recorded, in their order.
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -434,7 +434,7 @@
   m_Clock.after(milliseconds(5), [this, Id] {
     for (auto &L : m_Leaders)
       if (L->m_Alive && !L->m_ReplacedAt)
-        L->m_Core->onJobOver(Id, m_Clock.m_Now);
+        L->m_Core->onJobOver(Id);
   });
 }
 
