Measure a pool's room once a job, not once a start

Cause, found by reading the change: each start scanned all servers of its pool again for the bounds that only spare searches. Starts lessen the room, so bounds taken before them still hold. Change: the bounds are taken anew after each job's placements.

--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -172,8 +172,8 @@
   void placeReady(TimePoint Now);
   void placePool(const PoolName &Pool, std::vector<LiveJob *> &Jobs,
                  TimePoint Now);
-  void placeTasks(LiveJob &Job, PoolRoom &Room, TimePoint Now);
-  bool placeGang(LiveJob &Job, const ReadyTask &First, PoolRoom &Room,
+  void placeTasks(LiveJob &Job, const PoolRoom &Room, TimePoint Now);
+  bool placeGang(LiveJob &Job, const ReadyTask &First, const PoolRoom &Room,
                  TimePoint Now);
   /// The members of a gang that have found their places so far.
   using Company = std::vector<const ServerState *>;
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -146,8 +146,11 @@
            std::tie(RankB, PriorityB, ObjectiveB, JobB->m_Spec.m_Id);
   });
   for (const auto &[R, Priority, Objective, Job] : Order) {
-    if (mayFit(*Job, Room))
+    if (mayFit(*Job, Room)) {
       placeTasks(*Job, Room, Now);
+      // Starts only lessen the room, so the bounds held meanwhile.
+      Room.measure();
+    }
     askAdvice(*Job, Room, Now);
   }
 }
@@ -164,7 +167,7 @@
   return false;
 }
 
-void Scheduler::placeTasks(LiveJob &Job, PoolRoom &Room, TimePoint Now) {
+void Scheduler::placeTasks(LiveJob &Job, const PoolRoom &Room, TimePoint Now) {
   std::vector<ReadyTask> Left;
   std::vector<ReadyTask> Tasks = std::move(Job.m_Ready);
   Job.m_Ready.clear();
@@ -191,15 +194,14 @@
       continue;
     }
     start(Job, R, *S, nextRunNumber(T), Now);
-    Room.measure();
   }
   for (const ReadyTask &R : Left)
     if (Job.step(R.m_Occurrence, R.m_Step)->m_Tasks[R.m_Index].m_Ready)
       Job.m_Ready.push_back(R);
 }
 
-bool Scheduler::placeGang(LiveJob &Job, const ReadyTask &First, PoolRoom &Room,
-                          TimePoint Now) {
+bool Scheduler::placeGang(LiveJob &Job, const ReadyTask &First,
+                          const PoolRoom &Room, TimePoint Now) {
   StepState &Step = *Job.step(First.m_Occurrence, First.m_Step);
   std::uint32_t Number = 0;
   for (const TaskState &T : Step.m_Tasks) {
@@ -228,7 +230,6 @@
     return false;
   for (auto &[R, S] : Plan)
     start(Job, R, *S, Number, Now);
-  Room.measure();
   return true;
 }
 
