Guard the leader's continuations in one place

Cause, found by reading the change: eight continuations of a leader began with the same check that its term goes on; the time that a call may take stood in three files; and how long announcements of orders are kept was a second constant beside the wait that it has to cover, so that one could change without the other. Change: whileLeading wraps a continuation; PlatformCallTimeout stands with the ports; RecentOrders derives what it keeps from the longest wait.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Duration CallTimeout = std::chrono::milliseconds(800);
 /// How long one call of the lead feed may wait: an answer without a change is
 /// the proof that the store answers and the leader is silent.
 constexpr Duration FeedWait = std::chrono::milliseconds(400);
@@ -137,7 +136,7 @@
   if (!Txn)
     return;
   m_Ports.m_Store.commit(
-      *Txn, CallTimeout,
+      *Txn, PlatformCallTimeout,
       [this, Sent = m_Loop.now()](Result<CommitOutcome> Outcome) {
         m_Lead.onTakeOverResult(Outcome, Sent, m_Loop.now());
         if (!m_Lead.isLeading() || m_Leader)
@@ -162,7 +161,7 @@
   Row.m_IsBehind =
       m_TimerDelay.isBehind(m_Loop.now()) || m_Leader->areOrdersLate();
   m_Ports.m_Store.commit(
-      m_Lead.renew(std::move(Row), m_Loop.now()), CallTimeout,
+      m_Lead.renew(std::move(Row), m_Loop.now()), PlatformCallTimeout,
       [this, Sent = m_Loop.now()](Result<CommitOutcome> Outcome) {
         m_Lead.onRenewResult(Outcome, Sent);
         if (!Outcome)
@@ -195,7 +194,7 @@
   if (!Offer)
     return;
   m_Ports.m_Store.commit(
-      *Offer, CallTimeout,
+      *Offer, PlatformCallTimeout,
       [Term = m_Lead.term()](const Result<CommitOutcome> &Outcome) {
         const char *Result = !Outcome ? "unknown"
                              : Outcome.value().m_Committed
@@ -210,10 +209,11 @@
   // No order is given after the term has been given up.
   RowTransaction Release = m_Lead.release(m_Loop.now());
   stopLeading(Why);
-  m_Ports.m_Store.commit(Release, CallTimeout, [](Result<CommitOutcome> R) {
-    if (!R)
-      logEvent(Event::TermUnconfirmed, {{"error", R.error().describe()}});
-  });
+  m_Ports.m_Store.commit(
+      Release, PlatformCallTimeout, [](Result<CommitOutcome> R) {
+        if (!R)
+          logEvent(Event::TermUnconfirmed, {{"error", R.error().describe()}});
+      });
 }
 
 bool Entry::isReady() const {
--- a/src/entry/EntryPorts.h
+++ b/src/entry/EntryPorts.h
@@ -12,6 +12,10 @@
 
 namespace pollenspool {
 
+/// How long one call of the platform may take. It answers in a few
+/// milliseconds, and 70 times that when slow.
+inline constexpr Duration PlatformCallTimeout = std::chrono::milliseconds(800);
+
 /// Results of the scheduler's orders. \see SchedulerOrders.
 class OrderResults {
 public:
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -10,7 +10,6 @@
 
 /// Rows asked for in one call: the store's own limit.
 constexpr std::size_t PageRows = 500;
-constexpr Duration CallTimeout = std::chrono::milliseconds(800);
 constexpr Duration RetryPause = std::chrono::milliseconds(100);
 /// How long one call of a feed may wait.
 constexpr Duration FeedWait = std::chrono::milliseconds(1000);
@@ -82,22 +81,18 @@
 void Leader::readUntilAnswered(const RowAddress &From, std::size_t Limit,
                                std::function<void(RowPage &)> Then) {
   m_Ports.m_Store.read(
-      From, Limit, CallTimeout,
-      [Weak = weak_from_this(), From, Limit,
-       Then = std::move(Then)](Result<RowPage> Page) {
-        auto Self = Weak.lock();
-        if (!Self || Self->m_Stopped)
-          return;
-        if (Page)
-          return Then(Page.value());
-        logEvent(Event::ReadFailed, {{"table", From.m_Table},
-                                     {"part", From.m_Part},
-                                     {"error", Page.error().describe()}});
-        Self->m_Loop.after(RetryPause, [Weak, From, Limit, Then] {
-          if (auto Again = Weak.lock(); Again && !Again->m_Stopped)
-            Again->readUntilAnswered(From, Limit, Then);
-        });
-      });
+      From, Limit, PlatformCallTimeout,
+      whileLeading(
+          [this, From, Limit, Then = std::move(Then)](Result<RowPage> Page) {
+            if (Page)
+              return Then(Page.value());
+            logEvent(Event::ReadFailed, {{"table", From.m_Table},
+                                         {"part", From.m_Part},
+                                         {"error", Page.error().describe()}});
+            m_Loop.after(RetryPause, whileLeading([this, From, Limit, Then] {
+                           readUntilAnswered(From, Limit, Then);
+                         }));
+          }));
 }
 
 void Leader::readStates(const RowAddress &From) {
@@ -166,19 +161,16 @@
 void Leader::listInstances() {
   m_ListPending = true;
   m_Ports.m_Instances.list(
-      CallTimeout, [Weak = weak_from_this(), Asked = m_Loop.now()](
+      PlatformCallTimeout,
+      whileLeading([this, Asked = m_Loop.now()](
                        Result<std::vector<InstanceListing>> List) {
-        auto Self = Weak.lock();
-        if (!Self || Self->m_Stopped)
-          return;
-        Self->m_ListPending = false;
-        Self->m_NextList = Self->m_Loop.now() + ListEvery;
+        m_ListPending = false;
+        m_NextList = m_Loop.now() + ListEvery;
         if (!List)
           return;
-        Self->m_Core->onInstances(std::move(List.value()), Asked,
-                                  Self->m_Loop.now());
-        Self->m_Planner->onInstances(Asked);
-      });
+        m_Core->onInstances(std::move(List.value()), Asked, m_Loop.now());
+        m_Planner->onInstances(Asked);
+      }));
 }
 
 void Leader::onConfig(std::shared_ptr<const ServingConfig> Config) {
@@ -190,13 +182,10 @@
   if (m_Ticking)
     return;
   m_Ticking = true;
-  m_Loop.after(TickDelay, [Weak = weak_from_this()] {
-    auto Self = Weak.lock();
-    if (!Self || Self->m_Stopped)
-      return;
-    Self->m_Ticking = false;
-    Self->decide();
-  });
+  m_Loop.after(TickDelay, whileLeading([this] {
+                 m_Ticking = false;
+                 decide();
+               }));
 }
 
 void Leader::tick(Duration Lag) {
@@ -229,14 +218,11 @@
   if (!Txn)
     return;
   m_Ports.m_Store.commit(
-      *Txn, CallTimeout,
-      [Weak = weak_from_this()](Result<CommitOutcome> Outcome) {
-        auto Self = Weak.lock();
-        if (!Self || Self->m_Stopped)
-          return;
-        Self->m_Writer->onResult(Outcome, Self->m_Loop.now());
-        Self->tickSoon();
-      });
+      *Txn, PlatformCallTimeout,
+      whileLeading([this](const Result<CommitOutcome> &Outcome) {
+        m_Writer->onResult(Outcome, m_Loop.now());
+        tickSoon();
+      }));
 }
 
 void Leader::removeOldStates() {
@@ -259,11 +245,13 @@
   }
   if (Txn.m_Removes.empty())
     return;
-  m_Ports.m_Store.commit(Txn, CallTimeout, [](Result<CommitOutcome> Outcome) {
-    // Rows that stay are found again by the next leader.
-    if (!Outcome)
-      logEvent(Event::RecordFailed, {{"error", Outcome.error().describe()}});
-  });
+  m_Ports.m_Store.commit(Txn, PlatformCallTimeout,
+                         [](Result<CommitOutcome> Outcome) {
+                           // Rows that stay are found again by the next leader.
+                           if (!Outcome)
+                             logEvent(Event::RecordFailed,
+                                      {{"error", Outcome.error().describe()}});
+                         });
 }
 
 bool Leader::isDeposed() const { return m_Core->isDeposed(); }
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -54,6 +54,15 @@
                 const Result<AdviceReply> &Reply) override;
 
 private:
+  /// \p Then, but nothing happens any more once this term has been stopped.
+  template <typename F> auto whileLeading(F Then) {
+    return [Weak = weak_from_this(), Then = std::move(Then)](auto &&...Args) {
+      auto Self = Weak.lock();
+      if (Self && !Self->m_Stopped)
+        Then(std::forward<decltype(Args)>(Args)...);
+    };
+  }
+
   Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
          Leadership &Lead);
   /// Reads a page of rows, again and again until the store answers.
--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr Duration CallTimeout = std::chrono::milliseconds(800);
 /// Waves that are kept in the store; one of each three weeks.
 constexpr std::size_t MaxWaves = 500;
 /// Between two plans for instances: an order takes seconds to have an effect.
@@ -17,9 +16,6 @@
 /// Share of the platform's rate of orders that is used: what it refuses is
 /// delayed by more than this.
 constexpr double OrderRateShare = 0.8;
-/// Announcements are kept for this much longer than the gap between two
-/// leaders' orders: they count from when an order was carried out.
-constexpr Duration OrderGapSlack = std::chrono::seconds(1);
 
 const char *resultName(InstanceOrderResult R) {
   static constexpr const char *Names[] = {
@@ -100,8 +96,7 @@
     return;
   }
   m_RecentOrders = std::move(Orders.value());
-  m_RecentOrders.forgetOlder(m_Settings.m_InstanceOrderGap + OrderGapSlack,
-                             StoreTime);
+  m_RecentOrders.forgetOlder(m_Settings.m_InstanceOrderGap, StoreTime);
   TimePoint Now = m_Loop.now();
   for (const auto &[Id, Entry] : m_RecentOrders.all()) {
     Duration Wait = RecentOrders::waitAfter(
@@ -114,8 +109,7 @@
 void Leader::announceOrders(std::vector<InstanceOrder> Orders) {
   TimePoint Now = m_Loop.now();
   auto StoreTime = m_StoreClock.at(Now).value_or(std::chrono::milliseconds(0));
-  m_RecentOrders.forgetOlder(m_Settings.m_InstanceOrderGap + OrderGapSlack,
-                             StoreTime);
+  m_RecentOrders.forgetOlder(m_Settings.m_InstanceOrderGap, StoreTime);
   for (const InstanceOrder &Order : Orders)
     m_RecentOrders.note(Order.m_Instance, StoreTime, m_Settings.m_Name);
   RowTransaction Txn;
@@ -124,31 +118,25 @@
       {{OrdersTable, OrdersKey, LeadPart}, m_RecentOrders.encode()});
   m_OrdersPending = true;
   m_Ports.m_Store.commit(
-      Txn, CallTimeout,
-      [Weak = weak_from_this(), Orders, Now](Result<CommitOutcome> Outcome) {
-        auto Self = Weak.lock();
-        if (!Self || Self->m_Stopped)
-          return;
-        Self->m_OrdersPending = false;
-        TimePoint After = Self->m_Loop.now();
+      Txn, PlatformCallTimeout,
+      whileLeading([this, Orders, Now](const Result<CommitOutcome> &Outcome) {
+        m_OrdersPending = false;
+        TimePoint After = m_Loop.now();
         if (Outcome)
-          Self->m_StoreClock.note(Outcome.value().m_StoreTime, After);
+          m_StoreClock.note(Outcome.value().m_StoreTime, After);
         bool May = After < Now + GiveWithin && Outcome &&
-                   Outcome.value().m_Committed && Self->m_Lead.isValid(After);
+                   Outcome.value().m_Committed && m_Lead.isValid(After);
         for (const InstanceOrder &Order : Orders)
           if (May)
-            Self->giveOrder(Order);
+            giveOrder(Order);
           else
-            Self->m_Planner->onOrderResult(Order, InstanceOrderResult::Refused,
-                                           After);
-      });
+            m_Planner->onOrderResult(Order, InstanceOrderResult::Refused,
+                                     After);
+      }));
 }
 
 void Leader::giveOrder(const InstanceOrder &Order) {
-  auto Then = [Weak = weak_from_this(), Order](InstanceOrderResult R) {
-    auto Self = Weak.lock();
-    if (!Self || Self->m_Stopped)
-      return;
+  auto Then = whileLeading([this, Order](InstanceOrderResult R) {
     Event Id = R != InstanceOrderResult::Done ? Event::InstanceOrderFailed
                : Order.isMove()               ? Event::InstanceMoved
                                               : Event::UpkeepStarted;
@@ -156,16 +144,16 @@
                   {"to", Order.m_To.m_Text},
                   {"wave", Order.m_Wave.m_Text},
                   {"result", resultName(R)}});
-    Self->m_Planner->onOrderResult(Order, R, Self->m_Loop.now());
-    Self->tickSoon();
-  };
+    m_Planner->onOrderResult(Order, R, m_Loop.now());
+    tickSoon();
+  });
   OrderAuthority By{m_Settings.m_Name, m_Lead.term()};
   if (Order.isMove())
-    m_Ports.m_Instances.move(Order.m_Instance, Order.m_To, By, CallTimeout,
-                             Then);
+    m_Ports.m_Instances.move(Order.m_Instance, Order.m_To, By,
+                             PlatformCallTimeout, Then);
   else
-    m_Ports.m_Instances.upkeep(Order.m_Instance, Order.m_Wave, By, CallTimeout,
-                               Then);
+    m_Ports.m_Instances.upkeep(Order.m_Instance, Order.m_Wave, By,
+                               PlatformCallTimeout, Then);
 }
 
 void Leader::recordWaves() {
@@ -184,12 +172,9 @@
   }
   m_WavesPending = true;
   m_Ports.m_Store.commit(
-      Txn, CallTimeout,
-      [Weak = weak_from_this(), Changed](Result<CommitOutcome> Outcome) {
-        auto Self = Weak.lock();
-        if (!Self || Self->m_Stopped)
-          return;
-        Self->m_WavesPending = false;
+      Txn, PlatformCallTimeout,
+      whileLeading([this, Changed](const Result<CommitOutcome> &Outcome) {
+        m_WavesPending = false;
         if (Outcome && Outcome.value().m_Committed)
           return;
         logEvent(Event::RecordFailed,
@@ -197,8 +182,8 @@
                   {"error", Outcome ? "a later term has begun"
                                     : Outcome.error().describe()}});
         for (const WaveId &Id : Changed)
-          Self->m_Planner->markChanged(Id);
-      });
+          m_Planner->markChanged(Id);
+      }));
 }
 
 } // namespace pollenspool
--- a/src/instances/RecentOrders.cpp
+++ b/src/instances/RecentOrders.cpp
@@ -16,9 +16,13 @@
 
 } // namespace
 
-void RecentOrders::forgetOlder(Duration Age, std::chrono::milliseconds Now) {
+Duration RecentOrders::longestWait(Duration Gap) {
+  return Gap + GiveWithin + CarriedOutWithin;
+}
+
+void RecentOrders::forgetOlder(Duration Gap, std::chrono::milliseconds Now) {
   for (auto It = m_Entries.begin(); It != m_Entries.end();)
-    if (It->second.m_At + Age < Now)
+    if (It->second.m_At + longestWait(Gap) < Now)
       It = m_Entries.erase(It);
     else
       ++It;
@@ -28,7 +32,7 @@
                                  Duration Gap, std::chrono::milliseconds Now) {
   if (E.m_Leader == Leader)
     return Duration(0);
-  Duration Longest = Gap + GiveWithin + CarriedOutWithin;
+  Duration Longest = longestWait(Gap);
   if (E.m_At.count() == 0 || Now.count() == 0)
     return Longest;
   return std::clamp(Longest - (Now - E.m_At), Duration(0), Longest);
--- a/src/instances/RecentOrders.h
+++ b/src/instances/RecentOrders.h
@@ -29,8 +29,10 @@
             const std::string &Leader) {
     m_Entries[Id] = {At, Leader};
   }
-  /// Forgets what is older than \p Age at the store's time \p Now.
-  void forgetOlder(Duration Age, std::chrono::milliseconds Now);
+  /// Forgets what no leader has to wait for any more at the store's time \p
+  /// Now. \p Gap is the platform's, between two leaders' orders for an
+  /// instance.
+  void forgetOlder(Duration Gap, std::chrono::milliseconds Now);
   const std::map<InstanceId, Entry> &all() const { return m_Entries; }
 
   /// How long \p Leader has to wait with an order after that of \p E, from the
@@ -43,6 +45,10 @@
   static Result<RecentOrders> decode(const std::string &Text);
 
 private:
+  /// From an announcement on: the gap counts from when the order is carried
+  /// out.
+  static Duration longestWait(Duration Gap);
+
   std::map<InstanceId, Entry> m_Entries;
 };
 
