Limit outgoing connections by the process's descriptors

Ruled out: fewer idle connections a server alone. It is the number of concurrent calls that binds, and a weak machine allows 4,100 files. Change: ConnectionSlots assigns calls to connections within a limit for each peer and one for all, derived from RLIMIT_NOFILE less a quarter for callers and a share for the platform, which has a client of its own. Idle connections are closed by least recent use; calls that wait for a connection have a timer of their own. A call that failed for lack of a resource of this process (ResourceExhausted, NotAttempted) is no evidence against the server.

--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -30,6 +30,8 @@
     return "unavailable";
   case ErrorCode::RateLimited:
     return "over budget";
+  case ErrorCode::ResourceExhausted:
+    return "out of a resource of this process";
   case ErrorCode::ShuttingDown:
     return "shutting down";
   case ErrorCode::Internal:
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -28,6 +28,7 @@
   NotFound,
   Unavailable,
   RateLimited,
+  ResourceExhausted,
   ShuttingDown,
   Internal,
 };
--- /dev/null
+++ b/src/entry/ConnectionBudget.cpp
@@ -0,0 +1,50 @@
+//===- ConnectionBudget.cpp - Shares of the descriptor limit --------------===//
+
+#include "entry/ConnectionBudget.h"
+#include "base/Log.h"
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <sys/resource.h>
+
+namespace pollenspool {
+
+namespace {
+
+/// Connections to one address of the platform. Each request of a caller needs
+/// one for some milliseconds, and each change feed one at all times.
+constexpr std::size_t PlatformConnectionsPerPeer = 24;
+/// The platform has a store, an instance service and an adviser.
+constexpr std::size_t PlatformPeers = 3;
+/// Connections to one backend server: one for a poll that the server holds, the
+/// others for orders, which are answered within milliseconds. A server accepts
+/// 64 from all entry instances together.
+constexpr std::size_t BackendConnectionsPerPeer = 6;
+/// Descriptors of listeners, the event loop and the log.
+constexpr std::size_t OwnDescriptors = 32;
+constexpr std::size_t CallersShareDivisor = 4;
+constexpr std::size_t MinDescriptorLimit = 256;
+
+} // namespace
+
+ConnectionBudget divideDescriptors(std::size_t DescriptorLimit) {
+  std::size_t Limit = std::max(DescriptorLimit, MinDescriptorLimit);
+  ConnectionBudget Budget;
+  Budget.m_Platform = {PlatformConnectionsPerPeer,
+                       PlatformConnectionsPerPeer * PlatformPeers};
+  Budget.m_Backends = {BackendConnectionsPerPeer,
+                       Limit - Limit / CallersShareDivisor - OwnDescriptors -
+                           Budget.m_Platform.m_Total};
+  return Budget;
+}
+
+std::size_t descriptorLimit() {
+  rlimit Limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &Limit) != 0) {
+    logEvent(Event::DescriptorLimitUnknown, {{"error", std::strerror(errno)}});
+    return MinDescriptorLimit;
+  }
+  return static_cast<std::size_t>(Limit.rlim_cur);
+}
+
+} // namespace pollenspool
--- /dev/null
+++ b/src/entry/ConnectionBudgetTest.cpp
@@ -0,0 +1,28 @@
+//===- ConnectionBudgetTest.cpp - Tests of ConnectionBudget ---------------===//
+
+#include "entry/ConnectionBudget.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace pollenspool;
+
+TEST_GROUP(ConnectionBudget){};
+
+// A leader of 1,100 backend servers opened 24 connections to each and reached
+// the limit of its machine; calls to the store and to servers then failed.
+TEST(ConnectionBudget, LeavesDescriptorsForCallersAtEveryLimit) {
+  for (std::size_t Limit : {256u, 1024u, 4100u, 8192u, 1048576u}) {
+    ConnectionBudget B = divideDescriptors(Limit);
+    CHECK(B.m_Platform.m_Total + B.m_Backends.m_Total <= Limit - Limit / 4);
+    CHECK(B.m_Backends.m_Total > 0);
+  }
+}
+
+// Each server has a poll that it holds, so that all of them need a connection
+// at the same time.
+TEST(ConnectionBudget, AWeakInstanceCanPollElevenHundredServers) {
+  CHECK(divideDescriptors(4100).m_Backends.m_Total >= 2 * 1100);
+}
+
+TEST(ConnectionBudget, KnowsTheLimitOfThisProcess) {
+  CHECK(descriptorLimit() >= 256);
+}
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -25,8 +25,13 @@
 /// Objects from which samples are read.
 struct Sources {
   const Entry &m_Service;
-  const HttpClient &m_Client;
+  const HttpClients &m_Clients;
 
+  HttpClientCounters http() const {
+    HttpClientCounters Sum = m_Clients.m_Platform.counters();
+    Sum += m_Clients.m_Backends.counters();
+    return Sum;
+  }
   SchedulerCounters scheduler() const {
     return m_Service.leader() ? m_Service.leader()->counters()
                               : SchedulerCounters{};
@@ -117,18 +122,32 @@
      [](const Sources &S) { return number(S.scheduler().m_Adopted); }},
     {"pollenspool_http_calls_total", MetricType::Counter,
      "HTTP calls made to the platform and to backend servers.",
-     [](const Sources &S) { return number(S.m_Client.counters().m_Calls); }},
+     [](const Sources &S) { return number(S.http().m_Calls); }},
     {"pollenspool_http_connections_total", MetricType::Counter,
      "Connections opened for these calls.",
-     [](const Sources &S) {
-       return number(S.m_Client.counters().m_Connections);
-     }},
+     [](const Sources &S) { return number(S.http().m_Connections); }},
     {"pollenspool_http_timeouts_total", MetricType::Counter,
      "Calls that were not answered in time.",
-     [](const Sources &S) { return number(S.m_Client.counters().m_Timeouts); }},
+     [](const Sources &S) { return number(S.http().m_Timeouts); }},
     {"pollenspool_http_lost_total", MetricType::Counter,
      "Calls whose connection could not be made or broke.",
-     [](const Sources &S) { return number(S.m_Client.counters().m_Lost); }},
+     [](const Sources &S) { return number(S.http().m_Lost); }},
+    {"pollenspool_http_no_connection_total", MetricType::Counter,
+     "Calls that failed because this process had no connection for them.",
+     [](const Sources &S) { return number(S.http().m_NoConnection); }},
+    {"pollenspool_http_evicted_total", MetricType::Counter,
+     "Idle connections closed to make place for others.",
+     [](const Sources &S) { return number(S.http().m_Evicted); }},
+    {"pollenspool_backend_connections", MetricType::Gauge,
+     "Open connections to backend servers.",
+     [](const Sources &S) {
+       return number(S.m_Clients.m_Backends.openConnections());
+     }},
+    {"pollenspool_backend_calls_waiting", MetricType::Gauge,
+     "Calls to backend servers that wait for a connection.",
+     [](const Sources &S) {
+       return number(S.m_Clients.m_Backends.queuedCalls());
+     }},
 };
 
 MetricFamily makeFamily(const Sample &S, double Value) {
@@ -201,9 +220,9 @@
 }
 
 std::string EntryMetrics::render(const Entry &Service,
-                                 const HttpClient &Client) const {
+                                 const HttpClients &Clients) const {
   std::vector<MetricFamily> Families;
-  Sources From{Service, Client};
+  Sources From{Service, Clients};
   for (const Sample &S : Samples)
     Families.push_back(makeFamily(S, S.m_GetValue(From)));
   Families.push_back(m_Impl->latencyFamily());
--- a/src/entry/EntryMetrics.h
+++ b/src/entry/EntryMetrics.h
@@ -14,6 +14,12 @@
 /// Caller requests whose latency is measured.
 enum class CallerCall : std::uint8_t { Submit, State, Cancel, Waiting };
 
+/// The HTTP clients of an entry instance.
+struct HttpClients {
+  const HttpClient &m_Platform;
+  const HttpClient &m_Backends;
+};
+
 /// Request latencies and refusal counters, and the page with all metrics of the
 /// instance. To be used on the event loop's thread.
 class EntryMetrics {
@@ -26,7 +32,7 @@
   /// Counts a request that was refused for \p Reason.
   void countRefusal(const std::string &Reason);
   /// Returns all metrics in the Prometheus text format.
-  std::string render(const Entry &Service, const HttpClient &Client) const;
+  std::string render(const Entry &Service, const HttpClients &Clients) const;
 
 private:
   struct Impl;
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -18,7 +18,8 @@
 /// Whether the store guarantees that a commit with this error was not applied.
 bool isCertainlyNotApplied(ErrorCode Code) {
   return Code == ErrorCode::Unavailable || Code == ErrorCode::RateLimited ||
-         Code == ErrorCode::ConnectFailed;
+         Code == ErrorCode::ConnectFailed ||
+         Code == ErrorCode::ResourceExhausted;
 }
 
 } // namespace
--- /dev/null
+++ b/src/net/ConnectionSlots.cpp
@@ -0,0 +1,103 @@
+//===- ConnectionSlots.cpp - Limits of a client's connections -------------===//
+
+#include "net/ConnectionSlots.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+void ConnectionSlots::addCall(CallNumber Call, const std::string &Peer) {
+  if (m_Peers[Peer].m_Queued.insert(Call).second)
+    ++m_Queued;
+  refresh(Peer);
+}
+
+bool ConnectionSlots::removeCall(CallNumber Call, const std::string &Peer) {
+  auto It = m_Peers.find(Peer);
+  if (It == m_Peers.end() || It->second.m_Queued.erase(Call) == 0)
+    return false;
+  --m_Queued;
+  refresh(Peer);
+  return true;
+}
+
+void ConnectionSlots::release(ConnectionNumber Number) {
+  auto It = m_Connections.find(Number);
+  if (It == m_Connections.end() || It->second.m_IsIdle)
+    return;
+  Connection &C = It->second;
+  C.m_IsIdle = true;
+  C.m_Age = m_IdleByAge.insert(m_IdleByAge.end(), Number);
+  m_Peers[C.m_Peer].m_Idle.push_back(Number);
+  refresh(C.m_Peer);
+}
+
+void ConnectionSlots::close(ConnectionNumber Number) {
+  auto It = m_Connections.find(Number);
+  if (It == m_Connections.end())
+    return;
+  if (It->second.m_IsIdle)
+    removeIdle(Number, It->second);
+  std::string Peer = std::move(It->second.m_Peer);
+  m_Connections.erase(It);
+  --m_Peers[Peer].m_Open;
+  refresh(Peer);
+}
+
+std::optional<ConnectionAction> ConnectionSlots::next() {
+  if (m_Startable.empty())
+    return std::nullopt;
+  const auto [Call, Peer] = *m_Startable.begin();
+  PeerState &P = m_Peers[Peer];
+  ConnectionAction Action;
+  Action.m_Call = Call;
+  if (!P.m_Idle.empty()) {
+    Action.m_Kind = ConnectionAction::Kind::Reuse;
+    Action.m_Connection = P.m_Idle.back();
+    removeIdle(Action.m_Connection, m_Connections[Action.m_Connection]);
+  } else if (m_Connections.size() < m_Limits.m_Total) {
+    Action.m_Kind = ConnectionAction::Kind::Open;
+    Action.m_Connection = ++m_LastConnection;
+    m_Connections[Action.m_Connection].m_Peer = Peer;
+    ++P.m_Open;
+  } else if (!m_IdleByAge.empty()) {
+    Action = {ConnectionAction::Kind::Close, m_IdleByAge.front(), 0};
+    close(Action.m_Connection);
+    return Action;
+  } else {
+    return std::nullopt;
+  }
+  P.m_Queued.erase(Call);
+  --m_Queued;
+  refresh(Peer);
+  return Action;
+}
+
+bool ConnectionSlots::isTotalLimitBinding() const {
+  return !m_Startable.empty() && m_IdleByAge.empty() &&
+         m_Connections.size() >= m_Limits.m_Total;
+}
+
+void ConnectionSlots::refresh(const std::string &Peer) {
+  auto It = m_Peers.find(Peer);
+  PeerState &P = It->second;
+  bool MayStart = !P.m_Queued.empty() &&
+                  (!P.m_Idle.empty() || P.m_Open < m_Limits.m_PerPeer);
+  CallNumber First = MayStart ? *P.m_Queued.begin() : 0;
+  if (First != P.m_StartableCall) {
+    m_Startable.erase(P.m_StartableCall);
+    if (MayStart)
+      m_Startable[First] = Peer;
+    P.m_StartableCall = First;
+  }
+  if (P.m_Queued.empty() && P.m_Open == 0)
+    m_Peers.erase(It);
+}
+
+void ConnectionSlots::removeIdle(ConnectionNumber Number, Connection &C) {
+  m_IdleByAge.erase(C.m_Age);
+  C.m_IsIdle = false;
+  auto &Idle = m_Peers[C.m_Peer].m_Idle;
+  Idle.erase(std::find(Idle.begin(), Idle.end(), Number));
+}
+
+} // namespace pollenspool
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -4,6 +4,7 @@
 #define POLLENSPOOL_NET_HTTPCLIENT_H
 
 #include "base/Error.h"
+#include "net/ConnectionSlots.h"
 #include "net/EventLoop.h"
 #include "net/HttpMessage.h"
 #include <cstdint>
@@ -20,6 +21,12 @@
   std::uint64_t m_Timeouts = 0;
   /// Calls that failed other than by a timeout.
   std::uint64_t m_Lost = 0;
+  /// Calls that failed because this process had no connection for them.
+  std::uint64_t m_NoConnection = 0;
+  /// Idle connections that were closed to make place for others.
+  std::uint64_t m_Evicted = 0;
+
+  HttpClientCounters &operator+=(const HttpClientCounters &Other);
 };
 
 /// An HTTP/1.1 client that reuses connections. It never retries a call. To be
@@ -28,27 +35,30 @@
 public:
   using ReplyCallback = std::function<void(Result<HttpReply>)>;
 
-  /// \p Loop must outlive the client. \p ConnectionsPerPeer limits the open
-  /// connections to one address; further calls wait until one is available.
-  static std::unique_ptr<HttpClient> create(EventLoop &Loop,
-                                            std::size_t ConnectionsPerPeer);
+  /// \p Loop must outlive the client. Calls wait while \p Limits are reached.
+  /// \p Name tells the clients of one process apart in logs.
+  static std::unique_ptr<HttpClient> create(EventLoop &Loop, std::string Name,
+                                            const ConnectionLimits &Limits);
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
   /// Sends \p Request to \p Peer ("ip:port") and calls \p Callback exactly
   /// once, never before call() has returned. \p Timeout covers waiting for a
-  /// connection, connecting, sending and receiving; a call that waits for a
-  /// connection fails only when another call to \p Peer ends. Errors:
-  /// InvalidArgument if \p Peer is not an address; ConnectFailed if nothing was
-  /// sent; Timeout or ConnectionLost if the peer may have processed the
-  /// request.
+  /// connection, connecting, sending and receiving. Errors: InvalidArgument if
+  /// \p Peer is not an address; ResourceExhausted if this process had no
+  /// connection, descriptor, port or memory for the call, so that nothing was
+  /// sent; ConnectFailed if \p Peer did not accept a connection, so that
+  /// nothing was sent; Timeout or ConnectionLost if the peer may have processed
+  /// the request.
   void call(const std::string &Peer, HttpRequest Request, Duration Timeout,
             ReplyCallback Callback);
-  /// Closes all idle connections to \p Peer.
-  void closeIdleConnections(const std::string &Peer);
 
   const HttpClientCounters &counters() const;
+  /// Number of open connections, idle ones included.
+  std::size_t openConnections() const;
+  /// Number of calls that wait for a connection.
+  std::size_t queuedCalls() const;
 
 private:
   struct Impl;
--- a/src/peer/ErrorCodec.cpp
+++ b/src/peer/ErrorCodec.cpp
@@ -16,14 +16,15 @@
   MSGPACK_DEFINE(m_Code, m_Step, m_Peer, m_Detail)
 };
 
-constexpr std::array<ErrorCode, 14> AllCodes = {
+constexpr std::array<ErrorCode, 15> AllCodes = {
     ErrorCode::InvalidArgument, ErrorCode::InvalidSettings,
     ErrorCode::InvalidDocument, ErrorCode::InvalidMessage,
     ErrorCode::ConnectFailed,   ErrorCode::Timeout,
     ErrorCode::ConnectionLost,  ErrorCode::Refused,
     ErrorCode::Conflict,        ErrorCode::NotFound,
     ErrorCode::Unavailable,     ErrorCode::RateLimited,
-    ErrorCode::ShuttingDown,    ErrorCode::Internal};
+    ErrorCode::ShuttingDown,    ErrorCode::ResourceExhausted,
+    ErrorCode::Internal};
 
 ErrorCode codeByName(std::string_view Name) {
   for (ErrorCode Code : AllCodes)
--- a/src/scheduling/Messages.cpp
+++ b/src/scheduling/Messages.cpp
@@ -6,9 +6,10 @@
 namespace pollenspool {
 
 std::string_view orderResultName(OrderResult R) {
-  static constexpr std::array<std::string_view, 11> Names = {
-      "done",    "fenced",   "stale_run",  "late",     "no_room", "bad_ticket",
-      "invalid", "refusing", "other_life", "not_sent", "unknown"};
+  static constexpr std::array<std::string_view, 12> Names = {
+      "done",       "fenced",     "stale_run",     "late",
+      "no_room",    "bad_ticket", "invalid",       "refusing",
+      "other_life", "not_sent",   "no_connection", "unknown"};
   return Names[static_cast<std::size_t>(R)];
 }
 
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -164,8 +164,11 @@
   Refusing,
   /// Another incarnation of the server answered.
   OtherIncarnation,
-  /// The order was not sent.
+  /// The server did not accept a connection, so the order was not sent.
   NotSent,
+  /// This process had no connection free or lacked a resource, so the order was
+  /// not sent. Says nothing about the server.
+  NotAttempted,
   /// No answer arrived; the order may be carried out, now or later.
   Unknown,
 };
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -289,6 +289,9 @@
     m_Superseded = true;
     return;
   }
+  // A failure of this process is no evidence against the server.
+  if (R == OrderResult::NotAttempted)
+    return;
   if (R == OrderResult::OtherIncarnation) {
     rescheduleAllRuns(*S, "another server answered at its address", Now);
     S->m_Registered = false;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -15,6 +15,9 @@
 constexpr Duration LongRunningRestartDelay = std::chrono::milliseconds(100);
 /// Delay before another order is sent to a server that rejected one.
 constexpr Duration RejectionDelay = std::chrono::milliseconds(700);
+/// Delay before another start is sent to a server for which this process had no
+/// connection.
+constexpr Duration NoConnectionDelay = std::chrono::milliseconds(100);
 /// Number of successive failed runs after which a server gets no new runs for a
 /// while. A few tasks in a thousand fail through their own fault, so three
 /// failures in a row point to the server.
@@ -98,6 +101,9 @@
     ++m_Counters.m_StartsWithoutCapacity;
     S->m_SuspendedUntil = Now + RejectionDelay / 4;
     break;
+  case OrderResult::NotAttempted:
+    S->m_SuspendedUntil = Now + NoConnectionDelay;
+    break;
   case OrderResult::NotSent:
     S->m_Reachable = false;
     S->m_NextPoll = Now;
--- a/src/store/MetadataStore.h
+++ b/src/store/MetadataStore.h
@@ -91,10 +91,11 @@
 /// Asynchronous calls to the store. Each calls its continuation exactly once,
 /// never before the call returns, on the event loop's thread.
 ///
-/// Errors: after Unavailable, RateLimited and ConnectFailed nothing was done.
-/// After Timeout or ConnectionLost a transaction may have been applied, or may
-/// still be applied seconds later if its conditions hold then. NotFound from
-/// follow() means that the store no longer has the changes after that version.
+/// Errors: after Unavailable, RateLimited, ConnectFailed and ResourceExhausted
+/// nothing was done. After Timeout or ConnectionLost a transaction may have
+/// been applied, or may still be applied seconds later if its conditions hold
+/// then. NotFound from follow() means that the store no longer has the changes
+/// after that version.
 class MetadataStore {
 public:
   virtual ~MetadataStore() = default;
