--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/Entry.h"
 #include "base/Log.h"
+#include <cmath>
 
 namespace pollenspool {
 
@@ -21,28 +22,39 @@
 /// Longest delay between two calls of the leader table's feed. Together with
 /// FeedWait it is below StoreResponseTimeout.
 constexpr Duration MaxFollowerBatchDelay = std::chrono::milliseconds(300);
-/// Longest extra wait of an instance of low capacity before it takes over.
-constexpr Duration MaxElectionDelay = std::chrono::milliseconds(800);
+/// How old the published count of waiting jobs may be. Callers are promised a
+/// value that is at most 2 s old; it may be this much older while the leader
+/// changes, and is refused after that.
+constexpr Duration MaxCountAge = std::chrono::milliseconds(3500);
+/// Extra wait of an instance without any capacity before it takes over. It
+/// falls with the fourth power of the missing capacity: an instance of half the
+/// full capacity waits for 0.2 s, one of a quarter for 1 s.
+constexpr Duration MaxElectionDelay = std::chrono::milliseconds(3200);
+/// Extra wait of an instance that did not start lately.
+constexpr Duration MaxAgeDelay = std::chrono::milliseconds(120);
+/// Random part of the election delay, which breaks ties.
+constexpr int MaxRandomDelayMs = 40;
 /// Resources at which an instance counts as having full capacity. The largest
 /// planned deployment, 350 backend servers with 1,000 starts per second, needs
 /// a third of a core and 20 Mbit/s at its peak.
 constexpr double FullCapacityCpuShare = 0.5;
 constexpr double FullCapacityLinkMbps = 100;
 
-LeadershipOptions leadershipOptions(const EntrySettings &Settings) {
+LeadershipOptions leadershipOptions(const EntrySettings &Settings,
+                                    TimePoint StartedAt) {
   LeadershipOptions Options;
+  Options.m_StartedAt = StartedAt;
+  Options.m_MaxAgeDelay = MaxAgeDelay;
   Options.m_RelativeCapacity =
       std::min({1.0, Settings.m_CpuShare / FullCapacityCpuShare,
                 Settings.m_LinkMbps / FullCapacityLinkMbps});
   std::mt19937_64 Random(std::random_device{}());
-  // Instances of higher capacity come first; a random delay of up to 120 ms
-  // breaks ties.
   double Shortfall = 1 - Options.m_RelativeCapacity;
   Options.m_ElectionDelay =
-      std::chrono::duration_cast<Duration>(MaxElectionDelay * Shortfall *
-                                           Shortfall) +
+      std::chrono::duration_cast<Duration>(MaxElectionDelay *
+                                           std::pow(Shortfall, 4)) +
       std::chrono::milliseconds(
-          std::uniform_int_distribution<int>(0, 120)(Random));
+          std::uniform_int_distribution<int>(0, MaxRandomDelayMs)(Random));
   return Options;
 }
 
@@ -50,7 +62,7 @@
 
 Entry::Entry(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings)
     : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings),
-      m_Leadership(Settings.m_Name, leadershipOptions(Settings)),
+      m_Leadership(Settings.m_Name, leadershipOptions(Settings, Loop.now())),
       m_JobStore(JobStore::create(Loop, Ports.m_Store)) {}
 
 Entry::~Entry() {
@@ -86,6 +98,12 @@
   TableMirror::Listener RowListener;
   RowListener.m_OnRow = [this](const StoredRow &Row) {
     m_Leadership.onRow(Row, m_Loop.now());
+    // The order in which instances take over a released term is decided by
+    // differences of milliseconds, which the timer of a follower is too coarse
+    // for.
+    if (m_Leadership.termRow().m_Released && Row.m_At.m_Key == TermKey)
+      m_Loop.after(m_Leadership.electionDelay(m_Loop.now()),
+                   [this] { tryBecomeLeader(); });
     if (m_Leader && !m_Leadership.isLeading())
       stopLeading("the store holds a later term");
     if (!m_Leadership.isLeading() && m_Leadership.term() != m_LastLoggedTerm) {
@@ -118,8 +136,8 @@
 void Entry::useFollowerBatchDelay() {
   // The instance takes over later by its election delay, so it may also see
   // renewals that much later.
-  m_LeaderTable->setBatchDelay(
-      std::min(m_Leadership.options().m_ElectionDelay, MaxFollowerBatchDelay));
+  m_LeaderTable->setBatchDelay(std::min(
+      m_Leadership.electionDelay(m_Loop.now()), MaxFollowerBatchDelay));
 }
 
 void Entry::tick(TimePoint Due) {
@@ -235,7 +253,8 @@
 }
 
 std::optional<std::uint32_t> Entry::waiting(const QueueName &Queue) const {
-  if (m_Leadership.renewal().m_Term == 0)
+  if (m_Leadership.renewal().m_Term == 0 ||
+      m_Loop.now() >= m_Leadership.countedAt() + MaxCountAge)
     return std::nullopt;
   auto It = m_Leadership.renewal().m_Queues.find(Queue);
   return It == m_Leadership.renewal().m_Queues.end() ? 0
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -20,6 +20,12 @@
 /// taken over. A longer time bridges longer outages of the store, but the next
 /// leader then waits longer for backend servers that it cannot reach.
 constexpr Duration MaxUnconfirmedLeadTime = std::chrono::seconds(5);
+/// How old the view of the live jobs may be while the store answers. An answer
+/// of the feed may wait for FeedWait, and a start order may be carried out half
+/// a second later; a cancelled job must not start 3 s after its cancellation.
+constexpr Duration MaxJobViewAge = std::chrono::milliseconds(2000);
+/// How old the view may be for the published counts of waiting jobs.
+constexpr Duration MaxCountedJobsAge = std::chrono::milliseconds(1500);
 /// Delay between an event and the decisions that it causes, so that events in
 /// quick succession are handled together.
 constexpr Duration EventBatchDelay = std::chrono::milliseconds(2);
@@ -34,14 +40,15 @@
 
 Leader::Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
                Leadership &Lead)
-    : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings), m_Leadership(Lead) {
+    : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings), m_Leadership(Lead),
+      m_StartRecords(Lead.term(), Lead.termCondition()) {
   SchedulerOptions Options;
   Options.m_Term = Lead.term();
   Options.m_TermVersion = Lead.termCondition().m_Version;
   Options.m_EarlierLeaderTimeout = MaxUnconfirmedLeadTime;
   Options.m_Lease = std::min(Options.m_Lease, Settings.m_MaxLease);
   m_Scheduler = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
-  m_ProgressWriter = ProgressWriter::create(*m_Scheduler);
+  m_ProgressWriter = ProgressWriter::create(*m_Scheduler, Lead.termCondition());
   FleetPlannerOptions Fleet;
   Fleet.m_MoveTime = Settings.m_MoveTime;
   Fleet.m_MaintenanceTime = Settings.m_MaintenanceTime;
@@ -56,9 +63,12 @@
 
 void Leader::start() {
   m_Ports.m_Backend.setResultListener(this);
+  m_StartedAt = m_Loop.now();
   m_StatePartitionsLeft = jobPartitions().size();
   for (const std::string &Part : jobPartitions())
     readJobStates({JobStatesTable, {}, Part});
+  followJobs();
+  readStartRecords();
   readWaves();
   readRecentOrders();
   listInstances();
@@ -108,24 +118,23 @@
       Next.m_Key += '\0';
       readJobStates(Next);
     } else if (--m_StatePartitionsLeft == 0) {
-      followJobs();
+      for (const StoredRow &Row : std::exchange(m_LiveRowsAtStart, {}))
+        onLiveJobRow(Row);
+      finishLoadingJobs();
     }
   });
 }
 
 void Leader::followJobs() {
   TableMirror::Listener RowListener;
-  RowListener.m_OnRow = [this](const StoredRow &Row) { onLiveJobRow(Row); };
+  RowListener.m_OnRow = [this](const StoredRow &Row) {
+    if (m_StatePartitionsLeft > 0)
+      m_LiveRowsAtStart.push_back(Row);
+    else
+      onLiveJobRow(Row);
+  };
   RowListener.m_OnAnswer = [this] {
-    if (!m_JobsLoaded) {
-      m_JobsLoaded = true;
-      // Jobs with a final state had ended before this term.
-      for (const auto &[Id, Row] : m_StatesAtStart)
-        if (auto P = decodeProgress(Row.m_Value);
-            P && isFinal(P.value().m_State))
-          m_EndedAt[Id] = P.value().m_ChangedAt;
-      m_StatesAtStart.clear();
-    }
+    finishLoadingJobs();
     scheduleTick();
   };
   m_LiveJobs =
@@ -134,6 +143,23 @@
   m_LiveJobs->start();
 }
 
+void Leader::finishLoadingJobs() {
+  if (m_JobsLoaded || m_StatePartitionsLeft > 0 || !m_LiveJobs->isSynced())
+    return;
+  m_JobsLoaded = true;
+  // Jobs with a final state had ended before this term.
+  for (const auto &[Id, Row] : m_StatesAtStart)
+    if (auto P = decodeProgress(Row.m_Value); P && isFinal(P.value().m_State))
+      m_EndedAt[Id] = P.value().m_ChangedAt;
+  m_StatesAtStart.clear();
+  logEvent(Event::TermJobsLoaded,
+           {{"term", std::to_string(m_Leadership.term())},
+            {"jobs", std::to_string(m_Scheduler->jobs().all().size())},
+            {"ended_jobs", std::to_string(m_EndedAt.size())},
+            {"took_ms", std::to_string((m_Loop.now() - m_StartedAt) /
+                                       std::chrono::milliseconds(1))}});
+}
+
 void Leader::onLiveJobRow(const StoredRow &Row) {
   JobId Id(Row.m_At.m_Key);
   if (Row.m_IsDeleted) {
@@ -199,8 +225,10 @@
 }
 
 void Leader::runDecisions() {
-  if (m_Stopped || !m_JobsLoaded || !m_ServersLoaded)
+  if (m_Stopped || !m_JobsLoaded || !m_ServersLoaded ||
+      !m_StartRecords.isRead())
     return;
+  updateStartRecords();
   TimePoint Now = m_Loop.now();
   // While the store is unavailable no other instance can take over, so the
   // leader continues. It stops after MaxUnconfirmedLeadTime, because the next
@@ -210,6 +238,10 @@
   Allowed.m_IsTermConfirmed = m_Leadership.isValid(Now);
   if (!Allowed.m_IsTermConfirmed)
     Allowed.m_StartableVersion = m_Leadership.uncontestedVersion();
+  // A job that the leader does not know to be cancelled yet must not start.
+  if (Allowed.m_IsTermConfirmed &&
+      Now >= m_LiveJobs->currentAt() + MaxJobViewAge)
+    Allowed.m_StartableVersion = 0;
   if (Now < m_Leadership.uncontestedAt() + MaxUnconfirmedLeadTime)
     m_Scheduler->tick(Now, wallNow(), Allowed);
   if (!m_ListPending && Now >= m_NextListAt)
@@ -232,6 +264,32 @@
       }));
 }
 
+void Leader::readStartRecords() {
+  readWithRetry({StartRecordsTable, StartRecordsKey, LeaderPartition}, 1,
+                [this](RowPage &Page) {
+                  std::optional<StoredRow> Row;
+                  if (!Page.m_Rows.empty() &&
+                      Page.m_Rows.front().m_At.m_Key == StartRecordsKey)
+                    Row = Page.m_Rows.front();
+                  m_StartRecords.onRead(Row);
+                  m_Scheduler->setStartsRecordedSince(
+                      m_StartRecords.recordedSince());
+                });
+}
+
+void Leader::updateStartRecords() {
+  auto Txn = m_StartRecords.next(m_ProgressWriter->latency(m_Loop.now()),
+                                 m_LiveJobs->version(), m_Loop.now());
+  m_Scheduler->setRecordsStarts(m_StartRecords.mustRecord());
+  if (Txn)
+    m_Ports.m_Store.commit(
+        *Txn, PlatformCallTimeout,
+        whileLeading([this](const Result<CommitOutcome> &Outcome) {
+          m_StartRecords.onResult(Outcome, m_Loop.now());
+          scheduleTick();
+        }));
+}
+
 void Leader::removeOldStates() {
   TimePoint Now = m_Loop.now();
   if (Now < m_NextRemovalAt)
@@ -267,6 +325,12 @@
 
 RenewalRow Leader::renewal() {
   RenewalRow Row;
+  Row.m_IsCounted = m_JobsLoaded &&
+                    m_Loop.now() < m_LiveJobs->currentAt() + MaxCountedJobsAge;
+  if (!Row.m_IsCounted) {
+    Row.m_Queues = m_Leadership.renewal().m_Queues;
+    return Row;
+  }
   for (const auto &[Queue, Jobs] : m_Scheduler->waitingJobs())
     Row.m_Queues[Queue].m_WaitingJobs = Jobs;
   return Row;
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -9,6 +9,7 @@
 #include "instances/RecentOrders.h"
 #include "lead/DelayMonitor.h"
 #include "lead/Leadership.h"
+#include "lead/StartRecords.h"
 #include "net/EventLoop.h"
 #include "scheduling/ProgressWriter.h"
 #include "store/StoreClock.h"
@@ -75,9 +76,12 @@
                      std::function<void(RowPage &)> Callback);
   void readJobStates(const RowAddress &From);
   void followJobs();
+  void finishLoadingJobs();
   void onLiveJobRow(const StoredRow &Row);
   void listInstances();
   void recordProgress();
+  void readStartRecords();
+  void updateStartRecords();
   void runDecisions();
   void scheduleTick();
   void removeOldStates();
@@ -99,6 +103,7 @@
   std::unique_ptr<Scheduler> m_Scheduler;
   std::unique_ptr<ProgressWriter> m_ProgressWriter;
   std::unique_ptr<FleetPlanner> m_Planner;
+  StartRecords m_StartRecords;
   /// Progress of waves that earlier leaders recorded.
   std::map<WaveId, WaveProgress> m_RecordedWaves;
   /// Waves requested before the recorded progress was loaded.
@@ -113,6 +118,9 @@
   /// Delays of the answers to start orders.
   DelayMonitor m_AnswerDelay;
   std::shared_ptr<TableMirror> m_LiveJobs;
+  TimePoint m_StartedAt{};
+  /// Rows of live jobs that arrived before all job states have been read.
+  std::vector<StoredRow> m_LiveRowsAtStart;
   /// Job state rows as read at the start, until the live jobs have been loaded.
   std::map<std::string, StoredRow> m_StatesAtStart;
   /// Wall time at which each job ended, for the removal of its state.
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -131,6 +131,8 @@
   for (const auto &[Key, Runs] : Progress.m_Failures)
     J["failures"].push_back(
         {std::get<0>(Key), std::get<1>(Key), std::get<2>(Key), Runs});
+  for (const auto &[Number, Step] : Progress.m_StartedSteps)
+    J["started"].push_back({Number, Step});
   return J.dump();
 }
 
@@ -146,6 +148,9 @@
         for (const Json &Row : J.value("failures", Json::array()))
           P.m_Failures[{Row.at(0), Row.at(1), Row.at(2)}] =
               Row.at(3).get<std::vector<std::uint32_t>>();
+        for (const Json &Row : J.value("started", Json::array()))
+          P.m_StartedSteps.emplace(Row.at(0).get<std::uint32_t>(),
+                                   Row.at(1).get<std::uint32_t>());
         return P;
       });
 }
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -14,6 +14,7 @@
 #include "jobs/JobSpec.h"
 #include "store/MetadataStore.h"
 #include <map>
+#include <set>
 
 namespace pollenspool {
 
@@ -42,6 +43,10 @@
   std::map<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>,
            std::vector<std::uint32_t>>
       m_Failures;
+  /// Occurrences and steps of which a leader may have started runs. Written
+  /// before the first start, so that the next leader need not look for runs of
+  /// other steps. \see StartRecords.
+  std::set<std::pair<std::uint32_t, std::uint32_t>> m_StartedSteps;
 };
 
 /// Conversion to and from the values of the rows. Thread safe. Decoding errors:
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -18,6 +18,12 @@
 /// offer. A change of leader delays orders for instances by seconds, which a
 /// small gain in capacity does not make up for.
 constexpr double HandoverCapacityRatio = 1.25;
+/// Ratio from which a handover is offered also to a leader that is not
+/// overloaded yet: the next peak would overload it.
+constexpr double MuchHigherCapacityRatio = 2;
+/// How long a leader of much lower capacity is left alone, so that an instance
+/// does not offer a handover while it starts or is about to stop.
+constexpr Duration LowCapacityTermTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -43,14 +49,20 @@
               {"queues", Queues},
               {"strength", Row.m_RelativeCapacity},
               {"behind", Row.m_IsOverloaded},
+              {"counted", Row.m_IsCounted},
               {"at", Row.m_Address}}
       .dump();
 }
 
 Result<RenewalRow> decodeRenewal(const std::string &Text) {
   return readJson<RenewalRow>("decode renewal", {}, Text, [](const Json &J) {
-    RenewalRow Row{J.at("term"),     J.at("number"), {},
-                   J.at("strength"), J.at("at"),     J.at("behind")};
+    RenewalRow Row;
+    Row.m_Term = J.at("term");
+    Row.m_Number = J.at("number");
+    Row.m_IsCounted = J.value("counted", true);
+    Row.m_RelativeCapacity = J.at("strength");
+    Row.m_Address = J.at("at");
+    Row.m_IsOverloaded = J.at("behind");
     for (const auto &[Name, Load] : J.at("queues").items())
       Row.m_Queues[QueueName(Name)] = {
           Load.at(0),
@@ -84,9 +96,12 @@
     if (!Read || std::tie(Read.value().m_Term, Read.value().m_Number) <=
                      std::tie(m_Renewal.m_Term, m_Renewal.m_Number))
       return;
+    if (Read.value().m_Term != m_Renewal.m_Term)
+      m_TermRenewedAt = Now;
     m_Renewal = std::move(Read.value());
     m_RenewalSeenAt = Now;
     m_NoRenewalSince = Now;
+    m_HasNewCounts |= m_Renewal.m_IsCounted;
     if (!m_Renewal.m_IsOverloaded)
       m_OverloadedSince.reset();
     else if (!m_OverloadedSince)
@@ -107,12 +122,23 @@
 void Leadership::onFeedAnswer(TimePoint Since, TimePoint Asked,
                               RowVersion Version, TimePoint Now) {
   m_HasFeedAnswer = true;
+  if (m_HasNewCounts)
+    m_CountedAt = Asked;
+  m_HasNewCounts = false;
   m_FeedRequestedAt = Asked;
   m_FeedVersion = Version;
   m_LastFeedAnswerAt = Now;
   m_NoRenewalSince = std::max(m_NoRenewalSince, Since);
 }
 
+Duration Leadership::electionDelay(TimePoint Now) const {
+  Duration Age = std::clamp(Now - m_Options.m_StartedAt, Duration(0),
+                            m_Options.m_RecentStartAge);
+  double Part = std::chrono::duration<double>(Age) / m_Options.m_RecentStartAge;
+  return m_Options.m_ElectionDelay +
+         std::chrono::duration_cast<Duration>(m_Options.m_MaxAgeDelay * Part);
+}
+
 std::optional<RowTransaction> Leadership::tryTakeOver(TimePoint Now) {
   if (m_Leading || m_TakeOverPending || !m_HasFeedAnswer)
     return std::nullopt;
@@ -121,8 +147,8 @@
                 m_TermRow.m_Leader == m_Name;
   Duration Wait =
       m_TermRowVersion == 0
-          ? m_Options.m_ElectionDelay * FirstTermDelayFactor
-          : m_Options.m_ElectionDelay +
+          ? electionDelay(Now) * FirstTermDelayFactor
+          : electionDelay(Now) +
                 (Vacant ? Duration(0) : m_Options.m_ElectionTimeout);
   // Missing renewals count only up to the last answer of the feed: without
   // answers a renewal could not be seen.
@@ -199,12 +225,16 @@
 }
 
 std::optional<RowTransaction> Leadership::offerHandover(TimePoint Now) {
-  bool Wanted = !m_Leading && m_OverloadedSince && m_Renewal.m_Term == term() &&
-                m_OfferedForTerm != term() &&
-                m_HandoverOffer.m_Term != term() &&
-                m_Options.m_RelativeCapacity >=
-                    m_Renewal.m_RelativeCapacity * HandoverCapacityRatio;
-  if (!Wanted || Now < *m_OverloadedSince + m_Options.m_ElectionDelay)
+  if (m_Leading || m_Renewal.m_Term != term() || m_OfferedForTerm == term() ||
+      m_HandoverOffer.m_Term == term())
+    return std::nullopt;
+  double Ratio = m_Options.m_RelativeCapacity / m_Renewal.m_RelativeCapacity;
+  std::optional<TimePoint> WantedSince;
+  if (m_OverloadedSince && Ratio >= HandoverCapacityRatio)
+    WantedSince = *m_OverloadedSince;
+  else if (Ratio >= MuchHigherCapacityRatio)
+    WantedSince = m_TermRenewedAt + LowCapacityTermTime;
+  if (!WantedSince || Now < *WantedSince + electionDelay(Now))
     return std::nullopt;
   m_OfferedForTerm = term();
   RowTransaction Txn;
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -56,6 +56,9 @@
   /// Counts the renewals of the term.
   std::uint64_t m_Number = 0;
   std::map<QueueName, QueueLoad> m_Queues;
+  /// Whether the leader counted m_Queues for this renewal. A leader that still
+  /// reads the jobs repeats the counts of the earlier one.
+  bool m_IsCounted = true;
   /// \see LeadershipOptions::m_RelativeCapacity.
   double m_RelativeCapacity = 0;
   /// Address of the leader's status page for operators.
@@ -96,6 +99,13 @@
   /// Added to m_ElectionTimeout by this instance, so that instances do not all
   /// try at once and those of higher capacity try first.
   Duration m_ElectionDelay = std::chrono::milliseconds(0);
+  /// When the process started, on the clock of the calls. For
+  /// m_RecentStartAge after it the election delay rises from m_ElectionDelay by
+  /// m_MaxAgeDelay: in a rolling restart the turn of an instance that started
+  /// lately is over, so that it can lead for longer than others.
+  TimePoint m_StartedAt{};
+  Duration m_RecentStartAge = std::chrono::minutes(2);
+  Duration m_MaxAgeDelay = std::chrono::milliseconds(0);
   /// Capacity of this instance as a leader, as a fraction of what the largest
   /// planned deployment needs.
   double m_RelativeCapacity = 1;
@@ -130,8 +140,9 @@
   /// Stops leading and returns the transaction that releases the term. This
   /// instance gives the others m_ElectionTimeout to begin the next term first.
   RowTransaction release(TimePoint Now);
-  /// Returns the transaction that offers a handover to an overloaded leader, if
-  /// this instance should do so now. It offers at most once per term.
+  /// Returns the transaction that offers a handover to a leader that is
+  /// overloaded or has much less capacity, if this instance should do so now.
+  /// It offers at most once per term.
   std::optional<RowTransaction> offerHandover(TimePoint Now);
   /// Whether this instance leads and another one has offered to take over its
   /// term.
@@ -141,6 +152,8 @@
   /// To be called when a later term was seen elsewhere than in the store.
   void stepDown() { m_Leading = false; }
 
+  /// How long this instance waits at \p Now for others to take over first.
+  Duration electionDelay(TimePoint Now) const;
   bool isLeading() const { return m_Leading; }
   /// Whether this instance leads and its lease is still valid at \p Now.
   bool isValid(TimePoint Now) const {
@@ -163,6 +176,8 @@
   const LeadershipOptions &options() const { return m_Options; }
   const RenewalRow &renewal() const { return m_Renewal; }
   TimePoint renewalSeenAt() const { return m_RenewalSeenAt; }
+  /// The queue loads of renewal() were counted after this time.
+  TimePoint countedAt() const { return m_CountedAt; }
 
 private:
   std::string m_Name;
@@ -171,6 +186,9 @@
   RowVersion m_TermRowVersion = 0;
   RenewalRow m_Renewal;
   TimePoint m_RenewalSeenAt{};
+  TimePoint m_CountedAt{};
+  /// Rows of the answer being reported contain new counts.
+  bool m_HasNewCounts = false;
   /// When the leader was last known to be alive, or the store began to answer
   /// again. The election timeout counts from here.
   TimePoint m_NoRenewalSince{};
@@ -185,6 +203,8 @@
   std::uint64_t m_LastRenewalNumber = 0;
   HandoverOfferRow m_HandoverOffer;
   RowVersion m_HandoverOfferVersion = 0;
+  /// When the first renewal of the current term was seen.
+  TimePoint m_TermRenewedAt{};
   /// Since when the leader has reported itself as overloaded.
   std::optional<TimePoint> m_OverloadedSince;
   Term m_OfferedForTerm = 0;
--- a/src/lead/LeadershipTest.cpp
+++ b/src/lead/LeadershipTest.cpp
@@ -95,12 +95,60 @@
 }
 
 TEST(Leadership, NoHandoverIsOfferedToALeaderThatIsNotOverloaded) {
-  LeadershipFixture P;
+  LeadershipFixture P(0.6);
+  P.showRows();
+  CHECK(P.takeOver(P.m_Leader));
+  P.commit(P.m_Leader.renew({}, P.m_Now));
+  P.showRows();
+  CHECK_FALSE(P.m_Other.offerHandover(P.m_Now).has_value());
+  P.m_Now += 10s;
+  CHECK_FALSE(P.m_Other.offerHandover(P.m_Now).has_value());
+}
+
+// An instance of 0.12 of a core took over 1,100 servers while stronger ones
+// were alive, and led until it was overloaded.
+TEST(Leadership, AMuchStrongerInstanceReplacesAWeakLeaderBeforeItIsOverloaded) {
+  LeadershipFixture P(0.24);
   P.showRows();
   CHECK(P.takeOver(P.m_Leader));
   P.commit(P.m_Leader.renew({}, P.m_Now));
   P.showRows();
   CHECK_FALSE(P.m_Other.offerHandover(P.m_Now).has_value());
+  P.m_Now += 1200ms;
+  CHECK(P.m_Other.offerHandover(P.m_Now).has_value());
+}
+
+// In a rolling restart of all instances the leader is stopped once. A successor
+// that has not been restarted yet is stopped as well, some seconds later.
+TEST(Leadership, AnInstanceThatWasJustRestartedTakesOverBeforeOneThatWasNot) {
+  LeadershipOptions Restarted, Old;
+  Restarted.m_MaxAgeDelay = Old.m_MaxAgeDelay = 120ms;
+  Restarted.m_StartedAt = TimePoint(95s);
+  Old.m_StartedAt = TimePoint(10s);
+  Leadership A("restarted", Restarted), B("old", Old);
+  TimePoint Now(100s);
+  CHECK(A.electionDelay(Now) + 40ms < B.electionDelay(Now));
+  CHECK(A.electionDelay(Now + 1h) == B.electionDelay(Now + 1h));
+}
+
+// The leader that takes over reads thousands of jobs. Until then it counted
+// none, and a status told a tenth of the waiting jobs.
+TEST(Leadership, CountsThatWereNotMadeForARenewalDoNotBecomeNewer) {
+  LeadershipFixture P;
+  P.showRows();
+  CHECK(P.takeOver(P.m_Leader));
+  RenewalRow Counted;
+  Counted.m_Queues[QueueName("q")].m_WaitingJobs = 188;
+  P.commit(P.m_Leader.renew(Counted, P.m_Now));
+  P.showRows();
+  CHECK(P.m_Other.countedAt() == P.m_Now);
+  TimePoint Then = P.m_Now;
+  P.m_Now += 2s;
+  RenewalRow Repeated;
+  Repeated.m_IsCounted = false;
+  P.commit(P.m_Leader.renew(Repeated, P.m_Now));
+  P.showRows();
+  CHECK(P.m_Other.countedAt() == Then);
 }
 
 TEST(Leadership, InstanceOfEqualCapacityOffersNoHandover) {
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -41,6 +41,9 @@
   Job.m_Spec = std::move(Spec);
   Job.m_RestoredProgress = std::move(Progress);
   Job.m_State = Job.m_RestoredProgress.m_State;
+  Job.m_IsRecordedAsRunning = Job.m_State != JobState::Queued;
+  Job.m_HasBegun = !Job.m_RestoredProgress.m_Done.empty() ||
+                   !Job.m_RestoredProgress.m_Failures.empty();
   Job.m_AcceptedVersion = Accepted;
   Job.m_StateVersion = State;
   Job.m_AcceptedAt = Now - std::max(std::chrono::milliseconds(0),
@@ -103,6 +106,8 @@
       if (Failed != Job.m_RestoredProgress.m_Failures.end())
         S.m_Tasks[I].m_FailedRuns = Failed->second;
     }
+    S.m_StartRecorded = S.m_MayHaveEarlierRuns =
+        Job.m_RestoredProgress.m_StartedSteps.count({O.m_Number, N}) != 0;
     if (S.isDone())
       ++O.m_StepsDone;
     O.m_Steps.push_back(std::move(S));
@@ -143,10 +148,40 @@
   if (Job.m_State != JobState::Queued)
     return false;
   Job.m_State = JobState::Running;
-  markDirty(Job);
+  if (!Job.m_IsRecordedAsRunning)
+    markDirty(Job);
   return true;
 }
 
+void JobRegistry::requestStart(LiveJob &Job, std::uint32_t Occurrence,
+                               std::uint32_t Step) {
+  StepState *S = Job.step(Occurrence, Step);
+  if (!S || S->m_StartWanted)
+    return;
+  S->m_StartWanted = true;
+  Job.m_WantsStart = true;
+  markDirty(Job);
+}
+
+void JobRegistry::markStartsRecorded(
+    LiveJob &Job,
+    const std::set<std::pair<std::uint32_t, std::uint32_t>> &Steps) {
+  for (const auto &[Number, N] : Steps)
+    if (StepState *S = Job.step(Number, N))
+      S->m_StartRecorded = true;
+}
+
+/// Whether all steps that \p Step depends on have done tasks, so that a write
+/// of the state row should already record its start.
+bool JobRegistry::mayStartSoon(const LiveJob &Job, const Occurrence &O,
+                               std::uint32_t Step) {
+  const auto &After = Job.m_Spec.m_Steps[Step].m_After;
+  return !After.empty() &&
+         std::all_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
+           return O.m_Steps[Earlier].m_DoneCount > 0;
+         });
+}
+
 bool JobRegistry::markDone(LiveJob &Job, const TaskId &Id) {
   TaskState *T = Job.task(Id);
   if (!T || T->m_Done)
@@ -154,6 +189,7 @@
   Occurrence &O = Job.m_Occurrences[Id.m_Occurrence];
   StepState &S = O.m_Steps[Id.m_Step];
   T->m_Done = true;
+  Job.m_HasBegun = true;
   ++S.m_DoneCount;
   Job.removeFromReady(Id);
   if (S.isDone()) {
@@ -184,6 +220,7 @@
   if (std::find(Runs.begin(), Runs.end(), Run) != Runs.end())
     return false;
   Runs.push_back(Run);
+  Job.m_HasBegun = true;
   if (Runs.size() >= Job.m_Attempts && !Step.m_IsLongRunning)
     Job.m_State = JobState::Failed;
   markDirty(Job);
@@ -217,6 +254,8 @@
   for (const auto &[Number, O] : Job.m_Occurrences)
     for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N) {
       const StepState &S = O.m_Steps[N];
+      if (S.m_StartRecorded || S.m_StartWanted || mayStartSoon(Job, O, N))
+        P.m_StartedSteps.insert({Number, N});
       if (S.m_DoneCount > 0) {
         auto &Bits = P.m_Done[{Number, N}];
         for (const TaskState &T : S.m_Tasks)
@@ -227,6 +266,8 @@
             !Job.m_Spec.m_Steps[N].m_IsLongRunning)
           P.m_Failures[{Number, N, I}] = S.m_Tasks[I].m_FailedRuns;
     }
+  if (!P.m_StartedSteps.empty())
+    P.m_State = JobState::Running;
   return P;
 }
 
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -44,6 +44,12 @@
   std::uint32_t m_DoneCount = 0;
   /// Whether all steps that it depends on are done.
   bool m_Released = false;
+  /// A start of the step waits for its record in the store.
+  bool m_StartWanted = false;
+  /// The store tells the next leader that runs of the step may exist.
+  bool m_StartRecorded = false;
+  /// An earlier leader recorded that it might start runs of the step.
+  bool m_MayHaveEarlierRuns = false;
 
   bool isDone() const { return m_DoneCount == m_Tasks.size(); }
 };
@@ -70,6 +76,9 @@
   /// Version of the job's state row, on which the next write depends.
   RowVersion m_StateVersion = 0;
   JobState m_State = JobState::Queued;
+  /// Whether a server is known to have begun a run of the job. A start order
+  /// alone does not show that.
+  bool m_HasBegun = false;
   std::map<std::uint32_t, Occurrence> m_Occurrences;
   std::uint32_t m_OccurrencesDone = 0;
   std::uint32_t m_NextOccurrence = 0;
@@ -89,6 +98,10 @@
   std::uint32_t m_Priority = 0;
   /// Whether the job's state row is out of date.
   bool m_Dirty = false;
+  /// Whether a start waits for the next write of the state row.
+  bool m_WantsStart = false;
+  /// Whether the state row shows the job as running.
+  bool m_IsRecordedAsRunning = false;
   /// Number of the latest change that has to be recorded, and of the latest
   /// one that is recorded.
   std::uint64_t m_ChangeNumber = 0;
@@ -97,7 +110,6 @@
   StepId stepId(const ReadyTask &Task) const {
     return {m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
   }
-  bool hasStarted() const { return m_State != JobState::Queued; }
   TaskState *task(const TaskId &Id);
   StepState *step(std::uint32_t Occurrence, std::uint32_t Step);
   /// Removes a task from the ready list if it is there.
@@ -123,6 +135,12 @@
   /// Marks the job as running, since one of its tasks has a run. Returns
   /// whether this is its first run.
   bool markStarted(LiveJob &Job);
+  /// Asks for a record that runs of the step may exist.
+  void requestStart(LiveJob &Job, std::uint32_t Occurrence, std::uint32_t Step);
+  /// The steps in \p Steps are recorded as started.
+  static void markStartsRecorded(
+      LiveJob &Job,
+      const std::set<std::pair<std::uint32_t, std::uint32_t>> &Steps);
   /// Marks the task as done, releases the steps that depended on it, and
   /// completes the job with its last task. Returns false if the task was done
   /// already.
@@ -145,6 +163,8 @@
 
 private:
   void release(LiveJob &Job, Occurrence &O);
+  static bool mayStartSoon(const LiveJob &Job, const Occurrence &O,
+                           std::uint32_t Step);
   void releaseOccurrence(LiveJob &Job);
 
   std::map<JobId, std::unique_ptr<LiveJob>> m_Jobs;
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Each job takes up to three entries of a transaction, and the store accepts
-/// 100.
+/// Each job takes up to three entries of a transaction and the condition on the
+/// term one; the store accepts 100.
 constexpr std::size_t MaxJobsPerTransaction = 33;
 /// Changes that end no job are delayed by this time, so that several share a
 /// transaction. Each call to the store has a price, and a late record only
@@ -23,22 +23,33 @@
 constexpr Duration RetryDelay = std::chrono::milliseconds(100);
 constexpr std::uint32_t MaxBackoffFactor = 4;
 
+/// Whether callers or a start wait for the record of \p Job.
+bool isUrgent(const LiveJob &Job) {
+  return Job.m_WantsStart || isFinal(Job.m_State);
+}
+
 } // namespace
 
-std::unique_ptr<ProgressWriter> ProgressWriter::create(Scheduler &Core) {
-  return std::unique_ptr<ProgressWriter>(new ProgressWriter(Core));
+std::unique_ptr<ProgressWriter>
+ProgressWriter::create(Scheduler &Core, RowCondition TermCondition) {
+  return std::unique_ptr<ProgressWriter>(
+      new ProgressWriter(Core, std::move(TermCondition)));
 }
 
-bool ProgressWriter::hasFinishedJob() const {
+bool ProgressWriter::hasUrgentChange() const {
   const auto &Dirty = m_Core.jobs().dirty();
   return std::any_of(Dirty.begin(), Dirty.end(), [this](const JobId &Id) {
     LiveJob *Job = m_Core.jobs().find(Id);
-    return Job && isFinal(Job->m_State);
+    return Job && isUrgent(*Job);
   });
 }
 
 std::vector<JobId> ProgressWriter::takeBatch(TimePoint Now) {
   auto &Dirty = m_Core.jobs().dirty();
+  std::stable_partition(Dirty.begin(), Dirty.end(), [this](const JobId &Id) {
+    LiveJob *Job = m_Core.jobs().find(Id);
+    return Job && isUrgent(*Job);
+  });
   std::vector<JobId> Taken, Remaining;
   std::string OnlyPartition;
   for (JobId &Id : Dirty) {
@@ -61,26 +72,40 @@
   return Taken;
 }
 
+bool ProgressWriter::addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
+                                RowTransaction &Txn) {
+  const JobId &Id = Job.m_Spec.m_Id;
+  RowAddress State = jobStateAddress(Id);
+  JobProgress Progress = m_Core.jobs().progressOf(Job, Wall);
+  Job.m_Dirty = false;
+  Job.m_WantsStart = false;
+  Txn.m_Conditions.push_back({State, Job.m_StateVersion});
+  Txn.m_Puts.push_back({State, encodeProgress(Progress)});
+  if (isFinal(Job.m_State))
+    Txn.m_Deletes.push_back(liveJobAddress(Id));
+  bool RecordsStart = false;
+  for (const auto &[Number, Step] : Progress.m_StartedSteps)
+    RecordsStart |= !Job.step(Number, Step)->m_StartRecorded;
+  m_Batch.push_back({Id, Job.m_State, Job.m_ChangeNumber,
+                     Progress.m_State != JobState::Queued,
+                     std::move(Progress.m_StartedSteps)});
+  return RecordsStart;
+}
+
 std::optional<RowTransaction>
 ProgressWriter::next(TimePoint Now, std::chrono::milliseconds Wall) {
   if (m_CommitPending || m_Core.jobs().dirty().empty() ||
-      (Now < m_LastWrite + GroupCommitDelay && !hasFinishedJob()))
+      (Now < m_LastWrite + GroupCommitDelay && !hasUrgentChange()))
     return std::nullopt;
   RowTransaction Txn;
   m_Batch.clear();
-  for (const JobId &Id : takeBatch(Now)) {
-    LiveJob &Job = *m_Core.jobs().find(Id);
-    Job.m_Dirty = false;
-    RowAddress State = jobStateAddress(Id);
-    Txn.m_Conditions.push_back({State, Job.m_StateVersion});
-    Txn.m_Puts.push_back(
-        {State, encodeProgress(m_Core.jobs().progressOf(Job, Wall))});
-    if (isFinal(Job.m_State))
-      Txn.m_Deletes.push_back(liveJobAddress(Id));
-    m_Batch.push_back({Id, Job.m_State, Job.m_ChangeNumber});
-  }
+  bool RecordsStarts = false;
+  for (const JobId &Id : takeBatch(Now))
+    RecordsStarts |= addToBatch(*m_Core.jobs().find(Id), Wall, Txn);
   if (m_Batch.empty())
     return std::nullopt;
+  if (RecordsStarts)
+    Txn.m_Conditions.push_back(m_TermCondition);
   m_LastWrite = Now;
   m_CommitPending = true;
   return Txn;
@@ -89,27 +114,35 @@
 void ProgressWriter::onResult(const Result<CommitOutcome> &Outcome,
                               TimePoint Now) {
   m_CommitPending = false;
+  m_LastLatency = Now - m_LastWrite;
   if (!Outcome)
     return onFailed(Outcome.error(), Now);
   for (const Pending &P : m_Batch)
     m_Backoffs.erase(jobStateAddress(P.m_Job).m_Partition);
   if (Outcome.value().m_Committed)
     return onCommitted(Outcome.value().m_Version, Now);
+  markBatchDirty();
+  onConflicts(Outcome.value().m_Conflicts);
+}
+
+void ProgressWriter::markBatchDirty() {
   for (const Pending &P : m_Batch)
-    if (LiveJob *Job = m_Core.jobs().find(P.m_Job))
+    if (LiveJob *Job = m_Core.jobs().find(P.m_Job)) {
       m_Core.jobs().markDirty(*Job);
-  onConflicts(Outcome.value().m_Conflicts);
+      for (const auto &[Number, Step] : P.m_StartedSteps) {
+        const StepState *S = Job->step(Number, Step);
+        Job->m_WantsStart |= S->m_StartWanted && !S->m_StartRecorded;
+      }
+    }
 }
 
 void ProgressWriter::onFailed(const Error &Why, TimePoint Now) {
   logEvent(Event::RecordFailed, {{"jobs", std::to_string(m_Batch.size())},
                                  {"error", Why.describe()}});
   std::set<std::string> Partitions;
-  for (const Pending &P : m_Batch) {
+  for (const Pending &P : m_Batch)
     Partitions.insert(jobStateAddress(P.m_Job).m_Partition);
-    if (LiveJob *Job = m_Core.jobs().find(P.m_Job))
-      m_Core.jobs().markDirty(*Job);
-  }
+  markBatchDirty();
   m_SplitUntil = Now + SplitTime;
   // It is unknown which of several partitions failed.
   if (Partitions.size() > 1)
@@ -125,6 +158,8 @@
       continue;
     Job->m_StateVersion = Version;
     Job->m_RecordedChangeNumber = P.m_ChangeNumber;
+    Job->m_IsRecordedAsRunning = P.m_IsRunning;
+    JobRegistry::markStartsRecorded(*Job, P.m_StartedSteps);
     if (!isFinal(P.m_State))
       continue;
     logEvent(
@@ -154,6 +189,7 @@
     // The row was written by an earlier leader, or by this one with the answer
     // lost. Servers may have forgotten the run ends that it contains.
     Job->m_StateVersion = Row.m_Version;
+    Job->m_IsRecordedAsRunning = Stored.value().m_State != JobState::Queued;
     m_Core.mergeStoredProgress(*Job, Stored.value());
   }
 }
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -12,8 +12,9 @@
 /// Writes the progress of jobs whose state row is out of date, one transaction
 /// at a time. Each transaction depends on the version of every row that it
 /// replaces, so that a transaction that the store applies late has no effect.
-/// It does not depend on the term, because a completed task stays completed
-/// under every leader. Not thread safe.
+/// A transaction that records starts also depends on the term, so that the next
+/// leader knows all records of this one when it begins. Others do not, because
+/// a completed task stays completed under every leader. Not thread safe.
 ///
 /// Usually a transaction spans all partitions of the store. After a failure
 /// each partition gets its own transactions for a while, so that an unavailable
@@ -21,18 +22,32 @@
 class ProgressWriter {
 public:
   /// \p Core must outlive the writer.
-  static std::unique_ptr<ProgressWriter> create(Scheduler &Core);
+  /// \p TermCondition holds while the scheduler's term is in effect.
+  static std::unique_ptr<ProgressWriter> create(Scheduler &Core,
+                                                RowCondition TermCondition);
 
   /// The next transaction, if one is due and none is pending.
   std::optional<RowTransaction> next(TimePoint Now,
                                      std::chrono::milliseconds Wall);
   /// Handles the result of the transaction that next() returned.
   void onResult(const Result<CommitOutcome> &Outcome, TimePoint Now);
+  /// How long the pending transaction has taken; if none is pending, how long
+  /// the last one took.
+  Duration latency(TimePoint Now) const {
+    return m_CommitPending ? Now - m_LastWrite : m_LastLatency;
+  }
 
 private:
-  explicit ProgressWriter(Scheduler &Core) : m_Core(Core) {}
+  ProgressWriter(Scheduler &Core, RowCondition TermCondition)
+      : m_Core(Core), m_TermCondition(std::move(TermCondition)) {}
   std::vector<JobId> takeBatch(TimePoint Now);
-  bool hasFinishedJob() const;
+  bool hasUrgentChange() const;
+  /// Adds the state row of \p Job to \p Txn and to m_Batch. Returns whether it
+  /// records a start.
+  bool addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
+                  RowTransaction &Txn);
+  /// Makes the jobs of the failed transaction due for the next one.
+  void markBatchDirty();
   void onCommitted(RowVersion Version, TimePoint Now);
   void onFailed(const Error &Why, TimePoint Now);
   void onConflicts(const std::vector<StoredRow> &Rows);
@@ -42,6 +57,8 @@
     JobId m_Job;
     JobState m_State;
     std::uint64_t m_ChangeNumber;
+    bool m_IsRunning;
+    std::set<std::pair<std::uint32_t, std::uint32_t>> m_StartedSteps;
   };
   /// Retry state of a partition whose last transaction failed.
   struct Backoff {
@@ -50,6 +67,7 @@
   };
 
   Scheduler &m_Core;
+  RowCondition m_TermCondition;
   std::vector<Pending> m_Batch;
   bool m_CommitPending = false;
   /// Until then each transaction contains a single partition.
@@ -57,6 +75,7 @@
   /// By the name of the partition.
   std::map<std::string, Backoff> m_Backoffs;
   TimePoint m_LastWrite{};
+  Duration m_LastLatency{0};
 };
 
 } // namespace pollenspool
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -17,6 +17,10 @@
 /// Added to the wait of a poll for its timeout. A server answers within a few
 /// milliseconds.
 constexpr std::chrono::milliseconds PollTimeoutMargin{600};
+/// Number of servers that are polled at the same time for the first time in a
+/// term. With more, a leader of a thousand servers would answer its own calls
+/// too late and take the servers for unreachable.
+constexpr std::size_t MaxFirstPolls = 128;
 /// Delay between two polls of a server that does not answer.
 constexpr Duration PollRetryDelay = std::chrono::milliseconds(250);
 /// Maximum factor by which PollRetryDelay grows with each failed poll.
@@ -136,14 +140,16 @@
     ById[L.m_Id] = &L;
   for (auto &[Id, S] : m_Servers.all()) {
     auto It = ById.find(S.m_Registration.m_Instance);
-    if (S.m_Runs.empty() || It == ById.end())
+    S.m_IsListedAsGone = false;
+    if (It == ById.end())
       continue;
     const InstanceListing &L = *It->second;
-    bool NotRunning = L.m_Condition != InstanceCondition::Up ||
-                      (!L.m_Server.empty() && L.m_Server != Id);
     // An answer that arrived after the list was requested shows that the server
     // is alive.
-    if (NotRunning && S.m_ClockAt < Asked && !S.m_Reachable)
+    S.m_IsListedAsGone = (L.m_Condition != InstanceCondition::Up ||
+                          (!L.m_Server.empty() && L.m_Server != Id)) &&
+                         S.m_ClockAt < Asked;
+    if (S.m_IsListedAsGone && !S.m_Runs.empty() && !S.m_Reachable)
       rescheduleAllRuns(
           S, "the platform lists its instance as not up or with another server",
           Now);
@@ -165,6 +171,7 @@
       if (Job.task(Task))
         m_Jobs.markFailed(Job, Task, Run);
     }
+  JobRegistry::markStartsRecorded(Job, Stored.m_StartedSteps);
 }
 
 bool Scheduler::isRecorded(const UnrecordedEnd &End) {
@@ -217,15 +224,31 @@
     m_Servers.erase(Id);
 }
 
+std::size_t Scheduler::firstPollsAllowed() const {
+  std::size_t Pending = 0;
+  for (const auto &[Id, S] : m_Servers.all())
+    Pending += S.m_PollPending && !S.m_HasAcknowledgedTerm;
+  return MaxFirstPolls - std::min(Pending, MaxFirstPolls);
+}
+
 void Scheduler::sendDuePolls(TimePoint Now) {
+  std::size_t FirstPolls = firstPollsAllowed();
   for (auto &[Id, S] : m_Servers.all()) {
     if (S.m_PollPending || Now < S.m_NextPoll)
       continue;
+    // Servers that have not failed to answer come first: an unreachable one
+    // holds its place for the whole timeout.
+    if (!S.m_HasAcknowledgedTerm) {
+      if (FirstPolls <= (S.m_FailedPolls > 0 ? MaxFirstPolls / 2 : 0))
+        continue;
+    }
     bool Due = !S.m_HasAcknowledgedTerm || !S.m_Reachable ||
                !S.m_Runs.empty() ||
                S.m_LastRecordedEnd > S.m_LastAcknowledgedEnd;
-    if (Due && (S.m_Registered || !S.m_Runs.empty()))
-      sendPoll(S, Now);
+    if (!Due || (!S.m_Registered && S.m_Runs.empty()))
+      continue;
+    FirstPolls -= !S.m_HasAcknowledgedTerm;
+    sendPoll(S, Now);
   }
 }
 
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -143,6 +143,14 @@
   void tick(TimePoint Now, std::chrono::milliseconds Wall,
             const Authority &Granted = {});
 
+  /// Earlier leaders recorded the start of each step before they ordered it,
+  /// for jobs accepted after \p Version. By default no record is relied on.
+  void setStartsRecordedSince(RowVersion Version) {
+    m_StartsRecordedSince = Version;
+  }
+  /// Whether a step is only started once its start is recorded in the store. By
+  /// default it is not.
+  void setRecordsStarts(bool Records) { m_RecordsStarts = Records; }
   /// Sets how far the process is behind with its work. Servers are polled less
   /// often with a larger lag.
   void setLag(Duration Lag) { m_Lag = Lag; }
@@ -229,8 +237,22 @@
              std::uint32_t RunNumber, TimePoint Now);
   std::uint32_t nextRunNumber(const TaskState &T) const;
   bool isUsable(const ServerState &S, TimePoint Now) const;
-  bool mayHaveUnknownRuns(const LiveJob &Job, TimePoint Now);
-  bool hasPoolAcknowledgedTerm(const PoolName &Pool);
+  /// Whether an earlier leader may have started runs of a step on servers that
+  /// have not answered in this term.
+  bool mayHaveUnknownRuns(const LiveJob &Job, const ReadyTask &Task,
+                          TimePoint Now) const;
+  bool mayAllHaveUnknownRuns(const LiveJob &Job, TimePoint Now) const;
+  /// Whether the start of the task's step is recorded as far as necessary.
+  /// Otherwise asks for the record and keeps \p Need free on \p S for the rest
+  /// of the placement.
+  bool isStartRecorded(LiveJob &Job, const ReadyTask &Task,
+                       const Resources &Need, ServerState &S);
+  void releaseReservations();
+  bool hasPoolAcknowledgedTerm(const PoolName &Pool) const {
+    return m_InstancesKnown && !m_UnacknowledgedPools.count(Pool);
+  }
+  /// Finds the pools with servers that have not answered in this term.
+  void findUnacknowledgedPools();
 
   bool hasServerFor(const LiveJob &Job, const ReadyTask &Task) const;
 
@@ -246,6 +268,7 @@
   bool canRelocate(const RunId &Id, const ServerState &From, TimePoint Now);
 
   void sendDuePolls(TimePoint Now);
+  std::size_t firstPollsAllowed() const;
   void sendPoll(ServerState &S, TimePoint Now);
   static std::chrono::milliseconds pollWait(const ServerState &S);
   Duration pollSpacing() const;
@@ -261,7 +284,14 @@
   std::vector<InstanceListing> m_Instances;
   bool m_InstancesKnown = false;
   TimePoint m_UnknownRunsUntil{};
+  /// As of the latest placement.
+  std::set<PoolName> m_UnacknowledgedPools;
   bool m_Superseded = false;
+  RowVersion m_StartsRecordedSince = ~RowVersion(0);
+  bool m_RecordsStarts = false;
+  /// Resources kept free for tasks whose start is being recorded, during one
+  /// placement.
+  std::vector<std::pair<ServerState *, Resources>> m_Reservations;
   Authority m_Authority;
   Duration m_Lag{0};
   SchedulerCounters m_Counters;
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -26,7 +26,7 @@
 std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
   std::map<QueueName, std::uint32_t> Waiting;
   for (auto &[Id, Job] : const_cast<JobRegistry &>(m_Jobs).all())
-    if (!Job->hasStarted())
+    if (!Job->m_HasBegun)
       ++Waiting[Job->m_Spec.m_Queue];
   return Waiting;
 }
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -14,7 +14,7 @@
                                       : "it does not wait";
   if (Job->m_AcceptedVersion > m_Authority.m_StartableVersion)
     return "the store has not confirmed that this leader still leads";
-  if (mayHaveUnknownRuns(*Job, Now))
+  if (mayHaveUnknownRuns(*Job, Job->m_Ready.front(), Now))
     return "an earlier leader may have started it on a server that has not "
            "answered this leader";
   const ReadyTask &First = Job->m_Ready.front();
@@ -44,6 +44,9 @@
            std::to_string(First.m_Step);
   if (advicePolicy(*Job) && WithTicket == 0)
     return "the adviser has allowed none of " + Servers + " yet";
+  if (Job->step(First.m_Occurrence, First.m_Step)->m_StartWanted &&
+      !Job->step(First.m_Occurrence, First.m_Step)->m_StartRecorded)
+    return "its start is being recorded in the store";
   return "it is about to start";
 }
 
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -32,33 +32,67 @@
          Now >= S.m_SuspendedUntil;
 }
 
-bool Scheduler::hasPoolAcknowledgedTerm(const PoolName &Pool) {
-  if (!m_InstancesKnown)
-    return false;
+void Scheduler::findUnacknowledgedPools() {
+  m_UnacknowledgedPools.clear();
   for (const auto &[Id, S] : m_Servers.all())
-    if (S.m_Registration.m_Pool == Pool && !S.m_HasAcknowledgedTerm)
-      return false;
+    if (!S.m_HasAcknowledgedTerm && !S.m_IsListedAsGone)
+      m_UnacknowledgedPools.insert(S.m_Registration.m_Pool);
   for (const InstanceListing &L : m_Instances) {
-    if (L.m_Pool != Pool || L.m_Condition != InstanceCondition::Up ||
-        L.m_Server.empty())
+    if (L.m_Condition != InstanceCondition::Up || L.m_Server.empty())
       continue;
-    ServerState *S = m_Servers.find(L.m_Server);
+    const ServerState *S = m_Servers.find(L.m_Server);
     if (!S || !S->m_HasAcknowledgedTerm)
-      return false;
+      m_UnacknowledgedPools.insert(L.m_Pool);
   }
-  return true;
 }
 
-bool Scheduler::mayHaveUnknownRuns(const LiveJob &Job, TimePoint Now) {
+bool Scheduler::mayHaveUnknownRuns(const LiveJob &Job, const ReadyTask &Task,
+                                   TimePoint Now) const {
   if (Now >= m_UnknownRunsUntil ||
       Job.m_AcceptedVersion > m_Options.m_TermVersion)
     return false;
+  if (Job.m_AcceptedVersion > m_StartsRecordedSince &&
+      !Job.m_Occurrences.at(Task.m_Occurrence)
+           .m_Steps[Task.m_Step]
+           .m_MayHaveEarlierRuns)
+    return false;
   PoolName Pool = poolOf(Job);
   return !hasPoolAcknowledgedTerm(Pool) ||
          (Pool != Job.m_Spec.m_Pool &&
           !hasPoolAcknowledgedTerm(Job.m_Spec.m_Pool));
 }
 
+bool Scheduler::mayAllHaveUnknownRuns(const LiveJob &Job, TimePoint Now) const {
+  if (Now >= m_UnknownRunsUntil)
+    return false;
+  const ReadyTask *Last = nullptr;
+  for (const ReadyTask &R : Job.m_Ready) {
+    bool IsSameStep = Last && Last->m_Step == R.m_Step &&
+                      Last->m_Occurrence == R.m_Occurrence;
+    if (!IsSameStep && !mayHaveUnknownRuns(Job, R, Now))
+      return false;
+    Last = &R;
+  }
+  return true;
+}
+
+bool Scheduler::isStartRecorded(LiveJob &Job, const ReadyTask &Task,
+                                const Resources &Need, ServerState &S) {
+  if (!m_RecordsStarts ||
+      Job.step(Task.m_Occurrence, Task.m_Step)->m_StartRecorded)
+    return true;
+  m_Jobs.requestStart(Job, Task.m_Occurrence, Task.m_Step);
+  m_Reservations.emplace_back(&S, Need);
+  S.m_Used += Need;
+  return false;
+}
+
+void Scheduler::releaseReservations() {
+  for (auto &[S, Need] : m_Reservations)
+    S->m_Used -= Need;
+  m_Reservations.clear();
+}
+
 std::chrono::milliseconds Scheduler::criticalPath(const JobSpec &Job) {
   std::vector<std::chrono::milliseconds> Chain;
   std::chrono::milliseconds Longest{0};
@@ -104,6 +138,8 @@
 }
 
 void Scheduler::placeReady(TimePoint Now) {
+  if (Now < m_UnknownRunsUntil)
+    findUnacknowledgedPools();
   std::map<PoolName, std::vector<LiveJob *>> Pools;
   auto &Ready = m_Jobs.ready();
   for (auto It = Ready.begin(); It != Ready.end();) {
@@ -117,6 +153,7 @@
   }
   for (auto &[Pool, Jobs] : Pools)
     placePool(Pool, Jobs, Now);
+  releaseReservations();
 }
 
 void Scheduler::placePool(const PoolName &Pool, std::vector<LiveJob *> &Jobs,
@@ -139,7 +176,7 @@
   std::vector<std::tuple<int, std::uint32_t, TimePoint, LiveJob *>> Order;
   for (LiveJob *Job : Jobs)
     if (Job->m_AcceptedVersion <= m_Authority.m_StartableVersion &&
-        !mayHaveUnknownRuns(*Job, Now))
+        !mayAllHaveUnknownRuns(*Job, Now))
       Order.emplace_back(Rank(*Job), Job->m_Priority, Job->m_Objective, Job);
   std::sort(Order.begin(), Order.end(), [](const auto &A, const auto &B) {
     const auto &[RankA, PriorityA, ObjectiveA, JobA] = A;
@@ -185,6 +222,11 @@
       Remaining.push_back(R);
       continue;
     }
+    if (mayHaveUnknownRuns(Job, R, Now)) {
+      BlockedSteps.insert({R.m_Occurrence, R.m_Step});
+      Remaining.push_back(R);
+      continue;
+    }
     if (Job.m_Spec.m_Steps[R.m_Step].m_Gang) {
       BlockedSteps.insert({R.m_Occurrence, R.m_Step});
       if (!placeGang(Job, R, Available, Now))
@@ -197,7 +239,11 @@
       Remaining.push_back(R);
       continue;
     }
-    start(Job, R, *S, nextRunNumber(T), Now);
+    if (isStartRecorded(Job, R, allocationFor(Job.m_Spec.m_Steps[R.m_Step]),
+                        *S))
+      start(Job, R, *S, nextRunNumber(T), Now);
+    else
+      Remaining.push_back(R);
   }
   for (const ReadyTask &R : Remaining)
     if (Job.step(R.m_Occurrence, R.m_Step)->m_Tasks[R.m_Index].m_Ready)
@@ -232,6 +278,11 @@
     S->m_Used -= Allocation;
   if (!Complete)
     return false;
+  bool IsRecorded = true;
+  for (auto &[R, S] : Plan)
+    IsRecorded &= isStartRecorded(Job, R, Allocation, *S);
+  if (!IsRecorded)
+    return false;
   for (auto &[R, S] : Plan)
     start(Job, R, *S, Number, Now);
   return true;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -77,6 +77,8 @@
       Run.m_Phase = RunPhase::Running;
     Run.m_ConfirmedAt = Now;
     S->m_NextPoll = std::min(S->m_NextPoll, Now);
+    if (LiveJob *Job = m_Jobs.find(Order.m_Run.m_Task.m_Job))
+      Job->m_HasBegun = true;
     return;
   }
   logEvent(Event::StartNotTaken, {{"run", runName(Order.m_Run)},
@@ -234,6 +236,8 @@
 void Scheduler::endRun(ServerState &S, const EndReport &End, TimePoint Now) {
   S.m_LastSeenEnd = End.m_Number;
   LiveJob *Job = m_Jobs.find(End.m_Run.m_Task.m_Job);
+  if (Job)
+    Job->m_HasBegun = true;
   TaskState *T = Job ? Job->task(End.m_Run.m_Task) : nullptr;
   ServerRegistry::removeRun(S, End.m_Run);
   std::uint64_t ChangeNumber = 0;
@@ -297,6 +301,8 @@
       continue;
     }
     ActiveRun &Run = It->second;
+    if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
+      Job->m_HasBegun = true;
     if (Run.m_Phase == RunPhase::Unconfirmed) {
       Run.m_Phase = RunPhase::Running;
       Run.m_ConfirmedAt = S.m_PollSentAt;
@@ -352,6 +358,7 @@
     return;
   }
   ++m_Counters.m_Adopted;
+  Job->m_HasBegun = true;
   T->m_Runs.push_back({S.m_Registration.m_Id, Report.m_Run.m_Number});
   T->m_LastRunNumber = std::max(T->m_LastRunNumber, Report.m_Run.m_Number);
   Job->removeFromReady(Task);
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -68,6 +68,9 @@
   /// orders of earlier terms.
   bool m_HasAcknowledgedTerm = false;
   bool m_Reachable = true;
+  /// Whether the latest instance list shows that the server does not run: its
+  /// instance is not up, or has another server.
+  bool m_IsListedAsGone = false;
   /// Failed polls since the last answer.
   std::uint32_t m_FailedPolls = 0;
 
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -17,6 +17,7 @@
 /// How long a replaced leader keeps giving orders. The value is the same as in
 /// production.
 constexpr Duration ReplacedLeaderTimeout = std::chrono::seconds(5);
+constexpr char TermRowKey[] = "term";
 
 } // namespace
 
@@ -31,7 +32,11 @@
     Options.m_TermVersion = TermVersion;
     Options.m_EarlierLeaderTimeout = ReplacedLeaderTimeout;
     m_Core = Scheduler::create(Options, *this, Simulation.m_Clock.m_Now);
-    m_Writer = ProgressWriter::create(*m_Core);
+    m_Writer = ProgressWriter::create(
+        *m_Core, {{"lead", TermRowKey, "lead"}, TermVersion});
+    // The simulated leaders record all starts from the first term on.
+    m_Core->setRecordsStarts(true);
+    m_Core->setStartsRecordedSince(0);
   }
 
   std::unique_ptr<Scheduler> m_Core;
@@ -276,9 +281,9 @@
 }
 
 void JobSimulation::startTerm() {
-  RowVersion TermVersion = ++m_Version;
+  m_TermVersion = ++m_Version;
   m_Leaders.push_back(std::make_unique<Instance>(
-      *this, static_cast<int>(m_Leaders.size()), ++m_Term, TermVersion));
+      *this, static_cast<int>(m_Leaders.size()), ++m_Term, m_TermVersion));
   ++m_Figures.m_Terms;
   Instance &Leader = *m_Leaders.back();
   QueuePolicy Queue;
@@ -348,6 +353,11 @@
 CommitOutcome JobSimulation::apply(const RowTransaction &Txn) {
   CommitOutcome Outcome;
   for (const RowCondition &C : Txn.m_Conditions) {
+    if (C.m_At.m_Key == TermRowKey) {
+      if (C.m_Version != m_TermVersion)
+        Outcome.m_Conflicts.push_back({C.m_At, {}, m_TermVersion, false});
+      continue;
+    }
     const StateRow &Row = m_StateRows[C.m_At.m_Key];
     if (Row.m_Version != C.m_Version)
       Outcome.m_Conflicts.push_back(
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -114,6 +114,7 @@
   std::vector<std::unique_ptr<Instance>> m_Leaders;
   RowVersion m_Version = 10;
   Term m_Term = 0;
+  RowVersion m_TermVersion = 0;
   bool m_HasDemand = false;
   SimulationStats m_Figures;
 };
--- a/src/scheduling/testing/SchedulerFixture.cpp
+++ b/src/scheduling/testing/SchedulerFixture.cpp
@@ -10,7 +10,7 @@
   Options.m_Term = T;
   Options.m_TermVersion = 100;
   m_Core = Scheduler::create(Options, m_Orders, m_Now);
-  m_Writer = ProgressWriter::create(*m_Core);
+  m_Writer = ProgressWriter::create(*m_Core, termCondition());
   QueuePolicy Queue;
   Queue.m_Name = QueueName("asks");
   Queue.m_Pool = PoolName("desk");
--- a/src/scheduling/testing/SchedulerFixture.h
+++ b/src/scheduling/testing/SchedulerFixture.h
@@ -52,6 +52,10 @@
   /// Answers the start order at \p Index of m_Orders.m_Starts.
   void answerStart(std::size_t Index, OrderResult R = OrderResult::Done);
 
+  /// The condition that the writer adds to transactions that record starts.
+  static RowCondition termCondition() {
+    return {{"lead", "term", "lead"}, 100};
+  }
   /// Commits all changes of job state, one transaction per second.
   void record();
 
--- a/src/store/TableMirror.cpp
+++ b/src/store/TableMirror.cpp
@@ -16,6 +16,19 @@
 /// configuration has to take effect, and long enough to keep the number of
 /// calls during an outage low, since calls are charged for.
 constexpr Duration RetryPause = std::chrono::milliseconds(150);
+/// An answer with fewer bytes of values is not cut by the store's limit of 1
+/// MB, whether the store counts the values as they are or as Base64 with their
+/// addresses.
+constexpr std::size_t MaxCompleteAnswerBytes = 500000;
+
+/// Whether the store may have cut \p Changes at one of its limits.
+bool mayHaveMoreChanges(const RowPage &Changes) {
+  std::size_t Bytes = 0;
+  for (const StoredRow &Row : Changes.m_Rows)
+    Bytes += Row.m_Value.size();
+  return Changes.m_HasMore || Changes.m_Rows.size() >= MaxPageRows ||
+         Bytes >= MaxCompleteAnswerBytes;
+}
 
 } // namespace
 
@@ -40,6 +53,7 @@
 void TableMirror::readSnapshot() {
   m_SnapshotRows.clear();
   m_SnapshotVersion = 0;
+  m_SnapshotBegunAt = m_Loop.now();
   m_PartitionsLeft = m_Partitions.size();
   ++m_SnapshotNumber;
   for (const std::string &Part : m_Partitions)
@@ -82,6 +96,7 @@
   removeUnseenRows();
   m_ReportedVersion = m_SnapshotVersion;
   m_IsSynced = true;
+  m_CurrentAt = m_SnapshotBegunAt;
   recordAnswer(Asked);
   requestChanges();
 }
@@ -121,6 +136,8 @@
     if (Row.m_Version == Newest[Row.m_At.m_Key])
       apply(Row);
   m_ReportedVersion = std::max(m_ReportedVersion, Changes.value().m_Version);
+  if (!mayHaveMoreChanges(Changes.value()))
+    m_CurrentAt = Asked;
   recordAnswer(Asked);
   if (Changes.value().m_Rows.empty() || m_BatchDelay <= Duration(0))
     return requestChanges();
--- a/src/store/TableMirror.h
+++ b/src/store/TableMirror.h
@@ -45,6 +45,10 @@
   TimePoint lastAnswerRequestedAt() const { return m_LastAnswerRequestedAt; }
   /// Version of the store up to which all rows have been reported.
   RowVersion version() const { return m_ReportedVersion; }
+  /// All changes up to this time have been reported. It lags behind
+  /// lastAnswerRequestedAt() while a read is in progress or the feed has more
+  /// changes than fit into one answer.
+  TimePoint currentAt() const { return m_CurrentAt; }
   /// Since when the store has answered without a failure.
   TimePoint answeringSince() const { return m_AnsweringSince; }
 
@@ -84,6 +88,9 @@
   bool m_IsStopped = false;
   bool m_IsFailing = true;
   TimePoint m_LastAnswerRequestedAt{};
+  TimePoint m_CurrentAt{};
+  /// When the read in progress began.
+  TimePoint m_SnapshotBegunAt{};
   TimePoint m_AnsweringSince{};
 };
 
--- a/src/store/TableMirrorTest.cpp
+++ b/src/store/TableMirrorTest.cpp
@@ -95,3 +95,32 @@
   STRCMP_EQUAL("b=2", m_Seen[0].c_str());
   STRCMP_EQUAL("a gone", m_Seen[1].c_str());
 }
+
+// A leader of a thousand servers read its jobs for seconds and then started
+// some that had been cancelled meanwhile.
+TEST(TableMirror, IsAsOldAsTheBeginningOfTheReadUntilTheFeedHasAnswered) {
+  TimePoint AfterRead = m_Loop->now();
+  CHECK(m_Mirror->currentAt() <= AfterRead);
+  RowPage NoChange;
+  NoChange.m_Version = 10;
+  m_Store.m_Follows.at(0)(NoChange);
+  CHECK(m_Mirror->currentAt() <= m_Loop->now());
+  m_Store.m_Follows.at(1)(NoChange);
+  CHECK(m_Mirror->currentAt() >= AfterRead);
+}
+
+TEST(TableMirror, AnAnswerThatTheStoreMayHaveCutDoesNotMakeItCurrent) {
+  TimePoint AfterRead = m_Loop->now();
+  RowPage Cut;
+  for (RowVersion V = 11; V < 511; ++V)
+    Cut.m_Rows.push_back(row("k" + std::to_string(V), "1", V));
+  Cut.m_Version = 510;
+  m_Store.m_Follows.at(0)(Cut);
+  m_Store.m_Follows.at(1)(Cut);
+  CHECK(m_Mirror->currentAt() <= AfterRead);
+  RowPage Large;
+  Large.m_Rows = {row("large", std::string(900000, 'x'), 600)};
+  Large.m_Version = 600;
+  m_Store.m_Follows.at(2)(Large);
+  CHECK(m_Mirror->currentAt() <= AfterRead);
+}
