Make a placement cheaper for a thousand servers

Cause: with a backlog each placement looked up every job and its queue's policy by name, went through all servers once for each pool, sorted jobs for which there is no room, and counted the runs of every candidate server for every task. Ruled out by the profile of SchedulingBench: the sort alone. Searches of jobs by name and the loop over servers took most of the time of a tick. Change: policies and jobs are referred to by pointer, one pass over the servers, only jobs that may fit are sorted, runs are counted for long-running and best-effort tasks only; decisions take at most a fifth of the time (the pause grows with their duration). SchedulingBench has 600 servers.

--- a/benchmarks/SchedulingBench.cpp
+++ b/benchmarks/SchedulingBench.cpp
@@ -29,7 +29,8 @@
 constexpr Load Loads[] = {
     {"11 servers, peak 0.9", 11, 0.9},   {"11 servers, peak 2.2", 11, 2.2},
     {"77 servers, peak 0.9", 77, 0.9},   {"77 servers, peak 2.2", 77, 2.2},
-    {"300 servers, peak 0.9", 300, 0.9},
+    {"300 servers, peak 0.9", 300, 0.9}, {"600 servers, peak 0.9", 600, 0.9},
+    {"600 servers, peak 2.2", 600, 2.2},
 };
 
 constexpr milliseconds PhaseLength{4500};
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -27,8 +27,12 @@
 /// How old the view may be for the published counts of waiting jobs.
 constexpr Duration MaxCountedJobsAge = std::chrono::milliseconds(1500);
 /// Delay between an event and the decisions that it causes, so that events in
-/// quick succession are handled together.
-constexpr Duration EventBatchDelay = std::chrono::milliseconds(2);
+/// quick succession are handled together. It is DecisionPauseFactor times as
+/// long as the latest decisions took, within these bounds, so that decisions
+/// leave most of the processor to calls.
+constexpr Duration MinEventBatchDelay = std::chrono::milliseconds(2);
+constexpr Duration MaxEventBatchDelay = std::chrono::milliseconds(20);
+constexpr int DecisionPauseFactor = 4;
 /// How long the final state of a job is kept after callers can no longer query
 /// it.
 constexpr std::chrono::seconds RemovalMargin{60};
@@ -213,7 +217,9 @@
   if (m_TickScheduled)
     return;
   m_TickScheduled = true;
-  m_Loop.after(EventBatchDelay, whileLeading([this] {
+  m_Loop.after(std::clamp(m_DecisionTime * DecisionPauseFactor,
+                          MinEventBatchDelay, MaxEventBatchDelay),
+               whileLeading([this] {
                  m_TickScheduled = false;
                  runDecisions();
                }));
@@ -250,6 +256,7 @@
   recordProgress();
   recordWaves();
   removeOldStates();
+  m_DecisionTime = m_Loop.now() - Now;
 }
 
 void Leader::recordProgress() {
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -130,6 +130,8 @@
   bool m_JobsLoaded = false;
   bool m_Stopped = false;
   bool m_TickScheduled = false;
+  /// How long the latest decisions took.
+  Duration m_DecisionTime{0};
   bool m_ListPending = false;
   TimePoint m_NextListAt{};
   TimePoint m_NextRemovalAt{};
--- a/src/entry/StatusPage.cpp
+++ b/src/entry/StatusPage.cpp
@@ -29,7 +29,7 @@
   std::map<QueueName, QueueCounts> Counts;
   for (const auto &[Id, Job] : Sched.jobs().all())
     ++(Job->m_HasBegun ? Counts[Job->m_Spec.m_Queue].m_Running
-                         : Counts[Job->m_Spec.m_Queue].m_Waiting);
+                       : Counts[Job->m_Spec.m_Queue].m_Waiting);
   Json Rows = Json::array();
   for (const QueuePolicy &Q : Service.config()->queues()) {
     const QueueCounts &C = Counts[Q.m_Name];
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -131,7 +131,7 @@
         }))
       continue;
     S.m_Released = true;
-    m_ReadyJobs.insert(Job.m_Spec.m_Id);
+    m_ReadyJobs[Job.m_Spec.m_Id] = &Job;
     for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
       // A run that an earlier leader started may have been adopted before this
       // leader has seen the ends of the preceding steps.
@@ -234,10 +234,21 @@
   T->m_Ready = true;
   T->m_NotBefore = NotBefore;
   Job.m_Ready.push_back({Id.m_Occurrence, Id.m_Step, Id.m_Index});
-  m_ReadyJobs.insert(Job.m_Spec.m_Id);
+  m_ReadyJobs[Job.m_Spec.m_Id] = &Job;
+}
+
+bool JobRegistry::findUrgent() {
+  m_MayHaveUrgent =
+      m_MayHaveUrgent &&
+      std::any_of(m_Dirty.begin(), m_Dirty.end(), [this](const JobId &Id) {
+        const LiveJob *Job = find(Id);
+        return Job && Job->needsUrgentRecord();
+      });
+  return m_MayHaveUrgent;
 }
 
 void JobRegistry::markDirty(LiveJob &Job) {
+  m_MayHaveUrgent |= Job.needsUrgentRecord();
   if (Job.m_Dirty)
     return;
   Job.m_Dirty = true;
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -5,10 +5,12 @@
 
 #include "jobs/JobRows.h"
 #include "scheduling/Messages.h"
+#include "serving/ServingConfig.h"
 #include "store/MetadataStore.h"
 #include <map>
 #include <memory>
 #include <set>
+#include <unordered_map>
 
 namespace pollenspool {
 
@@ -94,6 +96,9 @@
   TimePoint m_Deadline{};
   /// Number of failed runs of one task at which the job fails.
   std::uint32_t m_Attempts = 1;
+  /// The policy of the job's queue in the configuration in effect; null if the
+  /// queue does not exist any more.
+  const QueuePolicy *m_Policy = nullptr;
   /// Priority of the job's queue; 0 is the highest.
   std::uint32_t m_Priority = 0;
   /// Whether the job's state row is out of date.
@@ -110,6 +115,8 @@
   StepId stepId(const ReadyTask &Task) const {
     return {m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
   }
+  /// Whether callers or a start wait for the record of the job's state.
+  bool needsUrgentRecord() const { return m_WantsStart || isFinal(m_State); }
   TaskState *task(const TaskId &Id);
   StepState *step(std::uint32_t Occurrence, std::uint32_t Step);
   /// Removes a task from the ready list if it is there.
@@ -126,7 +133,7 @@
   void remove(const JobId &Id);
   /// Returns null if the job is unknown.
   LiveJob *find(const JobId &Id);
-  std::map<JobId, std::unique_ptr<LiveJob>> &all() { return m_Jobs; }
+  std::unordered_map<JobId, std::unique_ptr<LiveJob>> &all() { return m_Jobs; }
 
   /// Releases the occurrences that are due at \p Wall. Returns whether any was
   /// released.
@@ -157,7 +164,10 @@
 
   /// Jobs that may have ready tasks. Placement removes those that turn out to
   /// have none.
-  std::set<JobId> &ready() { return m_ReadyJobs; }
+  std::map<JobId, LiveJob *> &ready() { return m_ReadyJobs; }
+  /// Whether jobs whose state row is out of date may include one that has ended
+  /// or waits for a start. Exact once findUrgent() has returned.
+  bool findUrgent();
   /// Jobs whose state row is out of date, in the order of their changes.
   std::vector<JobId> &dirty() { return m_Dirty; }
 
@@ -167,11 +177,12 @@
                            std::uint32_t Step);
   void releaseOccurrence(LiveJob &Job);
 
-  std::map<JobId, std::unique_ptr<LiveJob>> m_Jobs;
+  std::unordered_map<JobId, std::unique_ptr<LiveJob>> m_Jobs;
   /// Jobs with occurrences that are not released yet.
   std::set<JobId> m_RecurringJobs;
-  std::set<JobId> m_ReadyJobs;
+  std::map<JobId, LiveJob *> m_ReadyJobs;
   std::vector<JobId> m_Dirty;
+  bool m_MayHaveUrgent = false;
 };
 
 } // namespace pollenspool
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -23,11 +23,6 @@
 constexpr Duration RetryDelay = std::chrono::milliseconds(100);
 constexpr std::uint32_t MaxBackoffFactor = 4;
 
-/// Whether callers or a start wait for the record of \p Job.
-bool isUrgent(const LiveJob &Job) {
-  return Job.m_WantsStart || isFinal(Job.m_State);
-}
-
 } // namespace
 
 std::unique_ptr<ProgressWriter>
@@ -36,19 +31,11 @@
       new ProgressWriter(Core, std::move(TermCondition)));
 }
 
-bool ProgressWriter::hasUrgentChange() const {
-  const auto &Dirty = m_Core.jobs().dirty();
-  return std::any_of(Dirty.begin(), Dirty.end(), [this](const JobId &Id) {
-    LiveJob *Job = m_Core.jobs().find(Id);
-    return Job && isUrgent(*Job);
-  });
-}
-
 std::vector<JobId> ProgressWriter::takeBatch(TimePoint Now) {
   auto &Dirty = m_Core.jobs().dirty();
   std::stable_partition(Dirty.begin(), Dirty.end(), [this](const JobId &Id) {
     LiveJob *Job = m_Core.jobs().find(Id);
-    return Job && isUrgent(*Job);
+    return Job && Job->needsUrgentRecord();
   });
   std::vector<JobId> Taken, Remaining;
   std::string OnlyPartition;
@@ -95,7 +82,7 @@
 std::optional<RowTransaction>
 ProgressWriter::next(TimePoint Now, std::chrono::milliseconds Wall) {
   if (m_CommitPending || m_Core.jobs().dirty().empty() ||
-      (Now < m_LastWrite + GroupCommitDelay && !hasUrgentChange()))
+      (Now < m_LastWrite + GroupCommitDelay && !m_Core.jobs().findUrgent()))
     return std::nullopt;
   RowTransaction Txn;
   m_Batch.clear();
@@ -128,11 +115,11 @@
 void ProgressWriter::markBatchDirty() {
   for (const Pending &P : m_Batch)
     if (LiveJob *Job = m_Core.jobs().find(P.m_Job)) {
-      m_Core.jobs().markDirty(*Job);
       for (const auto &[Number, Step] : P.m_StartedSteps) {
         const StepState *S = Job->step(Number, Step);
         Job->m_WantsStart |= S->m_StartWanted && !S->m_StartRecorded;
       }
+      m_Core.jobs().markDirty(*Job);
     }
 }
 
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -41,7 +41,6 @@
   ProgressWriter(Scheduler &Core, RowCondition TermCondition)
       : m_Core(Core), m_TermCondition(std::move(TermCondition)) {}
   std::vector<JobId> takeBatch(TimePoint Now);
-  bool hasUrgentChange() const;
   /// Adds the state row of \p Job to \p Txn and to m_Batch. Returns whether it
   /// records a start.
   bool addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -21,6 +21,8 @@
 /// term. With more, a leader of a thousand servers would answer its own calls
 /// too late and take the servers for unreachable.
 constexpr std::size_t MaxFirstPolls = 128;
+/// How long after its beginning a term may have more first polls due than that.
+constexpr Duration FirstPollsTime = std::chrono::seconds(15);
 /// Delay between two polls of a server that does not answer.
 constexpr Duration PollRetryDelay = std::chrono::milliseconds(250);
 /// Maximum factor by which PollRetryDelay grows with each failed poll.
@@ -46,7 +48,7 @@
 
 Scheduler::Scheduler(const SchedulerOptions &Options, SchedulerOrders &Orders,
                      TimePoint Now)
-    : m_Options(Options), m_Orders(Orders) {
+    : m_Options(Options), m_Orders(Orders), m_TermBegunAt(Now) {
   // No earlier leader can have started runs before the first term.
   if (Options.m_Term > 1)
     m_UnknownRunsUntil = Now + Options.m_EarlierLeaderTimeout +
@@ -224,7 +226,9 @@
     m_Servers.erase(Id);
 }
 
-std::size_t Scheduler::firstPollsAllowed() const {
+std::size_t Scheduler::firstPollsAllowed(TimePoint Now) const {
+  if (Now >= m_TermBegunAt + FirstPollsTime)
+    return MaxFirstPolls;
   std::size_t Pending = 0;
   for (const auto &[Id, S] : m_Servers.all())
     Pending += S.m_PollPending && !S.m_HasAcknowledgedTerm;
@@ -232,7 +236,7 @@
 }
 
 void Scheduler::sendDuePolls(TimePoint Now) {
-  std::size_t FirstPolls = firstPollsAllowed();
+  std::size_t FirstPolls = firstPollsAllowed(Now);
   for (auto &[Id, S] : m_Servers.all()) {
     if (S.m_PollPending || Now < S.m_NextPoll)
       continue;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -172,7 +172,7 @@
   /// adviser may allow. At most one for each pool and label.
   std::vector<UnschedulableTask> unschedulableTasks();
   /// The pool in which \p Job currently runs.
-  PoolName poolOf(const LiveJob &Job) const;
+  static const PoolName &poolOf(const LiveJob &Job);
   const SchedulerCounters &counters() const { return m_Counters; }
 
 private:
@@ -206,8 +206,12 @@
     void measure();
   };
   void placeReady(TimePoint Now);
-  void placePool(const PoolName &Pool, std::vector<LiveJob *> &Jobs,
-                 TimePoint Now);
+  /// The jobs with ready tasks of one pool, and its servers.
+  struct PoolWork {
+    std::vector<LiveJob *> m_Jobs;
+    PoolCapacity m_Available;
+  };
+  void placePool(PoolWork &Pool, TimePoint Now);
   void placeTasks(LiveJob &Job, const PoolCapacity &Available, TimePoint Now);
   bool placeGang(LiveJob &Job, const ReadyTask &First,
                  const PoolCapacity &Available, TimePoint Now);
@@ -218,6 +222,7 @@
   ServerState *selectServer(LiveJob &Job, const ReadyTask &Task,
                             const PoolCapacity &Available,
                             const GangServers &GangPlan, TimePoint Now);
+  static std::int64_t packingScore(const ServerState &S, const StepSpec &Step);
   PlacementScore score(const ServerState &S, const LiveJob &Job,
                        const ReadyTask &Task,
                        const GangServers &GangPlan) const;
@@ -257,9 +262,7 @@
   bool hasServerFor(const LiveJob &Job, const ReadyTask &Task) const;
 
   // Advice (SchedulerAdvice.cpp).
-  /// The policy of the job's queue; null if the queue does not exist any more.
-  const QueuePolicy *policyOf(const LiveJob &Job) const;
-  const AdvicePolicy *advicePolicy(const LiveJob &Job) const;
+  static const AdvicePolicy *advicePolicy(const LiveJob &Job);
   void requestAdvice(LiveJob &Job, const PoolCapacity &Available,
                      TimePoint Now);
 
@@ -268,7 +271,7 @@
   bool canRelocate(const RunId &Id, const ServerState &From, TimePoint Now);
 
   void sendDuePolls(TimePoint Now);
-  std::size_t firstPollsAllowed() const;
+  std::size_t firstPollsAllowed(TimePoint Now) const;
   void sendPoll(ServerState &S, TimePoint Now);
   static std::chrono::milliseconds pollWait(const ServerState &S);
   Duration pollSpacing() const;
@@ -283,6 +286,7 @@
   AdviceCache m_Advice;
   std::vector<InstanceListing> m_Instances;
   bool m_InstancesKnown = false;
+  TimePoint m_TermBegunAt{};
   TimePoint m_UnknownRunsUntil{};
   /// As of the latest placement.
   std::set<PoolName> m_UnacknowledgedPools;
--- a/src/scheduling/SchedulerAdvice.cpp
+++ b/src/scheduling/SchedulerAdvice.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-const AdvicePolicy *Scheduler::advicePolicy(const LiveJob &Job) const {
-  const QueuePolicy *Q = policyOf(Job);
+const AdvicePolicy *Scheduler::advicePolicy(const LiveJob &Job) {
+  const QueuePolicy *Q = Job.m_Policy;
   return Q && Q->m_Advice ? &*Q->m_Advice : nullptr;
 }
 
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -14,13 +14,8 @@
 
 } // namespace
 
-const QueuePolicy *Scheduler::policyOf(const LiveJob &Job) const {
-  return m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
-}
-
-PoolName Scheduler::poolOf(const LiveJob &Job) const {
-  const QueuePolicy *Q = policyOf(Job);
-  return Q ? Q->m_Pool : Job.m_Spec.m_Pool;
+const PoolName &Scheduler::poolOf(const LiveJob &Job) {
+  return Job.m_Policy ? Job.m_Policy->m_Pool : Job.m_Spec.m_Pool;
 }
 
 std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
@@ -74,9 +69,8 @@
   std::vector<UnschedulableTask> Needs;
   std::set<std::pair<PoolName, std::string>> Seen;
   std::size_t Searched = 0;
-  for (const JobId &Id : m_Jobs.ready()) {
-    LiveJob *Job = m_Jobs.find(Id);
-    if (!Job || Job->m_Ready.empty())
+  for (const auto &[Id, Job] : m_Jobs.ready()) {
+    if (Job->m_Ready.empty())
       continue;
     if (++Searched > MaxJobsSearched)
       break;
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -107,7 +107,9 @@
 }
 
 void Scheduler::setObjective(LiveJob &Job) const {
-  const QueuePolicy *Q = policyOf(Job);
+  const QueuePolicy *Q =
+      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
+  Job.m_Policy = Q;
   if (Q) {
     Job.m_Attempts = Q->m_Attempts;
     Job.m_Priority = Q->m_Priority;
@@ -140,28 +142,31 @@
 void Scheduler::placeReady(TimePoint Now) {
   if (Now < m_UnknownRunsUntil)
     findUnacknowledgedPools();
-  std::map<PoolName, std::vector<LiveJob *>> Pools;
+  std::map<PoolName, PoolWork> Pools;
   auto &Ready = m_Jobs.ready();
   for (auto It = Ready.begin(); It != Ready.end();) {
-    LiveJob *Job = m_Jobs.find(*It);
-    if (!Job || Job->m_Ready.empty() || isFinal(Job->m_State)) {
+    LiveJob *Job = It->second;
+    if (Job->m_Ready.empty() || isFinal(Job->m_State)) {
       It = Ready.erase(It);
       continue;
     }
-    Pools[poolOf(*Job)].push_back(Job);
+    Pools[poolOf(*Job)].m_Jobs.push_back(Job);
     ++It;
   }
-  for (auto &[Pool, Jobs] : Pools)
-    placePool(Pool, Jobs, Now);
+  if (Pools.empty())
+    return;
+  for (auto &[Id, S] : m_Servers.all()) {
+    auto Pool = Pools.find(S.m_Registration.m_Pool);
+    if (Pool != Pools.end() && isUsable(S, Now))
+      Pool->second.m_Available.m_Servers.push_back(&S);
+  }
+  for (auto &[Name, Pool] : Pools)
+    placePool(Pool, Now);
   releaseReservations();
 }
 
-void Scheduler::placePool(const PoolName &Pool, std::vector<LiveJob *> &Jobs,
-                          TimePoint Now) {
-  PoolCapacity Available;
-  for (auto &[Id, S] : m_Servers.all())
-    if (S.m_Registration.m_Pool == Pool && isUsable(S, Now))
-      Available.m_Servers.push_back(&S);
+void Scheduler::placePool(PoolWork &Pool, TimePoint Now) {
+  PoolCapacity &Available = Pool.m_Available;
   if (Available.m_Servers.empty())
     return;
   Available.measure();
@@ -174,8 +179,11 @@
     return Now < Job.m_Objective ? 1 : Now < Job.m_Deadline ? 2 : 3;
   };
   std::vector<std::tuple<int, std::uint32_t, TimePoint, LiveJob *>> Order;
-  for (LiveJob *Job : Jobs)
+  // Starts only reduce the free resources, so a job that does not fit now does
+  // not fit later in this pass.
+  for (LiveJob *Job : Pool.m_Jobs)
     if (Job->m_AcceptedVersion <= m_Authority.m_StartableVersion &&
+        (mayFit(*Job, Available) || advicePolicy(*Job)) &&
         !mayAllHaveUnknownRuns(*Job, Now))
       Order.emplace_back(Rank(*Job), Job->m_Priority, Job->m_Objective, Job);
   std::sort(Order.begin(), Order.end(), [](const auto &A, const auto &B) {
@@ -187,8 +195,6 @@
   for (const auto &[R, Priority, Objective, Job] : Order) {
     if (mayFit(*Job, Available)) {
       placeTasks(*Job, Available, Now);
-      // Starts only reduce the free resources, so the bounds stayed valid in
-      // the meantime.
       Available.measure();
     }
     requestAdvice(*Job, Available, Now);
@@ -335,33 +341,37 @@
   return !InUse.empty() && !InUse.count(Rack);
 }
 
-Scheduler::PlacementScore Scheduler::score(const ServerState &S,
-                                           const LiveJob &Job,
-                                           const ReadyTask &Task,
-                                           const GangServers &GangPlan) const {
-  const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
-  // An order that affects a single server should not interrupt more tasks of a
-  // step than may be unavailable at once.
-  bool ExceedsMaxUnavailable =
-      Step.m_IsLongRunning && Step.m_MaxUnavailable > 0 &&
-      runsOfStepOn(Job, Task, S.m_Registration.m_Id) >= Step.m_MaxUnavailable;
+std::int64_t Scheduler::packingScore(const ServerState &S,
+                                     const StepSpec &Step) {
   // Tasks are packed, long-running tasks preferably beside other long-running
   // tasks, so that other servers stay empty for large tasks and for moves.
   // Best-effort tasks use the cores that are left over and go to the server
   // with the most of them.
   std::int64_t Free = S.freeResources().m_MilliCores;
+  if (!Step.m_IsBestEffort && !Step.m_IsLongRunning)
+    return Free;
   for (const auto &[Id, Run] : S.m_Runs) {
     if (Step.m_IsBestEffort && Run.m_IsBestEffort)
       Free -= Step.m_RequiredResources.m_MilliCores;
-    else if (Step.m_IsLongRunning && Run.m_IsLongRunning &&
-             !Step.m_IsBestEffort)
+    else if (Run.m_IsLongRunning && !Step.m_IsBestEffort)
       Free -= LongRunningBonus;
   }
-  if (Step.m_IsBestEffort)
-    Free = -Free;
+  return Step.m_IsBestEffort ? -Free : Free;
+}
+
+Scheduler::PlacementScore Scheduler::score(const ServerState &S,
+                                           const LiveJob &Job,
+                                           const ReadyTask &Task,
+                                           const GangServers &GangPlan) const {
+  const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
+  // An order that affects a single server should not interrupt more tasks of a
+  // step than may be unavailable at once.
+  bool ExceedsMaxUnavailable =
+      Step.m_IsLongRunning && Step.m_MaxUnavailable > 0 &&
+      runsOfStepOn(Job, Task, S.m_Registration.m_Id) >= Step.m_MaxUnavailable;
   return {ExceedsMaxUnavailable, S.m_OnProbation,
           isOutsidePreferredRack(S, Job, Task, GangPlan), S.m_FailuresInRow,
-          Free};
+          packingScore(S, Step)};
 }
 
 ServerState *Scheduler::selectServer(LiveJob &Job, const ReadyTask &Task,
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -301,8 +301,10 @@
       continue;
     }
     ActiveRun &Run = It->second;
-    if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
-      Job->m_HasBegun = true;
+    if (!Run.m_IsListed)
+      if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
+        Job->m_HasBegun = true;
+    Run.m_IsListed = true;
     if (Run.m_Phase == RunPhase::Unconfirmed) {
       Run.m_Phase = RunPhase::Running;
       Run.m_ConfirmedAt = S.m_PollSentAt;
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -30,6 +30,8 @@
   /// When the server's answer to the last order arrived. A poll sent later
   /// shows for certain whether the server has the run.
   TimePoint m_ConfirmedAt = TimePoint::max();
+  /// Whether the server has listed the run.
+  bool m_IsListed = false;
   /// Whether a stop order has not been answered yet.
   bool m_StopPending = false;
   /// Start of the observed progress, percentage at that time, latest
