Do not take an instance that was ordered about for available

Ruled out: two orders in one plan (the first counts as pending there), and an order of the earlier leader (its last one was at 18.6 s). Test: FleetPlanner.ALateAnswerDoesNotMakeAnOrderedInstanceAvailable, which failed first.

--- a/scripts/hunt.py
+++ b/scripts/hunt.py
@@ -17,7 +17,8 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-BROKEN_DAY = re.compile(r"^(\S+)\s.*\bBROKEN: (.*)$", re.M)
+# A day drawn from all troubles has the name "mix --seed N".
+BROKEN_DAY = re.compile(r"^(\S+(?: --\S+(?: \d+)?)*)\s+\d+/\d+\s.*\bBROKEN: (.*)$", re.M)
 
 
 def commit():
@@ -51,8 +52,9 @@
     for day, rules in broken.items():
         shown = 0
         for number in range(1, arguments.replays + 1):
-            log = folder / f"{day}-replay-{number}.log"
-            _, replayed = play([arguments.bench, "replay", site, day, "--log", "all"], log)
+            log = folder / f"{day.replace(' ', '-').replace('/', '-')}-replay-{number}.log"
+            again = ["run", site, *day.split()] if " " in day else ["replay", site, day]
+            _, replayed = play([arguments.bench, *again, "--log", "all"], log)
             shown += bool(broken_days(replayed))
         print(f"{site} {day}: {rules}; broken in {shown} of {arguments.replays} replays, "
               f"logs in {folder}")
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -323,3 +323,43 @@
   STRCMP_EQUAL("s2",
                W.m_World.m_Orders.m_Starts[1].m_Server.m_Id.m_Text.c_str());
 }
+
+// A new leader ordered the maintenance of an instance. The answer to a poll
+// that it had sent before arrived afterwards and still listed the instance's
+// task, and the leader ended a second task of a step of which one may be
+// unavailable.
+TEST(FleetPlanner, ALateAnswerDoesNotMakeAnOrderedInstanceAvailable) {
+  PlannerFixture W;
+  W.m_Inherited = true;
+  for (const char *Id : {"s1", "s2", "s3", "s4"}) {
+    W.m_World.addServer(Id, 1);
+    W.list(Id, "desk");
+  }
+  W.addLastingJob();
+  W.m_World.tick();
+  CHECK_EQUAL(3u, W.m_World.m_Orders.m_Starts.size());
+  std::vector<InstanceId> Instances;
+  for (std::size_t N = 0; N < 3; ++N) {
+    const StartOrder Start = W.m_World.m_Orders.m_Starts[N];
+    W.m_World.answerStart(N);
+    W.m_World.tick();
+    W.m_World.answerPoll(Start.m_Server.m_Id.m_Text,
+                         {{Start.m_Run, "", 100, 0}});
+    Instances.emplace_back("on-" + Start.m_Server.m_Id.m_Text);
+  }
+  W.m_World.advance(1s);
+  W.m_World.tick();
+  W.addWave(Instances, 2, 1s);
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  W.m_World.advance(1ms);
+  W.m_Planner->onOrderResult(Orders[0], InstanceOrderResult::Done,
+                             W.m_World.m_Now);
+  for (const StartOrder &Start : W.m_World.m_Orders.m_Starts)
+    if (Start.m_Server.m_Id == Orders[0].m_Server)
+      W.m_World.answerPoll(Start.m_Server.m_Id.m_Text,
+                           {{Start.m_Run, "", 100, 0}});
+  CHECK_FALSE(
+      W.m_World.m_Core->servers().find(Orders[0].m_Server)->m_Reachable);
+  CHECK_EQUAL(0u, W.plan().size());
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -163,14 +163,15 @@
 
 bool FleetPlanner::isAvailable(const RunLocation &Place, const TaskId &Task) {
   ServerState *S = m_Scheduler.servers().find(Place.m_Server);
-  if (!S || !S->m_Reachable)
+  if (!S || !S->m_Reachable || S->m_IsListedAsGone)
     return false;
   auto It = S->m_Runs.find({Task, Place.m_Number});
   if (It == S->m_Runs.end() || It->second.m_Phase != RunPhase::Running ||
       It->second.m_Percent < 100)
     return false;
   auto State = m_State.find(S->m_Registration.m_Instance);
-  return State == m_State.end() || !State->second.m_Pending;
+  return State == m_State.end() ||
+         (!State->second.m_Pending && !State->second.m_Ordered);
 }
 
 FleetPlanner::BlockingTask
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -119,6 +119,7 @@
 void Scheduler::markSuspected(const ServerId &Id, TimePoint Now) {
   if (ServerState *S = m_Servers.find(Id)) {
     S->m_Reachable = false;
+    S->m_SuspectedAt = Now;
     S->m_NextPoll = Now;
   }
 }
@@ -346,7 +347,7 @@
     logEvent(Event::BackendAnswers,
              {{"server", Order.m_Server.m_Id.m_Text},
               {"failed_looks", std::to_string(S->m_FailedPolls)}});
-  S->m_Reachable = true;
+  S->m_Reachable = S->m_PollSentAt >= S->m_SuspectedAt;
   S->m_FailedPolls = 0;
   if (Reply.m_StartTimeMs != 0 && S->m_Registration.m_StartTimeMs != 0 &&
       Reply.m_StartTimeMs != S->m_Registration.m_StartTimeMs)
@@ -371,7 +372,7 @@
   }
   // The answered poll granted no lease, and the runs that it listed need one at
   // once.
-  if ((First || WasUnreachable) && !S->m_Runs.empty())
+  if (!S->m_Reachable || ((First || WasUnreachable) && !S->m_Runs.empty()))
     S->m_NextPoll = Now;
   else if (!S->m_UnrecordedEnds.empty())
     S->m_NextPoll = Now + UnrecordedPollSpacing;
