--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -70,8 +70,8 @@
   /// orders of earlier terms.
   bool m_HasAcknowledgedTerm = false;
   bool m_Reachable = true;
-  /// When the server was last suspected to have ended. The answer to a poll that
-  /// was sent before does not show that it is alive.
+  /// When the server was last suspected to have ended. The answer to a poll
+  /// that was sent before does not show that it is alive.
   TimePoint m_SuspectedAt{};
   /// Whether the latest instance list shows that the server does not run: its
   /// instance is not up, or has another server.
