Mend faults read in the code: late cancels, early retries, unknown announcements

Change: calls of a cancellation end by its deadline; the writer waits 100 ms; an unknown time counts from when it is read; both ways mark the server as gone.

--- a/src/instances/RecentOrders.cpp
+++ b/src/instances/RecentOrders.cpp
@@ -22,6 +22,12 @@
 
 void RecentOrders::removeExpired(Duration MinInterval,
                                  std::chrono::milliseconds Now) {
+  if (Now.count() == 0)
+    return;
+  // An announcement of unknown time may have been made just now.
+  for (auto &[Id, Announced] : m_Announcements)
+    if (Announced.m_At.count() == 0)
+      Announced.m_At = Now;
   for (auto It = m_Announcements.begin(); It != m_Announcements.end();)
     if (It->second.m_At + maxWait(MinInterval) < Now)
       It = m_Announcements.erase(It);
--- a/src/instances/RecentOrdersTest.cpp
+++ b/src/instances/RecentOrdersTest.cpp
@@ -55,6 +55,19 @@
   CHECK(Orders.all().count(InstanceId("new")));
 }
 
+// A leader announces orders with an unknown time before its first answer of the
+// store. They were removed as expired, so that the next leader did not wait.
+TEST(RecentOrders, AnAnnouncementOfUnknownTimeIsKeptForTheWholeInterval) {
+  RecentOrders Orders;
+  Orders.add(InstanceId("i1"), 0ms, "a");
+  Orders.removeExpired(3s, 100s);
+  CHECK_EQUAL(1u, Orders.all().size());
+  CHECK(RecentOrders::remainingWait(Orders.all().begin()->second, "b", 3s,
+                                    100s) >= 3s);
+  Orders.removeExpired(3s, 110s);
+  CHECK_EQUAL(0u, Orders.all().size());
+}
+
 TEST(RecentOrders, DecodeRejectsInvalidText) {
   CHECK_FALSE(RecentOrders::decode("[1").has_value());
   CHECK_FALSE(RecentOrders::decode("{\"m\":[\"x\",1]}").has_value());
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -12,6 +12,8 @@
 /// times that when it is slow.
 constexpr Duration StoreCallTimeout = std::chrono::milliseconds(700);
 constexpr Duration RetryDelay = std::chrono::milliseconds(120);
+/// Shortest timeout of a store call.
+constexpr Duration MinCallTimeout = std::chrono::milliseconds(1);
 /// Capacity of the cache of final states; an entry takes about 100 bytes.
 constexpr std::size_t MaxCachedFinalStates = 20000;
 
@@ -158,9 +160,14 @@
   readForCancel(C);
 }
 
+Duration JobStore::remainingTime(const Cancellation &C) const {
+  return std::clamp(C.m_Deadline - m_Loop.now(), MinCallTimeout,
+                    StoreCallTimeout);
+}
+
 void JobStore::readForCancel(const std::shared_ptr<Cancellation> &C) {
   readStateRow(
-      C->m_Id, StoreCallTimeout,
+      C->m_Id, remainingTime(*C),
       [Self = shared_from_this(), C](Result<std::optional<StoredRow>> Row) {
         if (!Row)
           return Self->retryCancel(C);
@@ -180,8 +187,11 @@
 void JobStore::tryCancel(const std::shared_ptr<Cancellation> &C,
                          const StoredRow &Row) {
   auto Progress = decodeProgress(Row.m_Value);
-  if (!Progress)
+  if (!Progress) {
+    logEvent(Event::JobUnreadable,
+             {{"job", C->m_Id.m_Text}, {"error", Progress.error().describe()}});
     return finishCancel(C, CancelResult::Failed);
+  }
   if (isFinal(Progress.value().m_State))
     return finishCancel(C, Progress.value().m_State == JobState::Cancelled
                                ? CancelResult::Cancelled
@@ -194,7 +204,7 @@
   Txn.m_Conditions.push_back({StateAddress, Row.m_Version});
   Txn.m_Puts.push_back({StateAddress, encodeProgress(CancelledProgress)});
   Txn.m_Deletes.push_back(liveJobAddress(C->m_Id));
-  m_Store.commit(Txn, StoreCallTimeout,
+  m_Store.commit(Txn, remainingTime(*C),
                  [Self = shared_from_this(), C](Result<CommitOutcome> Outcome) {
                    if (Outcome && Outcome.value().m_Committed)
                      return Self->finishCancel(C, CancelResult::Cancelled);
--- a/src/jobs/JobStore.h
+++ b/src/jobs/JobStore.h
@@ -84,6 +84,8 @@
   void trySubmit(const std::shared_ptr<Submission> &S);
   void onSubmitted(const std::shared_ptr<Submission> &S,
                    const Result<CommitOutcome> &Outcome);
+  /// Timeout of the next call of a cancellation, which keeps its deadline.
+  Duration remainingTime(const Cancellation &C) const;
   void readForCancel(const std::shared_ptr<Cancellation> &C);
   void tryCancel(const std::shared_ptr<Cancellation> &C, const StoredRow &Row);
   void retryCancel(const std::shared_ptr<Cancellation> &C);
--- /dev/null
+++ b/src/jobs/JobStoreTest.cpp
@@ -0,0 +1,56 @@
+//===- JobStoreTest.cpp - Tests of JobStore -------------------------------===//
+
+#include "jobs/JobStore.h"
+#include <CppUTest/TestHarness.h>
+#include <optional>
+
+using namespace pollenspool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store that keeps the timeouts of the calls; the test answers them.
+class SlowStore : public MetadataStore {
+public:
+  std::vector<Duration> m_Timeouts;
+  std::function<void(Result<RowPage>)> m_Read;
+  std::function<void(Result<CommitOutcome>)> m_Commit;
+
+  void commit(const RowTransaction &, Duration Timeout,
+              std::function<void(Result<CommitOutcome>)> Callback) override {
+    m_Timeouts.push_back(Timeout);
+    m_Commit = std::move(Callback);
+  }
+  void read(const RowAddress &, std::size_t, Duration Timeout,
+            std::function<void(Result<RowPage>)> Callback) override {
+    m_Timeouts.push_back(Timeout);
+    m_Read = std::move(Callback);
+  }
+  void follow(const std::string &, RowVersion, Duration,
+              std::function<void(Result<RowPage>)>) override {}
+};
+
+} // namespace
+
+TEST_GROUP(JobStore){};
+
+// A cancellation with 200 ms left made calls of 700 ms, and its caller had gone
+// when the answer came.
+TEST(JobStore, CallsOfACancellationEndByItsDeadline) {
+  auto Loop = EventLoop::create();
+  SlowStore Store;
+  auto Jobs = JobStore::create(*Loop, Store);
+  std::optional<CancelResult> Answer;
+  Jobs->cancel(JobId("j"), 200ms, [&](CancelResult R) { Answer = R; });
+  RowPage Page;
+  Page.m_Rows.push_back(
+      {jobStateAddress(JobId("j")), encodeProgress({}), 7, false});
+  Store.m_Read(Page);
+  CHECK_EQUAL(2u, Store.m_Timeouts.size());
+  for (Duration Timeout : Store.m_Timeouts)
+    CHECK(Timeout <= 200ms);
+  CommitOutcome Committed;
+  Committed.m_Committed = true;
+  Store.m_Commit(Committed);
+  CHECK(Answer == CancelResult::Cancelled);
+}
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -81,7 +81,7 @@
 
 std::optional<RowTransaction>
 ProgressWriter::next(TimePoint Now, std::chrono::milliseconds Wall) {
-  if (m_CommitPending || m_Core.jobs().dirty().empty() ||
+  if (m_CommitPending || Now < m_RetryAt || m_Core.jobs().dirty().empty() ||
       (Now < m_LastWrite + GroupCommitDelay && !m_Core.jobs().findUrgent()))
     return std::nullopt;
   RowTransaction Txn;
@@ -132,8 +132,10 @@
   markBatchDirty();
   m_SplitUntil = Now + SplitTime;
   // It is unknown which of several partitions failed.
-  if (Partitions.size() > 1)
+  if (Partitions.size() > 1) {
+    m_RetryAt = Now + RetryDelay;
     return;
+  }
   Backoff &B = m_Backoffs[*Partitions.begin()];
   B.m_RetryAt = Now + RetryDelay * std::min(++B.m_Failures, MaxBackoffFactor);
 }
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -69,6 +69,9 @@
   RowCondition m_TermCondition;
   std::vector<Pending> m_Batch;
   bool m_CommitPending = false;
+  /// No transaction is sent before this time, after one of several partitions
+  /// has failed.
+  TimePoint m_RetryAt{};
   /// Until then each transaction contains a single partition.
   TimePoint m_SplitUntil{};
   /// By the name of the partition.
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -103,3 +103,17 @@
   W.advance(100ms);
   CHECK(W.m_Writer->next(W.m_Now, W.wall()).has_value());
 }
+
+// The first try after a failure of several partitions was sent at once, at a
+// moment when the store refused calls.
+TEST(ProgressWriter, WaitsAfterAFailureOfSeveralPartitions) {
+  SchedulerFixture W;
+  finishJobs(W, 20);
+  auto Txn = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(partitionsOf(*Txn).size() > 1);
+  W.m_Writer->onResult(Down, W.m_Now);
+  W.advance(90ms);
+  CHECK_FALSE(W.m_Writer->next(W.m_Now, W.wall()).has_value());
+  W.advance(10ms);
+  CHECK(W.m_Writer->next(W.m_Now, W.wall()).has_value());
+}
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -305,6 +305,13 @@
   m_Orders.poll(Order);
 }
 
+void Scheduler::onOtherIncarnation(ServerState &S, TimePoint Now) {
+  rescheduleAllRuns(S, "another server answered at its address", Now);
+  S.m_Registered = false;
+  S.m_UnregisteredAt = Now - RegistrationGrace;
+  S.m_LeasesEnd = Now;
+}
+
 void Scheduler::onPollFailed(const PollOrder &Order, OrderResult R,
                              TimePoint Now) {
   ServerState *S = m_Servers.find(Order.m_Server.m_Id);
@@ -320,13 +327,8 @@
   // A failure of this process is no evidence against the server.
   if (R == OrderResult::NotAttempted)
     return;
-  if (R == OrderResult::OtherIncarnation) {
-    rescheduleAllRuns(*S, "another server answered at its address", Now);
-    S->m_Registered = false;
-    S->m_UnregisteredAt = Now - RegistrationGrace;
-    S->m_LeasesEnd = Now;
-    return;
-  }
+  if (R == OrderResult::OtherIncarnation)
+    return onOtherIncarnation(*S, Now);
   if (S->m_Reachable)
     logEvent(Event::BackendSilent,
              {{"server", Order.m_Server.m_Id.m_Text},
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -189,6 +189,8 @@
   void orderStop(ServerState &S, const RunId &Id);
   void stopRunsOfTask(const LiveJob &Job, const TaskId &Task);
   void stopRunsOfJob(const LiveJob &Job);
+  /// Another server has answered at the address of \p S, which has ended.
+  void onOtherIncarnation(ServerState &S, TimePoint Now);
   void checkIncarnation(ServerState &S, const StartReply &Reply, TimePoint Now);
   /// Resets the state that belongs to the previous incarnation of a server. Its
   /// runs are kept, since the list in the answer shows which of them the new
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -95,10 +95,7 @@
     S->m_NextPoll = Now;
     return;
   case OrderResult::OtherIncarnation:
-    rescheduleAllRuns(*S, "another server answered at its address", Now);
-    S->m_Registered = false;
-    S->m_UnregisteredAt = Now;
-    return;
+    return onOtherIncarnation(*S, Now);
   case OrderResult::NoCapacity:
     ++m_Counters.m_StartsWithoutCapacity;
     S->m_SuspendedUntil = Now + RejectionDelay / 4;
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -315,3 +315,15 @@
   STRCMP_EQUAL("no server of pool desk may run it", Why("third").c_str());
   STRCMP_CONTAINS("not known", Why("nobody").c_str());
 }
+
+// A start and a poll that reached another server at the same address had
+// different consequences: after the start the server stayed usable for 2 s.
+TEST(Scheduler, AServerIsGoneOnceAnotherOneAnswersAStartAtItsAddress) {
+  SchedulerFixture W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  W.answerStart(0, OrderResult::OtherIncarnation);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+}
