--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -248,12 +248,13 @@
   /// have not answered in this term.
   bool mayHaveUnknownRuns(const LiveJob &Job, const ReadyTask &Task,
                           TimePoint Now) const;
+  /// Whether that holds for the steps of all ready tasks.
   bool mayAllHaveUnknownRuns(const LiveJob &Job, TimePoint Now) const;
   /// Whether the start of the task's step is recorded as far as necessary.
   /// Otherwise asks for the record and keeps \p Need free on \p S for the rest
   /// of the placement.
-  bool isStartRecorded(LiveJob &Job, const ReadyTask &Task,
-                       const Resources &Need, ServerState &S);
+  bool ensureStartRecorded(LiveJob &Job, const ReadyTask &Task,
+                           const Resources &Need, ServerState &S);
   void releaseReservations();
   bool hasPoolAcknowledgedTerm(const PoolName &Pool) const {
     return m_InstancesKnown && !m_UnacknowledgedPools.count(Pool);
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -76,8 +76,8 @@
   return true;
 }
 
-bool Scheduler::isStartRecorded(LiveJob &Job, const ReadyTask &Task,
-                                const Resources &Need, ServerState &S) {
+bool Scheduler::ensureStartRecorded(LiveJob &Job, const ReadyTask &Task,
+                                    const Resources &Need, ServerState &S) {
   if (!m_RecordsStarts ||
       Job.step(Task.m_Occurrence, Task.m_Step)->m_StartRecorded)
     return true;
@@ -245,8 +245,8 @@
       Remaining.push_back(R);
       continue;
     }
-    if (isStartRecorded(Job, R, allocationFor(Job.m_Spec.m_Steps[R.m_Step]),
-                        *S))
+    if (ensureStartRecorded(Job, R, allocationFor(Job.m_Spec.m_Steps[R.m_Step]),
+                            *S))
       start(Job, R, *S, nextRunNumber(T), Now);
     else
       Remaining.push_back(R);
@@ -286,7 +286,7 @@
     return false;
   bool IsRecorded = true;
   for (auto &[R, S] : Plan)
-    IsRecorded &= isStartRecorded(Job, R, Allocation, *S);
+    IsRecorded &= ensureStartRecorded(Job, R, Allocation, *S);
   if (!IsRecorded)
     return false;
   for (auto &[R, S] : Plan)
