--- a/scripts/regression.py
+++ b/scripts/regression.py
@@ -2,12 +2,12 @@
 """Plays the regression set, one site after the other, and prints one table.
 
 regression.py --bench FLEETBENCH --sites FOLDER --keep FOLDER [--jobs N] [--days N]
-              [--why TEXT] [--oldest]
+              [--why TEXT] [--without-oldest]
 
 FOLDER of --sites holds the deployments as the users laid them out. Each site is scored
 in full and then hunted: --days days, or 8 on a site of 60 machines or more. The oldest
-deployments are played only with --oldest; the large one has taken their place. Exits
-with 1 if a gate failed or a day broke a rule.
+deployments are left out with --without-oldest, which is to become the default once the
+gate of the large one is passed. Exits with 1 if a gate failed or a day broke a rule.
 """
 import argparse
 import pathlib
@@ -51,10 +51,10 @@
     parser.add_argument("--days", type=int, default=40)
     parser.add_argument("--replays", type=int, default=2)
     parser.add_argument("--why", default="regression run")
-    parser.add_argument("--oldest", action="store_true")
+    parser.add_argument("--without-oldest", action="store_true")
     arguments = parser.parse_args()
     all_days, good = arguments.days, True
-    for name in SITES + (OLDEST if arguments.oldest else []):
+    for name in SITES + ([] if arguments.without_oldest else OLDEST):
         site = str(arguments.sites / name)
         folder = arguments.keep / f"{pathlib.Path(name).stem}-{hunt.commit()}"
         folder.mkdir(parents=True, exist_ok=True)
