Acknowledge ends of a finished job only when its state is recorded

Cause: the lease of a task's first run had expired behind a cut zone, so a second run was started. The end of the first run then arrived and completed the job in memory. The end of the second run found a job that was over, needed no change and was acknowledged at once, although the job's state was not in the store yet. The server forgot the end; the leader was killed; the next leader read the job as not done. The same holds for the ends of all other tasks of a job that has just failed.

Evidence: the new test, on the code before, sees end 1 of s2 acknowledged before any write (expected 0, was 1).

Change: such an end waits for the record of the job's latest change.

--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -278,6 +278,10 @@
       S.m_OnProbation = false;
     }
   }
+  // The next leader must learn from the store that the job is over before the
+  // server forgets the end.
+  if (Job && isFinal(Job->m_State))
+    ChangeNumber = Job->m_ChangeNumber;
   // An end that changes nothing need not be recorded, but ends have to be
   // acknowledged in order.
   if (ChangeNumber == 0 && S.m_UnrecordedEnds.empty())
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -164,6 +164,47 @@
   CHECK_EQUAL(1u, W.m_Orders.m_Polls.back().m_AcknowledgedEndNumber);
 }
 
+// Guards against a second run of a task (TWICE): a task was restarted after the
+// lease of its first run, whose end then completed the job. The end of the
+// second run was acknowledged before the job's state was recorded, and the next
+// leader started the task again.
+TEST(Scheduler, AcknowledgesEndsOfAJobThatIsOverOnlyWhenItsStateIsRecorded) {
+  SchedulerFixture W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  W.answerStart(0);
+  W.addServer("s2");
+  W.tick();
+  W.failPoll("s1");
+  W.advance(6400ms);
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  W.answerStart(1);
+  W.tick();
+  W.answerPoll("s1", {}, {{1, W.run("j", 0, 0, 1), EndKind::Done, ""}});
+  CHECK(W.job("j").m_State == JobState::Completed);
+  W.answerPoll("s2", {}, {{1, W.run("j", 0, 0, 2), EndKind::Done, ""}});
+  auto Acknowledged = [&] {
+    W.advance(600ms);
+    W.m_Orders.m_Polls.clear();
+    W.tick();
+    std::map<std::string, std::uint64_t> Ends;
+    for (const PollOrder &Order : W.m_Orders.m_Polls)
+      Ends[Order.m_Server.m_Id.m_Text] = Order.m_AcknowledgedEndNumber;
+    for (const auto &[Id, End] : Ends)
+      W.answerPoll(Id);
+    return Ends;
+  };
+  auto Before = Acknowledged();
+  CHECK_EQUAL(0u, Before["s1"]);
+  CHECK_EQUAL(0u, Before["s2"]);
+  W.record();
+  auto After = Acknowledged();
+  CHECK_EQUAL(1u, After["s1"]);
+  CHECK_EQUAL(1u, After["s2"]);
+}
+
 TEST(Scheduler, FailsAJobAfterMaxAttemptsAndCountsEachEndOnce) {
   SchedulerFixture W;
   W.addServer("s1");
