Publish the time up to which waiting jobs were counted

Cause, of a class: an answer from a copy whose age is taken from when it was read, not from when it was true. An instance took the age of a count from the time at which it asked for the renewal row. An instance that has just started, or has just reached the store again, reads the last renewal of a dead leader and took its counts for new, for another 3.5 s.

Evidence: on a test that reads a renewal 6 s after it was written finds countedAt() equal to the time of the read (failed as a scratch test; CountsOfAStoppedLeaderAreNotNewToAnInstanceThatReadsThemLate is the same check on the new interface).

Change: TableMirror tells the store's time up to which it is complete, which the store sends with each answer. The leader publishes it with the counts, and a new leader repeats counts with the time they had. The instance that answers compares it with the latest possible time of the store, and refuses a count that may lack a job accepted 5 s ago (visible_ms of the platform and the 2 s promised, less 250 ms for the answer's way). CountsThatWereNotMadeForARenewalDoNotBecomeNewer becomes RepeatedCountsKeepTheirAge, which also checks both instances and the refusal. Counts of builds without the time are refused.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -22,10 +22,11 @@
 /// Longest delay between two calls of the leader table's feed. Together with
 /// FeedWait it is below StoreResponseTimeout.
 constexpr Duration MaxFollowerBatchDelay = std::chrono::milliseconds(300);
-/// How old the published count of waiting jobs may be. Callers are promised a
-/// value that is at most 2 s old; it may be this much older while the leader
-/// changes, and is refused after that.
-constexpr Duration MaxCountAge = std::chrono::milliseconds(3500);
+/// Callers are promised counts of waiting jobs that are at most this old.
+constexpr std::chrono::milliseconds PromisedCountAge{2000};
+/// Kept free of the time within which a job must be counted for the answer's
+/// way to the caller.
+constexpr std::chrono::milliseconds CountAnswerTime{250};
 /// Extra wait of an instance without any capacity before it takes over. It
 /// falls with the fourth power of the missing capacity: an instance of half the
 /// full capacity waits for 0.2 s, one of a quarter for 1 s.
@@ -252,13 +253,22 @@
   return m_Loop.now() >= m_LastStoreAnswerAt + StoreResponseTimeout;
 }
 
-std::optional<std::uint32_t> Entry::waiting(const QueueName &Queue) const {
-  if (m_Leadership.renewal().m_Term == 0 ||
-      m_Loop.now() >= m_Leadership.countedAt() + MaxCountAge)
-    return std::nullopt;
-  auto It = m_Leadership.renewal().m_Queues.find(Queue);
-  return It == m_Leadership.renewal().m_Queues.end() ? 0
-                                                     : It->second.m_WaitingJobs;
+Result<std::uint32_t> Entry::waiting(const QueueName &Queue) const {
+  auto StoreTime = m_LeaderTable->latestStoreTime(m_Loop.now());
+  auto MaxAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    m_Settings.m_JobVisibilityTime) +
+                PromisedCountAge - CountAnswerTime;
+  auto Count = m_Leadership.waitingJobs(Queue, StoreTime, MaxAge);
+  const QueueLoads &Loads = m_Leadership.renewal().m_Loads;
+  logEvent(Event::QueueCounted,
+           {{"queue", Queue.m_Text},
+            {"waiting", Count ? std::to_string(Count.value()) : "refused"},
+            {"term", std::to_string(m_Leadership.renewal().m_Term)},
+            {"as_of", std::to_string(Loads.m_AsOf.count())},
+            {"age_ms", StoreTime
+                           ? std::to_string((*StoreTime - Loads.m_AsOf).count())
+                           : "unknown"}});
+  return Count;
 }
 
 } // namespace pollenspool
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -34,8 +34,9 @@
     return m_JobStore->counters();
   }
   /// Number of accepted jobs of \p Queue of which no task has started, as last
-  /// published by a leader; nothing until one has done so.
-  std::optional<std::uint32_t> waiting(const QueueName &Queue) const;
+  /// published by a leader. Fails with NotFound until one has done so, and with
+  /// Unavailable if a job that callers expect to be counted may be missing.
+  Result<std::uint32_t> waiting(const QueueName &Queue) const;
 
   const Leadership &leadership() const { return m_Leadership; }
   /// Null while another instance leads.
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -42,6 +42,9 @@
   /// maintenance.
   Duration m_MoveTime = std::chrono::milliseconds(1500);
   Duration m_MaintenanceTime = std::chrono::seconds(2);
+  /// How long after its acceptance a job may be missing from the count of its
+  /// queue's waiting jobs, besides the age of the count.
+  Duration m_JobVisibilityTime = std::chrono::seconds(3);
   /// How long callers can query the state of a job that has ended.
   Duration m_StateRetention = std::chrono::seconds(120);
 };
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -24,8 +24,6 @@
 /// of the feed may wait for FeedWait, and a start order may be carried out half
 /// a second later; a cancelled job must not start 3 s after its cancellation.
 constexpr Duration MaxJobViewAge = std::chrono::milliseconds(2000);
-/// How old the view may be for the published counts of waiting jobs.
-constexpr Duration MaxCountedJobsAge = std::chrono::milliseconds(1500);
 /// Delay between an event and the decisions that it causes, so that events in
 /// quick succession are handled together. It is DecisionPauseFactor times as
 /// long as the latest decisions took, within these bounds, so that decisions
@@ -332,14 +330,13 @@
 
 RenewalRow Leader::renewal() {
   RenewalRow Row;
-  Row.m_IsCounted = m_JobsLoaded &&
-                    m_Loop.now() < m_LiveJobs->currentAt() + MaxCountedJobsAge;
-  if (!Row.m_IsCounted) {
-    Row.m_Queues = m_Leadership.renewal().m_Queues;
+  if (!m_JobsLoaded) {
+    Row.m_Loads = m_Leadership.renewal().m_Loads;
     return Row;
   }
   for (const auto &[Queue, Jobs] : m_Scheduler->waitingJobs())
-    Row.m_Queues[Queue].m_WaitingJobs = Jobs;
+    Row.m_Loads.m_Queues[Queue].m_WaitingJobs = Jobs;
+  Row.m_Loads.m_AsOf = m_LiveJobs->currentStoreTime();
   return Row;
 }
 
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -42,14 +42,14 @@
 
 std::string encodeRenewal(const RenewalRow &Row) {
   Json Queues = Json::object();
-  for (const auto &[Name, Load] : Row.m_Queues)
+  for (const auto &[Name, Load] : Row.m_Loads.m_Queues)
     Queues[Name.m_Text] = {Load.m_WaitingJobs, Load.m_Wait.count()};
   return Json{{"term", Row.m_Term},
               {"number", Row.m_Number},
               {"queues", Queues},
               {"strength", Row.m_RelativeCapacity},
               {"behind", Row.m_IsOverloaded},
-              {"counted", Row.m_IsCounted},
+              {"as_of", Row.m_Loads.m_AsOf.count()},
               {"at", Row.m_Address}}
       .dump();
 }
@@ -59,12 +59,14 @@
     RenewalRow Row;
     Row.m_Term = J.at("term");
     Row.m_Number = J.at("number");
-    Row.m_IsCounted = J.value("counted", true);
+    // Builds without this field did not tell how old their counts were.
+    Row.m_Loads.m_AsOf =
+        std::chrono::milliseconds(J.value("as_of", std::int64_t(0)));
     Row.m_RelativeCapacity = J.at("strength");
     Row.m_Address = J.at("at");
     Row.m_IsOverloaded = J.at("behind");
     for (const auto &[Name, Load] : J.at("queues").items())
-      Row.m_Queues[QueueName(Name)] = {
+      Row.m_Loads.m_Queues[QueueName(Name)] = {
           Load.at(0),
           std::chrono::milliseconds(Load.at(1).get<std::int64_t>())};
     return Row;
@@ -101,7 +103,6 @@
     m_Renewal = std::move(Read.value());
     m_RenewalSeenAt = Now;
     m_NoRenewalSince = Now;
-    m_HasNewCounts |= m_Renewal.m_IsCounted;
     if (!m_Renewal.m_IsOverloaded)
       m_OverloadedSince.reset();
     else if (!m_OverloadedSince)
@@ -122,15 +123,28 @@
 void Leadership::onFeedAnswer(TimePoint Since, TimePoint Asked,
                               RowVersion Version, TimePoint Now) {
   m_HasFeedAnswer = true;
-  if (m_HasNewCounts)
-    m_CountedAt = Asked;
-  m_HasNewCounts = false;
   m_FeedRequestedAt = Asked;
   m_FeedVersion = Version;
   m_LastFeedAnswerAt = Now;
   m_NoRenewalSince = std::max(m_NoRenewalSince, Since);
 }
 
+Result<std::uint32_t>
+Leadership::waitingJobs(const QueueName &Queue,
+                        std::optional<std::chrono::milliseconds> StoreTime,
+                        std::chrono::milliseconds MaxAge) const {
+  const QueueLoads &Loads = m_Renewal.m_Loads;
+  if (Loads.m_AsOf.count() == 0 || !StoreTime)
+    return makeError(ErrorCode::NotFound, "count waiting jobs");
+  std::chrono::milliseconds Age = *StoreTime - Loads.m_AsOf;
+  // A count from the future was made before the store's clock was reset.
+  if (Age > MaxAge || Age < -MaxAge)
+    return makeError(ErrorCode::Unavailable, "count waiting jobs", {},
+                     "the count is " + std::to_string(Age.count()) + " ms old");
+  auto It = Loads.m_Queues.find(Queue);
+  return It == Loads.m_Queues.end() ? 0 : It->second.m_WaitingJobs;
+}
+
 Duration Leadership::electionDelay(TimePoint Now) const {
   Duration Age = std::clamp(Now - m_Options.m_StartedAt, Duration(0),
                             m_Options.m_RecentStartAge);
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -49,16 +49,22 @@
   std::chrono::milliseconds m_Wait{0};
 };
 
+/// Loads of all queues. A job that was accepted before m_AsOf and has not begun
+/// is counted.
+struct QueueLoads {
+  std::map<QueueName, QueueLoad> m_Queues;
+  /// Time of the store's clock; 0 if no leader has counted yet.
+  std::chrono::milliseconds m_AsOf{0};
+};
+
 /// Value of the renewal row. It shows that the leader is alive, and carries
 /// what every instance needs to answer callers.
 struct RenewalRow {
   Term m_Term = 0;
   /// Counts the renewals of the term.
   std::uint64_t m_Number = 0;
-  std::map<QueueName, QueueLoad> m_Queues;
-  /// Whether the leader counted m_Queues for this renewal. A leader that still
-  /// reads the jobs repeats the counts of the earlier one.
-  bool m_IsCounted = true;
+  /// A leader that still reads the jobs repeats the loads of the earlier one.
+  QueueLoads m_Loads;
   /// \see LeadershipOptions::m_RelativeCapacity.
   double m_RelativeCapacity = 0;
   /// Address of the leader's status page for operators.
@@ -176,8 +182,13 @@
   const LeadershipOptions &options() const { return m_Options; }
   const RenewalRow &renewal() const { return m_Renewal; }
   TimePoint renewalSeenAt() const { return m_RenewalSeenAt; }
-  /// The queue loads of renewal() were counted after this time.
-  TimePoint countedAt() const { return m_CountedAt; }
+  /// Number of waiting jobs of \p Queue. Fails with NotFound if no leader has
+  /// counted yet, and with Unavailable if at \p StoreTime, a time of the
+  /// store's clock, the count is older than \p MaxAge.
+  Result<std::uint32_t>
+  waitingJobs(const QueueName &Queue,
+              std::optional<std::chrono::milliseconds> StoreTime,
+              std::chrono::milliseconds MaxAge) const;
 
 private:
   std::string m_Name;
@@ -186,9 +197,6 @@
   RowVersion m_TermRowVersion = 0;
   RenewalRow m_Renewal;
   TimePoint m_RenewalSeenAt{};
-  TimePoint m_CountedAt{};
-  /// Rows of the answer being reported contain new counts.
-  bool m_HasNewCounts = false;
   /// When the leader was last known to be alive, or the store began to answer
   /// again. The election timeout counts from here.
   TimePoint m_NoRenewalSince{};
--- a/src/lead/LeadershipTest.cpp
+++ b/src/lead/LeadershipTest.cpp
@@ -131,24 +131,85 @@
   CHECK(A.electionDelay(Now + 1h) == B.electionDelay(Now + 1h));
 }
 
-// The leader that takes over reads thousands of jobs. Until then it counted
-// none, and a status told a tenth of the waiting jobs.
-TEST(Leadership, CountsThatWereNotMadeForARenewalDoNotBecomeNewer) {
+namespace {
+
+constexpr std::chrono::milliseconds MaxCountAge{4750};
+
+RenewalRow counted(std::uint32_t Jobs, std::chrono::milliseconds AsOf) {
+  RenewalRow Row;
+  Row.m_Loads.m_Queues[QueueName("q")].m_WaitingJobs = Jobs;
+  Row.m_Loads.m_AsOf = AsOf;
+  return Row;
+}
+
+} // namespace
+
+// Guards against too low counts of waiting jobs after a change of the leader:
+// the next leader had not read the jobs and counted none.
+TEST(Leadership, RepeatedCountsKeepTheirAge) {
   LeadershipFixture P;
   P.showRows();
   CHECK(P.takeOver(P.m_Leader));
-  RenewalRow Counted;
-  Counted.m_Queues[QueueName("q")].m_WaitingJobs = 188;
-  P.commit(P.m_Leader.renew(Counted, P.m_Now));
+  P.commit(P.m_Leader.renew(counted(188, 90s), P.m_Now));
+  P.showRows();
+  P.commit(P.m_Leader.release(P.m_Now));
   P.showRows();
-  CHECK(P.m_Other.countedAt() == P.m_Now);
-  TimePoint Then = P.m_Now;
-  P.m_Now += 2s;
+  CHECK(P.takeOver(P.m_Other));
   RenewalRow Repeated;
-  Repeated.m_IsCounted = false;
-  P.commit(P.m_Leader.renew(Repeated, P.m_Now));
+  Repeated.m_Loads = P.m_Other.renewal().m_Loads;
+  P.commit(P.m_Other.renew(Repeated, P.m_Now));
+  P.showRows();
+  for (const Leadership *L : {&P.m_Leader, &P.m_Other}) {
+    auto Count = L->waitingJobs(QueueName("q"), 94s, MaxCountAge);
+    CHECK(Count && Count.value() == 188);
+    CHECK(L->waitingJobs(QueueName("q"), 95s, MaxCountAge).has_error());
+  }
+}
+
+// Guards against too low counts of waiting jobs from an instance that has just
+// started, or has just reached the store again: it took the last renewal of a
+// stopped leader for a new one.
+TEST(Leadership, CountsOfAStoppedLeaderAreNotNewToAnInstanceThatReadsThemLate) {
+  LeadershipFixture P;
+  P.showRows();
+  CHECK(P.takeOver(P.m_Leader));
+  P.commit(P.m_Leader.renew(counted(0, 90s), P.m_Now));
+  P.m_Now += 6s;
+  P.showRows();
+  auto Count = P.m_Other.waitingJobs(QueueName("q"), 96s, MaxCountAge);
+  CHECK(Count.has_error());
+  CHECK(Count.error().m_Code == ErrorCode::Unavailable);
+}
+
+TEST(Leadership, CountsOfUnknownAgeAreRefused) {
+  LeadershipFixture P;
+  CHECK(
+      P.m_Other.waitingJobs(QueueName("q"), 90s, MaxCountAge).error().m_Code ==
+      ErrorCode::NotFound);
+  P.showRows();
+  CHECK(P.takeOver(P.m_Leader));
+  P.commit(P.m_Leader.renew(counted(3, 0s), P.m_Now));
+  P.showRows();
+  CHECK(P.m_Other.waitingJobs(QueueName("q"), 90s, MaxCountAge).has_error());
+  P.commit(P.m_Leader.renew(counted(3, 90s), P.m_Now));
+  P.showRows();
+  CHECK(P.m_Other.waitingJobs(QueueName("q"), 90s, MaxCountAge).has_value());
+  CHECK(P.m_Other.waitingJobs(QueueName("q"), std::nullopt, MaxCountAge)
+            .has_error());
+}
+
+// The clock of a store that was set up anew starts at 0.
+TEST(Leadership, CountsFromBeforeAResetOfTheStoreClockAreRefused) {
+  LeadershipFixture P;
+  P.showRows();
+  CHECK(P.takeOver(P.m_Leader));
+  P.commit(P.m_Leader.renew(counted(3, 90s), P.m_Now));
+  P.showRows();
+  CHECK(P.m_Other.waitingJobs(QueueName("q"), 1s, MaxCountAge).has_error());
+  P.commit(P.m_Leader.renew(counted(4, 1s), P.m_Now));
   P.showRows();
-  CHECK(P.m_Other.countedAt() == Then);
+  CHECK_EQUAL(4u,
+              P.m_Other.waitingJobs(QueueName("q"), 1s, MaxCountAge).value());
 }
 
 TEST(Leadership, InstanceOfEqualCapacityOffersNoHandover) {
--- a/src/store/TableMirror.cpp
+++ b/src/store/TableMirror.cpp
@@ -53,6 +53,7 @@
 void TableMirror::readSnapshot() {
   m_SnapshotRows.clear();
   m_SnapshotVersion = 0;
+  m_SnapshotStoreTime = std::chrono::milliseconds::max();
   m_SnapshotBegunAt = m_Loop.now();
   m_PartitionsLeft = m_Partitions.size();
   ++m_SnapshotNumber;
@@ -82,6 +83,8 @@
   RowVersion Version = Page.value().m_Version;
   m_SnapshotVersion =
       m_SnapshotVersion == 0 ? Version : std::min(m_SnapshotVersion, Version);
+  std::chrono::milliseconds StoreTime = Page.value().m_StoreTime;
+  m_SnapshotStoreTime = std::min(m_SnapshotStoreTime, StoreTime);
   for (const StoredRow &Row : Page.value().m_Rows) {
     m_SnapshotRows[Row.m_At.m_Key] = Row.m_Version;
     apply(Row);
@@ -89,15 +92,17 @@
   if (Page.value().m_HasMore && !Page.value().m_Rows.empty())
     return readPage(Part, Page.value().m_Rows.back().m_At.m_Key + '\0');
   if (--m_PartitionsLeft == 0)
-    onSnapshotRead(Asked);
+    onSnapshotRead(StoreTime, Asked);
 }
 
-void TableMirror::onSnapshotRead(TimePoint Asked) {
+void TableMirror::onSnapshotRead(std::chrono::milliseconds StoreTime,
+                                 TimePoint Asked) {
   removeUnseenRows();
   m_ReportedVersion = m_SnapshotVersion;
   m_IsSynced = true;
   m_CurrentAt = m_SnapshotBegunAt;
-  recordAnswer(Asked);
+  m_CurrentStoreTime = m_SnapshotStoreTime;
+  recordAnswer(StoreTime, Asked);
   requestChanges();
 }
 
@@ -136,9 +141,11 @@
     if (Row.m_Version == Newest[Row.m_At.m_Key])
       apply(Row);
   m_ReportedVersion = std::max(m_ReportedVersion, Changes.value().m_Version);
-  if (!mayHaveMoreChanges(Changes.value()))
+  if (!mayHaveMoreChanges(Changes.value())) {
     m_CurrentAt = Asked;
-  recordAnswer(Asked);
+    m_CurrentStoreTime = Changes.value().m_StoreTime;
+  }
+  recordAnswer(Changes.value().m_StoreTime, Asked);
   if (Changes.value().m_Rows.empty() || m_BatchDelay <= Duration(0))
     return requestChanges();
   m_Loop.after(m_BatchDelay,
@@ -155,7 +162,17 @@
   m_Listener.m_OnRow(Row);
 }
 
-void TableMirror::recordAnswer(TimePoint Asked) {
+std::optional<std::chrono::milliseconds>
+TableMirror::latestStoreTime(TimePoint Now) const {
+  if (m_LastStoreTime.count() == 0)
+    return std::nullopt;
+  return m_LastStoreTime + std::chrono::ceil<std::chrono::milliseconds>(
+                               Now - m_LastAnswerRequestedAt);
+}
+
+void TableMirror::recordAnswer(std::chrono::milliseconds StoreTime,
+                               TimePoint Asked) {
+  m_LastStoreTime = StoreTime;
   m_LastAnswerRequestedAt = Asked;
   if (m_IsFailing)
     m_AnsweringSince = m_Loop.now();
--- a/src/store/TableMirror.h
+++ b/src/store/TableMirror.h
@@ -7,6 +7,7 @@
 #include "store/MetadataStore.h"
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace pollenspool {
 
@@ -49,6 +50,14 @@
   /// lastAnswerRequestedAt() while a read is in progress or the feed has more
   /// changes than fit into one answer.
   TimePoint currentAt() const { return m_CurrentAt; }
+  /// All changes up to this time of the store's clock have been reported; 0 if
+  /// the store has not told its time.
+  std::chrono::milliseconds currentStoreTime() const {
+    return m_CurrentStoreTime;
+  }
+  /// The latest possible time of the store's clock at \p Now; nothing before
+  /// the store has told its time.
+  std::optional<std::chrono::milliseconds> latestStoreTime(TimePoint Now) const;
   /// Since when the store has answered without a failure.
   TimePoint answeringSince() const { return m_AnsweringSince; }
 
@@ -59,13 +68,13 @@
   void readSnapshot();
   void readPage(const std::string &Part, const std::string &From);
   void onPage(const std::string &Part, Result<RowPage> Page, TimePoint Asked);
-  void onSnapshotRead(TimePoint Asked);
+  void onSnapshotRead(std::chrono::milliseconds StoreTime, TimePoint Asked);
   void requestChanges();
   void onChanges(Result<RowPage> Changes, TimePoint Asked);
   void apply(const StoredRow &Row);
   void removeUnseenRows();
   void onFailure(const Error &Why);
-  void recordAnswer(TimePoint Asked);
+  void recordAnswer(std::chrono::milliseconds StoreTime, TimePoint Asked);
 
   EventLoop &m_Loop;
   MetadataStore &m_Store;
@@ -89,8 +98,13 @@
   bool m_IsFailing = true;
   TimePoint m_LastAnswerRequestedAt{};
   TimePoint m_CurrentAt{};
+  std::chrono::milliseconds m_CurrentStoreTime{0};
+  /// The store's time in the latest answer.
+  std::chrono::milliseconds m_LastStoreTime{0};
   /// When the read in progress began.
   TimePoint m_SnapshotBegunAt{};
+  /// The earliest of the store's times in the pages of the read in progress.
+  std::chrono::milliseconds m_SnapshotStoreTime{0};
   TimePoint m_AnsweringSince{};
 };
 
--- a/src/store/TableMirrorTest.cpp
+++ b/src/store/TableMirrorTest.cpp
@@ -124,3 +124,31 @@
   m_Store.m_Follows.at(2)(Large);
   CHECK(m_Mirror->currentAt() <= AfterRead);
 }
+
+// Guards against too low counts of waiting jobs: the time up to which the jobs
+// are known must not be later than the oldest part of the read.
+TEST(TableMirror, KnowsTheStoreTimeUpToWhichItIsComplete) {
+  CHECK_EQUAL(0, m_Mirror->currentStoreTime().count());
+  CHECK_FALSE(m_Mirror->latestStoreTime(m_Loop->now()).has_value());
+  RowPage NoChange;
+  NoChange.m_StoreTime = 5000ms;
+  m_Store.m_Follows.at(0)(NoChange);
+  CHECK_EQUAL(5000, m_Mirror->currentStoreTime().count());
+  RowPage Cut;
+  Cut.m_HasMore = true;
+  Cut.m_StoreTime = 6000ms;
+  m_Store.m_Follows.at(1)(Cut);
+  CHECK_EQUAL(5000, m_Mirror->currentStoreTime().count());
+  TimePoint Then = m_Mirror->lastAnswerRequestedAt();
+  CHECK_EQUAL(8000, m_Mirror->latestStoreTime(Then + 2s)->count());
+  m_Store.m_Follows.at(2)(makeError(ErrorCode::NotFound, "follow"));
+  RowPage First, Last;
+  First.m_HasMore = true;
+  First.m_Rows = {row("a", "1", 700)};
+  First.m_StoreTime = 7000ms;
+  Last.m_StoreTime = 9000ms;
+  m_Store.m_Reads.at(1)(First);
+  CHECK_EQUAL(5000, m_Mirror->currentStoreTime().count());
+  m_Store.m_Reads.at(2)(Last);
+  CHECK_EQUAL(7000, m_Mirror->currentStoreTime().count());
+}
