Reset the connection of a call that failed

The class of the fault: a request that was given up is delivered later. It holds for start orders and transactions as well; their fences and conditions refuse them.

Change: outgoing connections are closed with a reset (SO_LINGER of 0), so that unsent data is discarded. A failure to set the option is logged.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -30,6 +30,18 @@
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
 
+  /// To be called once the connection is open. Closing it discards what has not
+  /// been sent: a request that was given up must not be delivered later, when a
+  /// network that dropped it works again.
+  void setOptions() {
+    error_code Failed;
+    m_Stream.socket().set_option(asio::ip::tcp::no_delay(true), Failed);
+    if (!Failed)
+      m_Stream.socket().set_option(asio::socket_base::linger(true, 0), Failed);
+    if (Failed)
+      logEvent(Event::SocketOptionFailed, {{"error", Failed.message()}});
+  }
+
   /// Returns whether the peer has closed the idle connection or sent
   /// unsolicited data on it, so that it must not be reused.
   bool isStale() {
@@ -168,9 +180,7 @@
                                   ? ErrorCode::ResourceExhausted
                                   : ErrorCode::ConnectFailed,
                               Failed.message());
-          error_code Ignored;
-          C->m_Connection->m_Stream.socket().set_option(
-              asio::ip::tcp::no_delay(true), Ignored);
+          C->m_Connection->setOptions();
           Self->send(C);
         });
   }
