Log the sizes and demands of pools while one is too small

The log told neither how large the pools were nor what they needed, so that "nobody starts jobs" and "there are no servers" could not be told apart. Change: event PoolSized, a line for each pool, at most once a second and only while some pool is below its target size.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -20,6 +20,8 @@
 constexpr double HeadroomFactor = 1.15;
 /// Delay before an instance gets another order after a refused one.
 constexpr Duration RefusedRetryDelay = std::chrono::milliseconds(700);
+/// Interval between two log lines about the sizes of the pools.
+constexpr Duration ShortageLogInterval = std::chrono::seconds(1);
 
 bool suits(const InstanceListing &L, const UnschedulableTask &Need) {
   return hasLabel(L.m_Labels, Need.m_Label) &&
@@ -118,7 +120,7 @@
   for (auto &[Name, P] : All) {
     if (P.m_Spare)
       continue;
-    const PoolDemand &D = Demand[Name];
+    const PoolDemand &D = P.m_Demand = Demand[Name];
     double MilliCores =
         static_cast<double>(D.m_RunningMilliCores) +
         static_cast<double>(D.m_ReadyMilliCores) +
@@ -231,6 +233,24 @@
   }
 }
 
+void FleetPlanner::logShortage(const Pools &All, TimePoint Now) {
+  if (Now < m_NextShortageLog ||
+      std::none_of(All.begin(), All.end(), [](const auto &Entry) {
+        return Entry.second.surplus() < 0;
+      }))
+    return;
+  m_NextShortageLog = Now + ShortageLogInterval;
+  for (const auto &[Name, P] : All)
+    logEvent(
+        Event::PoolSized,
+        {{"pool", Name.m_Text},
+         {"instances", std::to_string(P.m_Instances.size())},
+         {"target", std::to_string(P.m_TargetSize)},
+         {"running_mcores", std::to_string(P.m_Demand.m_RunningMilliCores)},
+         {"ready_mcores", std::to_string(P.m_Demand.m_ReadyMilliCores)},
+         {"blocked_mcores", std::to_string(P.m_Demand.m_BlockedMilliCores)}});
+}
+
 std::vector<InstanceOrder> FleetPlanner::plan(TimePoint Now,
                                               std::chrono::milliseconds Wall,
                                               std::size_t MaxOrders) {
@@ -241,6 +261,7 @@
   buildIndex();
   Pools All = collectPools();
   updateTargetSizes(All, Now);
+  logShortage(All, Now);
   planWaves(All, Now, Wall, Out);
   planUnschedulableTasks(All, Out);
   planMoves(All, Out);
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -115,6 +115,7 @@
   struct PoolView {
     std::vector<const InstanceListing *> m_Instances;
     std::int64_t m_TargetSize = 0;
+    PoolDemand m_Demand;
     bool m_Spare = false;
 
     std::int64_t surplus() const {
@@ -130,6 +131,9 @@
   Pools collectPools();
   void updateTargetSizes(Pools &All, TimePoint Now);
   void planMoves(Pools &All, std::vector<InstanceOrder> &Out);
+  /// Logs the sizes of all pools, at most once per second, while some pool has
+  /// fewer instances than its target size.
+  void logShortage(const Pools &All, TimePoint Now);
   /// Moves an instance into each pool where no instance satisfies the
   /// requirements of a task.
   void planUnschedulableTasks(Pools &All, std::vector<InstanceOrder> &Out);
@@ -191,6 +195,7 @@
   std::map<PoolName, double> m_PeakDemand;
   /// Time of the latest plan.
   TimePoint m_PlannedAt{};
+  TimePoint m_NextShortageLog{};
   /// Maximum number of orders of the current plan.
   std::size_t m_MaxOrders = 0;
 };
