Share the instances among the pools when they are too few

Cause: the backlog of one queue asked for more instances than exist. The planner served the pool with the largest shortage first and took instances only from pools above their target size, so that pool kept all of its instances, none of which was ever idle, until its backlog was done. The class of the fault: a consumer with unbounded demand starves the others. Change: if the target sizes add up to more than there are instances, they are lowered to max-min fair shares: a pool gets what it needs, or at least as much as any pool that needs more. Instances above its share get no new tasks (those with the fewest runs first, none with long-running or best-effort tasks), so that they can move once their tasks have ended. The pool with the smallest part of its target is served first, instead of the one with the largest shortage. Waves decide by the sizes that the pools would like to have, as before. Nothing changes while the instances suffice.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -133,15 +133,35 @@
       Draining += m_State[L->m_Id].m_DrainingSince.has_value();
     }
     double Instances = Peak * HeadroomFactor / static_cast<double>(Largest);
-    P.m_TargetSize = std::max<std::int64_t>(
-        {1, static_cast<std::int64_t>(std::ceil(Instances)),
-         minInstancesForSpread(Name) + std::int64_t(1)});
+    P.m_MinSize = minInstancesForSpread(Name) + std::int64_t(1);
+    P.m_TargetSize =
+        std::max(P.m_MinSize, static_cast<std::int64_t>(std::ceil(Instances)));
     // Instances that drain for a wave take no new tasks, and the tasks that
     // leave them need capacity elsewhere.
     P.m_TargetSize += Draining;
   }
 }
 
+void FleetPlanner::shareInstances(Pools &All) {
+  std::int64_t Left = 0;
+  std::vector<PoolView *> ByTarget;
+  for (auto &[Name, P] : All) {
+    Left += static_cast<std::int64_t>(P.m_Instances.size());
+    if (!P.m_Spare)
+      ByTarget.push_back(&P);
+  }
+  std::sort(ByTarget.begin(), ByTarget.end(),
+            [](const PoolView *A, const PoolView *B) {
+              return A->m_TargetSize < B->m_TargetSize;
+            });
+  auto PoolsLeft = static_cast<std::int64_t>(ByTarget.size());
+  for (PoolView *P : ByTarget) {
+    std::int64_t Share = std::max(P->m_MinSize, Left / PoolsLeft--);
+    P->m_TargetSize = std::min(P->m_TargetSize, Share);
+    Left -= P->m_TargetSize;
+  }
+}
+
 const InstanceListing *
 FleetPlanner::takeMovable(PoolView &From, bool OnlyEmpty,
                           const UnschedulableTask *Need) {
@@ -198,16 +218,20 @@
   for (auto &[Name, P] : All)
     if (P.m_Spare)
       Spare = Name;
-  // The pool with the largest shortage is served first, one instance at a
-  // time.
+  // The pool with the smallest part of its target size is served first, one
+  // instance at a time.
   while (Out.size() < m_MaxOrders) {
     PoolName MostShort;
-    std::int64_t Shortage = 0;
-    for (auto &[Name, P] : All)
-      if (!P.m_Spare && -P.surplus() > Shortage) {
-        Shortage = -P.surplus();
+    double LeastPart = 1;
+    for (auto &[Name, P] : All) {
+      double Part = P.m_Spare ? 1
+                              : static_cast<double>(P.m_Instances.size()) /
+                                    static_cast<double>(P.m_TargetSize);
+      if (Part < LeastPart) {
+        LeastPart = Part;
         MostShort = Name;
       }
+    }
     if (MostShort.empty())
       break;
     const InstanceListing *L =
@@ -233,6 +257,55 @@
   }
 }
 
+bool FleetPlanner::isReleasable(const PoolName &Pool,
+                                const InstanceListing &L) {
+  const ServerState *S = serverOf(L);
+  return S && S->m_Registration.m_Pool == Pool && hasKnownRuns(*S) &&
+         canOrder(L, m_PlannedAt) && !m_State[L.m_Id].m_DrainingSince &&
+         std::none_of(S->m_Runs.begin(), S->m_Runs.end(), [](const auto &Run) {
+           return Run.second.m_IsLongRunning || Run.second.m_IsBestEffort;
+         });
+}
+
+void FleetPlanner::releaseSurplus(Pools &All) {
+  std::set<InstanceId> Before;
+  for (auto &[Id, I] : m_State) {
+    if (!std::exchange(I.m_Released, false))
+      continue;
+    Before.insert(Id);
+    auto Server = m_ServerByInstance.find(Id);
+    if (Server != m_ServerByInstance.end() && !I.m_Pending && !I.m_Ordered &&
+        !I.m_DrainingSince)
+      Server->second->m_Reserved = false;
+  }
+  std::int64_t Missing = 0;
+  for (const auto &[Name, P] : All)
+    Missing += std::max<std::int64_t>(0, -P.surplus());
+  for (auto &[Name, P] : All) {
+    std::int64_t Count = P.m_Spare ? 0 : std::min(P.surplus(), Missing);
+    if (Count <= 0)
+      continue;
+    // Instances that drain already come first, then those with the fewest runs.
+    std::vector<std::tuple<bool, std::size_t, const InstanceListing *>> Order;
+    for (const InstanceListing *L : P.m_Instances)
+      if (isReleasable(Name, *L))
+        Order.emplace_back(Before.count(L->m_Id) == 0,
+                           serverOf(*L)->m_Runs.size(), L);
+    std::stable_sort(Order.begin(), Order.end(),
+                     [](const auto &A, const auto &B) {
+                       return std::tie(std::get<0>(A), std::get<1>(A)) <
+                              std::tie(std::get<0>(B), std::get<1>(B));
+                     });
+    Count = std::min(Count, static_cast<std::int64_t>(Order.size()));
+    Order.resize(static_cast<std::size_t>(Count));
+    for (const auto &[IsNew, Runs, L] : Order) {
+      m_State[L->m_Id].m_Released = true;
+      serverOf(*L)->m_Reserved = true;
+    }
+    Missing -= Count;
+  }
+}
+
 void FleetPlanner::logShortage(const Pools &All, TimePoint Now) {
   if (Now < m_NextShortageLog ||
       std::none_of(All.begin(), All.end(), [](const auto &Entry) {
@@ -263,8 +336,10 @@
   updateTargetSizes(All, Now);
   logShortage(All, Now);
   planWaves(All, Now, Wall, Out);
+  shareInstances(All);
   planUnschedulableTasks(All, Out);
   planMoves(All, Out);
+  releaseSurplus(All);
   return Out;
 }
 
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -104,6 +104,8 @@
     TimePoint m_ExpectedUpAt{};
     /// When the instance began to drain for a wave.
     std::optional<TimePoint> m_DrainingSince;
+    /// Its server gets no new tasks, because another pool needs the instance.
+    bool m_Released = false;
     WaveId m_Wave;
     TimePoint m_RetryAt{};
     TimePoint m_WaitLoggedAt{};
@@ -115,6 +117,8 @@
   struct PoolView {
     std::vector<const InstanceListing *> m_Instances;
     std::int64_t m_TargetSize = 0;
+    /// The target size is not lowered below this.
+    std::int64_t m_MinSize = 0;
     PoolDemand m_Demand;
     bool m_Spare = false;
 
@@ -130,7 +134,14 @@
   // Pool sizing (FleetPlanner.cpp).
   Pools collectPools();
   void updateTargetSizes(Pools &All, TimePoint Now);
+  /// Lowers target sizes to max-min fair shares if there are too few instances
+  /// for all pools, so that the backlog of one pool does not starve the others.
+  static void shareInstances(Pools &All);
   void planMoves(Pools &All, std::vector<InstanceOrder> &Out);
+  /// Frees instances of pools that are too large while others are too small:
+  /// they get no new tasks, so that they can move once their tasks have ended.
+  void releaseSurplus(Pools &All);
+  bool isReleasable(const PoolName &Pool, const InstanceListing &L);
   /// Logs the sizes of all pools, at most once per second, while some pool has
   /// fewer instances than its target size.
   void logShortage(const Pools &All, TimePoint Now);
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -53,6 +53,60 @@
     m_Planner->onWave({WaveId("1"), std::move(Instances), Within, AtOnce},
                       Progress, m_Inherited);
   }
+  /// Adds the pool "hall" of one instance, with server \p Server and a job of
+  /// \p Tasks tasks of one core.
+  void addHall(const std::string &Server, std::uint32_t Tasks) {
+    const ServingConfig &Config = *m_World.m_Core->config();
+    auto Pools = Config.pools();
+    Pools.push_back({PoolName("hall"), false, true});
+    m_World.m_Core->onConfig(
+        ServingConfig::create(Config.version(), Config.queues(), Pools));
+    ServerRegistration R;
+    R.m_Id = ServerId(Server);
+    R.m_Instance = InstanceId("on-" + Server);
+    R.m_Pool = PoolName("hall");
+    R.m_Capacity = {4000, 64000, 0};
+    R.m_StartTimeMs = 1;
+    m_World.m_Core->onServer(R, m_World.m_Now);
+    m_World.tick();
+    m_World.answerPoll(Server);
+    list(Server, "hall");
+    JobSpec Job;
+    Job.m_Id = JobId("h");
+    Job.m_Queue = QueueName("plans");
+    Job.m_Pool = PoolName("hall");
+    Job.m_Steps = {SchedulerFixture::step(Tasks)};
+    Job.m_AcceptedAt = m_World.wall();
+    m_World.m_Core->onJob(Job, {}, 1, 1, m_World.m_Now, m_World.wall());
+  }
+  /// Adds servers s0, s1 ... to the pool "desk", and its job "j" of \p Tasks
+  /// tasks of one core.
+  void addDesk(std::size_t Servers, std::uint32_t Tasks) {
+    for (std::size_t N = 0; N < Servers; ++N) {
+      m_World.addServer("s" + std::to_string(N), 4);
+      list("s" + std::to_string(N), "desk");
+    }
+    m_World.addJob("j", {SchedulerFixture::step(Tasks)});
+    m_World.tick();
+  }
+  /// The servers that get no new tasks.
+  std::vector<ServerState *> reserved() {
+    std::vector<ServerState *> Found;
+    for (auto &[Id, S] : m_World.m_Core->servers().all())
+      if (S.m_Reserved)
+        Found.push_back(&S);
+    return Found;
+  }
+  /// Lets all runs of \p S end, and starts what is placed then.
+  void endRuns(const ServerState &S) {
+    std::vector<EndReport> Ends;
+    for (const auto &[Id, Run] : S.m_Runs)
+      Ends.push_back({Ends.size() + 1, Id, EndKind::Done, ""});
+    m_World.advance(100ms);
+    m_World.tick();
+    m_World.answerPoll(S.m_Registration.m_Id.m_Text, {}, Ends);
+    m_World.tick();
+  }
   /// Adds a job of three long-running tasks, one per server, of which one may
   /// be unavailable.
   void addLastingJob() {
@@ -92,6 +146,63 @@
   CHECK(W.plan().size() >= 2u);
 }
 
+// After an outage of the store one queue's backlog kept all instances, none of
+// which was ever idle. A queue whose peak came later got none for 3 s, and
+// served a fifth of its requests in time.
+TEST(FleetPlanner, ABacklogDoesNotKeepTheInstancesThatAnotherPoolNeeds) {
+  PlannerFixture W;
+  W.addDesk(4, 200);
+  W.addHall("h1", 12);
+  CHECK_EQUAL(0u, W.plan().size());
+  CHECK_EQUAL(1u, W.reserved().size());
+  ServerState *Drained = W.reserved().front();
+  CHECK_EQUAL(4u, Drained->m_Runs.size());
+  for (std::size_t N = 0; N < W.m_World.m_Orders.m_Starts.size(); ++N)
+    W.m_World.answerStart(N);
+  W.endRuns(*Drained);
+  CHECK_EQUAL(0u, Drained->m_Runs.size());
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  STRCMP_EQUAL("hall", Orders[0].m_To.m_Text.c_str());
+  CHECK(Orders[0].m_Server == Drained->m_Registration.m_Id);
+  // Each pool has its share now.
+  CHECK_EQUAL(0u, W.plan().size());
+  CHECK_EQUAL(1u, W.reserved().size());
+}
+
+TEST(FleetPlanner, APoolWithASmallDemandGetsAllThatItNeedsBesideABacklog) {
+  PlannerFixture W;
+  W.addDesk(6, 400);
+  W.addHall("h1", 8);
+  W.plan();
+  // Eight tasks need three instances with the headroom; hall has one.
+  CHECK_EQUAL(2u, W.reserved().size());
+}
+
+TEST(FleetPlanner, AFreedInstanceTakesTasksAgainOnceTheOtherPoolNeedsNoMore) {
+  PlannerFixture W;
+  W.addDesk(4, 200);
+  W.addHall("h1", 12);
+  W.plan();
+  CHECK_EQUAL(1u, W.reserved().size());
+  W.m_World.m_Core->onJobEnded(JobId("h"));
+  W.m_World.advance(60s);
+  W.plan();
+  CHECK_EQUAL(0u, W.reserved().size());
+}
+
+TEST(FleetPlanner, LongRunningTasksKeepTheirInstances) {
+  PlannerFixture W;
+  StepSpec Step = SchedulerFixture::step(3);
+  Step.m_IsLongRunning = true;
+  Step.m_RequiredResources = {4000, 1000, 0};
+  W.m_World.addJob("l", {Step});
+  W.addDesk(3, 200);
+  W.addHall("h1", 12);
+  W.plan();
+  CHECK_EQUAL(0u, W.reserved().size());
+}
+
 // Guards against a pool that is not enlarged while a wave drains two of its
 // instances: a long-running task that had left one of them found no other
 // server.
