--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -53,8 +53,7 @@
     m_Planner->onWave({WaveId("1"), std::move(Instances), Within, AtOnce},
                       Progress, m_Inherited);
   }
-  /// Adds the pool "hall" of one instance, with server \p Server and a job of
-  /// \p Tasks tasks of one core.
+  /// Adds the pool "hall", server \p Server and a job of \p Tasks tasks.
   void addHall(const std::string &Server, std::uint32_t Tasks) {
     const ServingConfig &Config = *m_World.m_Core->config();
     auto Pools = Config.pools();
@@ -66,7 +65,6 @@
     R.m_Instance = InstanceId("on-" + Server);
     R.m_Pool = PoolName("hall");
     R.m_Capacity = {4000, 64000, 0};
-    R.m_StartTimeMs = 1;
     m_World.m_Core->onServer(R, m_World.m_Now);
     m_World.tick();
     m_World.answerPoll(Server);
@@ -89,14 +87,15 @@
     m_World.addJob("j", {SchedulerFixture::step(Tasks)});
     m_World.tick();
   }
-  /// The servers that get no new tasks.
-  std::vector<ServerState *> reserved() {
+  /// All servers, or only those that get no new tasks.
+  std::vector<ServerState *> servers(bool OnlyReserved) {
     std::vector<ServerState *> Found;
     for (auto &[Id, S] : m_World.m_Core->servers().all())
-      if (S.m_Reserved)
+      if (S.m_Reserved || !OnlyReserved)
         Found.push_back(&S);
     return Found;
   }
+  std::size_t reserved() { return servers(true).size(); }
   /// Lets all runs of \p S end, and starts what is placed then.
   void endRuns(const ServerState &S) {
     std::vector<EndReport> Ends;
@@ -154,8 +153,8 @@
   W.addDesk(4, 200);
   W.addHall("h1", 12);
   CHECK_EQUAL(0u, W.plan().size());
-  CHECK_EQUAL(1u, W.reserved().size());
-  ServerState *Drained = W.reserved().front();
+  CHECK_EQUAL(1u, W.reserved());
+  ServerState *Drained = W.servers(true).front();
   CHECK_EQUAL(4u, Drained->m_Runs.size());
   for (std::size_t N = 0; N < W.m_World.m_Orders.m_Starts.size(); ++N)
     W.m_World.answerStart(N);
@@ -167,7 +166,7 @@
   CHECK(Orders[0].m_Server == Drained->m_Registration.m_Id);
   // Each pool has its share now.
   CHECK_EQUAL(0u, W.plan().size());
-  CHECK_EQUAL(1u, W.reserved().size());
+  CHECK_EQUAL(1u, W.reserved());
 }
 
 TEST(FleetPlanner, APoolWithASmallDemandGetsAllThatItNeedsBesideABacklog) {
@@ -176,7 +175,31 @@
   W.addHall("h1", 8);
   W.plan();
   // Eight tasks need three instances with the headroom; hall has one.
-  CHECK_EQUAL(2u, W.reserved().size());
+  CHECK_EQUAL(2u, W.reserved());
+}
+
+// Jobs that could no longer be on time held servers, so that those of another
+// queue became late as well.
+TEST(FleetPlanner, LateJobsLeaveInstancesToThoseThatCanBeOnTime) {
+  PlannerFixture W;
+  W.addDesk(4, 200);
+  W.m_World.advance(3s);
+  W.addHall("h1", 12);
+  W.plan();
+  CHECK_EQUAL(3u, W.reserved());
+}
+
+// A pool kept idle servers for seconds after its peak, while the tasks of
+// another pool waited for them.
+TEST(FleetPlanner, APoolKeepsNothingAfterItsPeakThatAnotherPoolNeeds) {
+  PlannerFixture W;
+  W.addDesk(4, 16);
+  W.plan();
+  W.m_World.m_Core->onJobEnded(JobId("j"));
+  for (ServerState *S : W.servers(false))
+    W.endRuns(*S);
+  W.addHall("h1", 12);
+  CHECK_EQUAL(3u, W.plan().size());
 }
 
 TEST(FleetPlanner, AFreedInstanceTakesTasksAgainOnceTheOtherPoolNeedsNoMore) {
@@ -184,11 +207,11 @@
   W.addDesk(4, 200);
   W.addHall("h1", 12);
   W.plan();
-  CHECK_EQUAL(1u, W.reserved().size());
+  CHECK_EQUAL(1u, W.reserved());
   W.m_World.m_Core->onJobEnded(JobId("h"));
   W.m_World.advance(60s);
   W.plan();
-  CHECK_EQUAL(0u, W.reserved().size());
+  CHECK_EQUAL(0u, W.reserved());
 }
 
 TEST(FleetPlanner, LongRunningTasksKeepTheirInstances) {
@@ -200,7 +223,7 @@
   W.addDesk(3, 200);
   W.addHall("h1", 12);
   W.plan();
-  CHECK_EQUAL(0u, W.reserved().size());
+  CHECK_EQUAL(0u, W.reserved());
 }
 
 // Guards against a pool that is not enlarged while a wave drains two of its
