--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -20,6 +20,15 @@
 constexpr double HeadroomFactor = 1.15;
 /// Delay before an instance gets another order after a refused one.
 constexpr Duration RefusedRetryDelay = std::chrono::milliseconds(700);
+/// Interval between two log lines about the sizes of the pools.
+constexpr Duration ShortageLogInterval = std::chrono::seconds(1);
+
+/// Demand in thousandths of a core by the time an instance has moved.
+double expectedMilliCores(const PoolDemand &D) {
+  return static_cast<double>(D.m_RunningMilliCores) +
+         static_cast<double>(D.m_ReadyMilliCores) +
+         static_cast<double>(D.m_BlockedMilliCores) * BlockedDemandWeight;
+}
 
 bool suits(const InstanceListing &L, const UnschedulableTask &Need) {
   return hasLabel(L.m_Labels, Need.m_Label) &&
@@ -115,14 +124,14 @@
   double Decay = m_PlannedAt == TimePoint{} ? 0.0 : std::exp2(-Halvings);
   m_PlannedAt = Now;
   auto Demand = m_Scheduler.demand();
+  auto LateDemand = m_Scheduler.lateDemand(Now);
   for (auto &[Name, P] : All) {
     if (P.m_Spare)
       continue;
-    const PoolDemand &D = Demand[Name];
-    double MilliCores =
-        static_cast<double>(D.m_RunningMilliCores) +
-        static_cast<double>(D.m_ReadyMilliCores) +
-        static_cast<double>(D.m_BlockedMilliCores) * BlockedDemandWeight;
+    P.m_Demand = Demand[Name];
+    double MilliCores = expectedMilliCores(P.m_Demand);
+    double OnTime =
+        std::max(0.0, MilliCores - expectedMilliCores(LateDemand[Name]));
     double &Peak = m_PeakDemand[Name];
     Peak = std::max(MilliCores, Peak * Decay);
     std::int64_t Largest = 1, Draining = 0;
@@ -130,16 +139,49 @@
       Largest = std::max(Largest, L->m_Capacity.m_MilliCores);
       Draining += m_State[L->m_Id].m_DrainingSince.has_value();
     }
-    double Instances = Peak * HeadroomFactor / static_cast<double>(Largest);
-    P.m_TargetSize = std::max<std::int64_t>(
-        {1, static_cast<std::int64_t>(std::ceil(Instances)),
-         minInstancesForSpread(Name) + std::int64_t(1)});
+    auto SizeFor = [Largest](double Wanted) {
+      return static_cast<std::int64_t>(
+          std::ceil(Wanted * HeadroomFactor / static_cast<double>(Largest)));
+    };
+    P.m_MinSize = minInstancesForSpread(Name) + std::int64_t(1);
     // Instances that drain for a wave take no new tasks, and the tasks that
     // leave them need capacity elsewhere.
-    P.m_TargetSize += Draining;
+    P.m_OnTimeSize = std::max(P.m_MinSize, SizeFor(OnTime)) + Draining;
+    P.m_NeededSize = std::max(P.m_MinSize, SizeFor(MilliCores)) + Draining;
+    P.m_TargetSize = std::max(P.m_MinSize, SizeFor(Peak)) + Draining;
   }
 }
 
+void FleetPlanner::grant(std::vector<Claim> Claims, std::int64_t &Left) {
+  std::sort(Claims.begin(), Claims.end(),
+            [](const Claim &A, const Claim &B) { return A.m_Size < B.m_Size; });
+  auto ClaimsLeft = static_cast<std::int64_t>(Claims.size());
+  for (const Claim &C : Claims) {
+    std::int64_t Part =
+        std::clamp(Left / ClaimsLeft--, std::int64_t(0), C.m_Size);
+    C.m_Pool->m_TargetSize += Part;
+    Left -= Part;
+  }
+}
+
+void FleetPlanner::shareInstances(Pools &All) {
+  std::int64_t Left = 0;
+  std::vector<Claim> OnTime, Late, Kept;
+  for (auto &[Name, P] : All) {
+    Left += static_cast<std::int64_t>(P.m_Instances.size());
+    if (P.m_Spare)
+      continue;
+    Left -= P.m_MinSize;
+    OnTime.push_back({&P, P.m_OnTimeSize - P.m_MinSize});
+    Late.push_back({&P, P.m_NeededSize - P.m_OnTimeSize});
+    Kept.push_back({&P, P.m_TargetSize - P.m_NeededSize});
+    P.m_TargetSize = P.m_MinSize;
+  }
+  grant(std::move(OnTime), Left);
+  grant(std::move(Late), Left);
+  grant(std::move(Kept), Left);
+}
+
 const InstanceListing *
 FleetPlanner::takeMovable(PoolView &From, bool OnlyEmpty,
                           const UnschedulableTask *Need) {
@@ -196,16 +238,20 @@
   for (auto &[Name, P] : All)
     if (P.m_Spare)
       Spare = Name;
-  // The pool with the largest shortage is served first, one instance at a
-  // time.
+  // The pool with the smallest part of its target size is served first, one
+  // instance at a time.
   while (Out.size() < m_MaxOrders) {
     PoolName MostShort;
-    std::int64_t Shortage = 0;
-    for (auto &[Name, P] : All)
-      if (!P.m_Spare && -P.surplus() > Shortage) {
-        Shortage = -P.surplus();
+    double LeastPart = 1;
+    for (auto &[Name, P] : All) {
+      double Part = P.m_Spare ? 1
+                              : static_cast<double>(P.m_Instances.size()) /
+                                    static_cast<double>(P.m_TargetSize);
+      if (Part < LeastPart) {
+        LeastPart = Part;
         MostShort = Name;
       }
+    }
     if (MostShort.empty())
       break;
     const InstanceListing *L =
@@ -231,6 +277,73 @@
   }
 }
 
+bool FleetPlanner::isReleasable(const PoolName &Pool,
+                                const InstanceListing &L) {
+  const ServerState *S = serverOf(L);
+  return S && S->m_Registration.m_Pool == Pool && hasKnownRuns(*S) &&
+         canOrder(L, m_PlannedAt) && !m_State[L.m_Id].m_DrainingSince &&
+         std::none_of(S->m_Runs.begin(), S->m_Runs.end(), [](const auto &Run) {
+           return Run.second.m_IsLongRunning || Run.second.m_IsBestEffort;
+         });
+}
+
+void FleetPlanner::releaseSurplus(Pools &All) {
+  std::set<InstanceId> Before;
+  for (auto &[Id, I] : m_State) {
+    if (!std::exchange(I.m_Released, false))
+      continue;
+    Before.insert(Id);
+    auto Server = m_ServerByInstance.find(Id);
+    if (Server != m_ServerByInstance.end() && !I.m_Pending && !I.m_Ordered &&
+        !I.m_DrainingSince)
+      Server->second->m_Reserved = false;
+  }
+  std::int64_t Missing = 0;
+  for (const auto &[Name, P] : All)
+    Missing += std::max<std::int64_t>(0, -P.surplus());
+  for (auto &[Name, P] : All) {
+    std::int64_t Count = P.m_Spare ? 0 : std::min(P.surplus(), Missing);
+    if (Count <= 0)
+      continue;
+    // Instances that drain already come first, then those with the fewest runs.
+    std::vector<std::tuple<bool, std::size_t, const InstanceListing *>> Order;
+    for (const InstanceListing *L : P.m_Instances)
+      if (isReleasable(Name, *L))
+        Order.emplace_back(Before.count(L->m_Id) == 0,
+                           serverOf(*L)->m_Runs.size(), L);
+    std::stable_sort(Order.begin(), Order.end(),
+                     [](const auto &A, const auto &B) {
+                       return std::tie(std::get<0>(A), std::get<1>(A)) <
+                              std::tie(std::get<0>(B), std::get<1>(B));
+                     });
+    Count = std::min(Count, static_cast<std::int64_t>(Order.size()));
+    Order.resize(static_cast<std::size_t>(Count));
+    for (const auto &[IsNew, Runs, L] : Order) {
+      m_State[L->m_Id].m_Released = true;
+      serverOf(*L)->m_Reserved = true;
+    }
+    Missing -= Count;
+  }
+}
+
+void FleetPlanner::logShortage(const Pools &All, TimePoint Now) {
+  if (Now < m_NextShortageLog ||
+      std::none_of(All.begin(), All.end(), [](const auto &Entry) {
+        return Entry.second.surplus() < 0;
+      }))
+    return;
+  m_NextShortageLog = Now + ShortageLogInterval;
+  for (const auto &[Name, P] : All)
+    logEvent(
+        Event::PoolSized,
+        {{"pool", Name.m_Text},
+         {"instances", std::to_string(P.m_Instances.size())},
+         {"target", std::to_string(P.m_TargetSize)},
+         {"running_mcores", std::to_string(P.m_Demand.m_RunningMilliCores)},
+         {"ready_mcores", std::to_string(P.m_Demand.m_ReadyMilliCores)},
+         {"blocked_mcores", std::to_string(P.m_Demand.m_BlockedMilliCores)}});
+}
+
 std::vector<InstanceOrder> FleetPlanner::plan(TimePoint Now,
                                               std::chrono::milliseconds Wall,
                                               std::size_t MaxOrders) {
@@ -241,9 +354,12 @@
   buildIndex();
   Pools All = collectPools();
   updateTargetSizes(All, Now);
+  logShortage(All, Now);
   planWaves(All, Now, Wall, Out);
+  shareInstances(All);
   planUnschedulableTasks(All, Out);
   planMoves(All, Out);
+  releaseSurplus(All);
   return Out;
 }
 
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -104,6 +104,8 @@
     TimePoint m_ExpectedUpAt{};
     /// When the instance began to drain for a wave.
     std::optional<TimePoint> m_DrainingSince;
+    /// Its server gets no new tasks, because another pool needs the instance.
+    bool m_Released = false;
     WaveId m_Wave;
     TimePoint m_RetryAt{};
     TimePoint m_WaitLoggedAt{};
@@ -114,7 +116,15 @@
   /// A pool during one planning pass.
   struct PoolView {
     std::vector<const InstanceListing *> m_Instances;
+    /// Size for the demand of the last seconds.
     std::int64_t m_TargetSize = 0;
+    /// Size for the demand of now.
+    std::int64_t m_NeededSize = 0;
+    /// The same without the jobs that are late.
+    std::int64_t m_OnTimeSize = 0;
+    /// The target size is not lowered below this.
+    std::int64_t m_MinSize = 0;
+    PoolDemand m_Demand;
     bool m_Spare = false;
 
     std::int64_t surplus() const {
@@ -122,6 +132,11 @@
     }
   };
   using Pools = std::map<PoolName, PoolView>;
+  /// A number of instances that a pool asks for.
+  struct Claim {
+    PoolView *m_Pool;
+    std::int64_t m_Size;
+  };
 
   FleetPlanner(const FleetPlannerOptions &Options, Scheduler &Sched)
       : m_Options(Options), m_Scheduler(Sched) {}
@@ -129,7 +144,21 @@
   // Pool sizing (FleetPlanner.cpp).
   Pools collectPools();
   void updateTargetSizes(Pools &All, TimePoint Now);
+  /// Lowers target sizes to max-min fair shares if there are too few instances
+  /// for all pools, so that the backlog of one pool does not starve the others.
+  /// Jobs that can still be on time come first, then late ones, then what pools
+  /// keep after a peak.
+  static void shareInstances(Pools &All);
+  /// Adds max-min fair parts of \p Left instances to the target sizes.
+  static void grant(std::vector<Claim> Claims, std::int64_t &Left);
   void planMoves(Pools &All, std::vector<InstanceOrder> &Out);
+  /// Frees instances of pools that are too large while others are too small:
+  /// they get no new tasks, so that they can move once their tasks have ended.
+  void releaseSurplus(Pools &All);
+  bool isReleasable(const PoolName &Pool, const InstanceListing &L);
+  /// Logs the sizes of all pools, at most once per second, while some pool has
+  /// fewer instances than its target size.
+  void logShortage(const Pools &All, TimePoint Now);
   /// Moves an instance into each pool where no instance satisfies the
   /// requirements of a task.
   void planUnschedulableTasks(Pools &All, std::vector<InstanceOrder> &Out);
@@ -191,6 +220,7 @@
   std::map<PoolName, double> m_PeakDemand;
   /// Time of the latest plan.
   TimePoint m_PlannedAt{};
+  TimePoint m_NextShortageLog{};
   /// Maximum number of orders of the current plan.
   std::size_t m_MaxOrders = 0;
 };
