Keep the occurrences that an earlier leader has released

What callers and servers saw: with a recurring job, a task that had ended "done" could run again, and runs were stopped and started anew, after a change of the leader between instances whose clocks differ.

Cause: a leader knew only the occurrences that were due by its own clock. An earlier leader with a faster clock had released one more. For that one the new leader - wrote the state row without the ends that the row already had, - acknowledged ends to the server without a record, - stopped the runs that it found, - did not merge the ends of a conflicting row.

Change: a run that a server names, or an entry of the recorded progress, shows that an earlier leader has released its occurrence, so it is released here too (releaseThrough, releaseRecorded). A step of it may then start before it is due by this clock; the leader before did the same.

--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -54,6 +54,7 @@
     releaseOccurrence(Job);
   } else {
     m_RecurringJobs.insert(Id);
+    releaseRecorded(Job, Job.m_RestoredProgress);
     releaseDue(Wall);
   }
   return Job;
@@ -89,6 +90,23 @@
   return Any;
 }
 
+void JobRegistry::releaseThrough(LiveJob &Job, std::uint32_t Number) {
+  if (Number >= Job.m_Spec.occurrences())
+    return;
+  while (Job.m_NextOccurrence <= Number)
+    releaseOccurrence(Job);
+}
+
+void JobRegistry::releaseRecorded(LiveJob &Job, const JobProgress &Recorded) {
+  // The keys are ordered by occurrence.
+  if (!Recorded.m_Done.empty())
+    releaseThrough(Job, Recorded.m_Done.rbegin()->first.first);
+  if (!Recorded.m_Failures.empty())
+    releaseThrough(Job, std::get<0>(Recorded.m_Failures.rbegin()->first));
+  if (!Recorded.m_StartedSteps.empty())
+    releaseThrough(Job, Recorded.m_StartedSteps.rbegin()->first);
+}
+
 void JobRegistry::releaseOccurrence(LiveJob &Job) {
   Occurrence O;
   O.m_Number = Job.m_NextOccurrence++;
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -138,6 +138,12 @@
   /// Releases the occurrences that are due at \p Wall. Returns whether any was
   /// released.
   bool releaseDue(std::chrono::milliseconds Wall);
+  /// Releases the occurrences up to \p Number, or up to the last one. An
+  /// earlier leader released them if a run of \p Number exists or is recorded,
+  /// even if they are not due by the clock of this one.
+  void releaseThrough(LiveJob &Job, std::uint32_t Number);
+  /// Releases the occurrences that \p Recorded shows to be released.
+  void releaseRecorded(LiveJob &Job, const JobProgress &Recorded);
 
   /// Marks the job as running, since one of its tasks has a run. Returns
   /// whether this is its first run.
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -161,6 +161,7 @@
 
 void Scheduler::mergeStoredProgress(LiveJob &Job, const JobProgress &Stored) {
   const JobId &Id = Job.m_Spec.m_Id;
+  m_Jobs.releaseRecorded(Job, Stored);
   for (const auto &[Where, Bits] : Stored.m_Done)
     for (std::uint32_t I = 0; I < Bits.size(); ++I) {
       TaskId Task{Id, Where.first, Where.second, I};
@@ -338,6 +339,17 @@
   ++S->m_FailedPolls;
 }
 
+void Scheduler::releaseReported(const PollReply &Reply) {
+  auto Release = [this](const TaskId &Task) {
+    if (LiveJob *Job = m_Jobs.find(Task.m_Job))
+      m_Jobs.releaseThrough(*Job, Task.m_Occurrence);
+  };
+  for (const EndReport &End : Reply.m_Ended)
+    Release(End.m_Run.m_Task);
+  for (const RunReport &Report : Reply.m_Running)
+    Release(Report.m_Run.m_Task);
+}
+
 void Scheduler::onPollReply(const PollOrder &Order, const PollReply &Reply,
                             TimePoint Now) {
   ServerState *S = m_Servers.find(Order.m_Server.m_Id);
@@ -363,6 +375,7 @@
   S->m_ClockKnown = true;
   S->m_ClockMs = Reply.m_ClockMs;
   S->m_ClockAt = Now;
+  releaseReported(Reply);
   for (const EndReport &End : Reply.m_Ended)
     if (End.m_Number > S->m_LastSeenEnd)
       endRun(*S, End, Now);
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -189,6 +189,8 @@
   void orderStop(ServerState &S, const RunId &Id);
   void stopRunsOfTask(const LiveJob &Job, const TaskId &Task);
   void stopRunsOfJob(const LiveJob &Job);
+  /// Releases the occurrences of which \p Reply names runs.
+  void releaseReported(const PollReply &Reply);
   /// Another server has answered at the address of \p S, which has ended.
   void onOtherIncarnation(ServerState &S, TimePoint Now);
   void checkIncarnation(ServerState &S, const StartReply &Reply, TimePoint Now);
