Take a state row with an unknown state for unreadable

A row with a state number that this build does not know, as of a later build or a damaged row, was cast to JobState. The caller got text from beyond the table of names, and the state was cached as final.

The row is now an InvalidMessage, so the caller gets 503 and tries again. JobStore.AStateRowWithAnUnknownStateIsUnreadable failed before at {"state":5} and passes now.

--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -138,9 +138,13 @@
 
 Result<JobProgress> decodeProgress(const std::string &Text) {
   return readJson<JobProgress>(
-      "decode job state", {}, Text, [&](const Json &J) -> JobProgress {
+      "decode job state", {}, Text, [&](const Json &J) -> Result<JobProgress> {
         JobProgress P;
-        P.m_State = static_cast<JobState>(J.at("state").get<int>());
+        int State = J.at("state").get<int>();
+        if (State < 0 || State > static_cast<int>(JobState::Cancelled))
+          return makeError(ErrorCode::InvalidMessage, "decode job state", {},
+                           "state " + std::to_string(State));
+        P.m_State = static_cast<JobState>(State);
         P.m_ChangedAt =
             std::chrono::milliseconds(J.at("changed").get<std::int64_t>());
         for (const Json &Row : J.value("done", Json::array()))
--- a/src/jobs/JobStoreTest.cpp
+++ b/src/jobs/JobStoreTest.cpp
@@ -54,3 +54,11 @@
   Store.m_Commit(Committed);
   CHECK(Answer == CancelResult::Cancelled);
 }
+
+// A state row with a state that this build does not know was decoded, and the
+// caller was given text from beyond the table of names.
+TEST(JobStore, AStateRowWithAnUnknownStateIsUnreadable) {
+  CHECK(decodeProgress(R"({"state":4,"changed":0})").has_value());
+  CHECK_FALSE(decodeProgress(R"({"state":5,"changed":0})").has_value());
+  CHECK_FALSE(decodeProgress(R"({"state":-1,"changed":0})").has_value());
+}
