Complete a wave only without instances that have left for sure

What operators could see: a wave said to be completed while a machine of it that stays has not begun its upkeep (MIXED).

Cause: planWave left out the instances that the latest list did not have, and completed the wave when none was left. The list is read page by page; an instance that moves meanwhile can be in none of them.

Change: an instance has left when lists over 3 s did not have it. Until then the wave stays open. An empty list says nothing about an instance.

FleetPlanner.AnInstanceMissingFromOneListDoesNotCompleteItsWave failed before (the wave was complete) and passes now; CompletesAWaveWithoutTheInstancesThatHaveLeft guards the other side. A wave with instances that have left ends up to 3 s later than before.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -60,6 +60,21 @@
   for (auto &[Id, State] : m_State)
     if (State.m_Ordered && !State.m_Pending && Asked > State.m_OrderedAt)
       State.m_Ordered = false;
+  // An empty list tells nothing about single instances.
+  if (m_Scheduler.instances().empty())
+    return;
+  m_ListRequestedAt = Asked;
+  std::set<InstanceId> Listed;
+  for (const InstanceListing &L : m_Scheduler.instances())
+    Listed.insert(L.m_Id);
+  for (const auto &[Wave, W] : m_Waves)
+    for (const InstanceId &Id : W.m_Request.m_Instances) {
+      auto &Since = m_State[Id].m_UnlistedSince;
+      if (Listed.count(Id))
+        Since.reset();
+      else if (!Since)
+        Since = Asked;
+    }
 }
 
 bool FleetPlanner::canOrder(const InstanceListing &L, TimePoint Now) const {
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -107,6 +107,9 @@
     WaveId m_Wave;
     TimePoint m_RetryAt{};
     TimePoint m_WaitLoggedAt{};
+    /// When the first of the latest instance lists without the instance was
+    /// requested. Empty if the latest list has it.
+    std::optional<TimePoint> m_UnlistedSince;
     /// Whether an earlier order may have been carried out unnoticed. A later
     /// success then does not show that the later order shut anything down.
     bool m_MayHaveExecuted = false;
@@ -151,6 +154,8 @@
                 std::chrono::milliseconds Wall,
                 std::vector<InstanceOrder> &Out);
   bool isDown(const InstanceId &Id, TimePoint Now) const;
+  /// Whether the platform has no instance \p Id any more.
+  bool hasLeft(const InstanceId &Id) const;
   /// Drains \p L. Returns why its maintenance cannot begin yet; empty if it
   /// can.
   std::string drainForMaintenance(const InstanceListing &L, bool IsUrgent,
@@ -191,6 +196,8 @@
   std::map<PoolName, double> m_PeakDemand;
   /// Time of the latest plan.
   TimePoint m_PlannedAt{};
+  /// When the latest instance list was requested.
+  TimePoint m_ListRequestedAt{};
   /// Maximum number of orders of the current plan.
   std::size_t m_MaxOrders = 0;
 };
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -363,3 +363,38 @@
       W.m_World.m_Core->servers().find(Orders[0].m_Server)->m_Reachable);
   CHECK_EQUAL(0u, W.plan().size());
 }
+
+// The pages of one instance list missed an instance that moved. Its wave was
+// said to be completed, and the instance never had its maintenance.
+TEST(FleetPlanner, AnInstanceMissingFromOneListDoesNotCompleteItsWave) {
+  PlannerFixture W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.m_World.addServer("s2", 4);
+  W.list("s2", "desk");
+  W.addWave({InstanceId("on-s2")}, 1);
+  auto Full = W.m_List;
+  W.m_List.pop_back();
+  W.applyList();
+  CHECK_EQUAL(0u, W.plan().size());
+  CHECK_FALSE(W.m_Planner->progress(WaveId("1")).m_Complete);
+  W.m_List = Full;
+  W.applyList();
+  std::size_t MaintenanceOrders = 0;
+  for (const InstanceOrder &Order : W.plan())
+    MaintenanceOrders += !Order.isMove();
+  CHECK_EQUAL(1u, MaintenanceOrders);
+}
+
+TEST(FleetPlanner, CompletesAWaveWithoutTheInstancesThatHaveLeft) {
+  PlannerFixture W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-gone")}, 1);
+  for (int N = 0; N < 4; ++N) {
+    W.applyList();
+    W.m_World.advance(1s);
+  }
+  W.plan();
+  CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -18,6 +18,9 @@
 constexpr Duration RoundOverhead = std::chrono::milliseconds(2500);
 /// Minimum time between two log lines about the same waiting instance.
 constexpr Duration WaitLogInterval = std::chrono::seconds(2);
+/// An instance that no list has had for this time has left. A single list may
+/// miss one that moves while the pages of the list are read.
+constexpr Duration MinUnlistedTime = std::chrono::seconds(3);
 /// A wave is urgent when the time left is less than this multiple of the time
 /// that its remaining rounds need.
 constexpr double UrgencyFactor = 1.5;
@@ -58,6 +61,12 @@
   return L && L->m_Condition == InstanceCondition::Maintenance;
 }
 
+bool FleetPlanner::hasLeft(const InstanceId &Id) const {
+  auto It = m_State.find(Id);
+  return It != m_State.end() && It->second.m_UnlistedSince &&
+         m_ListRequestedAt >= *It->second.m_UnlistedSince + MinUnlistedTime;
+}
+
 void FleetPlanner::planWave(WaveState &W, Pools &All, TimePoint Now,
                             std::chrono::milliseconds Wall,
                             std::vector<InstanceOrder> &Out) {
@@ -71,10 +80,10 @@
         (Done || m_State[Id].m_Wave == W.m_Request.m_Id ||
          (L && L->m_Condition == InstanceCondition::Maintenance)))
       ++InMaintenance;
-    if (Done || !L)
+    if (Done || (!L && hasLeft(Id)))
       continue;
     ++Remaining;
-    if (canOrder(*L, Now))
+    if (L && canOrder(*L, Now))
       Candidates.push_back(L);
   }
   if (Remaining == 0)
