Continue a completed wave when its list of instances grows

Cause: a leader ignored a later version of a wave's row, and the next leader took the recorded end for that of the new list.

Change: a leader takes over the new list (onWaveRewritten). A recorded end holds only if all instances of the list are done; those that have left are recorded as done with the end of the wave.

FleetPlanner.ReopensACompletedWaveToWhichAnInstanceIsAdded and ARecordedEndOfAWaveCountsOnlyForTheInstancesThatAreDone failed before (the wave was complete; the first one with an empty onWaveRewritten) and pass now.

--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -53,7 +53,7 @@
 
 void Leader::addWave(const WaveRequest &Wave) {
   if (m_Planner->hasWave(Wave.m_Id))
-    return;
+    return m_Planner->onWaveRewritten(Wave);
   WaveProgress Progress = m_RecordedWaves[Wave.m_Id];
   if (Progress.m_SeenAt.count() == 0)
     Progress.m_SeenAt = wallNow();
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -60,6 +60,9 @@
   void onWave(const WaveRequest &Wave, const WaveProgress &Progress,
               bool Inherited);
   bool hasWave(const WaveId &Id) const { return m_Waves.count(Id) != 0; }
+  /// The operators have replaced the request of a known wave. What is done
+  /// stays done.
+  void onWaveRewritten(const WaveRequest &Wave);
   /// Plans no order for \p Id before \p Until, because an earlier leader may
   /// have sent one.
   void deferOrders(const InstanceId &Id, TimePoint Until) {
@@ -171,6 +174,8 @@
   BlockingTask findBlockingTask(const ServerState &S);
   bool isAvailable(const RunLocation &Place, const TaskId &Task);
   void finishWave(WaveState &W);
+  /// Continues a wave that was complete if instances of it are not done.
+  void reopenIfUndone(WaveState &W);
 
   void buildIndex();
   const InstanceListing *listing(const InstanceId &Id) const;
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -398,3 +398,41 @@
   W.plan();
   CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
 }
+
+// Operators added an instance to a wave that had ended. The wave stayed
+// completed, and the instance never had its maintenance.
+TEST(FleetPlanner, ReopensACompletedWaveToWhichAnInstanceIsAdded) {
+  PlannerFixture W;
+  for (const char *Id : {"s1", "s2", "s3"}) {
+    W.m_World.addServer(Id, 4);
+    W.list(Id, "desk");
+  }
+  W.addWave({InstanceId("on-s1")}, 1);
+  for (const InstanceOrder &Order : W.plan())
+    W.m_Planner->onOrderResult(Order, InstanceOrderResult::Done,
+                               W.m_World.m_Now);
+  W.plan();
+  CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
+  W.m_Planner->takeChangedWaves();
+  W.m_Planner->onWaveRewritten(
+      {WaveId("1"), {InstanceId("on-s1"), InstanceId("on-s2")}, 60s, 1});
+  CHECK_FALSE(W.m_Planner->progress(WaveId("1")).m_Complete);
+  CHECK_EQUAL(1u, W.m_Planner->takeChangedWaves().size());
+}
+
+// As above, while the leader changed: the next one took the recorded end of the
+// wave for the end of its new list of instances.
+TEST(FleetPlanner, ARecordedEndOfAWaveCountsOnlyForTheInstancesThatAreDone) {
+  PlannerFixture W;
+  WaveProgress Progress;
+  Progress.m_SeenAt = W.m_World.wall();
+  Progress.m_Done = {InstanceId("on-s1")};
+  Progress.m_Complete = true;
+  W.m_Planner->onWave(
+      {WaveId("1"), {InstanceId("on-s1"), InstanceId("on-s2")}, 60s, 1},
+      Progress, true);
+  CHECK_FALSE(W.m_Planner->progress(WaveId("1")).m_Complete);
+  W.m_Planner->onWave({WaveId("2"), {InstanceId("on-s1")}, 60s, 1}, Progress,
+                      true);
+  CHECK(W.m_Planner->progress(WaveId("2")).m_Complete);
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -29,11 +29,30 @@
 
 void FleetPlanner::onWave(const WaveRequest &Wave, const WaveProgress &Progress,
                           bool Inherited) {
-  m_Waves[Wave.m_Id] = {Wave, Progress, Inherited};
-  if (!Progress.m_Complete)
+  WaveState &W = m_Waves[Wave.m_Id] = {Wave, Progress, Inherited};
+  reopenIfUndone(W);
+  if (!W.m_Progress.m_Complete)
     m_ChangedWaves.insert(Wave.m_Id);
 }
 
+void FleetPlanner::onWaveRewritten(const WaveRequest &Wave) {
+  WaveState &W = m_Waves.at(Wave.m_Id);
+  W.m_Request = Wave;
+  reopenIfUndone(W);
+}
+
+void FleetPlanner::reopenIfUndone(WaveState &W) {
+  const auto &Instances = W.m_Request.m_Instances;
+  if (!W.m_Progress.m_Complete ||
+      std::all_of(Instances.begin(), Instances.end(),
+                  [&](const InstanceId &Id) {
+                    return W.m_Progress.m_Done.count(Id) != 0;
+                  }))
+    return;
+  W.m_Progress.m_Complete = false;
+  m_ChangedWaves.insert(W.m_Request.m_Id);
+}
+
 std::vector<WaveId> FleetPlanner::takeChangedWaves() {
   std::vector<WaveId> Out(m_ChangedWaves.begin(), m_ChangedWaves.end());
   m_ChangedWaves.clear();
@@ -234,6 +253,9 @@
 
 void FleetPlanner::finishWave(WaveState &W) {
   W.m_Progress.m_Complete = true;
+  // Those that have left need no maintenance either.
+  W.m_Progress.m_Done.insert(W.m_Request.m_Instances.begin(),
+                             W.m_Request.m_Instances.end());
   m_ChangedWaves.insert(W.m_Request.m_Id);
   logEvent(Event::WaveOver, {{"wave", W.m_Request.m_Id.m_Text}});
 }
