Let the store stand-in lose no change when it drops its history

The feed of the stand-in compared a call's version with the oldest one only when the call arrived. If the history was dropped right after a change, before a call that waited had read it, the call was answered with the newest version and without the change, so that an instance could not learn of it. The protocol's answer is 410.

tests/job_platform_check.py failed before: (200, {'rows': [], 'ver': 3}) after version 2. The check runs in the suite with the others.

--- a/standins/jobs/job_platform.py
+++ b/standins/jobs/job_platform.py
@@ -139,9 +139,7 @@
         if path == "/rows-get":
             return 200, self.get(query)
         if path == "/rows-feed":
-            if int(query["after"]) < self.oldest_feed_version:
-                return 410, {}
-            return 200, await self.feed(query)
+            return await self.feed(query)
         return 404, {}
 
     async def transact_later(self, tx):
@@ -179,11 +177,13 @@
         deadline = time.monotonic() + int(query["wait-ms"]) / 1000
         after = int(query["after"])
         while True:
+            if after < self.oldest_feed_version:
+                return 410, {}
             rows = [self.row_json(row_key, row) for version, row_key, row in self.changes
                     if version > after and row_key[0] == query["table"]]
             remaining_s = deadline - time.monotonic()
             if rows or remaining_s <= 0:
-                return {"rows": rows, "ver": self.version, "now-ms": now_ms()}
+                return 200, {"rows": rows, "ver": self.version, "now-ms": now_ms()}
             async with self.changed:
                 try:
                     await asyncio.wait_for(self.changed.wait(), remaining_s)
