Believe "not in this wave" only when it is said for 3 s

What operators could see: a wave said to be completed while a machine of it has not begun its upkeep (MIXED).

Cause: one answer 409 "wave" counted as done. The instance is in the list that this leader has, so the platform may have answered from an earlier version of the row.

Change: the order is repeated, and counts as done when the platform has said so for 3 s. A new version of the wave's row begins anew.

FleetPlanner.OneAnswerThatAnInstanceIsNotInTheWaveDoesNotCompleteIt failed before (complete after one answer) and passes now.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -307,11 +307,8 @@
     return;
   }
   I.m_RetryAt = Now + RefusedRetryDelay;
-  if (R == InstanceOrderResult::NotInWave) {
-    // The instance is no longer part of the wave, so nothing is left to do.
-    m_Waves[Order.m_Wave].m_Progress.m_Done.insert(Order.m_Instance);
-    m_ChangedWaves.insert(Order.m_Wave);
-  }
+  if (R == InstanceOrderResult::NotInWave)
+    onNotInWave(m_Waves[Order.m_Wave], Order.m_Instance, Now);
   if (R == InstanceOrderResult::Unknown) {
     // The instance may be down now or soon; it counts towards the expected pool
     // until a newer instance list shows its state.
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -95,6 +95,8 @@
     /// Whether earlier leaders may have carried out more of the wave than they
     /// recorded.
     bool m_Inherited = false;
+    /// When the platform first said that an instance is not part of the wave.
+    std::map<InstanceId, TimePoint> m_RejectedSince;
   };
   /// State of the orders for one instance.
   struct Instance {
@@ -157,6 +159,7 @@
                 std::chrono::milliseconds Wall,
                 std::vector<InstanceOrder> &Out);
   bool isDown(const InstanceId &Id, TimePoint Now) const;
+  void onNotInWave(WaveState &W, const InstanceId &Id, TimePoint Now);
   /// Whether the platform has no instance \p Id any more.
   bool hasLeft(const InstanceId &Id) const;
   /// Drains \p L. Returns why its maintenance cannot begin yet; empty if it
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -436,3 +436,24 @@
                       true);
   CHECK(W.m_Planner->progress(WaveId("2")).m_Complete);
 }
+
+// The platform had not read the new version of a wave yet and said that an
+// instance was not part of it. The instance counted as done, and the wave as
+// completed.
+TEST(FleetPlanner, OneAnswerThatAnInstanceIsNotInTheWaveDoesNotCompleteIt) {
+  PlannerFixture W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-s1")}, 1);
+  int Answers = 0;
+  while (!W.m_Planner->progress(WaveId("1")).m_Complete && Answers < 20) {
+    for (const InstanceOrder &Order : W.plan()) {
+      W.m_Planner->onOrderResult(Order, InstanceOrderResult::NotInWave,
+                                 W.m_World.m_Now);
+      ++Answers;
+    }
+    W.m_World.advance(100ms);
+  }
+  CHECK(Answers >= 3);
+  CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -18,9 +18,10 @@
 constexpr Duration RoundOverhead = std::chrono::milliseconds(2500);
 /// Minimum time between two log lines about the same waiting instance.
 constexpr Duration WaitLogInterval = std::chrono::seconds(2);
-/// An instance that no list has had for this time has left. A single list may
-/// miss one that moves while the pages of the list are read.
-constexpr Duration MinUnlistedTime = std::chrono::seconds(3);
+/// How long the platform has to say that there is nothing to do for an instance
+/// of a wave. A single list may miss an instance that moves while the pages of
+/// the list are read, and the platform may read a wave's row later.
+constexpr Duration MinAbsenceTime = std::chrono::seconds(3);
 /// A wave is urgent when the time left is less than this multiple of the time
 /// that its remaining rounds need.
 constexpr double UrgencyFactor = 1.5;
@@ -29,7 +30,7 @@
 
 void FleetPlanner::onWave(const WaveRequest &Wave, const WaveProgress &Progress,
                           bool Inherited) {
-  WaveState &W = m_Waves[Wave.m_Id] = {Wave, Progress, Inherited};
+  WaveState &W = m_Waves[Wave.m_Id] = {Wave, Progress, Inherited, {}};
   reopenIfUndone(W);
   if (!W.m_Progress.m_Complete)
     m_ChangedWaves.insert(Wave.m_Id);
@@ -38,6 +39,7 @@
 void FleetPlanner::onWaveRewritten(const WaveRequest &Wave) {
   WaveState &W = m_Waves.at(Wave.m_Id);
   W.m_Request = Wave;
+  W.m_RejectedSince.clear();
   reopenIfUndone(W);
 }
 
@@ -83,7 +85,16 @@
 bool FleetPlanner::hasLeft(const InstanceId &Id) const {
   auto It = m_State.find(Id);
   return It != m_State.end() && It->second.m_UnlistedSince &&
-         m_ListRequestedAt >= *It->second.m_UnlistedSince + MinUnlistedTime;
+         m_ListRequestedAt >= *It->second.m_UnlistedSince + MinAbsenceTime;
+}
+
+void FleetPlanner::onNotInWave(WaveState &W, const InstanceId &Id,
+                               TimePoint Now) {
+  TimePoint Since = W.m_RejectedSince.emplace(Id, Now).first->second;
+  if (Now < Since + MinAbsenceTime)
+    return;
+  W.m_Progress.m_Done.insert(Id);
+  m_ChangedWaves.insert(W.m_Request.m_Id);
 }
 
 void FleetPlanner::planWave(WaveState &W, Pools &All, TimePoint Now,
