--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -69,6 +69,21 @@
   for (auto &[Id, State] : m_State)
     if (State.m_Ordered && !State.m_Pending && Asked > State.m_OrderedAt)
       State.m_Ordered = false;
+  // An empty list tells nothing about single instances.
+  if (m_Scheduler.instances().empty())
+    return;
+  m_ListRequestedAt = Asked;
+  std::set<InstanceId> Listed;
+  for (const InstanceListing &L : m_Scheduler.instances())
+    Listed.insert(L.m_Id);
+  for (const auto &[Wave, W] : m_Waves)
+    for (const InstanceId &Id : W.m_Request.m_Instances) {
+      auto &Since = m_State[Id].m_UnlistedSince;
+      if (Listed.count(Id))
+        Since.reset();
+      else if (!Since)
+        Since = Asked;
+    }
 }
 
 bool FleetPlanner::canOrder(const InstanceListing &L, TimePoint Now) const {
@@ -408,11 +423,8 @@
     return;
   }
   I.m_RetryAt = Now + RefusedRetryDelay;
-  if (R == InstanceOrderResult::NotInWave) {
-    // The instance is no longer part of the wave, so nothing is left to do.
-    m_Waves[Order.m_Wave].m_Progress.m_Done.insert(Order.m_Instance);
-    m_ChangedWaves.insert(Order.m_Wave);
-  }
+  if (R == InstanceOrderResult::NotInWave)
+    onNotInWave(m_Waves[Order.m_Wave], Order.m_Instance, Now);
   if (R == InstanceOrderResult::Unknown) {
     // The instance may be down now or soon; it counts towards the expected pool
     // until a newer instance list shows its state.
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -60,6 +60,9 @@
   void onWave(const WaveRequest &Wave, const WaveProgress &Progress,
               bool Inherited);
   bool hasWave(const WaveId &Id) const { return m_Waves.count(Id) != 0; }
+  /// The operators have replaced the request of a known wave. What is done
+  /// stays done.
+  void onWaveRewritten(const WaveRequest &Wave);
   /// Plans no order for \p Id before \p Until, because an earlier leader may
   /// have sent one.
   void deferOrders(const InstanceId &Id, TimePoint Until) {
@@ -92,6 +95,8 @@
     /// Whether earlier leaders may have carried out more of the wave than they
     /// recorded.
     bool m_Inherited = false;
+    /// When the platform first said that an instance is not part of the wave.
+    std::map<InstanceId, TimePoint> m_RejectedSince;
   };
   /// State of the orders for one instance.
   struct Instance {
@@ -109,6 +114,9 @@
     WaveId m_Wave;
     TimePoint m_RetryAt{};
     TimePoint m_WaitLoggedAt{};
+    /// When the first of the latest instance lists without the instance was
+    /// requested. Empty if the latest list has it.
+    std::optional<TimePoint> m_UnlistedSince;
     /// Whether an earlier order may have been carried out unnoticed. A later
     /// success then does not show that the later order shut anything down.
     bool m_MayHaveExecuted = false;
@@ -180,6 +188,9 @@
                 std::chrono::milliseconds Wall,
                 std::vector<InstanceOrder> &Out);
   bool isDown(const InstanceId &Id, TimePoint Now) const;
+  void onNotInWave(WaveState &W, const InstanceId &Id, TimePoint Now);
+  /// Whether the platform has no instance \p Id any more.
+  bool hasLeft(const InstanceId &Id) const;
   /// Drains \p L. Returns why its maintenance cannot begin yet; empty if it
   /// can.
   std::string drainForMaintenance(const InstanceListing &L, bool IsUrgent,
@@ -195,6 +206,8 @@
   BlockingTask findBlockingTask(const ServerState &S);
   bool isAvailable(const RunLocation &Place, const TaskId &Task);
   void finishWave(WaveState &W);
+  /// Continues a wave that was complete if instances of it are not done.
+  void reopenIfUndone(WaveState &W);
 
   void buildIndex();
   const InstanceListing *listing(const InstanceId &Id) const;
@@ -221,6 +234,8 @@
   /// Time of the latest plan.
   TimePoint m_PlannedAt{};
   TimePoint m_NextShortageLog{};
+  /// When the latest instance list was requested.
+  TimePoint m_ListRequestedAt{};
   /// Maximum number of orders of the current plan.
   std::size_t m_MaxOrders = 0;
 };
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -497,3 +497,97 @@
       W.m_World.m_Core->servers().find(Orders[0].m_Server)->m_Reachable);
   CHECK_EQUAL(0u, W.plan().size());
 }
+
+// The pages of one instance list missed an instance that moved. Its wave was
+// said to be completed, and the instance never had its maintenance.
+TEST(FleetPlanner, AnInstanceMissingFromOneListDoesNotCompleteItsWave) {
+  PlannerFixture W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.m_World.addServer("s2", 4);
+  W.list("s2", "desk");
+  W.addWave({InstanceId("on-s2")}, 1);
+  auto Full = W.m_List;
+  W.m_List.pop_back();
+  W.applyList();
+  CHECK_EQUAL(0u, W.plan().size());
+  CHECK_FALSE(W.m_Planner->progress(WaveId("1")).m_Complete);
+  W.m_List = Full;
+  W.applyList();
+  std::size_t MaintenanceOrders = 0;
+  for (const InstanceOrder &Order : W.plan())
+    MaintenanceOrders += !Order.isMove();
+  CHECK_EQUAL(1u, MaintenanceOrders);
+}
+
+TEST(FleetPlanner, CompletesAWaveWithoutTheInstancesThatHaveLeft) {
+  PlannerFixture W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-gone")}, 1);
+  for (int N = 0; N < 4; ++N) {
+    W.applyList();
+    W.m_World.advance(1s);
+  }
+  W.plan();
+  CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
+}
+
+// Operators added an instance to a wave that had ended. The wave stayed
+// completed, and the instance never had its maintenance.
+TEST(FleetPlanner, ReopensACompletedWaveToWhichAnInstanceIsAdded) {
+  PlannerFixture W;
+  for (const char *Id : {"s1", "s2", "s3"}) {
+    W.m_World.addServer(Id, 4);
+    W.list(Id, "desk");
+  }
+  W.addWave({InstanceId("on-s1")}, 1);
+  for (const InstanceOrder &Order : W.plan())
+    W.m_Planner->onOrderResult(Order, InstanceOrderResult::Done,
+                               W.m_World.m_Now);
+  W.plan();
+  CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
+  W.m_Planner->takeChangedWaves();
+  W.m_Planner->onWaveRewritten(
+      {WaveId("1"), {InstanceId("on-s1"), InstanceId("on-s2")}, 60s, 1});
+  CHECK_FALSE(W.m_Planner->progress(WaveId("1")).m_Complete);
+  CHECK_EQUAL(1u, W.m_Planner->takeChangedWaves().size());
+}
+
+// As above, while the leader changed: the next one took the recorded end of the
+// wave for the end of its new list of instances.
+TEST(FleetPlanner, ARecordedEndOfAWaveCountsOnlyForTheInstancesThatAreDone) {
+  PlannerFixture W;
+  WaveProgress Progress;
+  Progress.m_SeenAt = W.m_World.wall();
+  Progress.m_Done = {InstanceId("on-s1")};
+  Progress.m_Complete = true;
+  W.m_Planner->onWave(
+      {WaveId("1"), {InstanceId("on-s1"), InstanceId("on-s2")}, 60s, 1},
+      Progress, true);
+  CHECK_FALSE(W.m_Planner->progress(WaveId("1")).m_Complete);
+  W.m_Planner->onWave({WaveId("2"), {InstanceId("on-s1")}, 60s, 1}, Progress,
+                      true);
+  CHECK(W.m_Planner->progress(WaveId("2")).m_Complete);
+}
+
+// The platform had not read the new version of a wave yet and said that an
+// instance was not part of it. The instance counted as done, and the wave as
+// completed.
+TEST(FleetPlanner, OneAnswerThatAnInstanceIsNotInTheWaveDoesNotCompleteIt) {
+  PlannerFixture W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-s1")}, 1);
+  int Answers = 0;
+  while (!W.m_Planner->progress(WaveId("1")).m_Complete && Answers < 20) {
+    for (const InstanceOrder &Order : W.plan()) {
+      W.m_Planner->onOrderResult(Order, InstanceOrderResult::NotInWave,
+                                 W.m_World.m_Now);
+      ++Answers;
+    }
+    W.m_World.advance(100ms);
+  }
+  CHECK(Answers >= 3);
+  CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -18,6 +18,10 @@
 constexpr Duration RoundOverhead = std::chrono::milliseconds(2500);
 /// Minimum time between two log lines about the same waiting instance.
 constexpr Duration WaitLogInterval = std::chrono::seconds(2);
+/// How long the platform has to say that there is nothing to do for an instance
+/// of a wave. A single list may miss an instance that moves while the pages of
+/// the list are read, and the platform may read a wave's row later.
+constexpr Duration MinAbsenceTime = std::chrono::seconds(3);
 /// A wave is urgent when the time left is less than this multiple of the time
 /// that its remaining rounds need.
 constexpr double UrgencyFactor = 1.5;
@@ -26,11 +30,31 @@
 
 void FleetPlanner::onWave(const WaveRequest &Wave, const WaveProgress &Progress,
                           bool Inherited) {
-  m_Waves[Wave.m_Id] = {Wave, Progress, Inherited};
-  if (!Progress.m_Complete)
+  WaveState &W = m_Waves[Wave.m_Id] = {Wave, Progress, Inherited, {}};
+  reopenIfUndone(W);
+  if (!W.m_Progress.m_Complete)
     m_ChangedWaves.insert(Wave.m_Id);
 }
 
+void FleetPlanner::onWaveRewritten(const WaveRequest &Wave) {
+  WaveState &W = m_Waves.at(Wave.m_Id);
+  W.m_Request = Wave;
+  W.m_RejectedSince.clear();
+  reopenIfUndone(W);
+}
+
+void FleetPlanner::reopenIfUndone(WaveState &W) {
+  const auto &Instances = W.m_Request.m_Instances;
+  if (!W.m_Progress.m_Complete ||
+      std::all_of(Instances.begin(), Instances.end(),
+                  [&](const InstanceId &Id) {
+                    return W.m_Progress.m_Done.count(Id) != 0;
+                  }))
+    return;
+  W.m_Progress.m_Complete = false;
+  m_ChangedWaves.insert(W.m_Request.m_Id);
+}
+
 std::vector<WaveId> FleetPlanner::takeChangedWaves() {
   std::vector<WaveId> Out(m_ChangedWaves.begin(), m_ChangedWaves.end());
   m_ChangedWaves.clear();
@@ -58,6 +82,21 @@
   return L && L->m_Condition == InstanceCondition::Maintenance;
 }
 
+bool FleetPlanner::hasLeft(const InstanceId &Id) const {
+  auto It = m_State.find(Id);
+  return It != m_State.end() && It->second.m_UnlistedSince &&
+         m_ListRequestedAt >= *It->second.m_UnlistedSince + MinAbsenceTime;
+}
+
+void FleetPlanner::onNotInWave(WaveState &W, const InstanceId &Id,
+                               TimePoint Now) {
+  TimePoint Since = W.m_RejectedSince.emplace(Id, Now).first->second;
+  if (Now < Since + MinAbsenceTime)
+    return;
+  W.m_Progress.m_Done.insert(Id);
+  m_ChangedWaves.insert(W.m_Request.m_Id);
+}
+
 void FleetPlanner::planWave(WaveState &W, Pools &All, TimePoint Now,
                             std::chrono::milliseconds Wall,
                             std::vector<InstanceOrder> &Out) {
@@ -71,10 +110,10 @@
         (Done || m_State[Id].m_Wave == W.m_Request.m_Id ||
          (L && L->m_Condition == InstanceCondition::Maintenance)))
       ++InMaintenance;
-    if (Done || !L)
+    if (Done || (!L && hasLeft(Id)))
       continue;
     ++Remaining;
-    if (canOrder(*L, Now))
+    if (L && canOrder(*L, Now))
       Candidates.push_back(L);
   }
   if (Remaining == 0)
@@ -225,6 +264,9 @@
 
 void FleetPlanner::finishWave(WaveState &W) {
   W.m_Progress.m_Complete = true;
+  // Those that have left need no maintenance either.
+  W.m_Progress.m_Done.insert(W.m_Request.m_Instances.begin(),
+                             W.m_Request.m_Instances.end());
   m_ChangedWaves.insert(W.m_Request.m_Id);
   logEvent(Event::WaveOver, {{"wave", W.m_Request.m_Id.m_Text}});
 }
