Start jobs that can still be on time before jobs that will be late

Cause: placement ordered jobs by objective and took a job as possibly on time until its objective had passed. Under overload it therefore started the jobs that were closest to their objective, which were bound to be late, and the others waited until they were late as well.

A job now counts as possibly on time while the rest of its steps, by their estimates, fits before its objective, and likewise for the time after which its result is of no use.

--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -94,6 +94,9 @@
   /// use after m_Deadline.
   TimePoint m_Objective{};
   TimePoint m_Deadline{};
+  /// For each step, the estimated duration of the longest chain of steps that
+  /// begins with it.
+  std::vector<std::chrono::milliseconds> m_RemainingPaths;
   /// Number of failed runs of one task at which the job fails.
   std::uint32_t m_Attempts = 1;
   /// The policy of the job's queue in the configuration in effect; null if the
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -232,7 +232,13 @@
   static Resources allocationFor(const StepSpec &Step);
   static void initRun(ActiveRun &Run, const StepSpec &Step);
   void setObjective(LiveJob &Job) const;
-  static std::chrono::milliseconds criticalPath(const JobSpec &Job);
+  /// For each step, the estimated duration of the longest chain of steps that
+  /// begins with it.
+  static std::vector<std::chrono::milliseconds>
+  remainingPaths(const JobSpec &Job);
+  /// Whether \p Job completes before \p End if its ready tasks start now and
+  /// take as long as estimated.
+  static bool canCompleteBy(const LiveJob &Job, TimePoint End, TimePoint Now);
   bool canHost(const ServerState &S, const LiveJob &Job, const ReadyTask &Task,
                const Resources &Need, const GangServers &GangPlan) const;
   bool isOutsidePreferredRack(const ServerState &S, const LiveJob &Job,
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -93,17 +93,25 @@
   m_Reservations.clear();
 }
 
-std::chrono::milliseconds Scheduler::criticalPath(const JobSpec &Job) {
-  std::vector<std::chrono::milliseconds> Chain;
-  std::chrono::milliseconds Longest{0};
-  for (const StepSpec &Step : Job.m_Steps) {
-    std::chrono::milliseconds Before{0};
-    for (std::uint32_t Earlier : Step.m_After)
-      Before = std::max(Before, Chain[Earlier]);
-    Chain.push_back(Before + Step.m_Estimate);
-    Longest = std::max(Longest, Chain.back());
+std::vector<std::chrono::milliseconds>
+Scheduler::remainingPaths(const JobSpec &Job) {
+  std::vector<std::chrono::milliseconds> Paths(Job.m_Steps.size());
+  // A step depends on earlier ones only, so the paths of all steps that depend
+  // on a step are complete when the loop reaches it.
+  for (std::size_t N = Job.m_Steps.size(); N-- > 0;) {
+    Paths[N] += Job.m_Steps[N].m_Estimate;
+    for (std::uint32_t Earlier : Job.m_Steps[N].m_After)
+      Paths[Earlier] = std::max(Paths[Earlier], Paths[N]);
   }
-  return Longest;
+  return Paths;
+}
+
+bool Scheduler::canCompleteBy(const LiveJob &Job, TimePoint End,
+                              TimePoint Now) {
+  std::chrono::milliseconds Remaining{0};
+  for (const ReadyTask &R : Job.m_Ready)
+    Remaining = std::max(Remaining, Job.m_RemainingPaths[R.m_Step]);
+  return Now + Remaining < End;
 }
 
 void Scheduler::setObjective(LiveJob &Job) const {
@@ -114,8 +122,12 @@
     Job.m_Attempts = Q->m_Attempts;
     Job.m_Priority = Q->m_Priority;
   }
+  Job.m_RemainingPaths = remainingPaths(Job.m_Spec);
+  std::chrono::milliseconds CriticalPath{0};
+  for (std::chrono::milliseconds Path : Job.m_RemainingPaths)
+    CriticalPath = std::max(CriticalPath, Path);
   Duration Allowed = std::chrono::duration_cast<Duration>(
-      criticalPath(Job.m_Spec) * (Q ? Q->m_DurationFactor : 1.0));
+      CriticalPath * (Q ? Q->m_DurationFactor : 1.0));
   if (Q)
     Allowed += Q->m_Slack;
   Job.m_Objective = Job.m_AcceptedAt + Allowed;
@@ -176,7 +188,9 @@
   auto Rank = [Now](const LiveJob &Job) {
     if (Job.m_Spec.m_Steps[Job.m_Ready.front().m_Step].m_IsLongRunning)
       return 0;
-    return Now < Job.m_Objective ? 1 : Now < Job.m_Deadline ? 2 : 3;
+    if (canCompleteBy(Job, Job.m_Objective, Now))
+      return 1;
+    return canCompleteBy(Job, Job.m_Deadline, Now) ? 2 : 3;
   };
   std::vector<std::tuple<int, std::uint32_t, TimePoint, LiveJob *>> Order;
   // Starts only reduce the free resources, so a job that does not fit now does
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -327,3 +327,33 @@
   W.tick();
   CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
 }
+
+// Under overload the jobs that were closest to their objective started first,
+// too late to meet it, and all other jobs waited until they were late as well.
+TEST(Scheduler, StartsJobsThatCanBeOnTimeBeforeJobsThatWillBeLate) {
+  SchedulerFixture W;
+  // On time if it starts within 1.1 s.
+  W.addJob("a", {W.step(1)});
+  W.advance(1500ms);
+  W.addJob("b", {W.step(1)});
+  W.addServer("s1", 1);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  CHECK(W.m_Orders.m_Starts[0].m_Run == W.run("b", 0, 0, 1));
+}
+
+// Guards against counting steps that are done when a job's remaining time is
+// compared with its objective.
+TEST(Scheduler, JudgesWhetherAJobCanBeOnTimeByItsRemainingSteps) {
+  SchedulerFixture W;
+  JobProgress FirstStepDone;
+  FirstStepDone.m_Done[{0, 0}] = {true};
+  // Allowed 3.6 s for two steps of 1 s.
+  W.addJob("a", {W.step(1), W.step(1, {0})}, FirstStepDone);
+  W.advance(2s);
+  W.addJob("b", {W.step(1)});
+  W.addServer("s1", 1);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+  CHECK(W.m_Orders.m_Starts[0].m_Run == W.run("a", 1, 0, 1));
+}
