--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -5,12 +5,13 @@
 
 Checks the behaviour that callers and backend servers observe: a job from submission to
 completion, a repeated submission, a cancellation, a leader killed while jobs run, a
-restart of all processes, a store outage, a maintenance wave and a clean shutdown. The
-stand-in records each task that runs twice.
+restart of all processes, a store outage, a maintenance wave, a clean shutdown and reloads.
+The stand-in records each task that runs twice.
 """
 import base64
 import http.client
 import json
+import os
 import pathlib
 import random
 import signal
@@ -112,8 +113,8 @@
     def until(self, what, test):
         end = time.monotonic() + TIMEOUT_S
         while time.monotonic() < end:
-            if test():
-                return
+            if result := test():
+                return result
             time.sleep(0.05)
         raise AssertionError(f"timeout after {TIMEOUT_S} s: {what}")
 
@@ -273,6 +274,30 @@
             assert shown.returncode == 0 and "waits: it does not wait" in shown.stdout, shown
         assert call(self.entries[0].callers, "DELETE", f"/asks/{job}")[0] == 200
 
+    def survives_a_reload_while_it_starts(self):
+        # A SIGHUP that arrived before the event loop handled signals ended the process. The
+        # settings are a pipe, so that the process waits for them while it is signalled.
+        entry = self.entries[0]
+        pipe = entry.settings.with_suffix(".pipe")
+        os.mkfifo(pipe)
+        process = subprocess.Popen([entry.program[0], "--check", "--config", str(pipe)])
+
+        def open_pipe():
+            try:
+                return os.open(pipe, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:  # The process does not read the pipe yet.
+                return None
+
+        try:
+            writer = self.until("it reads its settings", open_pipe)
+            process.send_signal(signal.SIGHUP)
+            os.write(writer, entry.settings.read_bytes())
+            os.close(writer)
+            assert process.wait(timeout=TIMEOUT_S) == 0, process.returncode
+        finally:
+            process.kill()
+            process.wait()
+
     def applies_changed_settings(self):
         entry = next(e for e in self.entries if e.is_up())
         for port in ("1", self.platform["cloud"].split(":")[1]):
@@ -294,7 +319,8 @@
              shows_operators_the_queues,
              survives_a_killed_leader, survives_the_loss_of_all_entries,
              survives_a_store_outage, survives_lost_answers, completes_a_wave,
-             stops_cleanly, shows_metrics, applies_changed_settings)
+             stops_cleanly, shows_metrics, survives_a_reload_while_it_starts,
+             applies_changed_settings)
 
     def run(self):
         self.start_all()
