--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -36,7 +36,7 @@
   return std::unique_ptr<EventLoop>(new EventLoop(std::make_unique<Impl>()));
 }
 
-TimePoint EventLoop::now() const {
+TimePoint EventLoop::clockNow() {
   timespec Spec{};
   clock_gettime(CLOCK_BOOTTIME, &Spec);
   return TimePoint(std::chrono::duration_cast<Duration>(
--- a/src/net/EventLoop.h
+++ b/src/net/EventLoop.h
@@ -29,7 +29,9 @@
   /// Time since boot. Unlike the steady clock it advances while the system is
   /// suspended, so that leases that expire during a suspension are seen as
   /// expired.
-  TimePoint now() const;
+  TimePoint now() const { return clockNow(); }
+  /// The clock of now(). Thread safe, also in a signal handler.
+  static TimePoint clockNow();
   /// Runs \p Callback once after \p Delay. The timer cannot be cancelled, so
   /// \p Callback has to check whether it still applies.
   void after(Duration Delay, Task Callback);
