--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -19,11 +19,13 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TIMEOUT_S = 30
 ATTEMPTS = 3
+CALLER_COUNT = 8
 HOST = "jobs.example"
 
 
@@ -252,6 +254,33 @@
         assert leader.process.wait(timeout=TIMEOUT_S) == 0
         self.wait_for(job, "completed")
 
+    def answers_all_requests_before_it_stops(self):
+        # With a slow store and callers that sent requests until the end, a stopping process
+        # ran into its timeout and dropped the requests in flight.
+        entry = next(e for e in self.entries if e.is_up())
+        answers = []
+
+        def ask():
+            while entry.is_up():
+                answers.append(call(entry.callers, "GET", "/asks/00000000000000bb")[0])
+
+        call(self.platform["store"], "GET", "/faults?store=slow")
+        callers = [threading.Thread(target=ask) for _ in range(CALLER_COUNT)]
+        for caller in callers:
+            caller.start()
+        self.until("callers are answered", lambda: answers.count(410) >= CALLER_COUNT)
+        entry.process.send_signal(signal.SIGTERM)
+        status = entry.process.wait(timeout=TIMEOUT_S)
+        for caller in callers:
+            caller.join()
+        call(self.platform["store"], "GET", "/faults?store=ok")
+        assert status == 0, status
+        end = json.loads(entry.log.read_text().splitlines()[-1])
+        assert end["name"] == "DaemonStopped", end
+        assert end["requests_in_flight"] == "0", end
+        entry.start()
+        self.until("it is ready again", lambda: self.is_ready(entry))
+
     def shows_metrics(self):
         entry = next(e for e in self.entries if e.process.poll() is None)
         connection = http.client.HTTPConnection(entry.metrics, timeout=5)
@@ -319,8 +348,8 @@
              shows_operators_the_queues,
              survives_a_killed_leader, survives_the_loss_of_all_entries,
              survives_a_store_outage, survives_lost_answers, completes_a_wave,
-             stops_cleanly, shows_metrics, survives_a_reload_while_it_starts,
-             applies_changed_settings)
+             stops_cleanly, answers_all_requests_before_it_stops, shows_metrics,
+             survives_a_reload_while_it_starts, applies_changed_settings)
 
     def run(self):
         self.start_all()
