End the asking for counts of the soak test without a cancellation

It hung in the end of its event loop. The cause is not traced: the attempt to look into the process failed. A wait with a timeout can swallow a cancellation in Python 3.11, so the new tasks now end by a flag.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -302,9 +302,8 @@
         await self.end_faults(injectors)
         await asyncio.gather(*callers)
         await self.settle()
-        if asker.done():
-            asker.result()
-        asker.cancel()
+        self.waiting_check.stop()
+        await asker
         jobs = sum(len(c.jobs) for c in self.clients)
         states = [k["state"] for c in self.clients for k in c.jobs.values()]
         return (f"{jobs} jobs accepted, {states.count('completed')} completed, "
@@ -316,6 +315,8 @@
         # Pending tasks of the stand-in are cancelled when the event loop closes; their
         # exceptions are not reported.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        if self.waiting_check:
+            self.waiting_check.stop()
         for entry in self.entries:
             if entry.process and entry.process.poll() is None:
                 entry.process.send_signal(signal.SIGCONT)
--- a/tests/soak/waiting.py
+++ b/tests/soak/waiting.py
@@ -58,24 +58,22 @@
                 self.since[number] = now
             self.last_states[number] = state
 
-    async def run(self):
-        while True:
-            self.sample()
-            await asyncio.sleep(SAMPLE_INTERVAL_S)
-
     def is_in_touch(self, number):
         self.sample()
         return time.monotonic() >= self.since[number] + TOUCH_S
 
 
 class WaitingCheck:
-    """Asks each instance for the number of waiting jobs until it is cancelled."""
+    """Asks each instance for the number of waiting jobs until stop() is called."""
 
     def __init__(self, soak):
         self.soak, self.oracle = soak, soak.world.oracle
         self.entries = [Connections(e.callers) for e in soak.entries]
         self.in_touch = InTouch(soak)
-        self.judged = 0
+        self.judged, self.is_running = 0, True
+
+    def stop(self):
+        self.is_running = False
 
     def waiting(self, before):
         """The jobs that were accepted before that time and have neither begun nor may have
@@ -85,11 +83,16 @@
                 and not any(self.oracle.tasks[n].starts for n in self.oracle.names(job))]
 
     async def run(self):
-        await asyncio.gather(self.in_touch.run(),
+        await asyncio.gather(self.sample_often(),
                              *(self.ask_often(n) for n in range(len(self.entries))))
 
+    async def sample_often(self):
+        while self.is_running:
+            self.in_touch.sample()
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
     async def ask_often(self, number):
-        while True:
+        while self.is_running:
             await self.ask(number)
             await asyncio.sleep(ASK_INTERVAL_S)
 
