Acknowledge ends that change nothing once the job's changes are recorded

Cause: for an end as done, the number of the job's change rose even if the task was done already (a second run, or a further member of a gang), and no write was due for it. The end, and all later ones of its server, waited until the job changed for another reason. A late failed end of a second run was counted against a task that was done.

Change: any end of a known job waits for the changes that the job has had so far, and is acknowledged at once if they are recorded. Failures of a done task do not count.

Tests, which failed first: AcknowledgesAnEndThatChangesNothingWithoutAnother- Record (end 2 expected, was 1), CountsNoFailuresOfATaskThatIsDone.

--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -235,7 +235,7 @@
     Counted.m_Index = 0;
   TaskState *T = Job.task(Counted);
   auto &Runs = T->m_FailedRuns;
-  if (std::find(Runs.begin(), Runs.end(), Run) != Runs.end())
+  if (T->m_Done || std::find(Runs.begin(), Runs.end(), Run) != Runs.end())
     return false;
   Runs.push_back(Run);
   Job.m_HasBegun = true;
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -161,7 +161,8 @@
   /// completes the job with its last task. Returns false if the task was done
   /// already.
   bool markDone(LiveJob &Job, const TaskId &Id);
-  /// Counts a failed run. Returns false if that run was counted already.
+  /// Counts a failed run. Returns false if that run was counted already, or if
+  /// the task is done.
   bool markFailed(LiveJob &Job, const TaskId &Id, std::uint32_t Run);
   /// Puts a task back into the ready list unless it is done, ready or running.
   void requeue(LiveJob &Job, const TaskId &Id, TimePoint NotBefore);
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -183,16 +183,21 @@
   return !Job || Job->m_RecordedChangeNumber >= End.m_ChangeNumber;
 }
 
+bool Scheduler::removeRecordedEnds(ServerState &S) {
+  bool Any = false;
+  // Ends have to be acknowledged in order.
+  while (!S.m_UnrecordedEnds.empty() &&
+         isRecorded(S.m_UnrecordedEnds.front())) {
+    S.m_LastRecordedEnd = S.m_UnrecordedEnds.front().m_Number;
+    S.m_UnrecordedEnds.pop_front();
+    Any = true;
+  }
+  return Any;
+}
+
 void Scheduler::onProgressRecorded(TimePoint Now) {
   for (auto &[Id, S] : m_Servers.all()) {
-    bool Any = false;
-    while (!S.m_UnrecordedEnds.empty() &&
-           isRecorded(S.m_UnrecordedEnds.front())) {
-      S.m_LastRecordedEnd = S.m_UnrecordedEnds.front().m_Number;
-      S.m_UnrecordedEnds.pop_front();
-      Any = true;
-    }
-    if (Any)
+    if (removeRecordedEnds(S))
       S.m_NextPoll =
           std::min(S.m_NextPoll,
                    Now + (S.m_Runs.empty() ? AcknowledgeDelay : Duration(0)));
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -292,6 +292,9 @@
   Duration pollSpacing() const;
   void expireLeases(TimePoint Now);
   bool isRecorded(const UnrecordedEnd &End);
+  /// Lets the recorded ends of \p S be acknowledged. Returns whether there were
+  /// any.
+  bool removeRecordedEnds(ServerState &S);
 
   SchedulerOptions m_Options;
   SchedulerOrders &m_Orders;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -237,7 +237,6 @@
     Job->m_HasBegun = true;
   TaskState *T = Job ? Job->task(End.m_Run.m_Task) : nullptr;
   ServerRegistry::removeRun(S, End.m_Run);
-  std::uint64_t ChangeNumber = 0;
   if (T && !isFinal(Job->m_State)) {
     const TaskId &Task = End.m_Run.m_Task;
     const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
@@ -247,17 +246,18 @@
       T->m_Checkpoint = End.m_Checkpoint;
     Duration Pause{0};
     if (End.m_Kind == EndKind::Done && !Step.m_IsLongRunning) {
+      bool IsChanged = false;
       if (Step.m_Gang) {
         for (std::uint32_t I = 0; I < Step.m_Count; ++I)
-          m_Jobs.markDone(*Job,
-                          {Task.m_Job, Task.m_Occurrence, Task.m_Step, I});
+          IsChanged |= m_Jobs.markDone(
+              *Job, {Task.m_Job, Task.m_Occurrence, Task.m_Step, I});
       } else if (m_Jobs.markDone(*Job, Task)) {
+        IsChanged = true;
         stopRunsOfTask(*Job, Task);
       }
-      ChangeNumber = ++Job->m_ChangeNumber;
+      Job->m_ChangeNumber += IsChanged;
     } else if (End.m_Kind == EndKind::Failed && !Step.m_IsLongRunning) {
-      if (m_Jobs.markFailed(*Job, Task, End.m_Run.m_Number))
-        ChangeNumber = ++Job->m_ChangeNumber;
+      Job->m_ChangeNumber += m_Jobs.markFailed(*Job, Task, End.m_Run.m_Number);
       if (Job->m_State == JobState::Failed)
         stopRunsOfJob(*Job);
     } else if (Step.m_IsLongRunning) {
@@ -278,17 +278,11 @@
       S.m_OnProbation = false;
     }
   }
-  // The next leader must learn from the store that the job is over before the
+  // The next leader must learn all changes of the job from the store before the
   // server forgets the end.
-  if (Job && isFinal(Job->m_State))
-    ChangeNumber = Job->m_ChangeNumber;
-  // An end that changes nothing need not be recorded, but ends have to be
-  // acknowledged in order.
-  if (ChangeNumber == 0 && S.m_UnrecordedEnds.empty())
-    S.m_LastRecordedEnd = End.m_Number;
-  else
-    S.m_UnrecordedEnds.push_back(
-        {End.m_Number, End.m_Run.m_Task.m_Job, ChangeNumber});
+  S.m_UnrecordedEnds.push_back(
+      {End.m_Number, End.m_Run.m_Task.m_Job, Job ? Job->m_ChangeNumber : 0});
+  removeRecordedEnds(S);
 }
 
 void Scheduler::reconcileRuns(ServerState &S, const PollReply &Reply,
--- a/src/scheduling/SchedulerTest.cpp
+++ b/src/scheduling/SchedulerTest.cpp
@@ -205,6 +205,44 @@
   CHECK_EQUAL(1u, After["s2"]);
 }
 
+// Guards against ends that are never acknowledged: the second end of a task
+// waited for a record that nothing asked for, and all later ends of its server
+// waited behind it.
+TEST(Scheduler, AcknowledgesAnEndThatChangesNothingWithoutAnotherRecord) {
+  SchedulerFixture W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(2)});
+  W.tick();
+  W.answerStart(0);
+  W.answerStart(1);
+  W.tick();
+  W.answerPoll("s1", {{W.run("j", 0, 1, 1), "", 50, 0}},
+               {{1, W.run("j", 0, 0, 1), EndKind::Done, ""}});
+  W.record();
+  W.tick();
+  W.answerPoll("s1", {{W.run("j", 0, 1, 1), "", 60, 0}},
+               {{2, W.run("j", 0, 0, 2), EndKind::Done, ""}});
+  W.advance(600ms);
+  W.tick();
+  CHECK_EQUAL(2u, W.m_Orders.m_Polls.back().m_AcknowledgedEndNumber);
+}
+
+// Guards against a job that fails by the late end of a run of a task that
+// another run has completed.
+TEST(Scheduler, CountsNoFailuresOfATaskThatIsDone) {
+  SchedulerFixture W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(1), W.step(1, {0})});
+  W.tick();
+  W.answerStart(0);
+  W.tick();
+  W.answerPoll("s1", {},
+               {{1, W.run("j", 0, 0, 1), EndKind::Done, ""},
+                {2, W.run("j", 0, 0, 2), EndKind::Failed, ""},
+                {3, W.run("j", 0, 0, 3), EndKind::Failed, ""}});
+  CHECK(W.job("j").m_State == JobState::Running);
+}
+
 TEST(Scheduler, FailsAJobAfterMaxAttemptsAndCountsEachEndOnce) {
   SchedulerFixture W;
   W.addServer("s1");
