Stop draining an instance that is taken out of its wave

An instance that drained for the old one and is not in the new one got no further order, and only an order's result ended its drain.

Change: a replaced request ends the drains of the old one; instances that are still part of it drain again in the next plan.

Test, which failed first: AnInstanceThatIsTakenOutOfAWaveStopsDraining.

--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -191,6 +191,8 @@
   void onNotInWave(WaveState &W, const InstanceId &Id, TimePoint Now);
   /// Whether the platform has no instance \p Id any more.
   bool hasLeft(const InstanceId &Id) const;
+  /// Lets the server of \p Id take tasks again if it drains for a wave.
+  void stopDraining(const InstanceId &Id);
   /// Drains \p L. Returns why its maintenance cannot begin yet; empty if it
   /// can.
   std::string drainForMaintenance(const InstanceListing &L, bool IsUrgent,
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -38,11 +38,24 @@
 
 void FleetPlanner::onWaveRewritten(const WaveRequest &Wave) {
   WaveState &W = m_Waves.at(Wave.m_Id);
+  // Those that are still part of a wave drain again in the next plan.
+  for (const InstanceId &Id : W.m_Request.m_Instances)
+    stopDraining(Id);
   W.m_Request = Wave;
   W.m_RejectedSince.clear();
   reopenIfUndone(W);
 }
 
+void FleetPlanner::stopDraining(const InstanceId &Id) {
+  Instance &I = m_State[Id];
+  if (!I.m_DrainingSince || I.m_Pending || I.m_Ordered)
+    return;
+  I.m_DrainingSince.reset();
+  for (auto &[Name, S] : m_Scheduler.servers().all())
+    if (S.m_Registration.m_Instance == Id)
+      S.m_Reserved = false;
+}
+
 void FleetPlanner::reopenIfUndone(WaveState &W) {
   const auto &Instances = W.m_Request.m_Instances;
   if (!W.m_Progress.m_Complete ||
--- a/src/instances/WavePlanningTest.cpp
+++ b/src/instances/WavePlanningTest.cpp
@@ -254,3 +254,21 @@
   CHECK(Answers >= 3);
   CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
 }
+
+// Guards against a server that takes no tasks for the rest of a term: its
+// instance drained for a wave when the operators took it out of the wave.
+TEST(WavePlanning, AnInstanceThatIsTakenOutOfAWaveStopsDraining) {
+  PlannerFixture W;
+  W.addDesk(3, 4);
+  ServerState *Busy = nullptr;
+  for (auto &[Id, S] : W.m_World.m_Core->servers().all())
+    if (!S.m_Runs.empty())
+      Busy = &S;
+  CHECK(Busy != nullptr);
+  W.addWave({Busy->m_Registration.m_Instance}, 1);
+  W.plan();
+  CHECK(Busy->m_Reserved);
+  W.m_Planner->onWaveRewritten({WaveId("1"), {}, 60s, 1});
+  W.plan();
+  CHECK_FALSE(Busy->m_Reserved);
+}
