Let a server take tasks again if its order was not carried out

Callers would see: a pool that counts a server as capacity and gives it no tasks until the leader changes (SHORT).

Cause: an order to move an instance keeps its server free of new tasks. If the answer is lost, the order may or may not have been carried out; the next list of instances ended the order, but nothing let the server take tasks again.

Change: if a later list shows the instance up with the same server, the server takes tasks again.

Test, which failed first: AServerWhoseOrderWasNotCarriedOutTakesTasksAgain.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -65,10 +65,24 @@
   return It == m_ServerByInstance.end() ? nullptr : It->second;
 }
 
-void FleetPlanner::onInstances(TimePoint Asked) {
+void FleetPlanner::endOrders(TimePoint Asked) {
+  std::set<InstanceId> Ended;
   for (auto &[Id, State] : m_State)
-    if (State.m_Ordered && !State.m_Pending && Asked > State.m_OrderedAt)
+    if (State.m_Ordered && !State.m_Pending && Asked > State.m_OrderedAt) {
       State.m_Ordered = false;
+      if (!State.m_DrainingSince)
+        Ended.insert(Id);
+    }
+  for (const InstanceListing &L : m_Scheduler.instances()) {
+    ServerState *S = m_Scheduler.servers().find(L.m_Server);
+    if (S && Ended.count(L.m_Id) && L.m_Condition == InstanceCondition::Up &&
+        S->m_Registration.m_Instance == L.m_Id)
+      S->m_Reserved = false;
+  }
+}
+
+void FleetPlanner::onInstances(TimePoint Asked) {
+  endOrders(Asked);
   // An empty list tells nothing about single instances.
   if (m_Scheduler.instances().empty())
     return;
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -151,6 +151,8 @@
 
   // Pool sizing (FleetPlanner.cpp).
   Pools collectPools();
+  /// Ends the orders whose effect an instance list requested at \p Asked shows.
+  void endOrders(TimePoint Asked);
   void updateTargetSizes(Pools &All, TimePoint Now);
   /// Lowers target sizes to max-min fair shares if there are too few instances
   /// for all pools, so that the backlog of one pool does not starve the others.
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -231,3 +231,22 @@
   CHECK_EQUAL(1u, W.m_World.m_Orders.m_Starts.size());
   CHECK_EQUAL(1u, S.m_Runs.size());
 }
+
+// Guards against a server that takes no tasks for the rest of a term: the
+// answer to an order to move its instance was lost, and the order was not
+// carried out.
+TEST(FleetPlanner, AServerWhoseOrderWasNotCarriedOutTakesTasksAgain) {
+  PlannerFixture W;
+  for (const char *Server : {"s0", "s1"}) {
+    W.m_World.addServer(Server);
+    W.list(Server, "desk");
+  }
+  W.addHall("h1", 40);
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  W.m_Planner->onOrderResult(Orders[0], InstanceOrderResult::Unknown,
+                             W.m_World.m_Now);
+  CHECK_EQUAL(1u, W.reserved());
+  W.applyList();
+  CHECK_EQUAL(0u, W.reserved());
+}
