Free servers only for instances that are missing now

Found by review. Cause: freeSurplus() counted the shortage of the pools without the spare instances that the next plans will move, and took instances that have not arrived yet for usable ones. Servers of a sound pool drained although spare instances sufficed, and a pool could fall below its share.

Change: spare instances reduce the shortage; a pool frees only what is left of its usable servers above its size. A mark is removed only together with its effect. The member and the functions are named after freeing, since release has other meanings in the scheduler and the lead.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -306,38 +306,52 @@
   }
 }
 
-bool FleetPlanner::isReleasable(const PoolName &Pool,
-                                const InstanceListing &L) {
+bool FleetPlanner::isUsable(const PoolName &Pool, const InstanceListing &L) {
   const ServerState *S = serverOf(L);
   return S && S->m_Registration.m_Pool == Pool && hasKnownRuns(*S) &&
-         canOrder(L, m_PlannedAt) && !m_State[L.m_Id].m_DrainingSince &&
-         std::none_of(S->m_Runs.begin(), S->m_Runs.end(), [](const auto &Run) {
-           return Run.second.m_IsLongRunning || Run.second.m_IsBestEffort;
-         });
+         canOrder(L, m_PlannedAt) && !m_State[L.m_Id].m_DrainingSince;
 }
 
-void FleetPlanner::releaseSurplus(Pools &All) {
+bool FleetPlanner::isFreeable(const PoolName &Pool, const InstanceListing &L) {
+  if (!isUsable(Pool, L))
+    return false;
+  const auto &Runs = serverOf(L)->m_Runs;
+  return std::none_of(Runs.begin(), Runs.end(), [](const auto &Run) {
+    return Run.second.m_IsLongRunning || Run.second.m_IsBestEffort;
+  });
+}
+
+void FleetPlanner::freeSurplus(Pools &All) {
   std::set<InstanceId> Before;
   for (auto &[Id, I] : m_State) {
-    if (!std::exchange(I.m_Released, false))
+    auto Server = m_ServerByInstance.find(Id);
+    if (!I.m_IsFreed || Server == m_ServerByInstance.end())
       continue;
+    I.m_IsFreed = false;
     Before.insert(Id);
-    auto Server = m_ServerByInstance.find(Id);
-    if (Server != m_ServerByInstance.end() && !I.m_Pending && !I.m_Ordered &&
-        !I.m_DrainingSince)
+    if (!I.m_Pending && !I.m_Ordered && !I.m_DrainingSince)
       Server->second->m_Reserved = false;
   }
   std::int64_t Missing = 0;
   for (const auto &[Name, P] : All)
-    Missing += std::max<std::int64_t>(0, -P.surplus());
+    Missing += P.m_Spare ? -static_cast<std::int64_t>(P.m_Instances.size())
+                         : std::max<std::int64_t>(0, -P.surplus());
   for (auto &[Name, P] : All) {
-    std::int64_t Count = P.m_Spare ? 0 : std::min(P.surplus(), Missing);
+    // Instances that have not arrived yet run no tasks.
+    auto Usable =
+        std::count_if(P.m_Instances.begin(), P.m_Instances.end(),
+                      [&, &PoolName = Name](const InstanceListing *L) {
+                        return isUsable(PoolName, *L);
+                      });
+    std::int64_t Count =
+        P.m_Spare ? 0
+                  : std::min({P.surplus(), Missing, Usable - P.m_TargetSize});
     if (Count <= 0)
       continue;
     // Instances that drain already come first, then those with the fewest runs.
     std::vector<std::tuple<bool, std::size_t, const InstanceListing *>> Order;
     for (const InstanceListing *L : P.m_Instances)
-      if (isReleasable(Name, *L))
+      if (isFreeable(Name, *L))
         Order.emplace_back(Before.count(L->m_Id) == 0,
                            serverOf(*L)->m_Runs.size(), L);
     std::stable_sort(Order.begin(), Order.end(),
@@ -348,7 +362,7 @@
     Count = std::min(Count, static_cast<std::int64_t>(Order.size()));
     Order.resize(static_cast<std::size_t>(Count));
     for (const auto &[IsNew, Runs, L] : Order) {
-      m_State[L->m_Id].m_Released = true;
+      m_State[L->m_Id].m_IsFreed = true;
       serverOf(*L)->m_Reserved = true;
     }
     Missing -= Count;
@@ -388,7 +402,7 @@
   shareInstances(All);
   planUnschedulableTasks(All, Out);
   planMoves(All, Out);
-  releaseSurplus(All);
+  freeSurplus(All);
   return Out;
 }
 
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -110,7 +110,7 @@
     /// When the instance began to drain for a wave.
     std::optional<TimePoint> m_DrainingSince;
     /// Its server gets no new tasks, because another pool needs the instance.
-    bool m_Released = false;
+    bool m_IsFreed = false;
     WaveId m_Wave;
     TimePoint m_RetryAt{};
     TimePoint m_WaitLoggedAt{};
@@ -164,8 +164,12 @@
   void planMoves(Pools &All, std::vector<InstanceOrder> &Out);
   /// Frees instances of pools that are too large while others are too small:
   /// they get no new tasks, so that they can move once their tasks have ended.
-  void releaseSurplus(Pools &All);
-  bool isReleasable(const PoolName &Pool, const InstanceListing &L);
+  void freeSurplus(Pools &All);
+  /// Whether \p L has arrived in \p Pool, its runs are known, and no order or
+  /// wave affects it.
+  bool isUsable(const PoolName &Pool, const InstanceListing &L);
+  /// Whether \p L is usable and only has runs that end by themselves.
+  bool isFreeable(const PoolName &Pool, const InstanceListing &L);
   /// Logs the sizes of all pools, at most once per second, while some pool has
   /// fewer instances than its target size.
   void logShortage(const Pools &All, TimePoint Now);
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -250,3 +250,15 @@
   W.applyList();
   CHECK_EQUAL(0u, W.reserved());
 }
+
+// Guards against draining servers whose instances no pool waits for.
+TEST(FleetPlanner, SpareInstancesAreUsedBeforeServersAreDrained) {
+  PlannerFixture W;
+  W.list("r1", "reserve");
+  W.list("r2", "reserve");
+  W.list("r3", "reserve");
+  W.addDesk(4, 8);
+  W.addHall("h1", 12);
+  W.m_Planner->plan(W.m_World.m_Now, W.m_World.wall(), 1);
+  CHECK_EQUAL(0u, W.reserved());
+}
