--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -23,13 +23,6 @@
 /// Interval between two log lines about the sizes of the pools.
 constexpr Duration ShortageLogInterval = std::chrono::seconds(1);
 
-/// Demand in thousandths of a core by the time an instance has moved.
-double expectedMilliCores(const PoolDemand &D) {
-  return static_cast<double>(D.m_RunningMilliCores) +
-         static_cast<double>(D.m_ReadyMilliCores) +
-         static_cast<double>(D.m_BlockedMilliCores) * BlockedDemandWeight;
-}
-
 bool suits(const InstanceListing &L, const UnschedulableTask &Need) {
   return hasLabel(L.m_Labels, Need.m_Label) &&
          Need.m_RequiredResources.fitsIn(L.m_Capacity);
@@ -153,14 +146,14 @@
   double Decay = m_PlannedAt == TimePoint{} ? 0.0 : std::exp2(-Halvings);
   m_PlannedAt = Now;
   auto Demand = m_Scheduler.demand();
-  auto LateDemand = m_Scheduler.lateDemand(Now);
   for (auto &[Name, P] : All) {
     if (P.m_Spare)
       continue;
-    P.m_Demand = Demand[Name];
-    double MilliCores = expectedMilliCores(P.m_Demand);
-    double OnTime =
-        std::max(0.0, MilliCores - expectedMilliCores(LateDemand[Name]));
+    const PoolDemand &D = P.m_Demand = Demand[Name];
+    double MilliCores =
+        static_cast<double>(D.m_RunningMilliCores) +
+        static_cast<double>(D.m_ReadyMilliCores) +
+        static_cast<double>(D.m_BlockedMilliCores) * BlockedDemandWeight;
     double &Peak = m_PeakDemand[Name];
     Peak = std::max(MilliCores, Peak * Decay);
     std::int64_t Largest = 1, Draining = 0;
@@ -168,47 +161,34 @@
       Largest = std::max(Largest, L->m_Capacity.m_MilliCores);
       Draining += m_State[L->m_Id].m_DrainingSince.has_value();
     }
-    auto SizeFor = [Largest](double Wanted) {
-      return static_cast<std::int64_t>(
-          std::ceil(Wanted * HeadroomFactor / static_cast<double>(Largest)));
-    };
+    double Instances = Peak * HeadroomFactor / static_cast<double>(Largest);
     P.m_MinSize = minInstancesForSpread(Name) + std::int64_t(1);
+    P.m_TargetSize =
+        std::max(P.m_MinSize, static_cast<std::int64_t>(std::ceil(Instances)));
     // Instances that drain for a wave take no new tasks, and the tasks that
     // leave them need capacity elsewhere.
-    P.m_OnTimeSize = std::max(P.m_MinSize, SizeFor(OnTime)) + Draining;
-    P.m_NeededSize = std::max(P.m_MinSize, SizeFor(MilliCores)) + Draining;
-    P.m_TargetSize = std::max(P.m_MinSize, SizeFor(Peak)) + Draining;
-  }
-}
-
-void FleetPlanner::grant(std::vector<Claim> Claims, std::int64_t &Left) {
-  std::sort(Claims.begin(), Claims.end(),
-            [](const Claim &A, const Claim &B) { return A.m_Size < B.m_Size; });
-  auto ClaimsLeft = static_cast<std::int64_t>(Claims.size());
-  for (const Claim &C : Claims) {
-    std::int64_t Part =
-        std::clamp(Left / ClaimsLeft--, std::int64_t(0), C.m_Size);
-    C.m_Pool->m_TargetSize += Part;
-    Left -= Part;
+    P.m_TargetSize += Draining;
   }
 }
 
 void FleetPlanner::shareInstances(Pools &All) {
   std::int64_t Left = 0;
-  std::vector<Claim> OnTime, Late, Kept;
+  std::vector<PoolView *> ByTarget;
   for (auto &[Name, P] : All) {
     Left += static_cast<std::int64_t>(P.m_Instances.size());
-    if (P.m_Spare)
-      continue;
-    Left -= P.m_MinSize;
-    OnTime.push_back({&P, P.m_OnTimeSize - P.m_MinSize});
-    Late.push_back({&P, P.m_NeededSize - P.m_OnTimeSize});
-    Kept.push_back({&P, P.m_TargetSize - P.m_NeededSize});
-    P.m_TargetSize = P.m_MinSize;
+    if (!P.m_Spare)
+      ByTarget.push_back(&P);
+  }
+  std::sort(ByTarget.begin(), ByTarget.end(),
+            [](const PoolView *A, const PoolView *B) {
+              return A->m_TargetSize < B->m_TargetSize;
+            });
+  auto PoolsLeft = static_cast<std::int64_t>(ByTarget.size());
+  for (PoolView *P : ByTarget) {
+    std::int64_t Share = std::max(P->m_MinSize, Left / PoolsLeft--);
+    P->m_TargetSize = std::min(P->m_TargetSize, Share);
+    Left -= P->m_TargetSize;
   }
-  grant(std::move(OnTime), Left);
-  grant(std::move(Late), Left);
-  grant(std::move(Kept), Left);
 }
 
 const InstanceListing *
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -124,12 +124,7 @@
   /// A pool during one planning pass.
   struct PoolView {
     std::vector<const InstanceListing *> m_Instances;
-    /// Size for the demand of the last seconds.
     std::int64_t m_TargetSize = 0;
-    /// Size for the demand of now.
-    std::int64_t m_NeededSize = 0;
-    /// The same without the jobs that are late.
-    std::int64_t m_OnTimeSize = 0;
     /// The target size is not lowered below this.
     std::int64_t m_MinSize = 0;
     PoolDemand m_Demand;
@@ -140,11 +135,6 @@
     }
   };
   using Pools = std::map<PoolName, PoolView>;
-  /// A number of instances that a pool asks for.
-  struct Claim {
-    PoolView *m_Pool;
-    std::int64_t m_Size;
-  };
 
   FleetPlanner(const FleetPlannerOptions &Options, Scheduler &Sched)
       : m_Options(Options), m_Scheduler(Sched) {}
@@ -156,11 +146,7 @@
   void updateTargetSizes(Pools &All, TimePoint Now);
   /// Lowers target sizes to max-min fair shares if there are too few instances
   /// for all pools, so that the backlog of one pool does not starve the others.
-  /// Jobs that can still be on time come first, then late ones, then what pools
-  /// keep after a peak.
   static void shareInstances(Pools &All);
-  /// Adds max-min fair parts of \p Left instances to the target sizes.
-  static void grant(std::vector<Claim> Claims, std::int64_t &Left);
   void planMoves(Pools &All, std::vector<InstanceOrder> &Out);
   /// Frees instances of pools that are too large while others are too small:
   /// they get no new tasks, so that they can move once their tasks have ended.
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -65,30 +65,6 @@
   CHECK_EQUAL(2u, W.reserved());
 }
 
-// Jobs that could no longer be on time held servers, so that those of another
-// queue became late as well.
-TEST(FleetPlanner, LateJobsLeaveInstancesToThoseThatCanBeOnTime) {
-  PlannerFixture W;
-  W.addDesk(4, 200);
-  W.m_World.advance(3s);
-  W.addHall("h1", 12);
-  W.plan();
-  CHECK_EQUAL(3u, W.reserved());
-}
-
-// A pool kept idle servers for seconds after its peak, while the tasks of
-// another pool waited for them.
-TEST(FleetPlanner, APoolKeepsNothingAfterItsPeakThatAnotherPoolNeeds) {
-  PlannerFixture W;
-  W.addDesk(4, 16);
-  W.plan();
-  W.m_World.m_Core->onJobEnded(JobId("j"));
-  for (ServerState *S : W.servers(false))
-    W.endRuns(*S);
-  W.addHall("h1", 12);
-  CHECK_EQUAL(3u, W.plan().size());
-}
-
 TEST(FleetPlanner, AFreedInstanceTakesTasksAgainOnceTheOtherPoolNeedsNoMore) {
   PlannerFixture W;
   W.addDesk(4, 200);
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -166,10 +166,6 @@
   std::map<QueueName, std::uint32_t> waitingJobs() const;
   /// The current demand on each pool.
   std::map<PoolName, PoolDemand> demand();
-  /// The part of the demand on each pool that belongs to jobs past their
-  /// latency objective; running tasks count as ready. Recurring and
-  /// long-running jobs are never late.
-  std::map<PoolName, PoolDemand> lateDemand(TimePoint Now);
   /// Describes for operators why the next task of a job has not started.
   std::string pendingReason(const JobId &Id, TimePoint Now);
   /// Ready tasks that need a server of another kind, or another server that the
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -51,29 +51,6 @@
   return Pools;
 }
 
-std::map<PoolName, PoolDemand> Scheduler::lateDemand(TimePoint Now) {
-  std::map<PoolName, PoolDemand> Pools;
-  for (auto &[Id, Job] : m_Jobs.all()) {
-    const auto &Steps = Job->m_Spec.m_Steps;
-    if (Now < Job->m_Objective || Job->m_Spec.m_Occurrences != 0 ||
-        std::any_of(Steps.begin(), Steps.end(),
-                    [](const StepSpec &S) { return S.m_IsLongRunning; }))
-      continue;
-    PoolDemand &D = Pools[poolOf(*Job)];
-    for (const auto &[Number, O] : Job->m_Occurrences)
-      for (std::size_t N = 0; N < O.m_Steps.size(); ++N) {
-        if (Steps[N].m_IsBestEffort)
-          continue;
-        std::int64_t MilliCores =
-            (Steps[N].m_Count - O.m_Steps[N].m_DoneCount) *
-            Steps[N].m_RequiredResources.m_MilliCores;
-        (O.m_Steps[N].m_Released ? D.m_ReadyMilliCores
-                                 : D.m_BlockedMilliCores) += MilliCores;
-      }
-  }
-  return Pools;
-}
-
 bool Scheduler::hasServerFor(const LiveJob &Job, const ReadyTask &Task) const {
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
   const StepId Id = Job.stepId(Task);
