--- a/src/net/HttpClientTest.cpp
+++ b/src/net/HttpClientTest.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 
 using namespace pollenspool;
 using namespace std::chrono_literals;
@@ -72,6 +73,7 @@
                [&](const Result<HttpReply> &Reply) {
                  Answer = Reply ? ErrorCode::Internal : Reply.error().m_Code;
                });
+  Loop->after(10s, [&] { Loop->stop(); });
   Loop->run();
   CHECK(Answer == ErrorCode::Timeout);
   CHECK(Server.bytesRead() > 0);
--- a/tests/job_platform_check.py
+++ b/tests/job_platform_check.py
@@ -9,15 +9,22 @@
 from job_platform import Store  # noqa: E402
 
 
-def ask_feed(store, after):
+# Turns of the event loop after which a call of the feed waits for a change.
+TURNS = 10
+
+
+async def ask_feed(store, after):
+    """Starts a call of the feed and returns it once it waits."""
     query = {"table": "live", "after": str(after), "wait-ms": "300"}
-    return asyncio.ensure_future(store.handle("GET", "/rows-feed", query, {}, b""))
+    feed = asyncio.ensure_future(store.handle("GET", "/rows-feed", query, {}, b""))
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+    return feed
 
 
 async def feed_reports_a_change_to_a_waiting_call():
     store = Store(random.Random(1))
-    feed = ask_feed(store, store.version)
-    await asyncio.sleep(0.05)
+    feed = await ask_feed(store, store.version)
     store.put(("live", "", "a"), "1")
     status, reply = await feed
     assert status == 200 and [row["key"] for row in reply["rows"]] == ["a"], (status, reply)
@@ -28,8 +35,7 @@
 async def feed_loses_no_change_when_the_history_is_dropped():
     store = Store(random.Random(1))
     store.put(("live", "", "a"), "1")
-    feed = ask_feed(store, store.version)
-    await asyncio.sleep(0.05)
+    feed = await ask_feed(store, store.version)
     store.version += 1
     store.write(("live", "", "a"), None)
     store.forget_history()
