Split freeSurplus() into what it takes back and what it frees

Read as a newcomer: the function took back the marks of the last plan, counted the shortage, sorted candidates and marked them, in 45 lines.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -301,17 +301,41 @@
   });
 }
 
-void FleetPlanner::freeSurplus(Pools &All) {
-  std::set<InstanceId> Before;
+std::set<InstanceId> FleetPlanner::takeBackFreed() {
+  std::set<InstanceId> Freed;
   for (auto &[Id, I] : m_State) {
     auto Server = m_ServerByInstance.find(Id);
     if (!I.m_IsFreed || Server == m_ServerByInstance.end())
       continue;
     I.m_IsFreed = false;
-    Before.insert(Id);
+    Freed.insert(Id);
     if (!I.m_Pending && !I.m_Ordered && !I.m_DrainingSince)
       Server->second->m_Reserved = false;
   }
+  return Freed;
+}
+
+std::vector<const InstanceListing *>
+FleetPlanner::freeableInstances(const PoolName &Name, const PoolView &P,
+                                const std::set<InstanceId> &FreedBefore) {
+  std::vector<std::tuple<bool, std::size_t, const InstanceListing *>> Order;
+  for (const InstanceListing *L : P.m_Instances)
+    if (isFreeable(Name, *L))
+      Order.emplace_back(FreedBefore.count(L->m_Id) == 0,
+                         serverOf(*L)->m_Runs.size(), L);
+  std::stable_sort(Order.begin(), Order.end(),
+                   [](const auto &A, const auto &B) {
+                     return std::tie(std::get<0>(A), std::get<1>(A)) <
+                            std::tie(std::get<0>(B), std::get<1>(B));
+                   });
+  std::vector<const InstanceListing *> Sorted;
+  for (const auto &[IsNew, Runs, L] : Order)
+    Sorted.push_back(L);
+  return Sorted;
+}
+
+void FleetPlanner::freeSurplus(Pools &All) {
+  const std::set<InstanceId> FreedBefore = takeBackFreed();
   std::int64_t Missing = 0;
   for (const auto &[Name, P] : All)
     Missing += P.m_Spare ? -static_cast<std::int64_t>(P.m_Instances.size())
@@ -328,24 +352,13 @@
                   : std::min({P.surplus(), Missing, Usable - P.m_TargetSize});
     if (Count <= 0)
       continue;
-    // Instances that drain already come first, then those with the fewest runs.
-    std::vector<std::tuple<bool, std::size_t, const InstanceListing *>> Order;
-    for (const InstanceListing *L : P.m_Instances)
-      if (isFreeable(Name, *L))
-        Order.emplace_back(Before.count(L->m_Id) == 0,
-                           serverOf(*L)->m_Runs.size(), L);
-    std::stable_sort(Order.begin(), Order.end(),
-                     [](const auto &A, const auto &B) {
-                       return std::tie(std::get<0>(A), std::get<1>(A)) <
-                              std::tie(std::get<0>(B), std::get<1>(B));
-                     });
-    Count = std::min(Count, static_cast<std::int64_t>(Order.size()));
-    Order.resize(static_cast<std::size_t>(Count));
-    for (const auto &[IsNew, Runs, L] : Order) {
+    for (const InstanceListing *L : freeableInstances(Name, P, FreedBefore)) {
+      if (Count-- <= 0)
+        break;
       m_State[L->m_Id].m_IsFreed = true;
       serverOf(*L)->m_Reserved = true;
+      --Missing;
     }
-    Missing -= Count;
   }
 }
 
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -151,6 +151,14 @@
   /// Frees instances of pools that are too large while others are too small:
   /// they get no new tasks, so that they can move once their tasks have ended.
   void freeSurplus(Pools &All);
+  /// Lets the servers that the last plan freed take tasks again. Returns their
+  /// instances.
+  std::set<InstanceId> takeBackFreed();
+  /// The instances of \p P that may be freed: first those in \p FreedBefore,
+  /// then those with the fewest runs.
+  std::vector<const InstanceListing *>
+  freeableInstances(const PoolName &Name, const PoolView &P,
+                    const std::set<InstanceId> &FreedBefore);
   /// Whether \p L has arrived in \p Pool, its runs are known, and no order or
   /// wave affects it.
   bool isUsable(const PoolName &Pool, const InstanceListing &L);
