Cancel the soak's jobs of which no client knows the outcome

Cause, traced in the logs: the job was accepted, but the link to the client was cut and each answer was lost. The client gave up after five attempts, and a client that has given up cancels nothing: no log has a JobCancelled for the job. So the job had not ended, and its tasks run until it is cancelled, which the protocol asks for.

Change: after the faults each client cancels the jobs of which it was not told whether they were accepted, until it is answered with 200 or 410; then nothing may run, as before. The check is stricter: such jobs were not asked for again until now, and a cancel that is never answered fails the soak.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -60,7 +60,8 @@
 
 
 class Client:
-    """One client. `jobs` holds the last known state of each accepted job."""
+    """One client. `jobs` holds the last known state of each accepted job, `unsure` the jobs
+    of which it was not told whether they were accepted."""
     # When a job that runs until it is cancelled is cancelled, after its submission.
     LIFETIME_S = (0.5, 6)
     QUERY_INTERVAL_S = 0.2
@@ -68,7 +69,7 @@
     def __init__(self, soak, rng):
         self.soak, self.oracle, self.rng = soak, soak.world.oracle, rng
         self.entries = [Connections(e.callers) for e in soak.entries]
-        self.jobs, self.follow_tasks = {}, []
+        self.jobs, self.unsure, self.follow_tasks = {}, [], []
 
     def report_violation(self, rule, job, what):
         self.oracle.report_violation(rule, job, what)
@@ -115,8 +116,24 @@
             await asyncio.sleep(self.rng.uniform(0.1, 0.6))
         if all_rejected:
             self.oracle.on_refused(job)
+        else:
+            self.unsure.append(job)
         return False
 
+    async def cancel_unsure(self):
+        """Cancels each job of which the client was not told whether it was accepted, since
+        such a job may run until then. To be called after the faults."""
+        for job in self.unsure:
+            status = 0
+            while status not in (200, 410):
+                status, _, _ = await self.call("DELETE", f"/asks/{job}")
+                if status == 200:
+                    self.oracle.on_cancelled(job)
+                elif status not in (0, 410, 429, 502, 503, 504):
+                    return self.report_violation(
+                        "CANCEL", job, f"cancel was answered with unexpected status {status}")
+                await asyncio.sleep(self.QUERY_INTERVAL_S)
+
     async def follow(self, job):
         known = self.jobs[job]
         must_cancel = known["body"]["spec"] in ("lasts", "waits")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -277,6 +277,9 @@
         except AssertionError as error:
             raise AssertionError(f"{error}: {self.unfinished()[:5]}") from None
         await asyncio.gather(*(f for client in self.clients for f in client.follow_tasks))
+        await asyncio.wait_for(
+            asyncio.gather(*(client.cancel_unsure() for client in self.clients)),
+            SETTLE_TIMEOUT_S)
         if self.has_waiting_jobs() and not self.waiting_check.judged:
             raise AssertionError("no instance in touch gave the number of waiting jobs")
         await asyncio.sleep(QUIET_PERIOD_S)
