Name a check of the planner apart from the scheduler's

Read as a newcomer: FleetPlanner::isUsable() and Scheduler::isUsable() were two things under one name; the planner's is hasArrivedUnaffected(). The fraction of a pool's target size is called that. No decision changes.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -24,8 +24,8 @@
 constexpr Duration MaxFollowerBatchDelay = std::chrono::milliseconds(300);
 /// Callers are promised counts of waiting jobs that are at most this old.
 constexpr std::chrono::milliseconds PromisedCountAge{2000};
-/// Kept free of the time within which a job must be counted for the answer's
-/// way to the caller.
+/// Time for an answer to reach the caller. It is subtracted from the time after
+/// which a job must be counted.
 constexpr std::chrono::milliseconds CountAnswerTime{250};
 /// Extra wait of an instance without any capacity before it takes over. It
 /// falls with the fourth power of the missing capacity: an instance of half the
--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -247,17 +247,17 @@
   for (auto &[Name, P] : All)
     if (P.m_Spare)
       Spare = Name;
-  // The pool with the smallest part of its target size is served first, one
-  // instance at a time.
+  // The pool with the smallest fraction of its target size is served first,
+  // one instance at a time.
   while (Out.size() < m_MaxOrders) {
     PoolName MostShort;
-    double LeastPart = 1;
+    double LeastFraction = 1;
     for (auto &[Name, P] : All) {
-      double Part = P.m_Spare ? 1
-                              : static_cast<double>(P.m_Instances.size()) /
-                                    static_cast<double>(P.m_TargetSize);
-      if (Part < LeastPart) {
-        LeastPart = Part;
+      double Fraction = P.m_Spare ? 1
+                                  : static_cast<double>(P.m_Instances.size()) /
+                                        static_cast<double>(P.m_TargetSize);
+      if (Fraction < LeastFraction) {
+        LeastFraction = Fraction;
         MostShort = Name;
       }
     }
@@ -286,14 +286,15 @@
   }
 }
 
-bool FleetPlanner::isUsable(const PoolName &Pool, const InstanceListing &L) {
+bool FleetPlanner::hasArrivedUnaffected(const PoolName &Pool,
+                                        const InstanceListing &L) {
   const ServerState *S = serverOf(L);
   return S && S->m_Registration.m_Pool == Pool && hasKnownRuns(*S) &&
          canOrder(L, m_PlannedAt) && !m_State[L.m_Id].m_DrainingSince;
 }
 
 bool FleetPlanner::isFreeable(const PoolName &Pool, const InstanceListing &L) {
-  if (!isUsable(Pool, L))
+  if (!hasArrivedUnaffected(Pool, L))
     return false;
   const auto &Runs = serverOf(L)->m_Runs;
   return std::none_of(Runs.begin(), Runs.end(), [](const auto &Run) {
@@ -345,7 +346,7 @@
     auto Usable =
         std::count_if(P.m_Instances.begin(), P.m_Instances.end(),
                       [&, &PoolName = Name](const InstanceListing *L) {
-                        return isUsable(PoolName, *L);
+                        return hasArrivedUnaffected(PoolName, *L);
                       });
     std::int64_t Count =
         P.m_Spare ? 0
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -161,8 +161,9 @@
                     const std::set<InstanceId> &FreedBefore);
   /// Whether \p L has arrived in \p Pool, its runs are known, and no order or
   /// wave affects it.
-  bool isUsable(const PoolName &Pool, const InstanceListing &L);
-  /// Whether \p L is usable and only has runs that end by themselves.
+  bool hasArrivedUnaffected(const PoolName &Pool, const InstanceListing &L);
+  /// Whether the same holds for \p L and it only has runs that end by
+  /// themselves.
   bool isFreeable(const PoolName &Pool, const InstanceListing &L);
   /// Logs the sizes of all pools, at most once per second, while some pool has
   /// fewer instances than its target size.
