--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -67,6 +67,12 @@
   std::uint64_t m_Paces = 0;
   /// Stalled runs that were stopped to restart their tasks on other servers.
   std::uint64_t m_RelocatedRuns = 0;
+  /// Placement passes.
+  std::uint64_t m_Passes = 0;
+  /// Jobs whose tasks a placement pass tried to place.
+  std::uint64_t m_JobsExamined = 0;
+  /// Servers that were compared to place tasks.
+  std::uint64_t m_ServersExamined = 0;
 };
 
 /// Demand on a pool in thousandths of a core, for sizing the pool and for
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -152,6 +152,7 @@
 }
 
 void Scheduler::placeReady(TimePoint Now) {
+  ++m_Counters.m_Passes;
   if (Now < m_UnknownRunsUntil)
     findUnacknowledgedPools();
   std::map<PoolName, PoolWork> Pools;
@@ -208,6 +209,7 @@
   });
   for (const auto &[R, Priority, Objective, Job] : Order) {
     if (mayFit(*Job, Available)) {
+      ++m_Counters.m_JobsExamined;
       placeTasks(*Job, Available, Now);
       Available.measure();
     }
@@ -400,6 +402,7 @@
   ServerState *Best = nullptr;
   PlacementScore BestScore;
   for (ServerState *S : Available.m_Servers) {
+    ++m_Counters.m_ServersExamined;
     if (!canHost(*S, Job, Task, Need, GangPlan) ||
         (NeedsTicket && !m_Advice.ticket(Step, *S, Now)))
       continue;
