Compare a task with few servers, and place a job once

Cause: a placement pass compared each task with every server of its pool and built the set of racks in use for each comparison; a job whose start was being recorded was placed anew every 2 ms; all ready jobs were sorted, and all servers walked, in each pass.

- ServerRegistry orders the servers of each pool by free cores.
A task is compared from the first that has enough on, and the search ends at a server without drawback, since the best is the one with the least free.
- A requirement that no server meets is remembered for the rest of the pass.
- A task whose start is being recorded keeps its server and its resources until the record is written, and is then started there.
Before, resources were only kept during one pass.
- Pools with servers that have not answered are determined anew only after a change.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -200,7 +200,7 @@
         (Need && !suits(*L, *Need)))
       continue;
     ServerState *S = serverOf(*L);
-    if (OnlyEmpty && (!S || !hasKnownRuns(*S) || !S->m_Runs.empty()))
+    if (OnlyEmpty && (!S || !hasKnownRuns(*S) || !S->isIdle()))
       continue;
     From.m_Instances.erase(It);
     return L;
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduling/JobRegistry.h"
 #include <algorithm>
+#include <utility>
 
 namespace pollenspool {
 
@@ -62,7 +63,9 @@
 
 void JobRegistry::remove(const JobId &Id) {
   m_RecurringJobs.erase(Id);
-  m_ReadyJobs.erase(Id);
+  if (LiveJob *Job = find(Id); Job && Job->m_IsNewlyReady)
+    m_NewlyReady.erase(
+        std::find(m_NewlyReady.begin(), m_NewlyReady.end(), Job));
   m_Jobs.erase(Id);
 }
 
@@ -149,7 +152,7 @@
         }))
       continue;
     S.m_Released = true;
-    m_ReadyJobs[Job.m_Spec.m_Id] = &Job;
+    markNewlyReady(Job);
     for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
       // A run that an earlier leader started may have been adopted before this
       // leader has seen the ends of the preceding steps.
@@ -252,7 +255,19 @@
   T->m_Ready = true;
   T->m_NotBefore = NotBefore;
   Job.m_Ready.push_back({Id.m_Occurrence, Id.m_Step, Id.m_Index});
-  m_ReadyJobs[Job.m_Spec.m_Id] = &Job;
+  markNewlyReady(Job);
+}
+
+void JobRegistry::markNewlyReady(LiveJob &Job) {
+  if (std::exchange(Job.m_IsNewlyReady, true))
+    return;
+  m_NewlyReady.push_back(&Job);
+}
+
+std::vector<LiveJob *> JobRegistry::takeNewlyReady() {
+  for (LiveJob *Job : m_NewlyReady)
+    Job->m_IsNewlyReady = false;
+  return std::exchange(m_NewlyReady, {});
 }
 
 bool JobRegistry::findUrgent() {
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -70,6 +70,18 @@
   std::uint32_t m_Index = 0;
 };
 
+struct ServerState;
+
+/// A ready task whose start is being recorded, and the server on which
+/// resources are kept free for it.
+struct PlannedStart {
+  ReadyTask m_Task;
+  ServerState *m_Server = nullptr;
+  Resources m_Need;
+};
+
+class PlacementQueue;
+
 /// A job that has not ended.
 struct LiveJob {
   JobSpec m_Spec;
@@ -84,7 +96,13 @@
   std::map<std::uint32_t, Occurrence> m_Occurrences;
   std::uint32_t m_OccurrencesDone = 0;
   std::uint32_t m_NextOccurrence = 0;
+  /// Ready tasks without a planned start.
   std::vector<ReadyTask> m_Ready;
+  std::vector<PlannedStart> m_PlannedStarts;
+  /// The queue in which the job waits for placement; null if it does not.
+  PlacementQueue *m_PlacementQueue = nullptr;
+  /// Whether JobRegistry::takeNewlyReady() will return the job.
+  bool m_IsNewlyReady = false;
   /// Progress read from the store; used for occurrences that are released
   /// later.
   JobProgress m_RestoredProgress;
@@ -172,9 +190,11 @@
   JobProgress progressOf(const LiveJob &Job,
                          std::chrono::milliseconds Wall) const;
 
-  /// Jobs that may have ready tasks. Placement removes those that turn out to
-  /// have none.
-  std::map<JobId, LiveJob *> &ready() { return m_ReadyJobs; }
+  /// Adds \p Job to the jobs that takeNewlyReady() returns.
+  void markNewlyReady(LiveJob &Job);
+  /// Returns the jobs that have got ready tasks since the last call. A job may
+  /// have lost them again.
+  std::vector<LiveJob *> takeNewlyReady();
   /// Whether jobs whose state row is out of date may include one that has ended
   /// or waits for a start. Exact once findUrgent() has returned.
   bool findUrgent();
@@ -190,7 +210,7 @@
   std::unordered_map<JobId, std::unique_ptr<LiveJob>> m_Jobs;
   /// Jobs with occurrences that are not released yet.
   std::set<JobId> m_RecurringJobs;
-  std::map<JobId, LiveJob *> m_ReadyJobs;
+  std::vector<LiveJob *> m_NewlyReady;
   std::vector<JobId> m_Dirty;
   bool m_MayHaveUrgent = false;
 };
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -65,8 +65,13 @@
 
 void Scheduler::onConfig(std::shared_ptr<const ServingConfig> Config) {
   m_Config = std::move(Config);
-  for (auto &[Id, Job] : m_Jobs.all())
+  for (auto &[Pool, Queue] : m_Queues)
+    Queue.removeIf([](const LiveJob &, std::int64_t) { return true; });
+  for (auto &[Id, Job] : m_Jobs.all()) {
     setObjective(*Job);
+    if (!Job->m_Ready.empty())
+      m_Jobs.markNewlyReady(*Job);
+  }
 }
 
 void Scheduler::onJob(JobSpec Spec, JobProgress Progress, RowVersion Accepted,
@@ -89,6 +94,9 @@
     return;
   stopRunsOfJob(*Job);
   m_Advice.removeJob(Id);
+  cancelPlannedStarts(*Job);
+  if (Job->m_PlacementQueue)
+    Job->m_PlacementQueue->remove(*Job);
   m_Jobs.remove(Id);
 }
 
@@ -97,6 +105,7 @@
   std::int64_t KnownStart = Known ? Known->m_Registration.m_StartTimeMs : 0;
   bool NewIncarnation = KnownStart != 0 && R.m_StartTimeMs > KnownStart;
   ServerState &S = m_Servers.upsert(R);
+  m_UnacknowledgedPoolsChanged = true;
   if (KnownStart == 0)
     return;
   // Only the server's own list tells which runs the new incarnation
@@ -138,6 +147,7 @@
                             TimePoint Now) {
   m_Instances = std::move(List);
   m_InstancesKnown = true;
+  m_UnacknowledgedPoolsChanged = true;
   std::map<InstanceId, const InstanceListing *> ById;
   for (const InstanceListing &L : m_Instances)
     ById[L.m_Id] = &L;
@@ -225,12 +235,13 @@
       ++m_Counters.m_LeasesExpired;
       rescheduleAllRuns(S, "the lease of every run has expired", Now);
     }
-    if (!S.m_Registered && S.m_Runs.empty() && !S.m_PollPending &&
+    if (!S.m_Registered && S.isIdle() && !S.m_PollPending &&
         Now >= S.m_UnregisteredAt + RegistrationGrace && Now >= S.m_LeasesEnd)
       Removable.push_back(Id);
   }
   for (const ServerId &Id : Removable)
     m_Servers.erase(Id);
+  m_UnacknowledgedPoolsChanged |= !Removable.empty();
 }
 
 std::size_t Scheduler::firstPollsAllowed(TimePoint Now) const {
@@ -376,6 +387,7 @@
         std::max(S->m_LastAcknowledgedEnd, Order.m_AcknowledgedEndNumber);
   S->m_Registration.m_StartTimeMs = Reply.m_StartTimeMs;
   bool First = !S->m_HasAcknowledgedTerm;
+  m_UnacknowledgedPoolsChanged |= First;
   S->m_HasAcknowledgedTerm = true;
   S->m_ClockKnown = true;
   S->m_ClockMs = Reply.m_ClockMs;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -17,6 +17,7 @@
 
 #include "scheduling/AdviceCache.h"
 #include "scheduling/JobRegistry.h"
+#include "scheduling/PlacementQueue.h"
 #include "scheduling/ServerRegistry.h"
 #include "serving/ServingConfig.h"
 #include <functional>
@@ -206,82 +207,111 @@
   static void resetIncarnation(ServerState &S);
 
   // Placement (SchedulerPlacement.cpp).
-  /// The usable servers of one pool during one placement pass.
-  struct PoolCapacity {
-    std::vector<ServerState *> m_Servers;
-    /// Upper bounds of the free resources of a single server, for each kind of
-    /// resource.
-    Resources m_Largest;
-
-    void measure();
+  /// One placement pass over a pool.
+  struct PoolPass {
+    const ServersByFreeCores &m_Servers;
+    TimePoint m_Now;
+    /// Free cores of the usable server that has most of them; -1 if no server
+    /// is usable.
+    std::int64_t m_MostMilliCores = -1;
+    /// A requirement that no server satisfies during the pass, because starts
+    /// only reduce the free resources.
+    struct Failure {
+      const std::string *m_Label;
+      Resources m_Need;
+    };
+    std::vector<Failure> m_Failures;
   };
-  void placeReady(TimePoint Now);
-  /// The jobs with ready tasks of one pool, and its servers.
-  struct PoolWork {
-    std::vector<LiveJob *> m_Jobs;
-    PoolCapacity m_Available;
+  /// What the tasks of one step require.
+  struct StepNeeds {
+    const StepSpec *m_Step = nullptr;
+    Resources m_Need;
+    bool m_NeedsTicket = false;
+    /// Racks on which tasks of a step with m_SameRack run.
+    std::set<RackName> m_RacksInUse;
   };
-  void placePool(PoolWork &Pool, TimePoint Now);
-  void placeTasks(LiveJob &Job, const PoolCapacity &Available, TimePoint Now);
-  bool placeGang(LiveJob &Job, const ReadyTask &First,
-                 const PoolCapacity &Available, TimePoint Now);
+  void placeReady(TimePoint Now);
+  void enqueueReady();
+  void placePool(const PoolName &Name, PlacementQueue &Queue, TimePoint Now);
+  /// Places ready tasks of \p Job. Returns whether none is left.
+  bool placeJob(LiveJob &Job, PoolPass &Pass);
+  void measureMostFree(PoolPass &Pass) const;
+  /// Whether no server had room for a task of \p Step earlier in the pass.
+  static bool isKnownToFail(const StepSpec &Step, const Resources &Need,
+                            const PoolPass &Pass);
+  bool mayFit(const LiveJob &Job, const PoolPass &Pass) const;
+  void placeTasks(LiveJob &Job, PoolPass &Pass);
+  using ReadyTasks = std::vector<ReadyTask>;
+  /// Places tasks of one step. Puts those that cannot start back into the ready
+  /// list.
+  void placeStep(LiveJob &Job, ReadyTasks::const_iterator First,
+                 ReadyTasks::const_iterator End, PoolPass &Pass);
+  bool placeGang(LiveJob &Job, const ReadyTask &First, StepNeeds &Needs,
+                 PoolPass &Pass);
+  /// Starts a task, or plans its start if that has to be recorded first.
+  void place(LiveJob &Job, const ReadyTask &Task, const StepNeeds &Needs,
+             ServerState &S, std::uint32_t RunNumber, TimePoint Now);
+  void setObjective(LiveJob &Job) const;
+  static void initRun(ActiveRun &Run, const StepSpec &Step);
+  void start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
+             std::uint32_t RunNumber, TimePoint Now);
+  std::uint32_t nextRunNumber(const TaskState &T) const;
+
+  // Selection of servers (SchedulerSelection.cpp).
   /// The servers selected so far for the members of a gang.
   using GangServers = std::vector<const ServerState *>;
   /// How suitable a server is for a task; lower is better.
   using PlacementScore = std::tuple<int, int, int, std::uint32_t, std::int64_t>;
-  ServerState *selectServer(LiveJob &Job, const ReadyTask &Task,
-                            const PoolCapacity &Available,
-                            const GangServers &GangPlan, TimePoint Now);
+  StepNeeds needsOf(const LiveJob &Job, const ReadyTask &Task) const;
+  ServerState *selectServer(const LiveJob &Job, const ReadyTask &Task,
+                            const StepNeeds &Needs, const GangServers &GangPlan,
+                            PoolPass &Pass);
   static std::int64_t packingScore(const ServerState &S, const StepSpec &Step);
   PlacementScore score(const ServerState &S, const LiveJob &Job,
-                       const ReadyTask &Task,
-                       const GangServers &GangPlan) const;
-  static bool mayFit(const LiveJob &Job, const PoolCapacity &Available);
+                       const ReadyTask &Task, const StepNeeds &Needs) const;
   static Resources allocationFor(const StepSpec &Step);
-  static void initRun(ActiveRun &Run, const StepSpec &Step);
-  void setObjective(LiveJob &Job) const;
-  /// For each step, the estimated duration of the longest chain of steps that
-  /// begins with it.
-  static std::vector<std::chrono::milliseconds>
-  remainingPaths(const JobSpec &Job);
-  /// Whether \p Job completes before \p End if its ready tasks start now and
-  /// take as long as estimated.
-  static bool canCompleteBy(const LiveJob &Job, TimePoint End, TimePoint Now);
   bool canHost(const ServerState &S, const LiveJob &Job, const ReadyTask &Task,
-               const Resources &Need, const GangServers &GangPlan) const;
-  bool isOutsidePreferredRack(const ServerState &S, const LiveJob &Job,
-                              const ReadyTask &Task,
-                              const GangServers &GangPlan) const;
+               const StepNeeds &Needs, const GangServers &GangPlan) const;
+  static bool isOutsidePreferredRack(const ServerState &S,
+                                     const StepNeeds &Needs);
   std::uint32_t runsOfStepOn(const LiveJob &Job, const ReadyTask &Task,
                              const ServerId &Server) const;
-  void start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
-             std::uint32_t RunNumber, TimePoint Now);
-  std::uint32_t nextRunNumber(const TaskState &T) const;
   bool isUsable(const ServerState &S, TimePoint Now) const;
+  bool hasServerFor(const LiveJob &Job, const ReadyTask &Task) const;
+
+  // Records of starts (SchedulerStartRecords.cpp).
   /// Whether an earlier leader may have started runs of a step on servers that
   /// have not answered in this term.
   bool mayHaveUnknownRuns(const LiveJob &Job, const ReadyTask &Task,
                           TimePoint Now) const;
   /// Whether that holds for the steps of all ready tasks.
   bool mayAllHaveUnknownRuns(const LiveJob &Job, TimePoint Now) const;
-  /// Whether the start of the task's step is recorded as far as necessary.
-  /// Otherwise asks for the record and keeps \p Need free on \p S for the rest
-  /// of the placement.
-  bool ensureStartRecorded(LiveJob &Job, const ReadyTask &Task,
-                           const Resources &Need, ServerState &S);
-  void releaseReservations();
+  /// Whether the start of a step may be ordered: it is recorded in the store,
+  /// or no record is needed.
+  bool isStartRecorded(LiveJob &Job, const ReadyTask &Task) const;
+  /// Asks for the record of a start and keeps \p Need free on \p S until it
+  /// is written.
+  void planStart(LiveJob &Job, const ReadyTask &Task, const Resources &Need,
+                 ServerState &S);
+  /// Starts the planned tasks whose record has been written. Makes those ready
+  /// again whose server cannot take them any more.
+  void startPlanned(TimePoint Now);
+  void startPlanned(LiveJob &Job, TimePoint Now);
+  void startOrRequeue(LiveJob &Job, const PlannedStart &P, TimePoint Now);
+  /// Whether the servers of all planned tasks of the same gang, or of the one
+  /// task, can still take tasks.
+  bool areServersUsable(const LiveJob &Job, const PlannedStart &P,
+                        TimePoint Now) const;
+  void cancelPlannedStarts(LiveJob &Job);
   bool hasPoolAcknowledgedTerm(const PoolName &Pool) const {
     return m_InstancesKnown && !m_UnacknowledgedPools.count(Pool);
   }
   /// Finds the pools with servers that have not answered in this term.
   void findUnacknowledgedPools();
 
-  bool hasServerFor(const LiveJob &Job, const ReadyTask &Task) const;
-
   // Advice (SchedulerAdvice.cpp).
   static const AdvicePolicy *advicePolicy(const LiveJob &Job);
-  void requestAdvice(LiveJob &Job, const PoolCapacity &Available,
-                     TimePoint Now);
+  void requestAdvice(LiveJob &Job, const PoolPass &Pass);
 
   // Servers with stalled tasks (SchedulerStragglers.cpp).
   void relocateStalledRuns(ServerState &S, TimePoint Now);
@@ -308,14 +338,14 @@
   bool m_InstancesKnown = false;
   TimePoint m_TermBegunAt{};
   TimePoint m_UnknownRunsUntil{};
-  /// As of the latest placement.
   std::set<PoolName> m_UnacknowledgedPools;
+  /// Whether m_UnacknowledgedPools is out of date.
+  bool m_UnacknowledgedPoolsChanged = true;
   bool m_Superseded = false;
   RowVersion m_StartsRecordedSince = ~RowVersion(0);
   bool m_RecordsStarts = false;
-  /// Resources kept free for tasks whose start is being recorded, during one
-  /// placement.
-  std::vector<std::pair<ServerState *, Resources>> m_Reservations;
+  std::map<PoolName, PlacementQueue> m_Queues;
+  std::vector<LiveJob *> m_JobsWithPlannedStarts;
   Authority m_Authority;
   Duration m_Lag{0};
   SchedulerCounters m_Counters;
--- a/src/scheduling/SchedulerAdvice.cpp
+++ b/src/scheduling/SchedulerAdvice.cpp
@@ -27,8 +27,8 @@
   return Q && Q->m_Advice ? &*Q->m_Advice : nullptr;
 }
 
-void Scheduler::requestAdvice(LiveJob &Job, const PoolCapacity &Available,
-                              TimePoint Now) {
+void Scheduler::requestAdvice(LiveJob &Job, const PoolPass &Pass) {
+  const TimePoint Now = Pass.m_Now;
   const AdvicePolicy *Policy = advicePolicy(Job);
   if (!Policy || Job.m_Ready.empty())
     return;
@@ -40,11 +40,12 @@
       Job.m_Ready.begin(), Job.m_Ready.end(), [&](const ReadyTask &R) {
         return R.m_Occurrence == First.m_Occurrence && R.m_Step == First.m_Step;
       }));
-  Resources Need = allocationFor(Job.m_Spec.m_Steps[First.m_Step]);
+  const StepNeeds Needs = needsOf(Job, First);
   std::vector<std::pair<PlacementScore, ServerState *>> Order;
-  for (ServerState *S : Available.m_Servers)
-    if (canHost(*S, Job, First, Need, {}))
-      Order.emplace_back(score(*S, Job, First, {}), S);
+  for (auto It = Pass.m_Servers.lower_bound(Needs.m_Need.m_MilliCores);
+       It != Pass.m_Servers.end(); ++It)
+    if (isUsable(**It, Now) && canHost(**It, Job, First, Needs, {}))
+      Order.emplace_back(score(**It, Job, First, Needs), *It);
   std::sort(Order.begin(), Order.end(),
             [](const auto &A, const auto &B) { return A.first < B.first; });
   std::vector<ServerState *> Candidates;
@@ -56,7 +57,7 @@
   Request.m_Step = Step;
   Request.m_Servers = m_Advice.selectServers(
       Step, Candidates, Tasks,
-      tasksThatFit(Candidates.front()->freeResources(), Need), Now);
+      tasksThatFit(Candidates.front()->freeResources(), Needs.m_Need), Now);
   if (Request.m_Servers.empty())
     return;
   Request.m_Timeout = m_Advice.recordCall(Request, *Policy, Now);
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -30,7 +30,7 @@
   std::map<PoolName, PoolDemand> Pools;
   for (auto &[Id, S] : m_Servers.all()) {
     PoolDemand &D = Pools[S.m_Registration.m_Pool];
-    D.m_RunningMilliCores += S.m_Used.m_MilliCores;
+    D.m_RunningMilliCores += S.m_Used.m_MilliCores + S.m_Planned.m_MilliCores;
     if (S.m_Registered && !S.m_Registration.m_Draining)
       D.m_CapacityMilliCores += S.m_Registration.m_Capacity.m_MilliCores;
   }
@@ -69,18 +69,19 @@
   std::vector<UnschedulableTask> Needs;
   std::set<std::pair<PoolName, std::string>> Seen;
   std::size_t Searched = 0;
-  for (const auto &[Id, Job] : m_Jobs.ready()) {
-    if (Job->m_Ready.empty())
-      continue;
-    if (++Searched > MaxJobsSearched)
-      break;
-    const ReadyTask &First = Job->m_Ready.front();
-    const StepSpec &Step = Job->m_Spec.m_Steps[First.m_Step];
-    if (!hasServerFor(*Job, First) &&
-        Seen.insert({poolOf(*Job), Step.m_RequiredLabel}).second)
-      Needs.push_back(
-          {poolOf(*Job), Step.m_RequiredLabel, allocationFor(Step)});
-  }
+  for (const auto &[Pool, Queue] : m_Queues)
+    for (const PlacementQueue::Entry &Waiting : Queue.entries()) {
+      const LiveJob &Job = *Waiting.m_Job;
+      if (Job.m_Ready.empty())
+        continue;
+      if (++Searched > MaxJobsSearched)
+        break;
+      const ReadyTask &First = Job.m_Ready.front();
+      const StepSpec &Step = Job.m_Spec.m_Steps[First.m_Step];
+      if (!hasServerFor(Job, First) &&
+          Seen.insert({Pool, Step.m_RequiredLabel}).second)
+        Needs.push_back({Pool, Step.m_RequiredLabel, allocationFor(Step)});
+    }
   return Needs;
 }
 
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -9,6 +9,8 @@
   LiveJob *Job = m_Jobs.find(Id);
   if (!Job)
     return "it has ended, or is not known to this leader yet";
+  if (Job->m_Ready.empty() && !Job->m_PlannedStarts.empty())
+    return "its start is being recorded in the store";
   if (Job->m_Ready.empty())
     return Job->m_Occurrences.empty() ? "its first occurrence is not due yet"
                                       : "it does not wait";
@@ -25,14 +27,14 @@
   const PoolName Pool = poolOf(*Job);
   if (!hasServerFor(*Job, First))
     return "no server of pool " + Pool.m_Text + " may run it";
-  Resources Need = allocationFor(Job->m_Spec.m_Steps[First.m_Step]);
+  const StepNeeds Needs = needsOf(*Job, First);
   const StepId Step = Job->stepId(First);
   std::size_t Usable = 0, WithCapacity = 0, WithTicket = 0;
   for (const auto &[ServerName, S] : m_Servers.all()) {
     if (S.m_Registration.m_Pool != Pool || !isUsable(S, Now))
       continue;
     ++Usable;
-    if (!canHost(S, *Job, First, Need, {}))
+    if (!canHost(S, *Job, First, Needs, {}))
       continue;
     ++WithCapacity;
     WithTicket += m_Advice.ticket(Step, S, Now) != nullptr;
@@ -44,9 +46,6 @@
            std::to_string(First.m_Step);
   if (advicePolicy(*Job) && WithTicket == 0)
     return "the adviser has allowed none of " + Servers + " yet";
-  if (Job->step(First.m_Occurrence, First.m_Step)->m_StartWanted &&
-      !Job->step(First.m_Occurrence, First.m_Step)->m_StartRecorded)
-    return "its start is being recorded in the store";
   return "it is about to start";
 }
 
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -111,6 +111,7 @@
     // The calculated server clock is wrong; the next poll corrects it.
     S->m_HasAcknowledgedTerm = false;
     S->m_NextPoll = Now;
+    m_UnacknowledgedPoolsChanged = true;
     break;
   case OrderResult::Refusing:
     S->m_SuspendedUntil = Now + RejectionDelay;
--- /dev/null
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -0,0 +1,141 @@
+//===- SchedulerStartRecords.cpp - Starts recorded in the store -----------===//
+
+#include "scheduling/Scheduler.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+bool isSameStep(const ReadyTask &A, const ReadyTask &B) {
+  return A.m_Occurrence == B.m_Occurrence && A.m_Step == B.m_Step;
+}
+
+} // namespace
+
+void Scheduler::findUnacknowledgedPools() {
+  m_UnacknowledgedPoolsChanged = false;
+  m_UnacknowledgedPools.clear();
+  for (const auto &[Id, S] : m_Servers.all())
+    if (!S.m_HasAcknowledgedTerm && !S.m_IsListedAsGone)
+      m_UnacknowledgedPools.insert(S.m_Registration.m_Pool);
+  for (const InstanceListing &L : m_Instances) {
+    if (L.m_Condition != InstanceCondition::Up || L.m_Server.empty())
+      continue;
+    const ServerState *S = m_Servers.find(L.m_Server);
+    if (!S || !S->m_HasAcknowledgedTerm)
+      m_UnacknowledgedPools.insert(L.m_Pool);
+  }
+}
+
+bool Scheduler::mayHaveUnknownRuns(const LiveJob &Job, const ReadyTask &Task,
+                                   TimePoint Now) const {
+  if (Now >= m_UnknownRunsUntil ||
+      Job.m_AcceptedVersion > m_Options.m_TermVersion)
+    return false;
+  if (Job.m_AcceptedVersion > m_StartsRecordedSince &&
+      !Job.m_Occurrences.at(Task.m_Occurrence)
+           .m_Steps[Task.m_Step]
+           .m_MayHaveEarlierRuns)
+    return false;
+  PoolName Pool = poolOf(Job);
+  return !hasPoolAcknowledgedTerm(Pool) ||
+         (Pool != Job.m_Spec.m_Pool &&
+          !hasPoolAcknowledgedTerm(Job.m_Spec.m_Pool));
+}
+
+bool Scheduler::mayAllHaveUnknownRuns(const LiveJob &Job, TimePoint Now) const {
+  if (Now >= m_UnknownRunsUntil)
+    return false;
+  const ReadyTask *Last = nullptr;
+  for (const ReadyTask &R : Job.m_Ready) {
+    bool IsSameStep = Last && Last->m_Step == R.m_Step &&
+                      Last->m_Occurrence == R.m_Occurrence;
+    if (!IsSameStep && !mayHaveUnknownRuns(Job, R, Now))
+      return false;
+    Last = &R;
+  }
+  return true;
+}
+
+bool Scheduler::isStartRecorded(LiveJob &Job, const ReadyTask &Task) const {
+  return !m_RecordsStarts ||
+         Job.step(Task.m_Occurrence, Task.m_Step)->m_StartRecorded;
+}
+
+void Scheduler::planStart(LiveJob &Job, const ReadyTask &Task,
+                          const Resources &Need, ServerState &S) {
+  m_Jobs.requestStart(Job, Task.m_Occurrence, Task.m_Step);
+  if (Job.m_PlannedStarts.empty())
+    m_JobsWithPlannedStarts.push_back(&Job);
+  Job.m_PlannedStarts.push_back({Task, &S, Need});
+  ServerRegistry::planStart(S, Need);
+}
+
+void Scheduler::startPlanned(TimePoint Now) {
+  for (LiveJob *Job : std::exchange(m_JobsWithPlannedStarts, {})) {
+    startPlanned(*Job, Now);
+    if (!Job->m_PlannedStarts.empty())
+      m_JobsWithPlannedStarts.push_back(Job);
+  }
+}
+
+bool Scheduler::areServersUsable(const LiveJob &Job, const PlannedStart &P,
+                                 TimePoint Now) const {
+  if (!Job.m_Spec.m_Steps[P.m_Task.m_Step].m_Gang)
+    return isUsable(*P.m_Server, Now);
+  return std::all_of(Job.m_PlannedStarts.begin(), Job.m_PlannedStarts.end(),
+                     [&](const PlannedStart &Other) {
+                       return !isSameStep(P.m_Task, Other.m_Task) ||
+                              isUsable(*Other.m_Server, Now);
+                     });
+}
+
+void Scheduler::startPlanned(LiveJob &Job, TimePoint Now) {
+  if (Job.m_AcceptedVersion > m_Authority.m_StartableVersion)
+    return;
+  auto &Planned = Job.m_PlannedStarts;
+  auto Kept = std::stable_partition(
+      Planned.begin(), Planned.end(), [&](const PlannedStart &P) {
+        return !isFinal(Job.m_State) && !isStartRecorded(Job, P.m_Task) &&
+               areServersUsable(Job, P, Now);
+      });
+  std::vector<PlannedStart> Resolved(Kept, Planned.end());
+  Planned.erase(Kept, Planned.end());
+  for (const PlannedStart &P : Resolved)
+    ServerRegistry::cancelPlannedStart(*P.m_Server, P.m_Need);
+  for (const PlannedStart &P : Resolved)
+    startOrRequeue(Job, P, Now);
+}
+
+void Scheduler::startOrRequeue(LiveJob &Job, const PlannedStart &P,
+                               TimePoint Now) {
+  const ReadyTask &R = P.m_Task;
+  const TaskState &T = Job.step(R.m_Occurrence, R.m_Step)->m_Tasks[R.m_Index];
+  // The task may have got a run or an end in the meantime.
+  if (!T.m_Ready || isFinal(Job.m_State))
+    return;
+  const StepNeeds Needs = needsOf(Job, R);
+  // A gang is placed as a whole.
+  if (!Needs.m_Step->m_Gang && isStartRecorded(Job, R) &&
+      Now >= T.m_NotBefore && isUsable(*P.m_Server, Now) &&
+      !mayHaveUnknownRuns(Job, R, Now) &&
+      canHost(*P.m_Server, Job, R, Needs, {}) &&
+      (!Needs.m_NeedsTicket ||
+       m_Advice.ticket(Job.stepId(R), *P.m_Server, Now)))
+    return start(Job, R, *P.m_Server, nextRunNumber(T), Now);
+  Job.m_Ready.push_back(R);
+  m_Jobs.markNewlyReady(Job);
+}
+
+void Scheduler::cancelPlannedStarts(LiveJob &Job) {
+  if (Job.m_PlannedStarts.empty())
+    return;
+  for (const PlannedStart &P : Job.m_PlannedStarts)
+    ServerRegistry::cancelPlannedStart(*P.m_Server, P.m_Need);
+  Job.m_PlannedStarts.clear();
+  m_JobsWithPlannedStarts.erase(std::find(m_JobsWithPlannedStarts.begin(),
+                                          m_JobsWithPlannedStarts.end(), &Job));
+}
+
+} // namespace pollenspool
--- a/src/scheduling/SchedulerStragglers.cpp
+++ b/src/scheduling/SchedulerStragglers.cpp
@@ -48,15 +48,15 @@
       T->m_Relocations >= MaxRelocations)
     return false;
   const ReadyTask Where{Task.m_Occurrence, Task.m_Step, Task.m_Index};
-  Resources Need = allocationFor(Job->m_Spec.m_Steps[Task.m_Step]);
-  return std::any_of(
-      m_Servers.all().begin(), m_Servers.all().end(), [&](const auto &E) {
-        const ServerState &S = E.second;
-        return &S != &From &&
-               S.m_Registration.m_Pool == From.m_Registration.m_Pool &&
-               !S.m_OnProbation && isUsable(S, Now) &&
-               canHost(S, *Job, Where, Need, {});
-      });
+  const StepNeeds Needs = needsOf(*Job, Where);
+  const ServersByFreeCores &Servers =
+      m_Servers.inPool(From.m_Registration.m_Pool);
+  return std::any_of(Servers.lower_bound(Needs.m_Need.m_MilliCores),
+                     Servers.end(), [&](const ServerState *S) {
+                       return S != &From && !S->m_OnProbation &&
+                              isUsable(*S, Now) &&
+                              canHost(*S, *Job, Where, Needs, {});
+                     });
 }
 
 } // namespace pollenspool
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+bool ByFreeCores::operator()(const ServerState *A, const ServerState *B) const {
+  return std::tie(A->m_IndexedMilliCores, A->m_IndexNumber) <
+         std::tie(B->m_IndexedMilliCores, B->m_IndexNumber);
+}
+
+bool ByFreeCores::operator()(const ServerState *A,
+                             std::int64_t MilliCores) const {
+  return A->m_IndexedMilliCores < MilliCores;
+}
+
 std::int64_t ServerState::minClockMs(TimePoint Now) const {
   auto Since =
       std::chrono::duration_cast<std::chrono::milliseconds>(Now - m_ClockAt);
@@ -42,13 +52,44 @@
   return It == m_Servers.end() ? nullptr : &It->second;
 }
 
+const ServersByFreeCores &ServerRegistry::inPool(const PoolName &Pool) const {
+  static const ServersByFreeCores None;
+  auto It = m_Pools.find(Pool);
+  return It == m_Pools.end() ? None : It->second;
+}
+
 ServerState &ServerRegistry::upsert(const ServerRegistration &R) {
   ServerState &S = m_Servers[R.m_Id];
+  if (S.m_Index)
+    S.m_Index->erase(&S);
+  else
+    S.m_IndexNumber = m_ServersAdded++;
   S.m_Registration = R;
   S.m_Registered = true;
+  S.m_Index = &m_Pools[R.m_Pool];
+  S.m_IndexedMilliCores = S.freeResources().m_MilliCores;
+  S.m_Index->insert(&S);
   return S;
 }
 
+void ServerRegistry::erase(const ServerId &Id) {
+  auto It = m_Servers.find(Id);
+  if (It == m_Servers.end())
+    return;
+  It->second.m_Index->erase(&It->second);
+  m_Servers.erase(It);
+}
+
+void ServerRegistry::reindex(ServerState &S) {
+  std::int64_t MilliCores = S.freeResources().m_MilliCores;
+  if (!S.m_Index || MilliCores == S.m_IndexedMilliCores)
+    return;
+  // Moves the node instead of allocating a new one.
+  auto Node = S.m_Index->extract(&S);
+  S.m_IndexedMilliCores = MilliCores;
+  S.m_Index->insert(std::move(Node));
+}
+
 void ServerRegistry::recordLease(ServerState &S, TimePoint Now,
                                  Duration Length) {
   auto Longest =
@@ -59,6 +100,7 @@
 ActiveRun &ServerRegistry::addRun(ServerState &S, const RunId &Id,
                                   ActiveRun Run) {
   S.m_Used += Run.m_Allocation;
+  reindex(S);
   return S.m_Runs[Id] = std::move(Run);
 }
 
@@ -67,7 +109,20 @@
   if (It == S.m_Runs.end())
     return;
   S.m_Used -= It->second.m_Allocation;
+  reindex(S);
   S.m_Runs.erase(It);
 }
 
+void ServerRegistry::planStart(ServerState &S, const Resources &Need) {
+  S.m_Planned += Need;
+  ++S.m_PlannedStarts;
+  reindex(S);
+}
+
+void ServerRegistry::cancelPlannedStart(ServerState &S, const Resources &Need) {
+  S.m_Planned -= Need;
+  --S.m_PlannedStarts;
+  reindex(S);
+}
+
 } // namespace pollenspool
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -6,6 +6,7 @@
 #include "scheduling/Messages.h"
 #include <deque>
 #include <map>
+#include <set>
 
 namespace pollenspool {
 
@@ -61,6 +62,19 @@
   std::uint64_t m_ChangeNumber = 0;
 };
 
+struct ServerState;
+
+/// Orders servers by their free cores, and those with equally many by the order
+/// in which they were added.
+struct ByFreeCores {
+  using is_transparent = void;
+  bool operator()(const ServerState *A, const ServerState *B) const;
+  bool operator()(const ServerState *A, std::int64_t MilliCores) const;
+};
+
+/// The servers of one pool.
+using ServersByFreeCores = std::set<ServerState *, ByFreeCores>;
+
 /// One incarnation of a backend server, as known in this term.
 struct ServerState {
   ServerRegistration m_Registration;
@@ -102,6 +116,10 @@
 
   /// Sum of the allocations of m_Runs.
   Resources m_Used;
+  /// Resources kept free for tasks whose start is being recorded, and the
+  /// number of these tasks.
+  Resources m_Planned;
+  std::uint32_t m_PlannedStarts = 0;
   std::map<RunId, ActiveRun> m_Runs;
 
   /// Failed runs since the last successful one.
@@ -115,14 +133,22 @@
   /// new is started there.
   bool m_Reserved = false;
 
+  /// Position among the servers of its pool; set by ServerRegistry.
+  ServersByFreeCores *m_Index = nullptr;
+  std::int64_t m_IndexedMilliCores = 0;
+  std::uint64_t m_IndexNumber = 0;
+
   ServerAddress address() const {
     return {m_Registration.m_Id, m_Registration.m_Address};
   }
   Resources freeResources() const {
     Resources R = m_Registration.m_Capacity;
     R -= m_Used;
+    R -= m_Planned;
     return R;
   }
+  /// Whether no task runs on the server or is about to.
+  bool isIdle() const { return m_Runs.empty() && m_PlannedStarts == 0; }
   /// Whether the server has runs that end by themselves.
   bool hasFiniteRuns() const;
   /// Lower bound of the server's clock at \p Now, in milliseconds.
@@ -150,9 +176,11 @@
   const ServerState *find(const ServerId &Id) const;
   std::map<ServerId, ServerState> &all() { return m_Servers; }
   const std::map<ServerId, ServerState> &all() const { return m_Servers; }
+  /// The servers of \p Pool, also those that cannot take tasks.
+  const ServersByFreeCores &inPool(const PoolName &Pool) const;
   /// Adds a server or replaces its registration. Its other state is kept.
   ServerState &upsert(const ServerRegistration &R);
-  void erase(const ServerId &Id) { m_Servers.erase(Id); }
+  void erase(const ServerId &Id);
 
   /// Records that \p S was granted a lease of \p Length at \p Now.
   static void recordLease(ServerState &S, TimePoint Now, Duration Length);
@@ -160,9 +188,18 @@
   static ActiveRun &addRun(ServerState &S, const RunId &Id, ActiveRun Run);
   /// Removes a run and its allocation. Has no effect if the run is unknown.
   static void removeRun(ServerState &S, const RunId &Id);
+  /// Keeps \p Need free on \p S for a task whose start is being recorded.
+  static void planStart(ServerState &S, const Resources &Need);
+  /// Reverts planStart().
+  static void cancelPlannedStart(ServerState &S, const Resources &Need);
 
 private:
+  /// Updates the position of \p S after its free resources have changed.
+  static void reindex(ServerState &S);
+
   std::map<ServerId, ServerState> m_Servers;
+  std::map<PoolName, ServersByFreeCores> m_Pools;
+  std::uint64_t m_ServersAdded = 0;
 };
 
 } // namespace pollenspool
