Check the scheduler's state between events, and fuzz long-running tasks

SchedulerFuzz only saw what reached a server or did not end. A task that no list holds, a job outside its placement queue or a reservation that stays was found only if it also kept a job from ending, and no long-running task, whose job never ends, was simulated.

The simulated leaders call it before and after each tick. One job in 20 is long-running; after the faults each of its tasks must get a run within 3 s.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -4,7 +4,8 @@
 // or replaced while they keep giving orders; servers crash and lose their
 // connection to the leader; replies to orders and commits are lost, or orders
 // and commits are carried out late; runs fail and jobs are cancelled. RunOracle
-// checks every start. After the faults have ended, every job must end.
+// checks every start, and the state of each leader must be consistent. After
+// the faults have ended, every job must end.
 //
 //===----------------------------------------------------------------------===//
 
@@ -22,6 +23,8 @@
   std::mt19937_64 Random(Seed * 6151);
   SimulationSettings S;
   S.m_Seed = Seed;
+  S.m_ChecksState = true;
+  S.m_LongRunningShare = 0.05;
   S.m_Servers = 2 + Random() % 7;
   S.m_CoresPerServer = 8 + static_cast<std::int64_t>(Random() % 25);
   S.m_Rate = 1.0 + static_cast<double>(Random() % 5);
@@ -70,6 +73,11 @@
     Simulation.setFaults({});
     // Long enough for the largest backlog on the smallest number of servers.
     Simulation.run(std::chrono::minutes(15), false);
+    std::string Idle = Simulation.findIdleLongRunningTasks();
+    if (!Idle.empty())
+      throw OracleFailure("long-running tasks do not run; " + Idle);
+    Simulation.cancelLongRunningJobs();
+    Simulation.run(std::chrono::seconds(5), false);
   } catch (const std::runtime_error &Violation) {
     throw OracleFailure(Violation.what());
   }
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -1,8 +1,8 @@
 //===- JobSimulation.cpp - Scheduling in virtual time ---------------------===//
 
 #include "scheduling/testing/JobSimulation.h"
-#include <algorithm>
-#include <cmath>
+#include "scheduling/testing/SchedulerInvariants.h"
+#include <stdexcept>
 
 namespace pollenspool {
 
@@ -58,8 +58,11 @@
       m_Alive = false;
     if (m_Core->isSuperseded())
       m_Alive = false;
-    if (m_Alive)
+    if (m_Alive) {
+      checkState("before a tick");
       m_Core->tick(Now, m_Simulation.wall(), Allowed);
+      checkState("after a tick");
+    }
     record();
     m_Simulation.m_Clock.after(TickInterval, [this] { tick(); });
   }
@@ -127,6 +130,14 @@
   void advise(const AdviceOrder &) override {}
 
 private:
+  void checkState(const char *When) {
+    if (!m_Simulation.m_Settings.m_ChecksState)
+      return;
+    std::string Found = findInconsistency(*m_Core);
+    if (!Found.empty())
+      throw std::runtime_error("leader " + std::to_string(m_Number) + " " +
+                               When + ": " + Found);
+  }
   SimServer *find(const ServerId &Id) {
     for (auto &S : m_Simulation.m_Servers)
       if (S->m_Registration.m_Id == Id)
@@ -231,21 +242,7 @@
   LiveJob *Job = core().jobs().find(Id);
   if (!Job)
     return Id.m_Text + ": the leader does not know it";
-  std::string Text = Id.m_Text + ": state " +
-                     std::to_string(static_cast<int>(Job->m_State)) + ", " +
-                     std::to_string(Job->m_Ready.size()) + " ready";
-  for (const auto &[Number, O] : Job->m_Occurrences)
-    for (std::size_t N = 0; N < O.m_Steps.size(); ++N)
-      for (std::size_t I = 0; I < O.m_Steps[N].m_Tasks.size(); ++I) {
-        const TaskState &T = O.m_Steps[N].m_Tasks[I];
-        if (!T.m_Done)
-          Text +=
-              "\n  step " + std::to_string(N) + " task " + std::to_string(I) +
-              (T.m_Ready ? " ready" : "") + ", " +
-              std::to_string(T.m_Runs.size()) + " runs" +
-              (T.m_Runs.empty() ? "" : " on " + T.m_Runs[0].m_Server.m_Text);
-      }
-  return Text;
+  return describeTasks(*Job);
 }
 
 milliseconds JobSimulation::wall() const {
@@ -253,33 +250,6 @@
       m_Clock.m_Now.time_since_epoch());
 }
 
-bool JobSimulation::chance(double Share) {
-  return Share > 0 && std::uniform_real_distribution<>(0, 1)(m_Random) < Share;
-}
-
-Duration JobSimulation::workOf(const TaskId &Task) {
-  // Every run of a task takes the same time, independent of server and time.
-  std::uint64_t Seed = m_Settings.m_Seed;
-  for (char C : Task.m_Job.m_Text)
-    Seed = Seed * 31 + static_cast<unsigned char>(C);
-  std::mt19937_64 TaskRandom(Seed * 1000003 + Task.m_Step * 1009 +
-                             Task.m_Index);
-  std::lognormal_distribution<> Factor(0, 0.5);
-  return std::chrono::duration_cast<Duration>(m_Settings.m_MedianWork *
-                                              Factor(TaskRandom));
-}
-
-Duration JobSimulation::criticalPathOf(const JobSpec &Job) {
-  Duration Path{0};
-  for (std::uint32_t N = 0; N < Job.m_Steps.size(); ++N) {
-    Duration Longest{0};
-    for (std::uint32_t I = 0; I < Job.m_Steps[N].m_Count; ++I)
-      Longest = std::max(Longest, workOf({Job.m_Id, 0, N, I}));
-    Path += Longest;
-  }
-  return Path;
-}
-
 void JobSimulation::startTerm() {
   m_TermVersion = ++m_Version;
   m_Leaders.push_back(std::make_unique<Instance>(
@@ -398,20 +368,9 @@
   Job.m_Id = JobId("job" + std::to_string(++m_Figures.m_Submitted));
   Job.m_Queue = QueueName("asks");
   Job.m_Pool = PoolName("desk");
-  std::uint32_t Steps = 1 + m_Random() % m_Settings.m_MaxSteps;
-  for (std::uint32_t N = 0; N < Steps; ++N) {
-    StepSpec S;
-    S.m_Count = 1 + m_Random() % m_Settings.m_MaxTasksPerStep;
-    S.m_RequiredResources = {
-        m_Settings.m_MeanMilliCores / 2 +
-            static_cast<std::int64_t>(m_Random() % m_Settings.m_MeanMilliCores),
-        1000, 0};
-    S.m_Estimate =
-        std::chrono::duration_cast<milliseconds>(m_Settings.m_MedianWork);
-    if (N > 0)
-      S.m_After = {N - 1};
-    Job.m_Steps.push_back(S);
-  }
+  bool IsLongRunning =
+      chance(m_Settings.m_LongRunningShare) && longRunningJobs().size() < 2;
+  Job.m_Steps = IsLongRunning ? makeLongRunningStep() : makeSteps();
   Job.m_AcceptedAt = wall();
   m_Oracle.onJob(Job, m_Settings.m_Attempts);
   LiveRow Row{
@@ -446,8 +405,11 @@
     return;
   auto It = m_LiveRows.begin();
   std::advance(It, static_cast<long>(m_Random() % m_LiveRows.size()));
-  JobId Id(It->first);
-  m_LiveRows.erase(It);
+  cancel(JobId(It->first));
+}
+
+void JobSimulation::cancel(const JobId &Id) {
+  m_LiveRows.erase(Id.m_Text);
   StateRow &Row = m_StateRows[Id.m_Text];
   Row.m_Progress = {};
   Row.m_Progress.m_State = JobState::Cancelled;
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -28,6 +28,11 @@
   std::int64_t m_MeanMilliCores = 1800;
   /// Failed runs of one task after which its job fails.
   std::uint32_t m_Attempts = 3;
+  /// Share of the submitted jobs that are long-running, as long as fewer than
+  /// two of them are live.
+  double m_LongRunningShare = 0;
+  /// Whether the state of the leaders is checked with findInconsistency().
+  bool m_ChecksState = false;
 };
 
 /// Job counts since the start of a simulation.
@@ -44,7 +49,8 @@
 };
 
 /// One pool with one queue, and the leaders of all terms so far. Not thread
-/// safe. Throws std::runtime_error if RunOracle finds a violation.
+/// safe. Throws std::runtime_error if RunOracle finds a violation, or if the
+/// state of a leader is inconsistent.
 class JobSimulation {
 public:
   explicit JobSimulation(const SimulationSettings &Settings);
@@ -68,6 +74,10 @@
   void reconnectServers();
   /// Cancels a random live job, if there is any.
   void cancelRandomJob();
+  void cancelLongRunningJobs();
+  /// Advances the time by 3 s. Returns the long-running tasks that had no run
+  /// in that time, as the leader knows them; empty if there are none.
+  std::string findIdleLongRunningTasks();
   void setJobRate(double JobsPerSecond) { m_Settings.m_Rate = JobsPerSecond; }
   void setFaults(const SimFaults &Faults) { m_Settings.m_Faults = Faults; }
 
@@ -96,6 +106,10 @@
   };
 
   void submit();
+  std::vector<StepSpec> makeSteps();
+  std::vector<StepSpec> makeLongRunningStep();
+  std::vector<JobId> longRunningJobs() const;
+  void cancel(const JobId &Id);
   void scheduleSubmit();
   void startTerm();
   CommitOutcome apply(const RowTransaction &Txn);
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -69,9 +69,9 @@
   Task &T = m_Tasks[Run.m_Task];
   if (!T.m_RunningOn.empty())
     failInvariant("two runs of a task at the same time", Run);
-  if (T.m_SuccessAcknowledged)
-    failInvariant("start after the end of the done task was acknowledged", Run);
   const StepSpec &Step = Submitted->second.m_Spec.m_Steps[Run.m_Task.m_Step];
+  if (!Step.m_IsLongRunning && T.m_SuccessAcknowledged)
+    failInvariant("start after the end of the done task was acknowledged", Run);
   if (!Step.m_IsLongRunning &&
       T.m_AcknowledgedFailures.size() >= Submitted->second.m_Attempts)
     failInvariant("start after all attempts of the task have failed", Run);
--- /dev/null
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -0,0 +1,105 @@
+//===- SimulatedJobs.cpp - Jobs of a simulation ---------------------------===//
+
+#include "scheduling/testing/JobSimulation.h"
+#include "scheduling/testing/SchedulerInvariants.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+using std::chrono::milliseconds;
+
+bool JobSimulation::chance(double Share) {
+  return Share > 0 && std::uniform_real_distribution<>(0, 1)(m_Random) < Share;
+}
+
+Duration JobSimulation::workOf(const TaskId &Task) {
+  // Every run of a task takes the same time, independent of server and time.
+  std::uint64_t Seed = m_Settings.m_Seed;
+  for (char C : Task.m_Job.m_Text)
+    Seed = Seed * 31 + static_cast<unsigned char>(C);
+  std::mt19937_64 TaskRandom(Seed * 1000003 + Task.m_Step * 1009 +
+                             Task.m_Index);
+  std::lognormal_distribution<> Factor(0, 0.5);
+  return std::chrono::duration_cast<Duration>(m_Settings.m_MedianWork *
+                                              Factor(TaskRandom));
+}
+
+Duration JobSimulation::criticalPathOf(const JobSpec &Job) {
+  Duration Path{0};
+  for (std::uint32_t N = 0; N < Job.m_Steps.size(); ++N) {
+    Duration Longest{0};
+    for (std::uint32_t I = 0; I < Job.m_Steps[N].m_Count; ++I)
+      Longest = std::max(Longest, workOf({Job.m_Id, 0, N, I}));
+    Path += Longest;
+  }
+  return Path;
+}
+
+std::vector<StepSpec> JobSimulation::makeSteps() {
+  std::vector<StepSpec> Made;
+  std::uint32_t Steps = 1 + m_Random() % m_Settings.m_MaxSteps;
+  for (std::uint32_t N = 0; N < Steps; ++N) {
+    StepSpec S;
+    S.m_Count = 1 + m_Random() % m_Settings.m_MaxTasksPerStep;
+    S.m_RequiredResources = {
+        m_Settings.m_MeanMilliCores / 2 +
+            static_cast<std::int64_t>(m_Random() % m_Settings.m_MeanMilliCores),
+        1000, 0};
+    S.m_Estimate =
+        std::chrono::duration_cast<milliseconds>(m_Settings.m_MedianWork);
+    if (N > 0)
+      S.m_After = {N - 1};
+    Made.push_back(S);
+  }
+  return Made;
+}
+
+std::vector<StepSpec> JobSimulation::makeLongRunningStep() {
+  StepSpec Step = makeSteps().front();
+  Step.m_Count = 1 + m_Random() % 2;
+  Step.m_IsLongRunning = true;
+  return {Step};
+}
+
+std::vector<JobId> JobSimulation::longRunningJobs() const {
+  std::vector<JobId> Jobs;
+  for (const auto &[Id, Row] : m_LiveRows)
+    if (Row.m_Spec.m_Steps.front().m_IsLongRunning)
+      Jobs.emplace_back(Id);
+  return Jobs;
+}
+
+std::string JobSimulation::findIdleLongRunningTasks() {
+  for (const JobId &Id : longRunningJobs())
+    if (!core().jobs().find(Id))
+      return Id.m_Text + ": the leader does not know it";
+  std::map<TaskId, std::string> Idle;
+  auto ForEachTask = [this](auto Visit) {
+    for (const JobId &Id : longRunningJobs())
+      if (LiveJob *Job = core().jobs().find(Id))
+        for (std::uint32_t I = 0; I < Job->m_Spec.m_Steps[0].m_Count; ++I)
+          Visit(*Job, TaskId{Id, 0, 0, I});
+  };
+  ForEachTask([&](LiveJob &Job, const TaskId &Id) {
+    Idle[Id] = describeTasks(Job) + "\n";
+  });
+  TimePoint End = m_Clock.m_Now + std::chrono::seconds(3);
+  while (m_Clock.m_Now < End) {
+    run(milliseconds(20), false);
+    ForEachTask([&](LiveJob &Job, const TaskId &Id) {
+      if (!Job.task(Id)->m_Runs.empty())
+        Idle.erase(Id);
+    });
+  }
+  std::string Text;
+  for (const auto &[Id, Description] : Idle)
+    Text += Description;
+  return Text;
+}
+
+void JobSimulation::cancelLongRunningJobs() {
+  for (const JobId &Id : longRunningJobs())
+    cancel(Id);
+}
+
+} // namespace pollenspool
