Compare a record with the ends that wait for it, and mark listed runs

Two of its costs were needless:

- Each commit of job progress compared the first unrecorded end of every server with the record of its job, which takes a look-up by job ID.
A job now knows the servers whose first unrecorded end waits for it, and only these are compared once it is recorded or removed.
- Each answer to a poll built a set with copies of the IDs of all listed runs.
A run now keeps the number of the last answer that listed it.

RecordCost.ARecordIsComparedWithTheServersThatWaitForIt: with the former onProgressRecorded(), "expected <200> but was <500>" (100 servers, 4 transactions); now it passes. The other tests of the group check that ends stay in order; they pass with both. The marks of listed runs change no behaviour and have no test of their own.

unit_tests: 379 OK. Both changes were tested together only, so they share a commit.

--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -72,6 +72,13 @@
 
 struct ServerState;
 
+/// A server whose first unrecorded end waits for a record of the job. Void if
+/// \p m_Number is not the latest one of the server.
+struct EndWaiter {
+  ServerId m_Server;
+  std::uint64_t m_Number = 0;
+};
+
 /// A ready task whose start is being recorded, and the server on which
 /// resources are kept free for it.
 struct PlannedStart {
@@ -132,6 +139,7 @@
   /// one that is recorded.
   std::uint64_t m_ChangeNumber = 0;
   std::uint64_t m_RecordedChangeNumber = 0;
+  std::vector<EndWaiter> m_EndWaiters;
 
   StepId stepId(const ReadyTask &Task) const {
     return {m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -146,7 +146,7 @@
     if (!Job)
       continue;
     Job->m_StateVersion = Version;
-    Job->m_RecordedChangeNumber = P.m_ChangeNumber;
+    m_Core.markRecorded(*Job, P.m_ChangeNumber);
     Job->m_IsRecordedAsRunning = P.m_IsRunning;
     JobRegistry::markStartsRecorded(*Job, P.m_StartedSteps);
     if (!isFinal(P.m_State))
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -4,6 +4,8 @@
 #include "base/Log.h"
 #include "scheduling/Pacing.h"
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace pollenspool {
 
@@ -97,6 +99,7 @@
   cancelPlannedStarts(*Job);
   if (Job->m_PlacementQueue)
     Job->m_PlacementQueue->remove(*Job);
+  checkEndWaiters(*Job);
   m_Jobs.remove(Id);
 }
 
@@ -194,6 +197,7 @@
 }
 
 bool Scheduler::removeRecordedEnds(ServerState &S) {
+  ++m_Counters.m_EndsCompared;
   bool Any = false;
   // Ends have to be acknowledged in order.
   while (!S.m_UnrecordedEnds.empty() &&
@@ -205,12 +209,36 @@
   return Any;
 }
 
+void Scheduler::awaitRecord(ServerState &S) {
+  if (S.m_UnrecordedEnds.empty())
+    return;
+  EndWaiter Waiter{S.m_Registration.m_Id, ++S.m_EndWaiterNumber};
+  LiveJob *Job = m_Jobs.find(S.m_UnrecordedEnds.front().m_Job);
+  (Job ? Job->m_EndWaiters : m_EndsToCheck).push_back(std::move(Waiter));
+}
+
+void Scheduler::checkEndWaiters(LiveJob &Job) {
+  m_EndsToCheck.insert(m_EndsToCheck.end(),
+                       std::make_move_iterator(Job.m_EndWaiters.begin()),
+                       std::make_move_iterator(Job.m_EndWaiters.end()));
+  Job.m_EndWaiters.clear();
+}
+
+void Scheduler::markRecorded(LiveJob &Job, std::uint64_t ChangeNumber) {
+  Job.m_RecordedChangeNumber = ChangeNumber;
+  checkEndWaiters(Job);
+}
+
 void Scheduler::onProgressRecorded(TimePoint Now) {
-  for (auto &[Id, S] : m_Servers.all()) {
-    if (removeRecordedEnds(S))
-      S.m_NextPoll =
-          std::min(S.m_NextPoll,
-                   Now + (S.m_Runs.empty() ? AcknowledgeDelay : Duration(0)));
+  for (const EndWaiter &Waiter : std::exchange(m_EndsToCheck, {})) {
+    ServerState *S = m_Servers.find(Waiter.m_Server);
+    if (!S || Waiter.m_Number != S->m_EndWaiterNumber)
+      continue;
+    if (removeRecordedEnds(*S))
+      S->m_NextPoll =
+          std::min(S->m_NextPoll,
+                   Now + (S->m_Runs.empty() ? AcknowledgeDelay : Duration(0)));
+    awaitRecord(*S);
   }
 }
 
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -74,6 +74,8 @@
   std::uint64_t m_JobsExamined = 0;
   /// Servers that were compared to place tasks.
   std::uint64_t m_ServersExamined = 0;
+  /// Servers whose unrecorded ends were compared with the records of jobs.
+  std::uint64_t m_EndsCompared = 0;
 };
 
 /// Demand on a pool in thousandths of a core, for sizing the pool and for
@@ -142,8 +144,9 @@
                 TimePoint Now);
   /// Merges progress from the job's state row that this leader has not seen.
   void mergeStoredProgress(LiveJob &Job, const JobProgress &Stored);
-  /// Progress of jobs has been recorded, so the run ends in it may be
-  /// acknowledged.
+  /// The changes of \p Job up to \p ChangeNumber have been recorded.
+  void markRecorded(LiveJob &Job, std::uint64_t ChangeNumber);
+  /// Acknowledges the run ends that have been recorded since the last call.
   void onProgressRecorded(TimePoint Now);
 
   /// Places ready tasks and polls the servers whose poll is due.
@@ -327,6 +330,10 @@
   /// Lets the recorded ends of \p S be acknowledged. Returns whether there were
   /// any.
   bool removeRecordedEnds(ServerState &S);
+  /// Lets the next record of its job check the first unrecorded end of \p S.
+  void awaitRecord(ServerState &S);
+  /// Lets the next onProgressRecorded() check the ends that wait for \p Job.
+  void checkEndWaiters(LiveJob &Job);
 
   SchedulerOptions m_Options;
   SchedulerOrders &m_Orders;
@@ -346,6 +353,8 @@
   bool m_RecordsStarts = false;
   std::map<PoolName, PlacementQueue> m_Queues;
   std::vector<LiveJob *> m_JobsWithPlannedStarts;
+  /// Servers that onProgressRecorded() checks next.
+  std::vector<EndWaiter> m_EndsToCheck;
   Authority m_Authority;
   Duration m_Lag{0};
   SchedulerCounters m_Counters;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -283,14 +283,14 @@
   // server forgets the end.
   S.m_UnrecordedEnds.push_back(
       {End.m_Number, End.m_Run.m_Task.m_Job, Job ? Job->m_ChangeNumber : 0});
-  removeRecordedEnds(S);
+  if (removeRecordedEnds(S) || S.m_UnrecordedEnds.size() == 1)
+    awaitRecord(S);
 }
 
 void Scheduler::reconcileRuns(ServerState &S, const PollReply &Reply,
                               TimePoint Now) {
-  std::set<RunId> Listed;
+  ++S.m_PollsAnswered;
   for (const RunReport &Report : Reply.m_Running) {
-    Listed.insert(Report.m_Run);
     auto It = S.m_Runs.find(Report.m_Run);
     if (It == S.m_Runs.end()) {
       adoptOrStop(S, Report, Now);
@@ -301,6 +301,7 @@
       if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
         Job->m_HasBegun = true;
     Run.m_IsListed = true;
+    Run.m_LastListedIn = S.m_PollsAnswered;
     if (Run.m_Phase == RunPhase::Unconfirmed) {
       Run.m_Phase = RunPhase::Running;
       Run.m_ConfirmedAt = S.m_PollSentAt;
@@ -319,7 +320,7 @@
   }
   std::vector<RunId> Absent, Unlisted;
   for (const auto &[Id, Run] : S.m_Runs) {
-    if (Listed.count(Id))
+    if (Run.m_LastListedIn == S.m_PollsAnswered)
       continue;
     if (Run.m_ConfirmedAt < S.m_PollSentAt)
       Absent.push_back(Id);
@@ -342,6 +343,7 @@
   ActiveRun Run;
   Run.m_Phase = RunPhase::Running;
   Run.m_ConfirmedAt = S.m_PollSentAt;
+  Run.m_LastListedIn = S.m_PollsAnswered;
   bool Wanted = T && !T->m_Done && !isFinal(Job->m_State) && T->m_Runs.empty();
   if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
     initRun(Run, Job->m_Spec.m_Steps[Task.m_Step]);
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -33,6 +33,9 @@
   TimePoint m_ConfirmedAt = TimePoint::max();
   /// Whether the server has listed the run.
   bool m_IsListed = false;
+  /// ServerState::m_PollsAnswered at the last poll that listed the run; 0 if
+  /// none did.
+  std::uint64_t m_LastListedIn = 0;
   /// Whether a stop order has not been answered yet.
   bool m_StopPending = false;
   /// Start of the observed progress, percentage at that time, latest
@@ -104,11 +107,15 @@
   bool m_PollPending = false;
   TimePoint m_PollSentAt{};
   TimePoint m_NextPoll{};
+  /// Number of polls that the server has answered.
+  std::uint64_t m_PollsAnswered = 0;
 
   /// Number of the last run end that has been processed.
   std::uint64_t m_LastSeenEnd = 0;
   /// Run ends that are not recorded yet, in ascending order.
   std::deque<UnrecordedEnd> m_UnrecordedEnds;
+  /// Number of the latest EndWaiter for the first of them.
+  std::uint64_t m_EndWaiterNumber = 0;
   /// All run ends up to this number are recorded in the store.
   std::uint64_t m_LastRecordedEnd = 0;
   /// The server has been told to forget the run ends up to this number.
