Export processor time, and log when the leader runs out of it

- LoadMonitor sums up windows of a second, without I/O: share of the quota, processor time and number of the leader's decisions, and what the scheduler counted.
- LeaderSaturated (1208) is logged once a second while the leader uses over nine tenths of its quota, with these figures and the delay of its timers.
- New metrics: pollenspool_cpu_seconds_total, pollenspool_cpu_quota_used, pollenspool_decision_cpu_seconds (a histogram of processor time, so that pauses of a throttled process do not count), and totals of placement passes, jobs examined and servers examined.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/Entry.h"
 #include "base/Log.h"
+#include "net/ProcessorTime.h"
 #include <cmath>
 
 namespace pollenspool {
@@ -64,7 +65,8 @@
 Entry::Entry(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings)
     : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings),
       m_Leadership(Settings.m_Name, leadershipOptions(Settings, Loop.now())),
-      m_JobStore(JobStore::create(Loop, Ports.m_Store)) {}
+      m_JobStore(JobStore::create(Loop, Ports.m_Store)),
+      m_Load(Settings.m_CpuShare, processorTime(), Loop.now()) {}
 
 Entry::~Entry() {
   if (m_Leader)
@@ -144,6 +146,7 @@
 void Entry::tick(TimePoint Due) {
   TimePoint Now = m_Loop.now();
   m_TimerDelay.addSample(Now - Due, Now);
+  measureLoad(Now);
   tryBecomeLeader();
   renew();
   offerHandover();
@@ -157,6 +160,30 @@
   m_Loop.after(Wait, [this, Next = m_Loop.now() + Wait] { tick(Next); });
 }
 
+void Entry::measureLoad(TimePoint Now) {
+  auto Window =
+      m_Load.update(processorTime(),
+                    m_Leader ? m_Leader->counters() : SchedulerCounters(), Now);
+  if (!Window || !m_Leader || !Window->isSaturated())
+    return;
+  auto Ms = [](Duration D) {
+    return std::to_string(D / std::chrono::milliseconds(1));
+  };
+  logEvent(Event::LeaderSaturated,
+           {{"term", std::to_string(m_Leadership.term())},
+            {"share_percent",
+             std::to_string(std::lround(100 * Window->m_ShareUsed))},
+            {"window_ms", Ms(Window->m_Length)},
+            {"decision_ms", Ms(Window->m_DecisionTime)},
+            {"decisions", std::to_string(Window->m_Decisions)},
+            {"passes", std::to_string(Window->m_Passes)},
+            {"jobs_examined", std::to_string(Window->m_JobsExamined)},
+            {"servers_examined", std::to_string(Window->m_ServersExamined)},
+            {"starts", std::to_string(Window->m_Starts)},
+            {"polls", std::to_string(Window->m_Polls)},
+            {"loop_delay_ms", Ms(m_TimerDelay.mean())}});
+}
+
 void Entry::tryBecomeLeader() {
   if (m_Draining || !m_Config)
     return;
@@ -174,7 +201,9 @@
         m_LastLoggedTerm = m_Leadership.term();
         // A leader must see a later term without delay.
         m_LeaderTable->setBatchDelay(Duration(0));
-        m_Leader = Leader::create(m_Loop, m_Ports, m_Settings, m_Leadership);
+        m_Leader =
+            Leader::create(m_Loop, m_Ports, m_Settings, m_Leadership, m_Load);
+        m_Load.onNewScheduler();
         m_Leader->start();
         m_Leader->onConfig(m_Config);
         for (const auto &[Id, Wave] : m_Waves)
@@ -205,6 +234,7 @@
   m_Leadership.stepDown();
   m_Leader->stop();
   m_Leader.reset();
+  m_Load.onNewScheduler();
   useFollowerBatchDelay();
 }
 
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -44,6 +44,8 @@
   /// Whether the store has not answered for so long that a call would probably
   /// time out.
   bool isStoreUnresponsive() const;
+  /// The processor time that the process has used lately.
+  const LoadMonitor &load() const { return m_Load; }
 
 private:
   Entry(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings);
@@ -55,6 +57,7 @@
   void offerHandover();
   void stopLeading(const char *Why);
   void releaseTerm(const char *Why);
+  void measureLoad(TimePoint Now);
 
   EventLoop &m_Loop;
   EntryPorts m_Ports;
@@ -62,6 +65,7 @@
   Leadership m_Leadership;
   std::shared_ptr<JobStore> m_JobStore;
   std::shared_ptr<TableMirror> m_LeaderTable;
+  LoadMonitor m_Load;
   std::shared_ptr<Leader> m_Leader;
   /// Delays of the timer that calls tick().
   DelayMonitor m_TimerDelay;
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -1,7 +1,9 @@
 //===- EntryMetrics.cpp - Metrics of an entry instance --------------------===//
 
 #include "entry/EntryMetrics.h"
+#include "net/ProcessorTime.h"
 #include <array>
+#include <limits>
 #include <map>
 #include <prometheus/histogram.h>
 #include <prometheus/text_serializer.h>
@@ -50,6 +52,9 @@
 };
 
 double number(std::uint64_t Value) { return static_cast<double>(Value); }
+double toSeconds(Duration D) {
+  return std::chrono::duration<double>(D).count();
+}
 
 constexpr Sample Samples[] = {
     {"pollenspool_jobs_accepted_total", MetricType::Counter,
@@ -117,6 +122,21 @@
     {"pollenspool_advice_calls_total", MetricType::Counter,
      "Calls of the placement adviser in this term.",
      [](const Sources &S) { return number(S.scheduler().m_AdviceCalls); }},
+    {"pollenspool_placement_passes_total", MetricType::Counter,
+     "Placement passes in this term.",
+     [](const Sources &S) { return number(S.scheduler().m_Passes); }},
+    {"pollenspool_jobs_examined_total", MetricType::Counter,
+     "Jobs whose tasks a placement pass of this term tried to place.",
+     [](const Sources &S) { return number(S.scheduler().m_JobsExamined); }},
+    {"pollenspool_servers_examined_total", MetricType::Counter,
+     "Servers that were compared in this term to place tasks.",
+     [](const Sources &S) { return number(S.scheduler().m_ServersExamined); }},
+    {"pollenspool_cpu_seconds_total", MetricType::Counter,
+     "Processor time of the process.",
+     [](const Sources &) { return toSeconds(processorTime()); }},
+    {"pollenspool_cpu_quota_used", MetricType::Gauge,
+     "Processor time of the last complete second relative to the quota.",
+     [](const Sources &S) { return S.m_Service.load().shareUsed(); }},
     {"pollenspool_runs_adopted_total", MetricType::Counter,
      "Runs of earlier leaders taken over in this term.",
      [](const Sources &S) { return number(S.scheduler().m_Adopted); }},
@@ -164,6 +184,28 @@
   return Family;
 }
 
+MetricFamily decisionFamily(const DecisionTimes &Times) {
+  MetricFamily Family;
+  Family.name = "pollenspool_decision_cpu_seconds";
+  Family.help = "Processor time of one run of the leader's decisions.";
+  Family.type = MetricType::Histogram;
+  ClientMetric Metric;
+  Metric.histogram.sample_count = Times.m_Count;
+  Metric.histogram.sample_sum = toSeconds(Times.m_Sum);
+  std::uint64_t Sum = 0;
+  for (std::size_t N = 0; N < Times.m_Counts.size(); ++N) {
+    Sum += Times.m_Counts[N];
+    ClientMetric::Bucket Bucket;
+    Bucket.cumulative_count = Sum;
+    Bucket.upper_bound = N < DecisionTimes::Bounds.size()
+                             ? DecisionTimes::Bounds[N]
+                             : std::numeric_limits<double>::infinity();
+    Metric.histogram.bucket.push_back(Bucket);
+  }
+  Family.metric.push_back(Metric);
+  return Family;
+}
+
 } // namespace
 
 struct EntryMetrics::Impl {
@@ -211,8 +253,7 @@
 }
 
 void EntryMetrics::observe(CallerCall Call, Duration Took) {
-  m_Impl->m_Latency[static_cast<std::size_t>(Call)].Observe(
-      std::chrono::duration<double>(Took).count());
+  m_Impl->m_Latency[static_cast<std::size_t>(Call)].Observe(toSeconds(Took));
 }
 
 void EntryMetrics::countRefusal(const std::string &Reason) {
@@ -226,6 +267,7 @@
   for (const Sample &S : Samples)
     Families.push_back(makeFamily(S, S.m_GetValue(From)));
   Families.push_back(m_Impl->latencyFamily());
+  Families.push_back(decisionFamily(Service.load().decisionTimes()));
   Families.push_back(m_Impl->refusalFamily());
   return prometheus::TextSerializer().Serialize(Families);
 }
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -3,6 +3,7 @@
 #include "entry/Leader.h"
 #include "base/Log.h"
 #include "jobs/JobRows.h"
+#include "net/ProcessorTime.h"
 
 namespace pollenspool {
 
@@ -41,9 +42,9 @@
 } // namespace
 
 Leader::Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
-               Leadership &Lead)
+               Leadership &Lead, LoadMonitor &Load)
     : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings), m_Leadership(Lead),
-      m_StartRecords(Lead.term(), Lead.termCondition()) {
+      m_Load(Load), m_StartRecords(Lead.term(), Lead.termCondition()) {
   SchedulerOptions Options;
   Options.m_Term = Lead.term();
   Options.m_TermVersion = Lead.termCondition().m_Version;
@@ -59,8 +60,8 @@
 
 std::shared_ptr<Leader> Leader::create(EventLoop &Loop, EntryPorts Ports,
                                        const EntrySettings &Settings,
-                                       Leadership &Lead) {
-  return std::shared_ptr<Leader>(new Leader(Loop, Ports, Settings, Lead));
+                                       Leadership &Lead, LoadMonitor &Load) {
+  return std::shared_ptr<Leader>(new Leader(Loop, Ports, Settings, Lead, Load));
 }
 
 void Leader::start() {
@@ -232,6 +233,7 @@
   if (m_Stopped || !m_JobsLoaded || !m_ServersLoaded ||
       !m_StartRecords.isRead())
     return;
+  ProcessorTimer Timer;
   updateStartRecords();
   TimePoint Now = m_Loop.now();
   // While the store is unavailable no other instance can take over, so the
@@ -255,6 +257,7 @@
   recordWaves();
   removeOldStates();
   m_DecisionTime = m_Loop.now() - Now;
+  m_Load.addDecisions(Timer.elapsed());
 }
 
 void Leader::recordProgress() {
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -5,6 +5,7 @@
 
 #include "entry/EntryPorts.h"
 #include "entry/EntrySettings.h"
+#include "entry/LoadMonitor.h"
 #include "instances/FleetPlanner.h"
 #include "instances/RecentOrders.h"
 #include "lead/DelayMonitor.h"
@@ -24,11 +25,12 @@
 class Leader : public OrderResultListener,
                public std::enable_shared_from_this<Leader> {
 public:
-  /// \p Loop, \p Settings, \p Lead and what \p Ports refers to must outlive the
-  /// leader. \p Lead must be leading.
+  /// \p Loop, \p Settings, \p Lead, \p Load and what \p Ports refers to must
+  /// outlive the leader. \p Lead must be leading. Each run of the decisions is
+  /// added to \p Load.
   static std::shared_ptr<Leader> create(EventLoop &Loop, EntryPorts Ports,
                                         const EntrySettings &Settings,
-                                        Leadership &Lead);
+                                        Leadership &Lead, LoadMonitor &Load);
   void start();
   /// Sends no more orders. The object may then be destroyed.
   void stop();
@@ -70,7 +72,7 @@
   }
 
   Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
-         Leadership &Lead);
+         Leadership &Lead, LoadMonitor &Load);
   /// Reads a page of rows; repeats a failed read until it succeeds.
   void readWithRetry(const RowAddress &From, std::size_t Limit,
                      std::function<void(RowPage &)> Callback);
@@ -100,6 +102,7 @@
   EntryPorts m_Ports;
   const EntrySettings &m_Settings;
   Leadership &m_Leadership;
+  LoadMonitor &m_Load;
   std::unique_ptr<Scheduler> m_Scheduler;
   std::unique_ptr<ProgressWriter> m_ProgressWriter;
   std::unique_ptr<FleetPlanner> m_Planner;
