Plan the pools without searching all instances and jobs again

Callers saw jobs wait on the large site, where the leader uses up its half core. A plan of the pools is made ten times a second. Each one built two maps of all instances and servers, read all tasks of all jobs and, for each pool, all jobs again, searched a pool from its start for each move, and compared up to 200 waiting jobs with the servers of all pools.

The index of the instances is now kept until the instance list or a server changes. Each job keeps its demand until its ready tasks or steps change. All moves of a plan take one walk of a pool. Tasks of the same kind are compared with the servers of their pool once.

The limit of 200 waiting jobs applied to all pools together, so a backlog of one pool hid tasks of another that no server may run. It now applies to each pool.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -35,27 +35,50 @@
   return std::unique_ptr<FleetPlanner>(new FleetPlanner(Options, Sched));
 }
 
-void FleetPlanner::buildIndex() {
-  m_ListingById.clear();
+bool FleetPlanner::isIndexCurrent() const {
+  const auto &Servers = m_Scheduler.servers().all();
+  return !m_ListChanged &&
+         std::equal(Servers.begin(), Servers.end(), m_IndexedServers.begin(),
+                    m_IndexedServers.end(),
+                    [](const auto &Entry, const IndexedServer &Indexed) {
+                      const ServerState &S = Entry.second;
+                      return S.m_IndexNumber == Indexed.m_Number &&
+                             S.m_Registered == Indexed.m_Registered &&
+                             S.m_Registration.m_Instance == Indexed.m_Instance;
+                    });
+}
+
+void FleetPlanner::updateIndex() {
+  if (isIndexCurrent())
+    return;
+  m_ListChanged = false;
+  m_IndexedServers.clear();
   m_ServerByInstance.clear();
-  for (auto &[Id, S] : m_Scheduler.servers().all())
+  for (auto &[Id, S] : m_Scheduler.servers().all()) {
+    m_IndexedServers.push_back(
+        {S.m_IndexNumber, S.m_Registered, S.m_Registration.m_Instance});
     if (S.m_Registered)
       m_ServerByInstance[S.m_Registration.m_Instance] = &S;
+  }
+  m_Views.clear();
+  m_ViewById.clear();
+  m_Views.reserve(m_Scheduler.instances().size());
   for (const InstanceListing &L : m_Scheduler.instances()) {
-    m_ListingById[L.m_Id] = &L;
     if (ServerState *S = m_Scheduler.servers().find(L.m_Server))
       m_ServerByInstance[L.m_Id] = S;
+    auto Server = m_ServerByInstance.find(L.m_Id);
+    m_Views.push_back(
+        {&L, Server == m_ServerByInstance.end() ? nullptr : Server->second,
+         &m_State[L.m_Id]});
+    m_ViewById[L.m_Id] = &m_Views.back();
   }
+  m_Counters.m_IndexEntries += m_IndexedServers.size() + m_Views.size();
 }
 
-const InstanceListing *FleetPlanner::listing(const InstanceId &Id) const {
-  auto It = m_ListingById.find(Id);
-  return It == m_ListingById.end() ? nullptr : It->second;
-}
-
-ServerState *FleetPlanner::serverOf(const InstanceListing &L) {
-  auto It = m_ServerByInstance.find(L.m_Id);
-  return It == m_ServerByInstance.end() ? nullptr : It->second;
+const FleetPlanner::InstanceView *
+FleetPlanner::view(const InstanceId &Id) const {
+  auto It = m_ViewById.find(Id);
+  return It == m_ViewById.end() ? nullptr : It->second;
 }
 
 void FleetPlanner::endOrders(TimePoint Asked) {
@@ -75,6 +98,7 @@
 }
 
 void FleetPlanner::onInstances(TimePoint Asked) {
+  m_ListChanged = true;
   endOrders(Asked);
   // An empty list tells nothing about single instances.
   if (m_Scheduler.instances().empty())
@@ -93,14 +117,10 @@
     }
 }
 
-bool FleetPlanner::canOrder(const InstanceListing &L, TimePoint Now) const {
-  if (L.m_Condition != InstanceCondition::Up)
-    return false;
-  auto It = m_State.find(L.m_Id);
-  if (It == m_State.end())
-    return true;
-  const Instance &I = It->second;
-  return !I.m_Pending && !I.m_Ordered && Now >= I.m_RetryAt;
+bool FleetPlanner::canOrder(const InstanceView &V, TimePoint Now) {
+  return V.m_Listing->m_Condition == InstanceCondition::Up &&
+         !V.m_State->m_Pending && !V.m_State->m_Ordered &&
+         Now >= V.m_State->m_RetryAt;
 }
 
 bool FleetPlanner::hasKnownRuns(const ServerState &S) {
@@ -112,34 +132,20 @@
   if (const ServingConfig *C = m_Scheduler.config())
     for (const PoolPolicy &P : C->pools())
       All[P.m_Name].m_Spare = P.m_Spare;
-  for (const InstanceListing &L : m_Scheduler.instances()) {
-    if (L.m_Condition == InstanceCondition::Down)
+  m_Counters.m_InstancesExamined += m_Views.size();
+  for (const InstanceView &V : m_Views) {
+    if (V.m_Listing->m_Condition == InstanceCondition::Down)
       continue;
-    auto It = m_State.find(L.m_Id);
-    bool Expected = It != m_State.end() &&
-                    (It->second.m_Pending || It->second.m_Ordered) &&
-                    !It->second.m_ExpectedPool.empty();
-    auto Pool = All.find(Expected ? It->second.m_ExpectedPool : L.m_Pool);
+    bool Expected = (V.m_State->m_Pending || V.m_State->m_Ordered) &&
+                    !V.m_State->m_ExpectedPool.empty();
+    auto Pool =
+        All.find(Expected ? V.m_State->m_ExpectedPool : V.m_Listing->m_Pool);
     if (Pool != All.end())
-      Pool->second.m_Instances.push_back(&L);
+      Pool->second.m_Instances.push_back(&V);
   }
   return All;
 }
 
-std::uint32_t FleetPlanner::minInstancesForSpread(const PoolName &Pool) {
-  std::uint32_t MinInstances = 0;
-  for (auto &[Id, Job] : m_Scheduler.jobs().all()) {
-    if (m_Scheduler.poolOf(*Job) != Pool)
-      continue;
-    for (const StepSpec &Step : Job->m_Spec.m_Steps)
-      if (Step.m_IsLongRunning && Step.m_MaxPerServer > 0)
-        MinInstances =
-            std::max(MinInstances, (Step.m_Count + Step.m_MaxPerServer - 1) /
-                                       Step.m_MaxPerServer);
-  }
-  return MinInstances;
-}
-
 void FleetPlanner::updateTargetSizes(Pools &All, TimePoint Now) {
   double Halvings =
       std::chrono::duration<double>(Now - m_PlannedAt) / DemandHalfLife;
@@ -157,12 +163,13 @@
     double &Peak = m_PeakDemand[Name];
     Peak = std::max(MilliCores, Peak * Decay);
     std::int64_t Largest = 1, Draining = 0;
-    for (const InstanceListing *L : P.m_Instances) {
-      Largest = std::max(Largest, L->m_Capacity.m_MilliCores);
-      Draining += m_State[L->m_Id].m_DrainingSince.has_value();
+    m_Counters.m_InstancesExamined += P.m_Instances.size();
+    for (const InstanceView *V : P.m_Instances) {
+      Largest = std::max(Largest, V->m_Listing->m_Capacity.m_MilliCores);
+      Draining += V->m_State->m_DrainingSince.has_value();
     }
     double Instances = Peak * HeadroomFactor / static_cast<double>(Largest);
-    P.m_MinSize = minInstancesForSpread(Name) + std::int64_t(1);
+    P.m_MinSize = D.m_ServersForSpread + std::int64_t(1);
     P.m_TargetSize =
         std::max(P.m_MinSize, static_cast<std::int64_t>(std::ceil(Instances)));
     // Instances that drain for a wave take no new tasks, and the tasks that
@@ -191,28 +198,49 @@
   }
 }
 
-const InstanceListing *
-FleetPlanner::takeMovable(PoolView &From, bool OnlyEmpty,
-                          const UnschedulableTask *Need) {
-  for (auto It = From.m_Instances.begin(); It != From.m_Instances.end(); ++It) {
-    const InstanceListing *L = *It;
-    if (!canOrder(*L, m_PlannedAt) || m_State[L->m_Id].m_DrainingSince ||
-        (Need && !suits(*L, *Need)))
-      continue;
-    ServerState *S = serverOf(*L);
-    if (OnlyEmpty && (!S || !hasKnownRuns(*S) || !S->isIdle()))
-      continue;
-    From.m_Instances.erase(It);
-    return L;
+bool FleetPlanner::isMovable(const InstanceView &V, bool OnlyEmpty) {
+  ++m_Counters.m_InstancesExamined;
+  if (!canOrder(V, m_PlannedAt) || V.m_State->m_DrainingSince)
+    return false;
+  return !OnlyEmpty ||
+         (V.m_Server && hasKnownRuns(*V.m_Server) && V.m_Server->isIdle());
+}
+
+const FleetPlanner::InstanceView *FleetPlanner::takeMovable(PoolView &From,
+                                                            bool OnlyEmpty) {
+  while (From.m_NextCandidate < From.m_Instances.size()) {
+    auto It = From.m_Instances.begin() +
+              static_cast<std::ptrdiff_t>(From.m_NextCandidate);
+    const InstanceView *V = *It;
+    if (isMovable(*V, OnlyEmpty)) {
+      From.m_Instances.erase(It);
+      return V;
+    }
+    ++From.m_NextCandidate;
   }
   return nullptr;
 }
 
-void FleetPlanner::orderMove(const InstanceListing &L, const PoolName &To,
+const FleetPlanner::InstanceView *
+FleetPlanner::takeSuitable(PoolView &From, bool OnlyEmpty,
+                           const UnschedulableTask &Need) {
+  auto It = std::find_if(From.m_Instances.begin(), From.m_Instances.end(),
+                         [&](const InstanceView *V) {
+                           return suits(*V->m_Listing, Need) &&
+                                  isMovable(*V, OnlyEmpty);
+                         });
+  if (It == From.m_Instances.end())
+    return nullptr;
+  const InstanceView *V = *It;
+  From.m_Instances.erase(It);
+  return V;
+}
+
+void FleetPlanner::orderMove(const InstanceView &V, const PoolName &To,
                              Pools &All, std::vector<InstanceOrder> &Out) {
-  Out.push_back({L.m_Id, To, {}});
+  Out.push_back({V.m_Listing->m_Id, To, {}});
   markOrdered(Out.back());
-  All[To].m_Instances.push_back(&L);
+  All[To].m_Instances.push_back(&V);
 }
 
 void FleetPlanner::planUnschedulableTasks(Pools &All,
@@ -222,20 +250,19 @@
     if (Pool == All.end() || Out.size() >= m_MaxOrders)
       continue;
     PoolView &P = Pool->second;
-    bool IsArriving =
-        std::any_of(P.m_Instances.begin(), P.m_Instances.end(),
-                    [&](const InstanceListing *L) {
-                      ServerState *S = serverOf(*L);
-                      return suits(*L, Need) &&
-                             (!S || S->m_Registration.m_Pool != Need.m_Pool);
-                    });
-    const InstanceListing *L = nullptr;
+    bool IsArriving = std::any_of(
+        P.m_Instances.begin(), P.m_Instances.end(), [&](const InstanceView *V) {
+          const ServerState *S = V->m_Server;
+          return suits(*V->m_Listing, Need) &&
+                 (!S || S->m_Registration.m_Pool != Need.m_Pool);
+        });
+    const InstanceView *V = nullptr;
     for (auto &[Name, From] : All)
-      if (!IsArriving && !L && &From != &P &&
+      if (!IsArriving && !V && &From != &P &&
           (From.m_Spare || From.surplus() > 0))
-        L = takeMovable(From, !From.m_Spare, &Need);
-    if (L)
-      orderMove(*L, Need.m_Pool, All, Out);
+        V = takeSuitable(From, !From.m_Spare, Need);
+    if (V)
+      orderMove(*V, Need.m_Pool, All, Out);
     // The pool keeps all its instances until the need is met.
     P.m_TargetSize = std::max(P.m_TargetSize,
                               static_cast<std::int64_t>(P.m_Instances.size()));
@@ -263,14 +290,14 @@
     }
     if (MostShort.empty())
       break;
-    const InstanceListing *L =
+    const InstanceView *V =
         Spare.empty() ? nullptr : takeMovable(All[Spare], false);
     for (auto &[Name, P] : All)
-      if (!L && !P.m_Spare && P.surplus() > 0)
-        L = takeMovable(P, true);
-    if (!L)
+      if (!V && !P.m_Spare && P.surplus() > 0)
+        V = takeMovable(P, true);
+    if (!V)
       break;
-    orderMove(*L, MostShort, All, Out);
+    orderMove(*V, MostShort, All, Out);
   }
   if (Spare.empty())
     return;
@@ -278,25 +305,26 @@
     if (P.m_Spare)
       continue;
     while (Out.size() < m_MaxOrders && P.surplus() > 0) {
-      const InstanceListing *L = takeMovable(P, true);
-      if (!L)
+      const InstanceView *V = takeMovable(P, true);
+      if (!V)
         break;
-      orderMove(*L, Spare, All, Out);
+      orderMove(*V, Spare, All, Out);
     }
   }
 }
 
 bool FleetPlanner::hasArrivedUnaffected(const PoolName &Pool,
-                                        const InstanceListing &L) {
-  const ServerState *S = serverOf(L);
-  return S && S->m_Registration.m_Pool == Pool && hasKnownRuns(*S) &&
-         canOrder(L, m_PlannedAt) && !m_State[L.m_Id].m_DrainingSince;
+                                        const InstanceView &V) {
+  ++m_Counters.m_InstancesExamined;
+  return V.m_Server && V.m_Server->m_Registration.m_Pool == Pool &&
+         hasKnownRuns(*V.m_Server) && canOrder(V, m_PlannedAt) &&
+         !V.m_State->m_DrainingSince;
 }
 
-bool FleetPlanner::isFreeable(const PoolName &Pool, const InstanceListing &L) {
-  if (!hasArrivedUnaffected(Pool, L))
+bool FleetPlanner::isFreeable(const PoolName &Pool, const InstanceView &V) {
+  if (!hasArrivedUnaffected(Pool, V))
     return false;
-  const auto &Runs = serverOf(L)->m_Runs;
+  const auto &Runs = V.m_Server->m_Runs;
   return std::none_of(Runs.begin(), Runs.end(), [](const auto &Run) {
     return Run.second.m_IsLongRunning || Run.second.m_IsBestEffort;
   });
@@ -304,34 +332,36 @@
 
 std::set<InstanceId> FleetPlanner::takeBackFreed() {
   std::set<InstanceId> Freed;
-  for (auto &[Id, I] : m_State) {
-    auto Server = m_ServerByInstance.find(Id);
-    if (!I.m_IsFreed || Server == m_ServerByInstance.end())
+  for (auto It = m_Freed.begin(); It != m_Freed.end();) {
+    auto Server = m_ServerByInstance.find(*It);
+    if (Server == m_ServerByInstance.end()) {
+      ++It;
       continue;
-    I.m_IsFreed = false;
-    Freed.insert(Id);
+    }
+    const Instance &I = m_State[*It];
     if (!I.m_Pending && !I.m_Ordered && !I.m_DrainingSince)
       Server->second->m_Reserved = false;
+    Freed.insert(m_Freed.extract(It++));
   }
   return Freed;
 }
 
-std::vector<const InstanceListing *>
+std::vector<const FleetPlanner::InstanceView *>
 FleetPlanner::freeableInstances(const PoolName &Name, const PoolView &P,
                                 const std::set<InstanceId> &FreedBefore) {
-  std::vector<std::tuple<bool, std::size_t, const InstanceListing *>> Order;
-  for (const InstanceListing *L : P.m_Instances)
-    if (isFreeable(Name, *L))
-      Order.emplace_back(FreedBefore.count(L->m_Id) == 0,
-                         serverOf(*L)->m_Runs.size(), L);
+  std::vector<std::tuple<bool, std::size_t, const InstanceView *>> Order;
+  for (const InstanceView *V : P.m_Instances)
+    if (isFreeable(Name, *V))
+      Order.emplace_back(FreedBefore.count(V->m_Listing->m_Id) == 0,
+                         V->m_Server->m_Runs.size(), V);
   std::stable_sort(Order.begin(), Order.end(),
                    [](const auto &A, const auto &B) {
                      return std::tie(std::get<0>(A), std::get<1>(A)) <
                             std::tie(std::get<0>(B), std::get<1>(B));
                    });
-  std::vector<const InstanceListing *> Sorted;
-  for (const auto &[IsNew, Runs, L] : Order)
-    Sorted.push_back(L);
+  std::vector<const InstanceView *> Sorted;
+  for (const auto &[IsNew, Runs, V] : Order)
+    Sorted.push_back(V);
   return Sorted;
 }
 
@@ -342,22 +372,22 @@
     Missing += P.m_Spare ? -static_cast<std::int64_t>(P.m_Instances.size())
                          : std::max<std::int64_t>(0, -P.surplus());
   for (auto &[Name, P] : All) {
+    if (P.m_Spare || std::min(P.surplus(), Missing) <= 0)
+      continue;
     // Instances that have not arrived yet run no tasks.
-    auto Usable =
-        std::count_if(P.m_Instances.begin(), P.m_Instances.end(),
-                      [&, &PoolName = Name](const InstanceListing *L) {
-                        return hasArrivedUnaffected(PoolName, *L);
-                      });
+    auto Usable = std::count_if(P.m_Instances.begin(), P.m_Instances.end(),
+                                [&, &PoolName = Name](const InstanceView *V) {
+                                  return hasArrivedUnaffected(PoolName, *V);
+                                });
     std::int64_t Count =
-        P.m_Spare ? 0
-                  : std::min({P.surplus(), Missing, Usable - P.m_TargetSize});
+        std::min({P.surplus(), Missing, Usable - P.m_TargetSize});
     if (Count <= 0)
       continue;
-    for (const InstanceListing *L : freeableInstances(Name, P, FreedBefore)) {
+    for (const InstanceView *V : freeableInstances(Name, P, FreedBefore)) {
       if (Count-- <= 0)
         break;
-      m_State[L->m_Id].m_IsFreed = true;
-      serverOf(*L)->m_Reserved = true;
+      m_Freed.insert(V->m_Listing->m_Id);
+      V->m_Server->m_Reserved = true;
       --Missing;
     }
   }
@@ -388,7 +418,7 @@
   std::vector<InstanceOrder> Out;
   if (!m_Scheduler.config() || m_Scheduler.instances().empty())
     return Out;
-  buildIndex();
+  updateIndex();
   Pools All = collectPools();
   updateTargetSizes(All, Now);
   logShortage(All, Now);
@@ -405,11 +435,11 @@
   I.m_Pending = true;
   I.m_ExpectedPool = Order.m_To;
   I.m_Wave = Order.m_Wave;
-  if (const InstanceListing *L = listing(Order.m_Instance))
-    if (ServerState *S = serverOf(*L)) {
-      S->m_Reserved = true;
-      Order.m_Server = S->m_Registration.m_Id;
-    }
+  const InstanceView *V = view(Order.m_Instance);
+  if (!V || !V->m_Server)
+    return;
+  V->m_Server->m_Reserved = true;
+  Order.m_Server = V->m_Server->m_Registration.m_Id;
 }
 
 bool FleetPlanner::provesServerShutdown(const InstanceOrder &Order) {
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -10,6 +10,7 @@
 
 #include "instances/InstanceControl.h"
 #include "scheduling/Scheduler.h"
+#include <unordered_map>
 
 namespace pollenspool {
 
@@ -47,6 +48,14 @@
   bool m_Complete = false;
 };
 
+/// Totals of one planner since it was created.
+struct PlannerCounters {
+  /// Instances examined, counted once for each examination.
+  std::uint64_t m_InstancesExamined = 0;
+  /// Entries added to the indexes of the instances and their servers.
+  std::uint64_t m_IndexEntries = 0;
+};
+
 /// Decides which instances move between pools and when instances of a wave go
 /// into maintenance. Not thread safe.
 class FleetPlanner {
@@ -87,6 +96,7 @@
   /// \p Id must have been added with onWave().
   const WaveProgress &progress(const WaveId &Id) const;
   std::vector<WaveOverview> waves() const;
+  const PlannerCounters &counters() const { return m_Counters; }
 
 private:
   struct WaveState {
@@ -109,8 +119,6 @@
     TimePoint m_ExpectedUpAt{};
     /// When the instance began to drain for a wave.
     std::optional<TimePoint> m_DrainingSince;
-    /// Its server gets no new tasks, because another pool needs the instance.
-    bool m_IsFreed = false;
     WaveId m_Wave;
     TimePoint m_RetryAt{};
     TimePoint m_WaitLoggedAt{};
@@ -121,9 +129,24 @@
     /// success then does not show that the later order shut anything down.
     bool m_MayHaveExecuted = false;
   };
+  /// An instance of the latest list.
+  struct InstanceView {
+    const InstanceListing *m_Listing = nullptr;
+    /// Null if no server of the instance is registered.
+    ServerState *m_Server = nullptr;
+    Instance *m_State = nullptr;
+  };
+  /// What the index depends on of a server.
+  struct IndexedServer {
+    std::uint64_t m_Number = 0;
+    bool m_Registered = false;
+    InstanceId m_Instance;
+  };
   /// A pool during one planning pass.
   struct PoolView {
-    std::vector<const InstanceListing *> m_Instances;
+    std::vector<const InstanceView *> m_Instances;
+    /// The instances before this index are not movable in this pass.
+    std::size_t m_NextCandidate = 0;
     std::int64_t m_TargetSize = 0;
     /// The target size is not lowered below this.
     std::int64_t m_MinSize = 0;
@@ -156,31 +179,32 @@
   std::set<InstanceId> takeBackFreed();
   /// The instances of \p P that may be freed: first those in \p FreedBefore,
   /// then those with the fewest runs.
-  std::vector<const InstanceListing *>
+  std::vector<const InstanceView *>
   freeableInstances(const PoolName &Name, const PoolView &P,
                     const std::set<InstanceId> &FreedBefore);
-  /// Whether \p L has arrived in \p Pool, its runs are known, and no order or
+  /// Whether \p V has arrived in \p Pool, its runs are known, and no order or
   /// wave affects it.
-  bool hasArrivedUnaffected(const PoolName &Pool, const InstanceListing &L);
-  /// Whether the same holds for \p L and it only has runs that end by
+  bool hasArrivedUnaffected(const PoolName &Pool, const InstanceView &V);
+  /// Whether the same holds for \p V and it only has runs that end by
   /// themselves.
-  bool isFreeable(const PoolName &Pool, const InstanceListing &L);
+  bool isFreeable(const PoolName &Pool, const InstanceView &V);
   /// Logs the sizes of all pools, at most once per second, while some pool has
   /// fewer instances than its target size.
   void logShortage(const Pools &All, TimePoint Now);
   /// Moves an instance into each pool where no instance satisfies the
   /// requirements of a task.
   void planUnschedulableTasks(Pools &All, std::vector<InstanceOrder> &Out);
-  void orderMove(const InstanceListing &L, const PoolName &To, Pools &All,
+  void orderMove(const InstanceView &V, const PoolName &To, Pools &All,
                  std::vector<InstanceOrder> &Out);
+  /// Whether \p V may be moved. With \p OnlyEmpty it must run no tasks.
+  bool isMovable(const InstanceView &V, bool OnlyEmpty);
   /// Removes an instance that may be moved from \p From and returns it; null if
-  /// there is none. With \p OnlyEmpty it must run no tasks. If \p Need is
-  /// given, the instance must satisfy it.
-  const InstanceListing *takeMovable(PoolView &From, bool OnlyEmpty,
-                                     const UnschedulableTask *Need = nullptr);
-  /// Instances that \p Pool needs so that long-running steps can respect their
-  /// limit of tasks per server.
-  std::uint32_t minInstancesForSpread(const PoolName &Pool);
+  /// there is none. Continues the search of the previous call for \p From,
+  /// which must have had the same \p OnlyEmpty.
+  const InstanceView *takeMovable(PoolView &From, bool OnlyEmpty);
+  /// The same for an instance that satisfies \p Need. Searches all of \p From.
+  const InstanceView *takeSuitable(PoolView &From, bool OnlyEmpty,
+                                   const UnschedulableTask &Need);
 
   // Waves (WavePlanning.cpp).
   void planWaves(Pools &All, TimePoint Now, std::chrono::milliseconds Wall,
@@ -194,11 +218,11 @@
   bool hasLeft(const InstanceId &Id) const;
   /// Lets the server of \p Id take tasks again if it drains for a wave.
   void stopDraining(const InstanceId &Id);
-  /// Drains \p L. Returns why its maintenance cannot begin yet; empty if it
+  /// Drains \p V. Returns why its maintenance cannot begin yet; empty if it
   /// can.
-  std::string drainForMaintenance(const InstanceListing &L, bool IsUrgent,
+  std::string drainForMaintenance(const InstanceView &V, bool IsUrgent,
                                   TimePoint Now);
-  void logWait(const InstanceListing &L, const std::string &Why, TimePoint Now);
+  void logWait(const InstanceView &V, const std::string &Why, TimePoint Now);
   /// A long-running task that must not be stopped now.
   struct BlockingTask {
     /// The reason, for the log; empty if no task blocks the maintenance.
@@ -212,13 +236,16 @@
   /// Continues a wave that was complete if instances of it are not done.
   void reopenIfUndone(WaveState &W);
 
-  void buildIndex();
-  const InstanceListing *listing(const InstanceId &Id) const;
-  ServerState *serverOf(const InstanceListing &L);
+  /// Builds the index unless neither the instance list nor a server has changed
+  /// since the last call.
+  void updateIndex();
+  bool isIndexCurrent() const;
+  /// Returns null if \p Id is not listed.
+  const InstanceView *view(const InstanceId &Id) const;
   /// Whether the scheduler knows all runs on \p S. After a change of leader it
   /// does so only once the server has answered.
   static bool hasKnownRuns(const ServerState &S);
-  bool canOrder(const InstanceListing &L, TimePoint Now) const;
+  static bool canOrder(const InstanceView &V, TimePoint Now);
   /// Whether the success of \p Order proves that it shut down its server.
   bool provesServerShutdown(const InstanceOrder &Order);
   void markOrdered(InstanceOrder &Order);
@@ -228,9 +255,14 @@
   std::map<InstanceId, Instance> m_State;
   std::map<WaveId, WaveState> m_Waves;
   std::set<WaveId> m_ChangedWaves;
-  /// Instance list and backend servers by instance, rebuilt for each plan.
-  std::map<InstanceId, const InstanceListing *> m_ListingById;
-  std::map<InstanceId, ServerState *> m_ServerByInstance;
+  /// Instances whose servers get no new tasks, because another pool needs them.
+  std::set<InstanceId> m_Freed;
+  /// The index of the instances and their servers; see updateIndex().
+  std::vector<InstanceView> m_Views;
+  std::unordered_map<InstanceId, const InstanceView *> m_ViewById;
+  std::unordered_map<InstanceId, ServerState *> m_ServerByInstance;
+  std::vector<IndexedServer> m_IndexedServers;
+  bool m_ListChanged = true;
   /// Recent peak demand of each pool in thousandths of a core. Decays with
   /// DemandHalfLife.
   std::map<PoolName, double> m_PeakDemand;
@@ -241,6 +273,7 @@
   TimePoint m_ListRequestedAt{};
   /// Maximum number of orders of the current plan.
   std::size_t m_MaxOrders = 0;
+  PlannerCounters m_Counters;
 };
 
 } // namespace pollenspool
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "instances/testing/PlannerFixture.h"
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 
 using namespace pollenspool;
 using namespace std::chrono_literals;
@@ -238,3 +239,30 @@
   W.m_Planner->plan(W.m_World.m_Now, W.m_World.wall(), 1);
   CHECK_EQUAL(0u, W.reserved());
 }
+
+// Guards against a task that waits for a suitable server forever, because only
+// the first 200 waiting jobs of all pools were searched for such tasks.
+TEST(FleetPlanner, ABacklogOfOnePoolDoesNotHideTheTasksOfAnother) {
+  PlannerFixture W;
+  W.addDesk(1, 8);
+  W.addHall("h1", 1);
+  for (int N = 0; N < 300; ++N)
+    W.m_World.addJob("j" + std::to_string(N), {SchedulerFixture::step(8)});
+  W.list("r1", "reserve");
+  W.list("r2", "reserve");
+  W.m_List.back().m_Labels = {"large"};
+  W.applyList();
+  JobSpec Job;
+  Job.m_Id = JobId("labelled");
+  Job.m_Queue = QueueName("plans");
+  Job.m_Pool = PoolName("hall");
+  Job.m_Steps = {SchedulerFixture::step(1)};
+  Job.m_Steps.front().m_RequiredLabel = "large";
+  Job.m_AcceptedAt = W.m_World.wall();
+  W.m_World.m_Core->onJob(Job, {}, 1, 1, W.m_World.m_Now, W.m_World.wall());
+  W.m_World.tick();
+  auto Orders = W.plan();
+  CHECK(std::any_of(Orders.begin(), Orders.end(), [](const InstanceOrder &O) {
+    return O.m_Instance == InstanceId("on-r2") && O.m_To == PoolName("hall");
+  }));
+}
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -91,8 +91,8 @@
   if (It != m_State.end() && (It->second.m_Pending || It->second.m_Ordered ||
                               Now < It->second.m_ExpectedUpAt))
     return true;
-  const InstanceListing *L = listing(Id);
-  return L && L->m_Condition == InstanceCondition::Maintenance;
+  const InstanceView *V = view(Id);
+  return V && V->m_Listing->m_Condition == InstanceCondition::Maintenance;
 }
 
 bool FleetPlanner::hasLeft(const InstanceId &Id) const {
@@ -114,20 +114,28 @@
                             std::chrono::milliseconds Wall,
                             std::vector<InstanceOrder> &Out) {
   std::uint32_t InMaintenance = 0;
-  std::vector<const InstanceListing *> Candidates;
+  // Sorted by rank: the instances whose maintenance costs least come first.
+  using Rank = std::tuple<bool, bool, std::size_t>;
+  std::vector<std::pair<Rank, const InstanceView *>> Candidates;
+  auto RankOf = [&](const InstanceView &V) -> Rank {
+    auto Pool = All.find(V.m_Listing->m_Pool);
+    bool Spare = Pool != All.end() && Pool->second.m_Spare;
+    std::size_t Runs = Spare || !V.m_Server ? 0 : V.m_Server->m_Runs.size();
+    return {!Spare, !V.m_State->m_DrainingSince.has_value(), Runs};
+  };
   std::size_t Remaining = 0;
   for (const InstanceId &Id : W.m_Request.m_Instances) {
-    const InstanceListing *L = listing(Id);
+    const InstanceView *V = view(Id);
     bool Done = W.m_Progress.m_Done.count(Id) != 0;
     if (isDown(Id, Now) &&
         (Done || m_State[Id].m_Wave == W.m_Request.m_Id ||
-         (L && L->m_Condition == InstanceCondition::Maintenance)))
+         (V && V->m_Listing->m_Condition == InstanceCondition::Maintenance)))
       ++InMaintenance;
-    if (Done || (!L && hasLeft(Id)))
+    if (Done || (!V && hasLeft(Id)))
       continue;
     ++Remaining;
-    if (L && canOrder(*L, Now))
-      Candidates.push_back(L);
+    if (V && canOrder(*V, Now))
+      Candidates.emplace_back(RankOf(*V), V);
   }
   if (Remaining == 0)
     return finishWave(W);
@@ -140,61 +148,51 @@
   auto Needed = Rounds * (m_Options.m_MaintenanceTime + RoundOverhead);
   auto TimeLeft = W.m_Progress.m_SeenAt + W.m_Request.m_CompleteWithin - Wall;
   bool IsUrgent = TimeLeft < Needed * UrgencyFactor;
-  auto Rank = [&](const InstanceListing *L) {
-    ServerState *S = serverOf(*L);
-    bool Draining = m_State[L->m_Id].m_DrainingSince.has_value();
-    auto Pool = All.find(L->m_Pool);
-    bool Spare = Pool != All.end() && Pool->second.m_Spare;
-    std::size_t Runs = Spare || !S ? 0 : S->m_Runs.size();
-    return std::make_tuple(!Spare, !Draining, Runs);
-  };
   std::sort(Candidates.begin(), Candidates.end(),
-            [&](const InstanceListing *A, const InstanceListing *B) {
-              return Rank(A) < Rank(B);
-            });
-  for (const InstanceListing *L : Candidates) {
+            [](const auto &A, const auto &B) { return A.first < B.first; });
+  for (const auto &[CandidateRank, V] : Candidates) {
     if (AvailablePlaces == 0)
       break;
-    auto Pool = All.find(L->m_Pool);
+    auto Pool = All.find(V->m_Listing->m_Pool);
     bool Spare = Pool != All.end() && Pool->second.m_Spare;
     // A wave that is not urgent takes no instance from a pool below its target
     // size.
-    bool Draining = m_State[L->m_Id].m_DrainingSince.has_value();
+    bool Draining = V->m_State->m_DrainingSince.has_value();
     if (!Spare && !Draining && !IsUrgent && Pool != All.end() &&
         Pool->second.surplus() < 0) {
-      logWait(*L, "its pool has too few instances", Now);
+      logWait(*V, "its pool has too few instances", Now);
       continue;
     }
     --AvailablePlaces;
-    std::string Why = Spare ? "" : drainForMaintenance(*L, IsUrgent, Now);
+    std::string Why = Spare ? "" : drainForMaintenance(*V, IsUrgent, Now);
     if (!Why.empty()) {
-      logWait(*L, Why, Now);
+      logWait(*V, Why, Now);
       continue;
     }
-    Out.push_back({L->m_Id, {}, W.m_Request.m_Id});
+    Out.push_back({V->m_Listing->m_Id, {}, W.m_Request.m_Id});
     markOrdered(Out.back());
   }
 }
 
-void FleetPlanner::logWait(const InstanceListing &L, const std::string &Why,
+void FleetPlanner::logWait(const InstanceView &V, const std::string &Why,
                            TimePoint Now) {
-  Instance &I = m_State[L.m_Id];
+  Instance &I = *V.m_State;
   if (Now < I.m_WaitLoggedAt + WaitLogInterval)
     return;
   I.m_WaitLoggedAt = Now;
-  logEvent(
-      Event::UpkeepWaits,
-      {{"instance", L.m_Id.m_Text}, {"pool", L.m_Pool.m_Text}, {"why", Why}});
+  logEvent(Event::UpkeepWaits, {{"instance", V.m_Listing->m_Id.m_Text},
+                                {"pool", V.m_Listing->m_Pool.m_Text},
+                                {"why", Why}});
 }
 
-std::string FleetPlanner::drainForMaintenance(const InstanceListing &L,
+std::string FleetPlanner::drainForMaintenance(const InstanceView &V,
                                               bool IsUrgent, TimePoint Now) {
-  ServerState *S = serverOf(L);
+  ServerState *S = V.m_Server;
   if (!S)
     return "its backend server is not registered";
   if (!hasKnownRuns(*S))
     return "its backend server does not answer";
-  Instance &I = m_State[L.m_Id];
+  Instance &I = *V.m_State;
   if (!I.m_DrainingSince)
     I.m_DrainingSince = Now;
   S->m_Reserved = true;
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -34,6 +34,38 @@
                 m_Ready.end());
 }
 
+JobDemand LiveJob::computeDemand() const {
+  JobDemand D;
+  for (const ReadyTask &R : m_Ready) {
+    const StepSpec &Step = m_Spec.m_Steps[R.m_Step];
+    if (!Step.m_IsBestEffort)
+      D.m_ReadyMilliCores += Step.m_RequiredResources.m_MilliCores;
+  }
+  for (const auto &[Number, O] : m_Occurrences)
+    for (std::size_t N = 0; N < O.m_Steps.size(); ++N) {
+      const StepSpec &Step = m_Spec.m_Steps[N];
+      if (!O.m_Steps[N].m_Released && !Step.m_IsBestEffort)
+        D.m_BlockedMilliCores +=
+            Step.m_Count * Step.m_RequiredResources.m_MilliCores;
+    }
+  for (const StepSpec &Step : m_Spec.m_Steps)
+    if (Step.m_IsLongRunning && Step.m_MaxPerServer > 0)
+      D.m_ServersForSpread = std::max(D.m_ServersForSpread,
+                                      (Step.m_Count + Step.m_MaxPerServer - 1) /
+                                          Step.m_MaxPerServer);
+  return D;
+}
+
+const JobDemand &LiveJob::demand(std::uint64_t &Reads) {
+  if (m_DemandChanges != m_ReadyChanges || m_DemandReady != m_Ready.size()) {
+    m_Demand = computeDemand();
+    m_DemandChanges = m_ReadyChanges;
+    m_DemandReady = m_Ready.size();
+    Reads += m_Ready.size() + m_Occurrences.size() * m_Spec.m_Steps.size();
+  }
+  return m_Demand;
+}
+
 LiveJob &JobRegistry::add(JobSpec Spec, JobProgress Progress,
                           RowVersion Accepted, RowVersion State, TimePoint Now,
                           std::chrono::milliseconds Wall) {
@@ -214,6 +246,7 @@
   ++S.m_DoneCount;
   Job.removeFromReady(Id);
   if (S.isDone()) {
+    ++Job.m_ReadyChanges;
     ++O.m_StepsDone;
     if (O.m_StepsDone == O.m_Steps.size())
       ++Job.m_OccurrencesDone;
@@ -259,6 +292,7 @@
 }
 
 void JobRegistry::markNewlyReady(LiveJob &Job) {
+  ++Job.m_ReadyChanges;
   if (std::exchange(Job.m_IsNewlyReady, true))
     return;
   m_NewlyReady.push_back(&Job);
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -70,6 +70,17 @@
   std::uint32_t m_Index = 0;
 };
 
+/// The cores that the unfinished tasks of a job need, without best-effort
+/// tasks.
+struct JobDemand {
+  std::int64_t m_ReadyMilliCores = 0;
+  /// Of the steps that still wait for other steps.
+  std::int64_t m_BlockedMilliCores = 0;
+  /// Servers that its long-running steps need to respect their limit of tasks
+  /// per server.
+  std::uint32_t m_ServersForSpread = 0;
+};
+
 struct ServerState;
 
 /// A ready task whose start is being recorded, and the server on which
@@ -96,7 +107,8 @@
   std::map<std::uint32_t, Occurrence> m_Occurrences;
   std::uint32_t m_OccurrencesDone = 0;
   std::uint32_t m_NextOccurrence = 0;
-  /// Ready tasks without a planned start.
+  /// Ready tasks without a planned start. When tasks are added,
+  /// JobRegistry::markNewlyReady() must be called.
   std::vector<ReadyTask> m_Ready;
   std::vector<PlannedStart> m_PlannedStarts;
   /// The queue in which the job waits for placement; null if it does not.
@@ -142,6 +154,22 @@
   StepState *step(std::uint32_t Occurrence, std::uint32_t Step);
   /// Removes a task from the ready list if it is there.
   void removeFromReady(const TaskId &Id);
+  /// The current demand. Adds the number of ready tasks and steps that had to
+  /// be read to \p Reads; none if the demand has not changed.
+  const JobDemand &demand(std::uint64_t &Reads);
+
+private:
+  friend class JobRegistry;
+  JobDemand computeDemand() const;
+
+  /// Number of times that tasks have become ready or a step has been released
+  /// or completed. While it does not change, tasks are only removed from
+  /// m_Ready.
+  std::uint64_t m_ReadyChanges = 1;
+  /// The demand when m_ReadyChanges and the size of m_Ready had these values.
+  JobDemand m_Demand;
+  std::uint64_t m_DemandChanges = 0;
+  std::size_t m_DemandReady = 0;
 };
 
 /// All jobs that have not ended. Not thread safe.
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -74,6 +74,10 @@
   std::uint64_t m_JobsExamined = 0;
   /// Servers that were compared to place tasks.
   std::uint64_t m_ServersExamined = 0;
+  /// Ready tasks and steps that were read to compute the demand.
+  std::uint64_t m_DemandReads = 0;
+  /// Servers that were compared to find out whether any may run a task.
+  std::uint64_t m_ServersSearched = 0;
 };
 
 /// Demand on a pool in thousandths of a core, for sizing the pool and for
@@ -83,6 +87,9 @@
   std::int64_t m_ReadyMilliCores = 0;
   /// Demand of the steps that still wait for other steps.
   std::int64_t m_BlockedMilliCores = 0;
+  /// Servers that long-running steps need to respect their limit of tasks per
+  /// server.
+  std::uint32_t m_ServersForSpread = 0;
   /// Capacity of the registered servers that are not draining.
   std::int64_t m_CapacityMilliCores = 0;
 };
@@ -277,7 +284,10 @@
   std::uint32_t runsOfStepOn(const LiveJob &Job, const ReadyTask &Task,
                              const ServerId &Server) const;
   bool isUsable(const ServerState &S, TimePoint Now) const;
-  bool hasServerFor(const LiveJob &Job, const ReadyTask &Task) const;
+  bool hasServerFor(const LiveJob &Job, const ReadyTask &Task);
+  /// Appends the unschedulable tasks of one pool to \p Needs.
+  void findUnschedulable(const PoolName &Pool, const PlacementQueue &Queue,
+                         std::vector<UnschedulableTask> &Needs);
 
   // Records of starts (SchedulerStartRecords.cpp).
   /// Whether an earlier leader may have started runs of a step on servers that
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -2,6 +2,8 @@
 
 #include "scheduling/Scheduler.h"
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 namespace pollenspool {
 
@@ -20,69 +22,99 @@
 
 std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
   std::map<QueueName, std::uint32_t> Waiting;
+  std::unordered_map<const QueuePolicy *, std::uint32_t> ByPolicy;
   for (auto &[Id, Job] : const_cast<JobRegistry &>(m_Jobs).all())
     if (!Job->m_HasBegun)
-      ++Waiting[Job->m_Spec.m_Queue];
+      ++(Job->m_Policy ? ByPolicy[Job->m_Policy]
+                       : Waiting[Job->m_Spec.m_Queue]);
+  for (const auto &[Policy, Count] : ByPolicy)
+    Waiting[Policy->m_Name] += Count;
   return Waiting;
 }
 
 std::map<PoolName, PoolDemand> Scheduler::demand() {
   std::map<PoolName, PoolDemand> Pools;
+  // Thousands of servers and jobs belong to few pools, so each pool is looked
+  // up by name once.
+  std::unordered_map<const void *, PoolDemand *> Known;
+  auto Find = [&](const void *Key, const PoolName &Name) -> PoolDemand & {
+    PoolDemand *&D = Known[Key];
+    if (!D)
+      D = &Pools[Name];
+    return *D;
+  };
   for (auto &[Id, S] : m_Servers.all()) {
-    PoolDemand &D = Pools[S.m_Registration.m_Pool];
+    PoolDemand &D = Find(S.m_Index, S.m_Registration.m_Pool);
     D.m_RunningMilliCores += S.m_Used.m_MilliCores + S.m_Planned.m_MilliCores;
     if (S.m_Registered && !S.m_Registration.m_Draining)
       D.m_CapacityMilliCores += S.m_Registration.m_Capacity.m_MilliCores;
   }
   for (auto &[Id, Job] : m_Jobs.all()) {
-    PoolDemand &D = Pools[poolOf(*Job)];
-    for (const ReadyTask &R : Job->m_Ready) {
-      const StepSpec &Step = Job->m_Spec.m_Steps[R.m_Step];
-      D.m_ReadyMilliCores +=
-          Step.m_IsBestEffort ? 0 : Step.m_RequiredResources.m_MilliCores;
-    }
-    for (const auto &[Number, O] : Job->m_Occurrences)
-      for (std::size_t N = 0; N < O.m_Steps.size(); ++N)
-        if (!O.m_Steps[N].m_Released && !Job->m_Spec.m_Steps[N].m_IsBestEffort)
-          D.m_BlockedMilliCores +=
-              Job->m_Spec.m_Steps[N].m_Count *
-              Job->m_Spec.m_Steps[N].m_RequiredResources.m_MilliCores;
+    PoolDemand &D = Job->m_Policy ? Find(Job->m_Policy, Job->m_Policy->m_Pool)
+                                  : Pools[Job->m_Spec.m_Pool];
+    const JobDemand &Needs = Job->demand(m_Counters.m_DemandReads);
+    D.m_ReadyMilliCores += Needs.m_ReadyMilliCores;
+    D.m_BlockedMilliCores += Needs.m_BlockedMilliCores;
+    D.m_ServersForSpread =
+        std::max(D.m_ServersForSpread, Needs.m_ServersForSpread);
   }
   return Pools;
 }
 
-bool Scheduler::hasServerFor(const LiveJob &Job, const ReadyTask &Task) const {
+bool Scheduler::hasServerFor(const LiveJob &Job, const ReadyTask &Task) {
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
   const StepId Id = Job.stepId(Task);
-  PoolName Pool = poolOf(Job);
-  return std::any_of(
-      m_Servers.all().begin(), m_Servers.all().end(), [&](const auto &E) {
-        const ServerRegistration &R = E.second.m_Registration;
-        return R.m_Pool == Pool && E.second.m_Registered && !R.m_Draining &&
-               hasLabel(R.m_Labels, Step.m_RequiredLabel) &&
-               allocationFor(Step).fitsIn(R.m_Capacity) &&
-               !(advicePolicy(Job) && m_Advice.isDenied(Id, R.m_Id));
-      });
+  const ServersByFreeCores &Servers = m_Servers.inPool(poolOf(Job));
+  return std::any_of(Servers.begin(), Servers.end(), [&](const ServerState *S) {
+    const ServerRegistration &R = S->m_Registration;
+    ++m_Counters.m_ServersSearched;
+    return S->m_Registered && !R.m_Draining &&
+           hasLabel(R.m_Labels, Step.m_RequiredLabel) &&
+           allocationFor(Step).fitsIn(R.m_Capacity) &&
+           !(advicePolicy(Job) && m_Advice.isDenied(Id, R.m_Id));
+  });
 }
 
 std::vector<UnschedulableTask> Scheduler::unschedulableTasks() {
   std::vector<UnschedulableTask> Needs;
-  std::set<std::pair<PoolName, std::string>> Seen;
-  std::size_t Searched = 0;
   for (const auto &[Pool, Queue] : m_Queues)
-    for (const PlacementQueue::Entry &Waiting : Queue.entries()) {
-      const LiveJob &Job = *Waiting.m_Job;
-      if (Job.m_Ready.empty())
-        continue;
-      if (++Searched > MaxJobsSearched)
-        break;
-      const ReadyTask &First = Job.m_Ready.front();
-      const StepSpec &Step = Job.m_Spec.m_Steps[First.m_Step];
-      if (!hasServerFor(Job, First) &&
-          Seen.insert({Pool, Step.m_RequiredLabel}).second)
-        Needs.push_back({Pool, Step.m_RequiredLabel, allocationFor(Step)});
-    }
+    findUnschedulable(Pool, Queue, Needs);
   return Needs;
 }
 
+void Scheduler::findUnschedulable(const PoolName &Pool,
+                                  const PlacementQueue &Queue,
+                                  std::vector<UnschedulableTask> &Needs) {
+  // Whether the pool has a server for the tasks of a label and an allocation
+  // that do not depend on advice.
+  using Kind =
+      std::tuple<std::string_view, std::int64_t, std::int64_t, std::int64_t>;
+  std::map<Kind, bool> KnownKinds;
+  std::set<std::string_view> LabelsSeen;
+  std::size_t Searched = 0;
+  for (const PlacementQueue::Entry &Waiting : Queue.entries()) {
+    const LiveJob &Job = *Waiting.m_Job;
+    if (Job.m_Ready.empty())
+      continue;
+    if (++Searched > MaxJobsSearched)
+      return;
+    const ReadyTask &First = Job.m_Ready.front();
+    const StepSpec &Step = Job.m_Spec.m_Steps[First.m_Step];
+    Resources Need = allocationFor(Step);
+    bool HasServer;
+    if (advicePolicy(Job)) {
+      HasServer = hasServerFor(Job, First);
+    } else {
+      auto [It, IsNew] =
+          KnownKinds.try_emplace({Step.m_RequiredLabel, Need.m_MilliCores,
+                                  Need.m_MemoryMb, Need.m_Gpus});
+      if (IsNew)
+        It->second = hasServerFor(Job, First);
+      HasServer = It->second;
+    }
+    if (!HasServer && LabelsSeen.insert(Step.m_RequiredLabel).second)
+      Needs.push_back({Pool, Step.m_RequiredLabel, Need});
+  }
+}
+
 } // namespace pollenspool
