Count no demand for steps that are done

After a change of leader, the steps of a job that had been done before counted as steps that still wait for others, until the job ended. The pools of jobs that had begun were therefore sized too large, at the expense of other pools.

--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -44,7 +44,8 @@
   for (const auto &[Number, O] : m_Occurrences)
     for (std::size_t N = 0; N < O.m_Steps.size(); ++N) {
       const StepSpec &Step = m_Spec.m_Steps[N];
-      if (!O.m_Steps[N].m_Released && !Step.m_IsBestEffort)
+      if (!O.m_Steps[N].m_Released && !O.m_Steps[N].isDone() &&
+          !Step.m_IsBestEffort)
         D.m_BlockedMilliCores +=
             Step.m_Count * Step.m_RequiredResources.m_MilliCores;
     }
--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -219,3 +219,16 @@
   CHECK_EQUAL(2u, Txn->m_Puts.size());
   CHECK_EQUAL(0, W.m_Core->servers().find(ServerId("s1"))->m_Used.m_MilliCores);
 }
+
+// The steps that were done before a change of leader counted as demand until
+// their job ended, so the pool of a backlog was sized too large.
+TEST(Takeover, StepsThatAreDoneAreNoDemand) {
+  SchedulerFixture W(2);
+  JobProgress Progress;
+  Progress.m_Done[{0, 0}] = {true, true};
+  W.addJob("j", {SchedulerFixture::step(2), SchedulerFixture::step(3, {0})},
+           Progress);
+  PoolDemand D = W.m_Core->demand()[PoolName("desk")];
+  CHECK_EQUAL(3000, D.m_ReadyMilliCores);
+  CHECK_EQUAL(0, D.m_BlockedMilliCores);
+}
