Spread, release and recheck planned starts

Callers would have seen the replicas of a long-running step, or best-effort tasks, on one server; a crash or a move then stops all.

- Planned starts count as runs of their step when a server is selected.
- Long-running and best-effort tasks are placed again once the record is written, since their best server depends on what runs there.
- A start whose record takes over 300 ms releases its resources, so that tasks that need no record, and jobs of a higher rank, can get them while the store is slow or away.
- A task is not started in a pool that its queue has left meanwhile.
- Which starts are due is decided before the list of plans is changed.
- A task that gets a run and fails before its record is written keeps its one plan instead of entering the ready list as well.

--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -20,6 +20,15 @@
   return &S->m_Tasks[Id.m_Index];
 }
 
+bool LiveJob::hasPlannedStart(const TaskId &Id) const {
+  return std::any_of(m_PlannedStarts.begin(), m_PlannedStarts.end(),
+                     [&](const PlannedStart &P) {
+                       return P.m_Task.m_Occurrence == Id.m_Occurrence &&
+                              P.m_Task.m_Step == Id.m_Step &&
+                              P.m_Task.m_Index == Id.m_Index;
+                     });
+}
+
 void LiveJob::removeFromReady(const TaskId &Id) {
   TaskState *T = task(Id);
   if (!T || !T->m_Ready)
@@ -288,6 +297,9 @@
     return;
   T->m_Ready = true;
   T->m_NotBefore = NotBefore;
+  // A start that was planned before the task got a run stands for it again.
+  if (Job.hasPlannedStart(Id))
+    return;
   Job.m_Ready.push_back({Id.m_Occurrence, Id.m_Step, Id.m_Index});
   markNewlyReady(Job);
 }
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -96,6 +96,7 @@
   ReadyTask m_Task;
   ServerState *m_Server = nullptr;
   Resources m_Need;
+  TimePoint m_PlannedAt{};
 };
 
 class PlacementQueue;
@@ -160,6 +161,7 @@
   bool needsUrgentRecord() const { return m_WantsStart || isFinal(m_State); }
   TaskState *task(const TaskId &Id);
   StepState *step(std::uint32_t Occurrence, std::uint32_t Step);
+  bool hasPlannedStart(const TaskId &Id) const;
   /// Removes a task from the ready list if it is there.
   void removeFromReady(const TaskId &Id);
   /// The current demand. Adds the number of ready tasks and steps that had to
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -276,6 +276,11 @@
   ServerState *selectServer(const LiveJob &Job, const ReadyTask &Task,
                             const StepNeeds &Needs, const GangServers &GangPlan,
                             PoolPass &Pass);
+  /// Whether a task of \p Step prefers the server with the fewest free cores,
+  /// whatever runs there.
+  static bool prefersLeastFree(const StepSpec &Step) {
+    return !Step.m_IsBestEffort && !Step.m_IsLongRunning;
+  }
   static std::int64_t packingScore(const ServerState &S, const StepSpec &Step);
   PlacementScore score(const ServerState &S, const LiveJob &Job,
                        const ReadyTask &Task, const StepNeeds &Needs) const;
@@ -305,11 +310,17 @@
   /// Asks for the record of a start and keeps \p Need free on \p S until it
   /// is written.
   void planStart(LiveJob &Job, const ReadyTask &Task, const Resources &Need,
-                 ServerState &S);
+                 ServerState &S, TimePoint Now);
   /// Starts the planned tasks whose record has been written. Makes those ready
-  /// again whose server cannot take them any more.
+  /// again whose server cannot take them any more, or whose record takes long,
+  /// so that urgent tasks may get the resources.
   void startPlanned(TimePoint Now);
   void startPlanned(LiveJob &Job, TimePoint Now);
+  /// Whether \p P is to be started or made ready again.
+  bool isResolved(LiveJob &Job, const PlannedStart &P, TimePoint Now) const;
+  bool isStartable(const LiveJob &Job) const {
+    return Job.m_AcceptedVersion <= m_Authority.m_StartableVersion;
+  }
   void startOrRequeue(LiveJob &Job, const PlannedStart &P, TimePoint Now);
   /// Whether the servers of all planned tasks of the same gang, or of the one
   /// task, can still take tasks.
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -98,8 +98,7 @@
 bool Scheduler::placeJob(LiveJob &Job, PoolPass &Pass) {
   if (Job.m_Ready.empty() || isFinal(Job.m_State))
     return true;
-  if (Job.m_AcceptedVersion > m_Authority.m_StartableVersion ||
-      mayAllHaveUnknownRuns(Job, Pass.m_Now))
+  if (!isStartable(Job) || mayAllHaveUnknownRuns(Job, Pass.m_Now))
     return false;
   if (mayFit(Job, Pass)) {
     ++m_Counters.m_JobsExamined;
@@ -218,7 +217,7 @@
   if (isStartRecorded(Job, Task))
     start(Job, Task, S, RunNumber, Now);
   else
-    planStart(Job, Task, Needs.m_Need, S);
+    planStart(Job, Task, Needs.m_Need, S, Now);
 }
 
 void Scheduler::initRun(ActiveRun &Run, const StepSpec &Step) {
--- a/src/scheduling/SchedulerSelection.cpp
+++ b/src/scheduling/SchedulerSelection.cpp
@@ -11,11 +11,6 @@
 /// compared; larger than the capacity of any server.
 constexpr std::int64_t LongRunningBonus = 1000000;
 
-/// Whether a task of \p Step prefers the server with the fewest free cores.
-bool prefersLeastFree(const StepSpec &Step) {
-  return !Step.m_IsBestEffort && !Step.m_IsLongRunning;
-}
-
 } // namespace
 
 bool Scheduler::isUsable(const ServerState &S, TimePoint Now) const {
@@ -59,6 +54,10 @@
        Job.m_Occurrences.at(Task.m_Occurrence).m_Steps[Task.m_Step].m_Tasks)
     for (const RunLocation &P : T.m_Runs)
       Count += P.m_Server == Server;
+  for (const PlannedStart &P : Job.m_PlannedStarts)
+    Count += P.m_Task.m_Occurrence == Task.m_Occurrence &&
+             P.m_Task.m_Step == Task.m_Step &&
+             P.m_Server->m_Registration.m_Id == Server;
   return Count;
 }
 
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// How long resources are kept free for a task whose start is being recorded.
+/// Records take longer only while the store is slow or unavailable.
+constexpr Duration MaxPlannedTime = std::chrono::milliseconds(300);
+
 bool isSameStep(const ReadyTask &A, const ReadyTask &B) {
   return A.m_Occurrence == B.m_Occurrence && A.m_Step == B.m_Step;
 }
@@ -64,11 +68,12 @@
 }
 
 void Scheduler::planStart(LiveJob &Job, const ReadyTask &Task,
-                          const Resources &Need, ServerState &S) {
+                          const Resources &Need, ServerState &S,
+                          TimePoint Now) {
   m_Jobs.requestStart(Job, Task.m_Occurrence, Task.m_Step);
   if (Job.m_PlannedStarts.empty())
     m_JobsWithPlannedStarts.push_back(&Job);
-  Job.m_PlannedStarts.push_back({Task, &S, Need});
+  Job.m_PlannedStarts.push_back({Task, &S, Need, Now});
   ServerRegistry::planStart(S, Need);
 }
 
@@ -91,17 +96,20 @@
                      });
 }
 
+bool Scheduler::isResolved(LiveJob &Job, const PlannedStart &P,
+                           TimePoint Now) const {
+  return isFinal(Job.m_State) || Now >= P.m_PlannedAt + MaxPlannedTime ||
+         (isStartable(Job) && isStartRecorded(Job, P.m_Task)) ||
+         !areServersUsable(Job, P, Now);
+}
+
 void Scheduler::startPlanned(LiveJob &Job, TimePoint Now) {
-  if (Job.m_AcceptedVersion > m_Authority.m_StartableVersion)
+  std::vector<PlannedStart> Kept, Resolved;
+  for (const PlannedStart &P : Job.m_PlannedStarts)
+    (isResolved(Job, P, Now) ? Resolved : Kept).push_back(P);
+  if (Resolved.empty())
     return;
-  auto &Planned = Job.m_PlannedStarts;
-  auto Kept = std::stable_partition(
-      Planned.begin(), Planned.end(), [&](const PlannedStart &P) {
-        return !isFinal(Job.m_State) && !isStartRecorded(Job, P.m_Task) &&
-               areServersUsable(Job, P, Now);
-      });
-  std::vector<PlannedStart> Resolved(Kept, Planned.end());
-  Planned.erase(Kept, Planned.end());
+  Job.m_PlannedStarts = std::move(Kept);
   for (const PlannedStart &P : Resolved)
     ServerRegistry::cancelPlannedStart(*P.m_Server, P.m_Need);
   for (const PlannedStart &P : Resolved)
@@ -116,8 +124,11 @@
   if (!T.m_Ready || isFinal(Job.m_State))
     return;
   const StepNeeds Needs = needsOf(Job, R);
-  // A gang is placed as a whole.
-  if (!Needs.m_Step->m_Gang && isStartRecorded(Job, R) &&
+  // A gang is placed as a whole, and the best server of a long-running or
+  // best-effort task depends on what runs there by now.
+  if (!Needs.m_Step->m_Gang && prefersLeastFree(*Needs.m_Step) &&
+      isStartable(Job) && isStartRecorded(Job, R) &&
+      P.m_Server->m_Registration.m_Pool == poolOf(Job) &&
       Now >= T.m_NotBefore && isUsable(*P.m_Server, Now) &&
       !mayHaveUnknownRuns(Job, R, Now) &&
       canHost(*P.m_Server, Job, R, Needs, {}) &&
