--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -68,6 +68,10 @@
   std::uint32_t m_Occurrence = 0;
   std::uint32_t m_Step = 0;
   std::uint32_t m_Index = 0;
+
+  bool isInSameStepAs(const ReadyTask &Other) const {
+    return m_Occurrence == Other.m_Occurrence && m_Step == Other.m_Step;
+  }
 };
 
 /// The cores that the unfinished tasks of a job need, without best-effort
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -28,10 +28,6 @@
   return Paths;
 }
 
-bool isSameStep(const ReadyTask &A, const ReadyTask &B) {
-  return A.m_Occurrence == B.m_Occurrence && A.m_Step == B.m_Step;
-}
-
 bool isInEarlierStep(const ReadyTask &A, const ReadyTask &B) {
   return std::tie(A.m_Occurrence, A.m_Step) <
          std::tie(B.m_Occurrence, B.m_Step);
@@ -125,7 +121,7 @@
 bool Scheduler::mayFit(const LiveJob &Job, const PoolPass &Pass) const {
   const ReadyTask *Last = nullptr;
   for (const ReadyTask &R : Job.m_Ready) {
-    if (Last && isSameStep(*Last, R))
+    if (Last && Last->isInSameStepAs(R))
       continue;
     Last = &R;
     const StepSpec &Step = Job.m_Spec.m_Steps[R.m_Step];
@@ -144,7 +140,7 @@
     std::stable_sort(Tasks.begin(), Tasks.end(), isInEarlierStep);
   for (auto First = Tasks.cbegin(); First != Tasks.cend();) {
     auto End = std::find_if(First, Tasks.cend(), [&](const ReadyTask &R) {
-      return !isSameStep(R, *First);
+      return !R.isInSameStepAs(*First);
     });
     placeStep(Job, First, End, Pass);
     First = End;
--- a/src/scheduling/SchedulerSelection.cpp
+++ b/src/scheduling/SchedulerSelection.cpp
@@ -10,6 +10,9 @@
 /// Weight of a long-running run in thousandths of a core when servers are
 /// compared; larger than the capacity of any server.
 constexpr std::int64_t LongRunningBonus = 1000000;
+/// A score is below this value if only the free cores count against the server.
+constexpr std::tuple<int, int, int, std::uint32_t, std::int64_t>
+    OnlyFreeCoresCount{0, 0, 0, 1, INT64_MIN};
 
 } // namespace
 
@@ -41,8 +44,7 @@
       if (const ServerState *S = m_Servers.find(P.m_Server))
         Needs.m_RacksInUse.insert(S->m_Registration.m_Rack);
   for (const PlannedStart &P : Job.m_PlannedStarts)
-    if (P.m_Task.m_Occurrence == Task.m_Occurrence &&
-        P.m_Task.m_Step == Task.m_Step)
+    if (P.m_Task.isInSameStepAs(Task))
       Needs.m_RacksInUse.insert(P.m_Server->m_Registration.m_Rack);
   return Needs;
 }
@@ -55,8 +57,7 @@
     for (const RunLocation &P : T.m_Runs)
       Count += P.m_Server == Server;
   for (const PlannedStart &P : Job.m_PlannedStarts)
-    Count += P.m_Task.m_Occurrence == Task.m_Occurrence &&
-             P.m_Task.m_Step == Task.m_Step &&
+    Count += P.m_Task.isInSameStepAs(Task) &&
              P.m_Server->m_Registration.m_Id == Server;
   return Count;
 }
@@ -156,7 +157,7 @@
       BestScore = Score;
     }
     // The servers that follow have at least as many cores free.
-    if (StopsAtIdeal && BestScore < PlacementScore(0, 0, 0, 1, INT64_MIN))
+    if (StopsAtIdeal && BestScore < OnlyFreeCoresCount)
       break;
   }
   if (!Best && StopsAtIdeal && !Needs.m_NeedsTicket && GangPlan.empty() &&
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -11,10 +11,6 @@
 /// Records take longer only while the store is slow or unavailable.
 constexpr Duration MaxPlannedTime = std::chrono::milliseconds(300);
 
-bool isSameStep(const ReadyTask &A, const ReadyTask &B) {
-  return A.m_Occurrence == B.m_Occurrence && A.m_Step == B.m_Step;
-}
-
 } // namespace
 
 void Scheduler::findUnacknowledgedPools() {
@@ -91,7 +87,7 @@
     return isUsable(*P.m_Server, Now);
   return std::all_of(Job.m_PlannedStarts.begin(), Job.m_PlannedStarts.end(),
                      [&](const PlannedStart &Other) {
-                       return !isSameStep(P.m_Task, Other.m_Task) ||
+                       return !P.m_Task.isInSameStepAs(Other.m_Task) ||
                               isUsable(*Other.m_Server, Now);
                      });
 }
