--- a/src/net/ProcessorTime.cpp
+++ b/src/net/ProcessorTime.cpp
@@ -1,17 +1,19 @@
 //===- ProcessorTime.cpp - Processor time of this process -----------------===//
 
 #include "net/ProcessorTime.h"
-#include <ctime>
+#include <sys/resource.h>
 
 namespace pollenspool {
 
 Duration processorTime() {
-  timespec Time{};
-  // Cannot fail: every supported kernel has this clock.
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::seconds(Time.tv_sec) +
-      std::chrono::nanoseconds(Time.tv_nsec));
+  rusage Usage{};
+  // Cannot fail with these arguments.
+  getrusage(RUSAGE_SELF, &Usage);
+  auto ToDuration = [](const timeval &T) {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(T.tv_sec) + std::chrono::microseconds(T.tv_usec));
+  };
+  return ToDuration(Usage.ru_utime) + ToDuration(Usage.ru_stime);
 }
 
 } // namespace pollenspool
