Tell in the log why a run was lost

TaskAgain said "not_there" for each run that its server did not list as ended: a crash, a lapsed lease, a move, a refused start. RunLoss names the cause; a server that ended while it was draining, or whose instance was ordered away, has not crashed.

No decision has changed.

--- a/src/scheduling/Messages.cpp
+++ b/src/scheduling/Messages.cpp
@@ -19,4 +19,11 @@
   return Names[static_cast<std::size_t>(K)];
 }
 
+std::string_view runLossName(RunLoss L) {
+  static constexpr std::array<std::string_view, 5> Names = {
+      "not_listed", "not_started", "lease_expired", "server_crashed",
+      "server_ended"};
+  return Names[static_cast<std::size_t>(L)];
+}
+
 } // namespace pollenspool
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -199,6 +199,24 @@
 /// The name of \p K in logs. Thread safe.
 std::string_view endKindName(EndKind K);
 
+/// Why a run is over although its server has not listed its end.
+enum class RunLoss : std::uint8_t {
+  /// The server, in the same incarnation, does not list the run.
+  NotListed,
+  /// The start order was not carried out.
+  NotStarted,
+  /// The server did not answer until its lease had expired.
+  LeaseExpired,
+  /// The server has ended unexpectedly.
+  ServerCrashed,
+  /// The server has ended as planned: it was draining, or its instance was
+  /// moved or shut down.
+  ServerEnded,
+};
+
+/// The name of \p L in logs. Thread safe.
+std::string_view runLossName(RunLoss L);
+
 /// The state of a run, as listed by its server.
 struct RunReport {
   RunId m_Run;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -46,6 +46,20 @@
 /// Such a server answers at once, because it lists these ends again.
 constexpr Duration UnrecordedPollSpacing = std::chrono::milliseconds(150);
 
+/// Why the runs of \p S are over, given that the server has ended.
+RunLoss lossAtEndOf(const ServerState &S) {
+  bool IsPlanned = S.m_Registration.m_Draining || S.m_Reserved;
+  return IsPlanned ? RunLoss::ServerEnded : RunLoss::ServerCrashed;
+}
+
+/// The same, given that the platform lists the server's instance as \p L.
+RunLoss lossShownBy(const ServerState &S, const InstanceListing &L) {
+  bool IsOrdered = L.m_Condition == InstanceCondition::Moving ||
+                   L.m_Condition == InstanceCondition::Maintenance ||
+                   L.m_Pool != S.m_Registration.m_Pool;
+  return IsOrdered ? RunLoss::ServerEnded : lossAtEndOf(S);
+}
+
 } // namespace
 
 Scheduler::Scheduler(const SchedulerOptions &Options, SchedulerOrders &Orders,
@@ -140,7 +154,8 @@
   ServerState *S = m_Servers.find(Id);
   if (!S)
     return;
-  rescheduleAllRuns(*S, "its instance was moved or shut down", Now);
+  rescheduleAllRuns(*S, RunLoss::ServerEnded,
+                    "its instance was moved or shut down", Now);
   S->m_Registered = false;
   S->m_UnregisteredAt = Now - RegistrationGrace;
   S->m_LeasesEnd = Now;
@@ -167,7 +182,8 @@
                          S.m_ClockAt < Asked;
     if (S.m_IsListedAsGone && !S.m_Runs.empty() && !S.m_Reachable)
       rescheduleAllRuns(
-          S, "the platform lists its instance as not up or with another server",
+          S, lossShownBy(S, L),
+          "the platform lists its instance as not up or with another server",
           Now);
   }
 }
@@ -261,7 +277,8 @@
     if (!S.m_Runs.empty() && Now >= S.m_LeasesEnd && !S.m_Reachable &&
         m_Authority.m_IsTermConfirmed) {
       ++m_Counters.m_LeasesExpired;
-      rescheduleAllRuns(S, "the lease of every run has expired", Now);
+      rescheduleAllRuns(S, RunLoss::LeaseExpired,
+                        "the lease of every run has expired", Now);
     }
     if (!S.m_Registered && S.isIdle() && !S.m_PollPending &&
         Now >= S.m_UnregisteredAt + RegistrationGrace && Now >= S.m_LeasesEnd)
@@ -351,7 +368,8 @@
 }
 
 void Scheduler::onOtherIncarnation(ServerState &S, TimePoint Now) {
-  rescheduleAllRuns(S, "another server answered at its address", Now);
+  rescheduleAllRuns(S, lossAtEndOf(S), "another server answered at its address",
+                    Now);
   S.m_Registered = false;
   S.m_UnregisteredAt = Now - RegistrationGrace;
   S.m_LeasesEnd = Now;
@@ -407,8 +425,10 @@
               {"failed_looks", std::to_string(S->m_FailedPolls)}});
   S->m_Reachable = S->m_PollSentAt >= S->m_SuspectedAt;
   S->m_FailedPolls = 0;
-  if (Reply.m_StartTimeMs != 0 && S->m_Registration.m_StartTimeMs != 0 &&
-      Reply.m_StartTimeMs != S->m_Registration.m_StartTimeMs)
+  bool IsNewIncarnation =
+      Reply.m_StartTimeMs != 0 && S->m_Registration.m_StartTimeMs != 0 &&
+      Reply.m_StartTimeMs != S->m_Registration.m_StartTimeMs;
+  if (IsNewIncarnation)
     resetIncarnation(*S);
   else
     S->m_LastAcknowledgedEnd =
@@ -424,7 +444,8 @@
   for (const EndReport &End : Reply.m_Ended)
     if (End.m_Number > S->m_LastSeenEnd)
       endRun(*S, End, Now);
-  reconcileRuns(*S, Reply, Now);
+  reconcileRuns(*S, Reply,
+                IsNewIncarnation ? lossAtEndOf(*S) : RunLoss::NotListed, Now);
   relocateStalledRuns(*S, Now);
   for (const PaceOrder &Pace : adjustPaces(*S, m_Options.m_Term, Now)) {
     ++m_Counters.m_Paces;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -199,10 +199,15 @@
   // Runs and their ends (SchedulerRuns.cpp).
   void endRun(ServerState &S, const EndReport &End, TimePoint Now);
   void countServerFailure(ServerState &S, TimePoint Now);
-  void reconcileRuns(ServerState &S, const PollReply &Reply, TimePoint Now);
+  /// \p Loss is the reason if the server does not list a run.
+  void reconcileRuns(ServerState &S, const PollReply &Reply, RunLoss Loss,
+                     TimePoint Now);
   void adoptOrStop(ServerState &S, const RunReport &Report, TimePoint Now);
-  void rescheduleRun(ServerState &S, const RunId &Id, TimePoint Now);
-  void rescheduleAllRuns(ServerState &S, const char *Why, TimePoint Now);
+  void rescheduleRun(ServerState &S, const RunId &Id, RunLoss Loss,
+                     TimePoint Now);
+  /// \p Evidence tells operators what showed the loss.
+  void rescheduleAllRuns(ServerState &S, RunLoss Loss, const char *Evidence,
+                         TimePoint Now);
   void orderStop(ServerState &S, const RunId &Id);
   void stopRunsOfTask(const LiveJob &Job, const TaskId &Task);
   void stopRunsOfJob(const LiveJob &Job);
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -130,7 +130,7 @@
   case OrderResult::Fenced:
     break;
   }
-  rescheduleRun(*S, Order.m_Run, Now);
+  rescheduleRun(*S, Order.m_Run, RunLoss::NotStarted, Now);
 }
 
 void Scheduler::onStopResult(const StopOrder &Order, OrderResult R,
@@ -187,7 +187,8 @@
         orderStop(*S, {Task, P.m_Number});
 }
 
-void Scheduler::rescheduleRun(ServerState &S, const RunId &Id, TimePoint Now) {
+void Scheduler::rescheduleRun(ServerState &S, const RunId &Id, RunLoss Loss,
+                              TimePoint Now) {
   ServerRegistry::removeRun(S, Id);
   LiveJob *Job = m_Jobs.find(Id.m_Task.m_Job);
   TaskState *T = Job ? Job->task(Id.m_Task) : nullptr;
@@ -196,20 +197,21 @@
   eraseLocation(*T, S.m_Registration.m_Id, Id.m_Number);
   logEvent(Event::TaskAgain, {{"run", runName(Id)},
                               {"server", S.m_Registration.m_Id.m_Text},
-                              {"end", "not_there"}});
+                              {"end", std::string(runLossName(Loss))}});
   if (!isFinal(Job->m_State))
     m_Jobs.requeue(*Job, Id.m_Task, Now);
 }
 
-void Scheduler::rescheduleAllRuns(ServerState &S, const char *Why,
-                                  TimePoint Now) {
+void Scheduler::rescheduleAllRuns(ServerState &S, RunLoss Loss,
+                                  const char *Evidence, TimePoint Now) {
   if (!S.m_Runs.empty())
     logEvent(Event::RunsLost, {{"server", S.m_Registration.m_Id.m_Text},
                                {"runs", std::to_string(S.m_Runs.size())},
-                               {"why", Why}});
+                               {"why", std::string(runLossName(Loss))},
+                               {"evidence", Evidence}});
   while (!S.m_Runs.empty()) {
     RunId Id = S.m_Runs.begin()->first;
-    rescheduleRun(S, Id, Now);
+    rescheduleRun(S, Id, Loss, Now);
   }
 }
 
@@ -288,7 +290,7 @@
 }
 
 void Scheduler::reconcileRuns(ServerState &S, const PollReply &Reply,
-                              TimePoint Now) {
+                              RunLoss Loss, TimePoint Now) {
   ++S.m_PollsAnswered;
   for (const RunReport &Report : Reply.m_Running) {
     auto It = S.m_Runs.find(Report.m_Run);
@@ -330,7 +332,7 @@
       Unlisted.push_back(Id);
   }
   for (const RunId &Id : Absent)
-    rescheduleRun(S, Id, Now);
+    rescheduleRun(S, Id, Loss, Now);
   for (const RunId &Id : Unlisted)
     orderStop(S, Id);
 }
