--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -3,9 +3,10 @@
 // SchedulerFuzz --seed N [--steps M] injects random faults: leaders are killed,
 // or replaced while they keep giving orders; servers crash and lose their
 // connection to the leader; replies to orders and commits are lost, or orders
-// and commits are carried out late; runs fail and jobs are cancelled. RunOracle
-// checks every start, and the state of each leader must be consistent. After
-// the faults have ended, every job must end.
+// and commits are carried out late; runs fail, some tasks crash the servers
+// that start them, and jobs are cancelled. RunOracle checks every start, and
+// the state of each leader must be consistent. After the faults have ended,
+// every job must end.
 //
 //===----------------------------------------------------------------------===//
 
@@ -31,6 +32,8 @@
   S.m_Faults.m_LostReplyShare = 0.03 * static_cast<double>(Random() % 3);
   S.m_Faults.m_DelayedOrderShare = 0.03 * static_cast<double>(Random() % 3);
   S.m_Faults.m_FailedRunShare = 0.02 * static_cast<double>(Random() % 3);
+  S.m_DeadlyJobShare = 0.02 * static_cast<double>(Random() % 3);
+  S.m_DeadlyDelay = milliseconds(5 + Random() % 1500);
   return S;
 }
 
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -14,6 +14,10 @@
 constexpr Duration CommitDelay = milliseconds(7);
 constexpr Duration TickInterval = milliseconds(5);
 constexpr Duration OrderTimeout = milliseconds(500);
+/// How long after a crash the platform lists the instance as down, and how long
+/// the server is away.
+constexpr Duration ListDelay = milliseconds(500);
+constexpr Duration RestartTime = std::chrono::seconds(3);
 /// How long a replaced leader keeps giving orders. The value is the same as in
 /// production.
 constexpr Duration ReplacedLeaderTimeout = std::chrono::seconds(5);
@@ -79,8 +83,13 @@
         m_Simulation.chance(m_Simulation.m_Settings.m_Faults.m_FailedRunShare);
     send(
         S, Order,
-        [Work, Fails](SimServer &To, const StartOrder &O) {
-          return To.start(O, Work, Fails);
+        [this, Work, Fails](SimServer &To, const StartOrder &O) {
+          bool Had = To.hasRun(O.m_Run);
+          OrderResult R = To.start(O, Work, Fails);
+          if (R == OrderResult::Done && !Had &&
+              m_Simulation.isDeadly(O.m_Run.m_Task))
+            m_Simulation.scheduleCrash(To, O.m_Run);
+          return R;
         },
         [this, S](const StartOrder &O, OrderResult R) {
           std::int64_t ClockMs =
@@ -269,16 +278,47 @@
                          m_StateRows[Id].m_Version, m_Clock.m_Now, wall());
   for (auto &S : m_Servers)
     Leader.m_Core->onServer(S->m_Registration, m_Clock.m_Now);
+  listInstances();
+  Leader.tick();
+}
+
+void JobSimulation::listInstances() {
   std::vector<InstanceListing> List;
   for (auto &S : m_Servers) {
     InstanceListing L;
     L.m_Id = S->m_Registration.m_Instance;
     L.m_Pool = S->m_Registration.m_Pool;
     L.m_Server = S->m_Registration.m_Id;
+    if (!S->m_IsUp)
+      L.m_Condition = InstanceCondition::Down;
     List.push_back(L);
   }
-  Leader.m_Core->onInstances(List, m_Clock.m_Now, m_Clock.m_Now);
-  Leader.tick();
+  for (auto &L : m_Leaders)
+    if (L->m_Alive && !L->m_ReplacedAt)
+      L->m_Core->onInstances(List, m_Clock.m_Now, m_Clock.m_Now);
+}
+
+void JobSimulation::scheduleCrash(SimServer &S, const RunId &Run) {
+  m_Clock.after(m_Settings.m_DeadlyDelay, [this, &S, Run] {
+    if (!S.m_IsUp || !S.hasRun(Run))
+      return;
+    ++m_Figures.m_CrashesByTasks;
+    m_Oracle.onCrashBy(Run);
+    failServer(S);
+  });
+}
+
+void JobSimulation::failServer(SimServer &S) {
+  S.crash();
+  S.m_IsUp = false;
+  m_Clock.after(ListDelay, [this] { listInstances(); });
+  m_Clock.after(RestartTime, [this, &S] {
+    S.m_IsUp = true;
+    listInstances();
+    for (auto &L : m_Leaders)
+      if (L->m_Alive && !L->m_ReplacedAt)
+        L->m_Core->onServer(S.m_Registration, m_Clock.m_Now);
+  });
 }
 
 void JobSimulation::replaceLeader() {
@@ -357,6 +397,7 @@
               Row.m_SubmittedAt + (Row.m_Objective - Row.m_SubmittedAt) * 3;
     } else {
       ++m_Figures.m_Failed;
+      m_Oracle.onJobFailed(JobId(At.m_Key));
     }
     m_LiveRows.erase(It);
   }
@@ -373,6 +414,7 @@
   Job.m_Steps = IsLongRunning ? makeLongRunningStep() : makeSteps();
   Job.m_AcceptedAt = wall();
   m_Oracle.onJob(Job, m_Settings.m_Attempts);
+  m_Figures.m_Deadly += isDeadly({Job.m_Id, 0, 0, 0});
   LiveRow Row{
       Job, ++m_Version, m_Clock.m_Now,
       m_Clock.m_Now + milliseconds(600) +
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -31,6 +31,10 @@
   /// Share of the submitted jobs that are long-running, as long as fewer than
   /// two of them are live.
   double m_LongRunningShare = 0;
+  /// Share of the jobs of which one task crashes each server that starts it,
+  /// this long after the start.
+  double m_DeadlyJobShare = 0;
+  Duration m_DeadlyDelay = std::chrono::milliseconds(10);
   /// Whether the state of the leaders is checked with findInconsistency().
   bool m_ChecksState = false;
 };
@@ -45,6 +49,10 @@
   std::uint64_t m_Late = 0;
   /// Failed or cancelled.
   std::uint64_t m_Failed = 0;
+  /// Submitted jobs of which a task crashes its servers.
+  std::uint64_t m_Deadly = 0;
+  /// Times that a task crashed its server.
+  std::uint64_t m_CrashesByTasks = 0;
   std::uint64_t m_Terms = 0;
 };
 
@@ -68,6 +76,9 @@
   void crashServer(std::size_t Index);
   /// From now on the server takes \p Factor times as long for all work.
   void slowServer(std::size_t Index, double Factor);
+  /// The server crashes, does not answer for 3 s and then registers again. The
+  /// platform lists its instance as down meanwhile.
+  void failServer(SimServer &S);
   /// Orders of the current leader to the server are lost until
   /// reconnectServers().
   void disconnectServer(std::size_t Index);
@@ -116,6 +127,12 @@
   std::chrono::milliseconds wall() const;
   bool chance(double Share);
   Duration workOf(const TaskId &Task);
+  /// Whether the task crashes each server that starts it.
+  bool isDeadly(const TaskId &Task) const;
+  /// Lets \p Run crash \p S after the delay of the settings.
+  void scheduleCrash(SimServer &S, const RunId &Run);
+  /// Shows the list of instances to the leaders.
+  void listInstances();
   Duration criticalPathOf(const JobSpec &Job);
 
   SimulationSettings m_Settings;
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -10,6 +10,12 @@
 
 /// How long after the cancellation of a job its tasks may still be started.
 constexpr Duration CancelledStartGrace = std::chrono::seconds(3);
+/// A task that has crashed so many servers may not be started MaxStartsBeyond
+/// times more.
+constexpr std::uint32_t MaxCrashes = 3;
+constexpr std::uint32_t MaxStartsBeyond = 3;
+/// A task under which so many servers have crashed may be given up.
+constexpr std::uint32_t CrashesToGiveUp = 2;
 
 std::string formatRun(const RunId &Run) {
   return Run.m_Task.m_Job.m_Text + "." +
@@ -82,15 +88,43 @@
                .m_Done)
         failInvariant("start before a step that the task depends on was done",
                       Run);
+  if (T.m_CrashesCaused >= MaxCrashes &&
+      ++T.m_StartsBeyondLimit >= MaxStartsBeyond)
+    failInvariant("three starts of a task that had crashed three servers", Run);
   T.m_RunningOn.insert(Server);
 }
 
+void RunOracle::onLostInCrash(const ServerId &Server, const RunId &Run) {
+  Task &T = m_Tasks[Run.m_Task];
+  T.m_RunningOn.erase(Server);
+  ++T.m_CrashesBeside;
+  addToHistory(Run, Server, "lost in a crash");
+}
+
+void RunOracle::onCrashBy(const RunId &Run) {
+  ++m_Tasks[Run.m_Task].m_CrashesCaused;
+}
+
+void RunOracle::onJobFailed(const JobId &Id) {
+  const std::uint32_t Attempts = m_Jobs[Id].m_Attempts;
+  auto It = m_Tasks.lower_bound({Id, 0, 0, 0});
+  RunId Last;
+  for (; It != m_Tasks.end() && It->first.m_Job == Id; ++It) {
+    Last.m_Task = It->first;
+    if (It->second.m_FailedRuns >= Attempts ||
+        It->second.m_CrashesBeside >= CrashesToGiveUp)
+      return;
+  }
+  failInvariant("a job failed without cause", Last);
+}
+
 void RunOracle::onEnd(const ServerId &Server, const RunId &Run, EndKind Kind) {
   Task &T = m_Tasks[Run.m_Task];
   T.m_RunningOn.erase(Server);
   addToHistory(Run, Server, endKindName(Kind));
   if (Kind == EndKind::Done)
     T.m_Done = true;
+  T.m_FailedRuns += Kind == EndKind::Failed;
 }
 
 void RunOracle::onEndAcknowledged(const ServerId &Server, const RunId &Run,
@@ -262,7 +296,7 @@
 
 void SimServer::crash() {
   for (const auto &[Id, R] : m_Runs)
-    m_Oracle.onEnd(m_Registration.m_Id, Id, EndKind::LeaseExpired);
+    m_Oracle.onLostInCrash(m_Registration.m_Id, Id);
   m_Runs.clear();
   m_Ends.clear();
   // The crash resets all connections, so pending polls fail.
--- a/src/scheduling/testing/SimServers.h
+++ b/src/scheduling/testing/SimServers.h
@@ -57,6 +57,12 @@
   void onCancelled(const JobId &Id, TimePoint Now);
   void onStart(const ServerId &Server, const RunId &Run, TimePoint Now);
   void onEnd(const ServerId &Server, const RunId &Run, EndKind Kind);
+  /// The run was lost when its server crashed.
+  void onLostInCrash(const ServerId &Server, const RunId &Run);
+  /// The run has crashed its server.
+  void onCrashBy(const RunId &Run);
+  /// The leader recorded that the job has failed.
+  void onJobFailed(const JobId &Id);
   /// The leader acknowledged the end, so the server discards it.
   void onEndAcknowledged(const ServerId &Server, const RunId &Run,
                          EndKind Kind);
@@ -68,6 +74,13 @@
     bool m_Done = false;
     bool m_SuccessAcknowledged = false;
     std::set<std::uint32_t> m_AcknowledgedFailures;
+    std::uint32_t m_FailedRuns = 0;
+    /// Servers that crashed while the task ran there, and those of them that
+    /// the task itself crashed.
+    std::uint32_t m_CrashesBeside = 0;
+    std::uint32_t m_CrashesCaused = 0;
+    /// Starts since it caused the last crash that it may cause.
+    std::uint32_t m_StartsBeyondLimit = 0;
     /// All events of the task, for the message of a violation.
     std::string m_History;
   };
@@ -113,6 +126,7 @@
   /// The server's own clock, in milliseconds.
   std::int64_t clockMs() const;
   std::size_t runs() const { return m_Runs.size(); }
+  bool hasRun(const RunId &Id) const { return m_Runs.count(Id) != 0; }
 
 private:
   struct Run {
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -24,6 +24,15 @@
                                               Factor(TaskRandom));
 }
 
+bool JobSimulation::isDeadly(const TaskId &Task) const {
+  if (m_Settings.m_DeadlyJobShare <= 0 || Task.m_Step != 0 || Task.m_Index != 0)
+    return false;
+  std::seed_seq Seed(Task.m_Job.m_Text.begin(), Task.m_Job.m_Text.end());
+  std::mt19937_64 JobRandom(Seed);
+  return std::uniform_real_distribution<>(0, 1)(JobRandom) <
+         m_Settings.m_DeadlyJobShare;
+}
+
 Duration JobSimulation::criticalPathOf(const JobSpec &Job) {
   Duration Path{0};
   for (std::uint32_t N = 0; N < Job.m_Steps.size(); ++N) {
