--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -57,6 +57,26 @@
   return Bits;
 }
 
+Json keyToJson(const TaskKey &Key) {
+  return Json::array({std::get<0>(Key), std::get<1>(Key), std::get<2>(Key)});
+}
+
+TaskKey keyFromJson(const Json &J) { return {J.at(0), J.at(1), J.at(2)}; }
+
+Json crashesToJson(const std::vector<CrashedRun> &Runs) {
+  Json Rows = Json::array();
+  for (const CrashedRun &R : Runs)
+    Rows.push_back({R.m_Number, R.m_WasAtWork, R.m_WasRecent, R.m_WasAlone});
+  return Rows;
+}
+
+std::vector<CrashedRun> crashesFromJson(const Json &Rows) {
+  std::vector<CrashedRun> Runs;
+  for (const Json &R : Rows)
+    Runs.push_back({R.at(0), R.at(1), R.at(2), R.at(3)});
+  return Runs;
+}
+
 /// With 16 partitions, a store that is 65 times slower than usual still accepts
 /// about 80 jobs per second.
 constexpr std::size_t JobPartitionCount = 16;
@@ -131,6 +151,11 @@
   for (const auto &[Key, Runs] : Progress.m_Failures)
     J["failures"].push_back(
         {std::get<0>(Key), std::get<1>(Key), std::get<2>(Key), Runs});
+  for (const auto &[Key, Runs] : Progress.m_Crashes)
+    J["crashes"].push_back({keyToJson(Key), crashesToJson(Runs)});
+  for (const auto &[Key, Start] : Progress.m_SuspectStarts)
+    J["suspect_starts"].push_back({keyToJson(Key), Start.m_Number,
+                                   Start.m_Server, Start.m_ServerStartTimeMs});
   for (const auto &[Number, Step] : Progress.m_StartedSteps)
     J["started"].push_back({Number, Step});
   return J.dump();
@@ -152,6 +177,11 @@
         for (const Json &Row : J.value("failures", Json::array()))
           P.m_Failures[{Row.at(0), Row.at(1), Row.at(2)}] =
               Row.at(3).get<std::vector<std::uint32_t>>();
+        for (const Json &Row : J.value("crashes", Json::array()))
+          P.m_Crashes[keyFromJson(Row.at(0))] = crashesFromJson(Row.at(1));
+        for (const Json &Row : J.value("suspect_starts", Json::array()))
+          P.m_SuspectStarts[keyFromJson(Row.at(0))] = {Row.at(1), Row.at(2),
+                                                       Row.at(3)};
         for (const Json &Row : J.value("started", Json::array()))
           P.m_StartedSteps.emplace(Row.at(0).get<std::uint32_t>(),
                                    Row.at(1).get<std::uint32_t>());
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -29,6 +29,30 @@
 RowAddress liveJobAddress(const JobId &Id);
 RowAddress jobStateAddress(const JobId &Id);
 
+/// A run that was lost when its server crashed.
+struct CrashedRun {
+  std::uint32_t m_Number = 0;
+  /// Whether the run is known to have begun and not to have ended by then.
+  bool m_WasAtWork = false;
+  /// Whether the run was lost soon after its start.
+  bool m_WasRecent = false;
+  /// Whether the server had no run of another job.
+  bool m_WasAlone = false;
+};
+
+/// A start of a task that is suspected of crashing its servers. Written before
+/// the start is ordered, so that the next leader can tell whether the server
+/// has crashed.
+struct SuspectStart {
+  std::uint32_t m_Number = 0;
+  /// ID and start time of the server. \see ServerRegistration.
+  std::string m_Server;
+  std::int64_t m_ServerStartTimeMs = 0;
+};
+
+/// Occurrence, step and index of a task within its job.
+using TaskKey = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+
 /// The state of a job that must survive the loss of all instances. It holds the
 /// results of ended runs that were acknowledged to the backend servers, because
 /// no server reports those runs any more.
@@ -40,9 +64,10 @@
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<bool>> m_Done;
   /// Numbers of the failed runs, by occurrence, step and task index. They are
   /// stored instead of a count so that a failure reported twice counts once.
-  std::map<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>,
-           std::vector<std::uint32_t>>
-      m_Failures;
+  std::map<TaskKey, std::vector<std::uint32_t>> m_Failures;
+  /// Runs of unfinished tasks that were lost in crashes of their servers.
+  std::map<TaskKey, std::vector<CrashedRun>> m_Crashes;
+  std::map<TaskKey, SuspectStart> m_SuspectStarts;
   /// Occurrences and steps of which a leader may have started runs. Written
   /// before the first start, so that the next leader need not look for runs of
   /// other steps. \see StartRecords.
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -6,6 +6,48 @@
 
 namespace pollenspool {
 
+namespace {
+
+/// Number of crashes under a task after which it may be given up.
+constexpr std::size_t CrashesToGiveUp = 2;
+/// The same if some of the runs may not have begun or may have ended.
+constexpr std::size_t DoubtfulCrashesToGiveUp = 3;
+/// The same if runs of other jobs were on the servers each time.
+constexpr std::size_t SharedCrashesToGiveUp = 4;
+
+void restoreCrashes(const JobProgress &Recorded, const TaskKey &Key,
+                    TaskState &T) {
+  auto Runs = Recorded.m_Crashes.find(Key);
+  if (T.m_Done || Runs == Recorded.m_Crashes.end())
+    return;
+  T.m_Crashes = std::make_unique<CrashHistory>();
+  T.m_Crashes->m_Runs = Runs->second;
+  auto Start = Recorded.m_SuspectStarts.find(Key);
+  if (Start == Recorded.m_SuspectStarts.end())
+    return;
+  T.m_Crashes->m_Start = Start->second;
+  T.m_Crashes->m_IsStartOfEarlierLeader = true;
+}
+
+} // namespace
+
+bool CrashHistory::isSuspect() const {
+  return m_Runs.size() > 1 ||
+         std::any_of(m_Runs.begin(), m_Runs.end(),
+                     [](const CrashedRun &R) { return R.m_WasRecent; });
+}
+
+bool CrashHistory::mustGiveUp() const {
+  if (m_Runs.size() >= SharedCrashesToGiveUp)
+    return true;
+  auto Certain = static_cast<std::size_t>(
+      std::count_if(m_Runs.begin(), m_Runs.end(),
+                    [](const CrashedRun &R) { return R.m_WasAtWork; }));
+  return !m_Runs.empty() && m_Runs.back().m_WasAlone &&
+         (Certain >= CrashesToGiveUp ||
+          m_Runs.size() >= DoubtfulCrashesToGiveUp);
+}
+
 StepState *LiveJob::step(std::uint32_t Occurrence, std::uint32_t Step) {
   auto It = m_Occurrences.find(Occurrence);
   if (It == m_Occurrences.end() || Step >= It->second.m_Steps.size())
@@ -87,6 +129,8 @@
   Job.m_IsRecordedAsRunning = Job.m_State != JobState::Queued;
   Job.m_HasBegun = !Job.m_RestoredProgress.m_Done.empty() ||
                    !Job.m_RestoredProgress.m_Failures.empty();
+  Job.m_HasEarlierSuspectStarts =
+      !Job.m_RestoredProgress.m_SuspectStarts.empty();
   Job.m_AcceptedVersion = Accepted;
   Job.m_StateVersion = State;
   Job.m_AcceptedAt = Now - std::max(std::chrono::milliseconds(0),
@@ -168,6 +212,7 @@
       auto Failed = Job.m_RestoredProgress.m_Failures.find({O.m_Number, N, I});
       if (Failed != Job.m_RestoredProgress.m_Failures.end())
         S.m_Tasks[I].m_FailedRuns = Failed->second;
+      restoreCrashes(Job.m_RestoredProgress, {O.m_Number, N, I}, S.m_Tasks[I]);
     }
     S.m_StartRecorded = S.m_MayHaveEarlierRuns =
         Job.m_RestoredProgress.m_StartedSteps.count({O.m_Number, N}) != 0;
@@ -291,6 +336,53 @@
   return true;
 }
 
+bool JobRegistry::markCrashed(LiveJob &Job, const TaskId &Id,
+                              const CrashedRun &Run) {
+  TaskState *T = Job.task(Id);
+  if (!T || T->m_Done)
+    return false;
+  if (!T->m_Crashes)
+    T->m_Crashes = std::make_unique<CrashHistory>();
+  CrashHistory &H = *T->m_Crashes;
+  if (std::any_of(H.m_Runs.begin(), H.m_Runs.end(), [&](const CrashedRun &R) {
+        return R.m_Number == Run.m_Number;
+      }))
+    return false;
+  H.m_Runs.push_back(Run);
+  if (H.m_Start && H.m_Start->m_Number == Run.m_Number)
+    H.m_Start.reset();
+  Job.m_HasBegun |= Run.m_WasAtWork;
+  ++Job.m_ChangeNumber;
+  if (H.mustGiveUp())
+    Job.m_State = JobState::Failed;
+  markDirty(Job);
+  return true;
+}
+
+void JobRegistry::requestSuspectStart(LiveJob &Job, TaskState &T,
+                                      SuspectStart Start) {
+  CrashHistory &H = *T.m_Crashes;
+  H.m_Start = std::move(Start);
+  H.m_IsStartOfEarlierLeader = false;
+  H.m_StartChange = ++Job.m_ChangeNumber;
+  Job.m_WantsStart = true;
+  markDirty(Job);
+}
+
+void JobRegistry::endSuspectStart(LiveJob &Job, TaskState &T) {
+  if (!T.m_Crashes || !T.m_Crashes->m_Start)
+    return;
+  T.m_Crashes->m_Start.reset();
+  ++Job.m_ChangeNumber;
+  markDirty(Job);
+}
+
+void JobRegistry::clearCrashes(LiveJob &Job, TaskState &T) {
+  T.m_Crashes.reset();
+  ++Job.m_ChangeNumber;
+  markDirty(Job);
+}
+
 void JobRegistry::requeue(LiveJob &Job, const TaskId &Id, TimePoint NotBefore) {
   TaskState *T = Job.task(Id);
   if (!T || T->m_Done || T->m_Ready || !T->m_Runs.empty())
@@ -356,6 +448,13 @@
         if (!S.m_Tasks[I].m_FailedRuns.empty() &&
             !Job.m_Spec.m_Steps[N].m_IsLongRunning)
           P.m_Failures[{Number, N, I}] = S.m_Tasks[I].m_FailedRuns;
+      for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I)
+        if (const CrashHistory *H = S.m_Tasks[I].m_Crashes.get();
+            H && !S.m_Tasks[I].m_Done) {
+          P.m_Crashes[{Number, N, I}] = H->m_Runs;
+          if (H->m_Start)
+            P.m_SuspectStarts[{Number, N, I}] = *H->m_Start;
+        }
     }
   if (!P.m_StartedSteps.empty())
     P.m_State = JobState::Running;
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -9,6 +9,7 @@
 #include "store/MetadataStore.h"
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -20,6 +21,28 @@
   std::uint32_t m_Number = 0;
 };
 
+/// What is known about the crashes of servers that ran one task.
+struct CrashHistory {
+  std::vector<CrashedRun> m_Runs;
+  /// The latest start since then, until its outcome is known.
+  std::optional<SuspectStart> m_Start;
+  /// Whether an earlier leader recorded m_Start, so that this one has to find
+  /// out whether the server has crashed.
+  bool m_IsStartOfEarlierLeader = false;
+  /// The job's change that records m_Start.
+  std::uint64_t m_StartChange = 0;
+  /// Since when the task waits for a server of its own; unset if it does not.
+  std::optional<TimePoint> m_WaitsSince;
+
+  /// Whether the task should run apart from the tasks of other jobs: it was
+  /// lost soon after its start, or more than once.
+  bool isSuspect() const;
+  /// Whether the task has to be given up: two servers have crashed under it,
+  /// the latest without a run of another job. More are needed if it is not
+  /// certain that the task was at work, or if runs of other jobs were there.
+  bool mustGiveUp() const;
+};
+
 /// The state of one task of a live job.
 struct TaskState {
   bool m_Done = false;
@@ -38,6 +61,11 @@
   TimePoint m_NotBefore{};
   /// Runs that exist or may exist on a server.
   std::vector<RunLocation> m_Runs;
+  /// Null unless a server has crashed under the task.
+  std::unique_ptr<CrashHistory> m_Crashes;
+
+  /// Whether the task is suspected of crashing its servers.
+  bool isSuspect() const { return m_Crashes && m_Crashes->isSuspect(); }
 };
 
 /// The state of one step of an occurrence.
@@ -101,6 +129,8 @@
   ServerState *m_Server = nullptr;
   Resources m_Need;
   TimePoint m_PlannedAt{};
+  /// Whether the server is kept free of tasks of other jobs.
+  bool m_IsIsolated = false;
 };
 
 class PlacementQueue;
@@ -125,6 +155,8 @@
   std::vector<PlannedStart> m_PlannedStarts;
   /// The queue in which the job waits for placement; null if it does not.
   PlacementQueue *m_PlacementQueue = nullptr;
+  /// Whether an earlier leader recorded starts of suspected tasks.
+  bool m_HasEarlierSuspectStarts = false;
   /// Whether JobRegistry::takeNewlyReady() will return the job.
   bool m_IsNewlyReady = false;
   /// Progress read from the store; used for occurrences that are released
@@ -224,6 +256,16 @@
   /// Counts a failed run. Returns false if that run was counted already, or if
   /// the task is done.
   bool markFailed(LiveJob &Job, const TaskId &Id, std::uint32_t Run);
+  /// Counts a run that was lost in a crash of its server. The job fails if the
+  /// task has to be given up. Returns false if that run was counted already, or
+  /// if the task is done.
+  bool markCrashed(LiveJob &Job, const TaskId &Id, const CrashedRun &Run);
+  /// Asks for the record of the next start of a suspected task.
+  void requestSuspectStart(LiveJob &Job, TaskState &T, SuspectStart Start);
+  /// The outcome of the task's latest start is known, and was no crash.
+  void endSuspectStart(LiveJob &Job, TaskState &T);
+  /// Forgets the crashes under a task that has proved sound.
+  void clearCrashes(LiveJob &Job, TaskState &T);
   /// Puts a task back into the ready list unless it is done, ready or running.
   void requeue(LiveJob &Job, const TaskId &Id, TimePoint NotBefore);
   /// Marks the job's state row as out of date.
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -70,12 +70,13 @@
   Txn.m_Puts.push_back({State, encodeProgress(Progress)});
   if (isFinal(Job.m_State))
     Txn.m_Deletes.push_back(liveJobAddress(Id));
-  bool RecordsStart = false;
+  bool RecordsStart = !Progress.m_SuspectStarts.empty();
   for (const auto &[Number, Step] : Progress.m_StartedSteps)
     RecordsStart |= !Job.step(Number, Step)->m_StartRecorded;
   m_Batch.push_back({Id, Job.m_State, Job.m_ChangeNumber,
                      Progress.m_State != JobState::Queued,
-                     std::move(Progress.m_StartedSteps)});
+                     std::move(Progress.m_StartedSteps),
+                     !Progress.m_SuspectStarts.empty()});
   return RecordsStart;
 }
 
@@ -119,6 +120,7 @@
         const StepState *S = Job->step(Number, Step);
         Job->m_WantsStart |= S->m_StartWanted && !S->m_StartRecorded;
       }
+      Job->m_WantsStart |= P.m_HasSuspectStarts;
       m_Core.jobs().markDirty(*Job);
     }
 }
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -46,18 +46,13 @@
 /// Such a server answers at once, because it lists these ends again.
 constexpr Duration UnrecordedPollSpacing = std::chrono::milliseconds(150);
 
-/// Why the runs of \p S are over, given that the server has ended.
-RunLoss lossAtEndOf(const ServerState &S) {
-  bool IsPlanned = S.m_Registration.m_Draining || S.m_Reserved;
-  return IsPlanned ? RunLoss::ServerEnded : RunLoss::ServerCrashed;
-}
-
-/// The same, given that the platform lists the server's instance as \p L.
+/// Why the runs of \p S are over, given that the platform lists the server's
+/// instance as \p L.
 RunLoss lossShownBy(const ServerState &S, const InstanceListing &L) {
   bool IsOrdered = L.m_Condition == InstanceCondition::Moving ||
                    L.m_Condition == InstanceCondition::Maintenance ||
                    L.m_Pool != S.m_Registration.m_Pool;
-  return IsOrdered ? RunLoss::ServerEnded : lossAtEndOf(S);
+  return IsOrdered ? RunLoss::ServerEnded : S.lossAtEnd();
 }
 
 } // namespace
@@ -180,7 +175,8 @@
     S.m_IsListedAsGone = (L.m_Condition != InstanceCondition::Up ||
                           (!L.m_Server.empty() && L.m_Server != Id)) &&
                          S.m_ClockAt < Asked;
-    if (S.m_IsListedAsGone && !S.m_Runs.empty() && !S.m_Reachable)
+    if (S.m_IsListedAsGone && !S.m_Reachable &&
+        !(S.m_Runs.empty() && S.m_LapsedRuns.empty()))
       rescheduleAllRuns(
           S, lossShownBy(S, L),
           "the platform lists its instance as not up or with another server",
@@ -204,6 +200,11 @@
       if (Job.task(Task))
         m_Jobs.markFailed(Job, Task, Run);
     }
+  for (const auto &[Where, Runs] : Stored.m_Crashes)
+    for (const CrashedRun &Run : Runs)
+      countCrashedRun(
+          Job, {Id, std::get<0>(Where), std::get<1>(Where), std::get<2>(Where)},
+          Run, "of an earlier leader");
   JobRegistry::markStartsRecorded(Job, Stored.m_StartedSteps);
 }
 
@@ -368,7 +369,7 @@
 }
 
 void Scheduler::onOtherIncarnation(ServerState &S, TimePoint Now) {
-  rescheduleAllRuns(S, lossAtEndOf(S), "another server answered at its address",
+  rescheduleAllRuns(S, S.lossAtEnd(), "another server answered at its address",
                     Now);
   S.m_Registered = false;
   S.m_UnregisteredAt = Now - RegistrationGrace;
@@ -397,7 +398,7 @@
              {{"server", Order.m_Server.m_Id.m_Text},
               {"runs", std::to_string(S->m_Runs.size())},
               {"result", std::string(orderResultName(R))}});
-  S->m_Reachable = false;
+  noteSilence(*S, R, Now - S->m_PollSentAt, Order.m_Timeout);
   ++S->m_FailedPolls;
 }
 
@@ -428,11 +429,14 @@
   bool IsNewIncarnation =
       Reply.m_StartTimeMs != 0 && S->m_Registration.m_StartTimeMs != 0 &&
       Reply.m_StartTimeMs != S->m_Registration.m_StartTimeMs;
-  if (IsNewIncarnation)
+  if (IsNewIncarnation) {
+    countCrashBefore(*S, Reply, Now);
     resetIncarnation(*S);
-  else
+  } else {
+    S->m_LapsedRuns.clear();
     S->m_LastAcknowledgedEnd =
         std::max(S->m_LastAcknowledgedEnd, Order.m_AcknowledgedEndNumber);
+  }
   S->m_Registration.m_StartTimeMs = Reply.m_StartTimeMs;
   bool First = !S->m_HasAcknowledgedTerm;
   m_UnacknowledgedPoolsChanged |= First;
@@ -445,7 +449,7 @@
     if (End.m_Number > S->m_LastSeenEnd)
       endRun(*S, End, Now);
   reconcileRuns(*S, Reply,
-                IsNewIncarnation ? lossAtEndOf(*S) : RunLoss::NotListed, Now);
+                IsNewIncarnation ? S->lossAtEnd() : RunLoss::NotListed, Now);
   relocateStalledRuns(*S, Now);
   for (const PaceOrder &Pace : adjustPaces(*S, m_Options.m_Term, Now)) {
     ++m_Counters.m_Paces;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -76,6 +76,16 @@
   std::uint64_t m_ServersExamined = 0;
   /// Servers whose unrecorded ends were compared with the records of jobs.
   std::uint64_t m_EndsCompared = 0;
+  /// Servers that have crashed.
+  std::uint64_t m_ServerCrashes = 0;
+  /// Runs lost in such crashes whose tasks became suspects.
+  std::uint64_t m_SuspectedRuns = 0;
+  /// Starts of suspected tasks.
+  std::uint64_t m_SuspectStarts = 0;
+  /// Those of them beside tasks of other jobs, since no server became free.
+  std::uint64_t m_SharedSuspectStarts = 0;
+  /// Tasks given up because their servers crashed.
+  std::uint64_t m_CrashingTasksGivenUp = 0;
   /// Ready tasks and steps that were read to compute the demand.
   std::uint64_t m_DemandReads = 0;
   /// Servers that were compared to find out whether any may run a task.
@@ -196,6 +206,37 @@
   Scheduler(const SchedulerOptions &Options, SchedulerOrders &Orders,
             TimePoint Now);
 
+  /// One placement pass over a pool.
+  struct PoolPass {
+    const ServersByFreeCores &m_Servers;
+    TimePoint m_Now;
+    /// Free cores of the usable server that has most of them; -1 if no server
+    /// is usable.
+    std::int64_t m_MostMilliCores = -1;
+    /// A requirement that no server satisfies during the pass, because starts
+    /// only reduce the free resources.
+    struct Failure {
+      const std::string *m_Label;
+      Resources m_Need;
+    };
+    std::vector<Failure> m_Failures = {};
+    /// Searches for a server without tasks of other jobs.
+    std::uint32_t m_IsolationSearches = 0;
+    /// Jobs whose suspected tasks found none, and the latest of them.
+    std::size_t m_JobsWaitingForIsolation = 0;
+    const LiveJob *m_LastJobWaiting = nullptr;
+  };
+  /// What the tasks of one step require.
+  struct StepNeeds {
+    const StepSpec *m_Step = nullptr;
+    Resources m_Need;
+    bool m_NeedsTicket = false;
+    /// Racks on which tasks of a step with m_SameRack run.
+    std::set<RackName> m_RacksInUse;
+  };
+  /// The servers selected so far for the members of a gang.
+  using GangServers = std::vector<const ServerState *>;
+
   // Runs and their ends (SchedulerRuns.cpp).
   void endRun(ServerState &S, const EndReport &End, TimePoint Now);
   void countServerFailure(ServerState &S, TimePoint Now);
@@ -216,35 +257,56 @@
   /// Another server has answered at the address of \p S, which has ended.
   void onOtherIncarnation(ServerState &S, TimePoint Now);
   void checkIncarnation(ServerState &S, const StartReply &Reply, TimePoint Now);
-  /// Resets the state that belongs to the previous incarnation of a server. Its
+  /// Forgets what belongs to the previous incarnation of a server. Its
   /// runs are kept, since the list in the answer shows which of them the new
   /// incarnation already has.
   static void resetIncarnation(ServerState &S);
 
+  // Crashes of servers, and the tasks suspected of them
+  // (SchedulerCrashes.cpp).
+  using LostRuns = std::map<RunId, ActiveRun>;
+  /// Counts the crash of \p S for the tasks of all runs that it had, and of
+  /// those in \p Lost.
+  void countCrash(ServerState &S, const LostRuns &Lost, const char *Evidence,
+                  TimePoint Now);
+  /// Returns whether the task is a suspect now.
+  bool countLostRun(const ServerState &S, const RunId &Id, const ActiveRun &Run,
+                    bool WasAlone);
+  void countCrashedRun(LiveJob &Job, const TaskId &Id, const CrashedRun &Run,
+                       const std::string &Server);
+  /// Marks \p S as unreachable after an order without an answer, which has
+  /// waited for \p Waited of its \p Timeout.
+  static void noteSilence(ServerState &S, OrderResult R, Duration Waited,
+                          Duration Timeout);
+  /// Counts the runs of the previous incarnation of \p S that \p Reply does not
+  /// list.
+  void countCrashBefore(ServerState &S, const PollReply &Reply, TimePoint Now);
+  /// \p S has listed a run of a suspected task, which proves the task sound
+  /// after a while.
+  void onListedSuspect(ServerState &S, const RunId &Id, ActiveRun &Run);
+  /// The latest start of the task ended in another way than by a crash.
+  void endSuspectStart(LiveJob &Job, const TaskId &Id);
+  /// Finds out whether the starts of suspected tasks of the step that an
+  /// earlier leader recorded ended in crashes.
+  void resolveEarlierStarts(LiveJob &Job, const ReadyTask &Step);
+  void resolveEarlierStart(LiveJob &Job, const TaskId &Id, TaskState &T);
+  /// Selects a server without tasks of other jobs. After a while any server
+  /// will do.
+  ServerState *selectIsolated(const LiveJob &Job, const ReadyTask &Task,
+                              TaskState &T, const StepNeeds &Needs,
+                              const GangServers &GangPlan, PoolPass &Pass);
+  /// A task of \p Job that is suspected is about to be started on \p S.
+  void countSuspectStart(const LiveJob &Job, ServerState &S);
+  /// Lets servers become free for the suspected tasks that wait for one.
+  void clearServers(PoolPass &Pass);
+  static bool isSuspectStartRecorded(const LiveJob &Job, const TaskState &T,
+                                     const ServerState &S);
+  /// Asks for the record of the start of a suspected task, and keeps \p S free
+  /// for it.
+  void planSuspectStart(LiveJob &Job, TaskState &T, ServerState &S,
+                        std::uint32_t RunNumber);
+
   // Placement (SchedulerPlacement.cpp).
-  /// One placement pass over a pool.
-  struct PoolPass {
-    const ServersByFreeCores &m_Servers;
-    TimePoint m_Now;
-    /// Free cores of the usable server that has most of them; -1 if no server
-    /// is usable.
-    std::int64_t m_MostMilliCores = -1;
-    /// A requirement that no server satisfies during the pass, because starts
-    /// only reduce the free resources.
-    struct Failure {
-      const std::string *m_Label;
-      Resources m_Need;
-    };
-    std::vector<Failure> m_Failures;
-  };
-  /// What the tasks of one step require.
-  struct StepNeeds {
-    const StepSpec *m_Step = nullptr;
-    Resources m_Need;
-    bool m_NeedsTicket = false;
-    /// Racks on which tasks of a step with m_SameRack run.
-    std::set<RackName> m_RacksInUse;
-  };
   void placeReady(TimePoint Now);
   void enqueueReady();
   void placePool(const PoolName &Name, PlacementQueue &Queue, TimePoint Now);
@@ -273,8 +335,6 @@
   std::uint32_t nextRunNumber(const TaskState &T) const;
 
   // Selection of servers (SchedulerSelection.cpp).
-  /// The servers selected so far for the members of a gang.
-  using GangServers = std::vector<const ServerState *>;
   /// How suitable a server is for a task; lower is better.
   using PlacementScore = std::tuple<int, int, int, std::uint32_t, std::int64_t>;
   StepNeeds needsOf(const LiveJob &Job, const ReadyTask &Task) const;
@@ -312,6 +372,8 @@
   /// Whether the start of a step may be ordered: it is recorded in the store,
   /// or no record is needed.
   bool isStartRecorded(LiveJob &Job, const ReadyTask &Task) const;
+  /// The same for a planned start, also of a suspected task.
+  bool isStartRecorded(LiveJob &Job, const PlannedStart &P) const;
   /// Asks for the record of a start and keeps \p Need free on \p S until it
   /// is written.
   void planStart(LiveJob &Job, const ReadyTask &Task, const Resources &Need,
@@ -332,6 +394,8 @@
   bool areServersUsable(const LiveJob &Job, const PlannedStart &P,
                         TimePoint Now) const;
   void cancelPlannedStarts(LiveJob &Job);
+  /// Frees what is kept on the server of \p P.
+  static void cancelPlannedStart(const PlannedStart &P);
   bool hasPoolAcknowledgedTerm(const PoolName &Pool) const {
     return m_InstancesKnown && !m_UnacknowledgedPools.count(Pool);
   }
--- /dev/null
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -0,0 +1,279 @@
+//===- SchedulerCrashes.cpp - Tasks suspected of crashing servers ---------===//
+//
+// A task may crash each server that starts it. After a crash all tasks of the
+// server come into question. Those that had just started are suspects, as are
+// those that were lost in more than one crash. A suspect runs on a server
+// without tasks of other jobs, so that the next crash shows whose it is and
+// takes no other work along.
+//
+//===----------------------------------------------------------------------===//
+
+#include "base/Log.h"
+#include "scheduling/Scheduler.h"
+#include <algorithm>
+
+namespace pollenspool {
+
+namespace {
+
+/// A run that its server has not been seen to survive for this long is
+/// suspected first when the server crashes.
+constexpr Duration RecentStart = std::chrono::milliseconds(250);
+/// A run that has lasted this long shows that its task does not crash its
+/// servers at the start.
+constexpr Duration SoundTime = std::chrono::seconds(5);
+/// How long a suspected task waits for a server without tasks of other jobs.
+constexpr Duration MaxIsolationWait = std::chrono::milliseconds(1500);
+/// How long a server gets no other tasks so that it becomes free for suspected
+/// ones.
+constexpr Duration ClearingTime = std::chrono::milliseconds(1500);
+/// The share of a pool's servers that may be cleared at the same time; at least
+/// one is.
+constexpr std::size_t ClearedFraction = 8;
+/// Maximum number of searches for such a server in one pass over a pool.
+constexpr std::uint32_t MaxIsolationSearches = 8;
+
+std::string runName(const RunId &Id) {
+  return Id.m_Task.m_Job.m_Text + "." + std::to_string(Id.m_Task.m_Occurrence) +
+         "." + std::to_string(Id.m_Task.m_Step) + "." +
+         std::to_string(Id.m_Task.m_Index) + "#" + std::to_string(Id.m_Number);
+}
+
+/// Whether work is lost that would last for longer than that of other runs.
+bool hasLastingRuns(const ServerState &S) {
+  return std::any_of(S.m_Runs.begin(), S.m_Runs.end(), [](const auto &E) {
+    return E.second.m_IsLongRunning || E.second.m_IsBestEffort;
+  });
+}
+
+} // namespace
+
+void Scheduler::countCrash(ServerState &S, const LostRuns &Lost,
+                           const char *Evidence, TimePoint Now) {
+  LostRuns All = std::exchange(S.m_LapsedRuns, {});
+  All.insert(Lost.begin(), Lost.end());
+  if (All.empty())
+    return;
+  const JobId &First = All.begin()->first.m_Task.m_Job;
+  bool IsOneJob = std::all_of(All.begin(), All.end(), [&](const auto &E) {
+    return E.first.m_Task.m_Job == First;
+  });
+  std::size_t Suspects = 0;
+  for (const auto &[Id, Run] : All)
+    Suspects += countLostRun(S, Id, Run, IsOneJob);
+  ++m_Counters.m_ServerCrashes;
+  m_Counters.m_SuspectedRuns += Suspects;
+  logEvent(Event::BackendCrashed,
+           {{"server", S.m_Registration.m_Id.m_Text},
+            {"instance", S.m_Registration.m_Instance.m_Text},
+            {"evidence", Evidence},
+            {"runs", std::to_string(All.size())},
+            {"suspects", std::to_string(Suspects)},
+            {"silent_ms", std::to_string((Now - S.m_ClockAt) /
+                                         std::chrono::milliseconds(1))}});
+}
+
+bool Scheduler::countLostRun(const ServerState &S, const RunId &Id,
+                             const ActiveRun &Run, bool WasAlone) {
+  LiveJob *Job = m_Jobs.find(Id.m_Task.m_Job);
+  TaskState *T = Job ? Job->task(Id.m_Task) : nullptr;
+  if (!T || T->m_Done || isFinal(Job->m_State))
+    return false;
+  Duration Survived = std::max(Duration(0), Run.m_SeenAt - Run.m_OrderedAt);
+  // Such a task meets crashes of its servers that have other causes.
+  if (Run.m_IsLongRunning && Survived >= SoundTime) {
+    endSuspectStart(*Job, Id.m_Task);
+    return false;
+  }
+  countCrashedRun(*Job, Id.m_Task,
+                  {Id.m_Number, Run.m_HasBegun && S.m_WasLostAbruptly,
+                   Survived < RecentStart, WasAlone},
+                  S.m_Registration.m_Id.m_Text);
+  return T->isSuspect();
+}
+
+void Scheduler::countCrashedRun(LiveJob &Job, const TaskId &Id,
+                                const CrashedRun &Run,
+                                const std::string &Server) {
+  if (isFinal(Job.m_State) || !m_Jobs.markCrashed(Job, Id, Run))
+    return;
+  const std::string Crashes =
+      std::to_string(Job.task(Id)->m_Crashes->m_Runs.size());
+  logEvent(Event::RunCrashed, {{"run", runName({Id, Run.m_Number})},
+                               {"server", Server},
+                               {"crashes", Crashes},
+                               {"at_work", Run.m_WasAtWork ? "yes" : "unsure"},
+                               {"recent", Run.m_WasRecent ? "yes" : "no"},
+                               {"alone", Run.m_WasAlone ? "yes" : "no"}});
+  if (!isFinal(Job.m_State))
+    return;
+  ++m_Counters.m_CrashingTasksGivenUp;
+  logEvent(Event::TaskGivenUp,
+           {{"run", runName({Id, Run.m_Number})}, {"crashes", Crashes}});
+  stopRunsOfJob(Job);
+}
+
+void Scheduler::noteSilence(ServerState &S, OrderResult R, Duration Waited,
+                            Duration Timeout) {
+  if (std::exchange(S.m_Reachable, false))
+    S.m_WasLostAbruptly = R == OrderResult::NotSent || Waited < Timeout / 2;
+}
+
+void Scheduler::countCrashBefore(ServerState &S, const PollReply &Reply,
+                                 TimePoint Now) {
+  if (S.lossAtEnd() != RunLoss::ServerCrashed) {
+    S.m_LapsedRuns.clear();
+    return;
+  }
+  LostRuns Lost = S.m_Runs;
+  for (const RunReport &Report : Reply.m_Running)
+    Lost.erase(Report.m_Run);
+  for (const EndReport &End : Reply.m_Ended)
+    Lost.erase(End.m_Run);
+  // An order that is not answered yet may still reach the new incarnation.
+  for (auto It = Lost.begin(); It != Lost.end();)
+    It = It->second.m_Phase == RunPhase::Starting ? Lost.erase(It)
+                                                  : std::next(It);
+  countCrash(S, Lost, "it answers with a later start time", Now);
+}
+
+void Scheduler::onListedSuspect(ServerState &S, const RunId &Id,
+                                ActiveRun &Run) {
+  if (Run.m_SeenAt - Run.m_OrderedAt < SoundTime)
+    return;
+  Run.m_IsSuspect = false;
+  ServerRegistry::updateIsolation(S);
+  LiveJob *Job = m_Jobs.find(Id.m_Task.m_Job);
+  TaskState *T = Job ? Job->task(Id.m_Task) : nullptr;
+  // The crashes under a task that ends are kept, since it may crash its servers
+  // late in its work.
+  if (T && T->m_Crashes && Run.m_IsLongRunning)
+    m_Jobs.clearCrashes(*Job, *T);
+}
+
+void Scheduler::endSuspectStart(LiveJob &Job, const TaskId &Id) {
+  m_Jobs.endSuspectStart(Job, *Job.task(Id));
+}
+
+void Scheduler::resolveEarlierStarts(LiveJob &Job, const ReadyTask &Step) {
+  StepState &S = *Job.step(Step.m_Occurrence, Step.m_Step);
+  for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I)
+    if (TaskState &T = S.m_Tasks[I]; T.m_Crashes && T.m_Runs.empty())
+      resolveEarlierStart(
+          Job, {Job.m_Spec.m_Id, Step.m_Occurrence, Step.m_Step, I}, T);
+}
+
+void Scheduler::resolveEarlierStart(LiveJob &Job, const TaskId &Id,
+                                    TaskState &T) {
+  CrashHistory &H = *T.m_Crashes;
+  if (!H.m_IsStartOfEarlierLeader)
+    return;
+  H.m_IsStartOfEarlierLeader = false;
+  const SuspectStart Start = *H.m_Start;
+  const ServerState *S = m_Servers.find(ServerId(Start.m_Server));
+  bool IsSameIncarnation =
+      S && (!S->m_HasAcknowledgedTerm ||
+            S->m_Registration.m_StartTimeMs == Start.m_ServerStartTimeMs);
+  if (IsSameIncarnation)
+    return m_Jobs.endSuspectStart(Job, T);
+  // Servers with runs are not moved, so the server has most likely crashed.
+  T.m_LastRunNumber = std::max(T.m_LastRunNumber, Start.m_Number);
+  countCrashedRun(Job, Id, {Start.m_Number, false, true, true}, Start.m_Server);
+}
+
+bool Scheduler::isSuspectStartRecorded(const LiveJob &Job, const TaskState &T,
+                                       const ServerState &S) {
+  const CrashHistory &H = *T.m_Crashes;
+  return H.m_Start && !H.m_IsStartOfEarlierLeader &&
+         H.m_Start->m_Server == S.m_Registration.m_Id.m_Text &&
+         H.m_Start->m_ServerStartTimeMs == S.m_Registration.m_StartTimeMs &&
+         Job.m_RecordedChangeNumber >= H.m_StartChange;
+}
+
+void Scheduler::planSuspectStart(LiveJob &Job, TaskState &T, ServerState &S,
+                                 std::uint32_t RunNumber) {
+  ServerRegistry::planIsolation(S, Job.m_Spec.m_Id);
+  Job.m_PlannedStarts.back().m_IsIsolated = true;
+  m_Jobs.requestSuspectStart(Job, T,
+                             {RunNumber, S.m_Registration.m_Id.m_Text,
+                              S.m_Registration.m_StartTimeMs});
+}
+
+void Scheduler::countSuspectStart(const LiveJob &Job, ServerState &S) {
+  bool IsShared =
+      std::any_of(S.m_Runs.begin(), S.m_Runs.end(), [&](const auto &E) {
+        return E.first.m_Task.m_Job != Job.m_Spec.m_Id;
+      });
+  ++m_Counters.m_SuspectStarts;
+  m_Counters.m_SharedSuspectStarts += IsShared;
+  logEvent(Event::SuspectStarted, {{"job", Job.m_Spec.m_Id.m_Text},
+                                   {"server", S.m_Registration.m_Id.m_Text},
+                                   {"shared", IsShared ? "yes" : "no"}});
+  S.m_IsolatedFor = Job.m_Spec.m_Id;
+  S.m_ClearingUntil = {};
+}
+
+ServerState *Scheduler::selectIsolated(const LiveJob &Job,
+                                       const ReadyTask &Task, TaskState &T,
+                                       const StepNeeds &Needs,
+                                       const GangServers &GangPlan,
+                                       PoolPass &Pass) {
+  CrashHistory &H = *T.m_Crashes;
+  if (!H.m_WaitsSince)
+    H.m_WaitsSince = Pass.m_Now;
+  bool MayShare = Pass.m_Now >= *H.m_WaitsSince + MaxIsolationWait;
+  const StepId Step = Needs.m_NeedsTicket ? Job.stepId(Task) : StepId();
+  ServerState *Best = nullptr;
+  // Whether the server is in use by others, is not the one in the record, and
+  // has work that would be lost.
+  std::tuple<bool, bool, bool, std::size_t> BestScore;
+  if (Pass.m_IsolationSearches++ < MaxIsolationSearches)
+    for (auto It = Pass.m_Servers.rbegin(); It != Pass.m_Servers.rend(); ++It) {
+      ServerState *S = *It;
+      if (S->m_IndexedMilliCores < Needs.m_Need.m_MilliCores)
+        break;
+      ++m_Counters.m_ServersExamined;
+      bool IsOwn = S->m_IsolatedFor == Job.m_Spec.m_Id;
+      bool IsShared = !IsOwn && !S->isIdle();
+      if ((!IsOwn && !S->m_IsolatedFor.empty()) || (IsShared && !MayShare) ||
+          !isUsable(*S, Pass.m_Now) ||
+          !canHost(*S, Job, Task, Needs, GangPlan) ||
+          (Needs.m_NeedsTicket && !m_Advice.ticket(Step, *S, Pass.m_Now)))
+        continue;
+      bool IsInRecord =
+          H.m_Start && H.m_Start->m_Server == S->m_Registration.m_Id.m_Text;
+      std::tuple<bool, bool, bool, std::size_t> Score{
+          IsShared, !IsInRecord, IsShared && hasLastingRuns(*S),
+          IsShared ? S->m_Runs.size() : std::size_t(!IsOwn)};
+      if (!Best || Score < BestScore) {
+        Best = S;
+        BestScore = Score;
+      }
+    }
+  if (!Best && std::exchange(Pass.m_LastJobWaiting, &Job) != &Job)
+    ++Pass.m_JobsWaitingForIsolation;
+  return Best;
+}
+
+void Scheduler::clearServers(PoolPass &Pass) {
+  std::size_t Limit = std::min(
+      Pass.m_JobsWaitingForIsolation,
+      std::max<std::size_t>(1, Pass.m_Servers.size() / ClearedFraction));
+  auto IsCleared = [&](const ServerState *S) {
+    return Pass.m_Now < S->m_ClearingUntil;
+  };
+  auto Cleared = static_cast<std::size_t>(
+      std::count_if(Pass.m_Servers.begin(), Pass.m_Servers.end(), IsCleared));
+  // The servers with the most free cores are likely to be free first.
+  for (auto It = Pass.m_Servers.rbegin();
+       It != Pass.m_Servers.rend() && Cleared < Limit; ++It) {
+    ServerState &S = **It;
+    if (IsCleared(&S) || !S.m_IsolatedFor.empty() || !isUsable(S, Pass.m_Now) ||
+        hasLastingRuns(S))
+      continue;
+    S.m_ClearingUntil = Pass.m_Now + ClearingTime;
+    ++Cleared;
+  }
+}
+
+} // namespace pollenspool
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -45,7 +45,11 @@
   };
   for (auto &[Id, S] : m_Servers.all()) {
     PoolDemand &D = Find(S.m_Index, S.m_Registration.m_Pool);
-    D.m_RunningMilliCores += S.m_Used.m_MilliCores + S.m_Planned.m_MilliCores;
+    // Nothing else starts on a server that is kept for a suspected task.
+    D.m_RunningMilliCores +=
+        S.m_IsolatedFor.empty()
+            ? S.m_Used.m_MilliCores + S.m_Planned.m_MilliCores
+            : S.m_Registration.m_Capacity.m_MilliCores;
     if (S.m_Registered && !S.m_Registration.m_Draining)
       D.m_CapacityMilliCores += S.m_Registration.m_Capacity.m_MilliCores;
   }
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -81,7 +81,7 @@
 
 void Scheduler::placePool(const PoolName &Name, PlacementQueue &Queue,
                           TimePoint Now) {
-  PoolPass Pass{m_Servers.inPool(Name), Now, -1, {}};
+  PoolPass Pass{m_Servers.inPool(Name), Now};
   measureMostFree(Pass);
   if (Pass.m_MostMilliCores < 0)
     return;
@@ -89,6 +89,8 @@
   Queue.removeIf([&](LiveJob &Job, std::int64_t LeastMilliCores) {
     return LeastMilliCores <= Pass.m_MostMilliCores && placeJob(Job, Pass);
   });
+  if (Pass.m_JobsWaitingForIsolation > 0)
+    clearServers(Pass);
 }
 
 bool Scheduler::placeJob(LiveJob &Job, PoolPass &Pass) {
@@ -151,16 +153,26 @@
                           ReadyTasks::const_iterator End, PoolPass &Pass) {
   StepState &Step = *Job.step(First->m_Occurrence, First->m_Step);
   StepNeeds Needs = needsOf(Job, *First);
-  bool IsBlocked = mayHaveUnknownRuns(Job, *First, Pass.m_Now);
-  if (Needs.m_Step->m_Gang && !IsBlocked && placeGang(Job, *First, Needs, Pass))
+  bool IsForbidden = mayHaveUnknownRuns(Job, *First, Pass.m_Now);
+  if (Job.m_HasEarlierSuspectStarts && !IsForbidden)
+    resolveEarlierStarts(Job, *First);
+  if (isFinal(Job.m_State))
     return;
-  IsBlocked |= Needs.m_Step->m_Gang;
+  if (Needs.m_Step->m_Gang && !IsForbidden &&
+      placeGang(Job, *First, Needs, Pass))
+    return;
+  IsForbidden |= Needs.m_Step->m_Gang;
+  // Once one task finds no server, the others of the step find none either,
+  // except suspected ones, which need other servers.
+  bool IsBlocked = IsForbidden;
   for (; First != End; ++First) {
-    const TaskState &T = Step.m_Tasks[First->m_Index];
+    TaskState &T = Step.m_Tasks[First->m_Index];
     if (!T.m_Ready)
       continue;
     ServerState *S = nullptr;
-    if (!IsBlocked && Pass.m_Now >= T.m_NotBefore) {
+    if (T.isSuspect() && !IsForbidden && Pass.m_Now >= T.m_NotBefore) {
+      S = selectIsolated(Job, *First, T, Needs, {}, Pass);
+    } else if (!IsBlocked && !T.isSuspect() && Pass.m_Now >= T.m_NotBefore) {
       S = selectServer(Job, *First, Needs, {}, Pass);
       IsBlocked = !S;
     }
@@ -189,7 +201,10 @@
   while (Plan.size() < Step.m_Tasks.size()) {
     ReadyTask R{First.m_Occurrence, First.m_Step,
                 static_cast<std::uint32_t>(Plan.size())};
-    ServerState *S = selectServer(Job, R, Needs, GangPlan, Pass);
+    TaskState &T = Step.m_Tasks[R.m_Index];
+    ServerState *S = T.isSuspect()
+                         ? selectIsolated(Job, R, T, Needs, GangPlan, Pass)
+                         : selectServer(Job, R, Needs, GangPlan, Pass);
     if (!S)
       break;
     Plan.emplace_back(R, S);
@@ -197,9 +212,14 @@
     if (Needs.m_Step->m_SameRack)
       Needs.m_RacksInUse.insert(S->m_Registration.m_Rack);
     ServerRegistry::planStart(*S, Needs.m_Need);
+    if (T.isSuspect())
+      ServerRegistry::planIsolation(*S, Job.m_Spec.m_Id);
   }
-  for (auto &[R, S] : Plan)
+  for (auto &[R, S] : Plan) {
     ServerRegistry::cancelPlannedStart(*S, Needs.m_Need);
+    if (Step.m_Tasks[R.m_Index].isSuspect())
+      ServerRegistry::cancelPlannedIsolation(*S);
+  }
   if (Plan.size() < Step.m_Tasks.size())
     return false;
   for (auto &[R, S] : Plan)
@@ -210,10 +230,15 @@
 void Scheduler::place(LiveJob &Job, const ReadyTask &Task,
                       const StepNeeds &Needs, ServerState &S,
                       std::uint32_t RunNumber, TimePoint Now) {
-  if (isStartRecorded(Job, Task))
-    start(Job, Task, S, RunNumber, Now);
-  else
-    planStart(Job, Task, Needs.m_Need, S, Now);
+  TaskState &T =
+      Job.step(Task.m_Occurrence, Task.m_Step)->m_Tasks[Task.m_Index];
+  bool IsSuspect = T.isSuspect();
+  if (isStartRecorded(Job, Task) &&
+      (!IsSuspect || isSuspectStartRecorded(Job, T, S)))
+    return start(Job, Task, S, RunNumber, Now);
+  planStart(Job, Task, Needs.m_Need, S, Now);
+  if (IsSuspect)
+    planSuspectStart(Job, T, S, RunNumber);
 }
 
 void Scheduler::initRun(ActiveRun &Run, const StepSpec &Step) {
@@ -250,6 +275,12 @@
   initRun(Run, Step);
   if (T.m_Checkpoint.empty())
     Run.m_ProgressSince = Run.m_PercentChangedAt = Now;
+  Run.m_OrderedAt = Now;
+  if (T.isSuspect()) {
+    Run.m_IsSuspect = true;
+    T.m_Crashes->m_WaitsSince.reset();
+    countSuspectStart(Job, S);
+  }
   ServerRegistry::addRun(S, Order.m_Run, Run);
   T.m_Ready = false;
   T.m_LastRunNumber = RunNumber;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -25,6 +25,9 @@
 /// How long such a server gets no new runs.
 constexpr Duration SuspensionTime = std::chrono::seconds(2);
 
+/// A server that can be reached answers a start order within this time.
+constexpr Duration StartAnswerTime = std::chrono::milliseconds(400);
+
 /// How far a reported server clock may be behind its calculated lower bound,
 /// because answers may arrive out of order by this much.
 constexpr std::chrono::milliseconds ClockTolerance{1000};
@@ -76,6 +79,7 @@
     if (Run.m_Phase == RunPhase::Starting)
       Run.m_Phase = RunPhase::Running;
     Run.m_ConfirmedAt = Now;
+    Run.m_HasBegun = true;
     S->m_NextPoll = std::min(S->m_NextPoll, Now);
     if (LiveJob *Job = m_Jobs.find(Order.m_Run.m_Task.m_Job))
       Job->m_HasBegun = true;
@@ -91,7 +95,7 @@
     // also prevents a delayed start.
     if (Run.m_Phase == RunPhase::Starting)
       Run.m_Phase = RunPhase::Unconfirmed;
-    S->m_Reachable = false;
+    noteSilence(*S, R, Now - Order.m_OrderedAt, StartAnswerTime);
     S->m_NextPoll = Now;
     return;
   case OrderResult::OtherIncarnation:
@@ -104,7 +108,7 @@
     S->m_SuspendedUntil = Now + NoConnectionDelay;
     break;
   case OrderResult::NotSent:
-    S->m_Reachable = false;
+    noteSilence(*S, R, Now - Order.m_OrderedAt, StartAnswerTime);
     S->m_NextPoll = Now;
     break;
   case OrderResult::LeaseExpiredOnArrival:
@@ -195,6 +199,8 @@
   if (!T)
     return;
   eraseLocation(*T, S.m_Registration.m_Id, Id.m_Number);
+  if (Loss != RunLoss::ServerCrashed)
+    endSuspectStart(*Job, Id.m_Task);
   logEvent(Event::TaskAgain, {{"run", runName(Id)},
                               {"server", S.m_Registration.m_Id.m_Text},
                               {"end", std::string(runLossName(Loss))}});
@@ -209,6 +215,12 @@
                                {"runs", std::to_string(S.m_Runs.size())},
                                {"why", std::string(runLossName(Loss))},
                                {"evidence", Evidence}});
+  if (Loss == RunLoss::ServerCrashed)
+    countCrash(S, S.m_Runs, Evidence, Now);
+  else if (Loss == RunLoss::LeaseExpired)
+    S.m_LapsedRuns = S.m_Runs;
+  else
+    S.m_LapsedRuns.clear();
   while (!S.m_Runs.empty()) {
     RunId Id = S.m_Runs.begin()->first;
     rescheduleRun(S, Id, Loss, Now);
@@ -245,6 +257,7 @@
     const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
     eraseLocation(*T, S.m_Registration.m_Id, End.m_Run.m_Number);
     T->m_LastRunNumber = std::max(T->m_LastRunNumber, End.m_Run.m_Number);
+    m_Jobs.endSuspectStart(*Job, *T);
     if (!End.m_Checkpoint.empty())
       T->m_Checkpoint = End.m_Checkpoint;
     Duration Pause{0};
@@ -302,8 +315,11 @@
     if (!Run.m_IsListed)
       if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
         Job->m_HasBegun = true;
-    Run.m_IsListed = true;
+    Run.m_IsListed = Run.m_HasBegun = true;
     Run.m_LastListedIn = S.m_PollsAnswered;
+    Run.m_SeenAt = Now;
+    if (Run.m_IsSuspect)
+      onListedSuspect(S, Report.m_Run, Run);
     if (Run.m_Phase == RunPhase::Unconfirmed) {
       Run.m_Phase = RunPhase::Running;
       Run.m_ConfirmedAt = S.m_PollSentAt;
@@ -346,6 +362,9 @@
   Run.m_Phase = RunPhase::Running;
   Run.m_ConfirmedAt = S.m_PollSentAt;
   Run.m_LastListedIn = S.m_PollsAnswered;
+  Run.m_OrderedAt = Run.m_SeenAt = Now;
+  Run.m_HasBegun = true;
+  Run.m_IsSuspect = T && T->isSuspect();
   bool Wanted = T && !T->m_Done && !isFinal(Job->m_State) && T->m_Runs.empty();
   if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
     initRun(Run, Job->m_Spec.m_Steps[Task.m_Step]);
@@ -353,6 +372,8 @@
   }
   recordProgress(Run, Report, Now);
   ServerRegistry::addRun(S, Report.m_Run, Run);
+  if (Run.m_IsSuspect)
+    S.m_IsolatedFor = Task.m_Job;
   if (!Wanted) {
     if (T)
       T->m_Runs.push_back({S.m_Registration.m_Id, Report.m_Run.m_Number});
@@ -363,6 +384,8 @@
   Job->m_HasBegun = true;
   T->m_Runs.push_back({S.m_Registration.m_Id, Report.m_Run.m_Number});
   T->m_LastRunNumber = std::max(T->m_LastRunNumber, Report.m_Run.m_Number);
+  if (T->m_Crashes)
+    T->m_Crashes->m_IsStartOfEarlierLeader = false;
   Job->removeFromReady(Task);
   m_Jobs.markStarted(*Job);
 }
--- a/src/scheduling/SchedulerSelection.cpp
+++ b/src/scheduling/SchedulerSelection.cpp
@@ -148,7 +148,8 @@
        It != Pass.m_Servers.end(); ++It) {
     ServerState *S = *It;
     ++m_Counters.m_ServersExamined;
-    if (!isUsable(*S, Pass.m_Now) || !canHost(*S, Job, Task, Needs, GangPlan) ||
+    if (S->isHeldForSuspects(Pass.m_Now) || !isUsable(*S, Pass.m_Now) ||
+        !canHost(*S, Job, Task, Needs, GangPlan) ||
         (Needs.m_NeedsTicket && !m_Advice.ticket(Id, *S, Pass.m_Now)))
       continue;
     PlacementScore Score = score(*S, Job, Task, Needs);
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -10,6 +10,8 @@
 /// How long resources are kept free for a task whose start is being recorded.
 /// Records take longer only while the store is slow or unavailable.
 constexpr Duration MaxPlannedTime = std::chrono::milliseconds(300);
+/// The same for a suspected task, which must not start without its record.
+constexpr Duration MaxIsolatedPlannedTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -73,6 +75,12 @@
   ServerRegistry::planStart(S, Need);
 }
 
+void Scheduler::cancelPlannedStart(const PlannedStart &P) {
+  ServerRegistry::cancelPlannedStart(*P.m_Server, P.m_Need);
+  if (P.m_IsIsolated)
+    ServerRegistry::cancelPlannedIsolation(*P.m_Server);
+}
+
 void Scheduler::startPlanned(TimePoint Now) {
   for (LiveJob *Job : std::exchange(m_JobsWithPlannedStarts, {})) {
     startPlanned(*Job, Now);
@@ -92,10 +100,18 @@
                      });
 }
 
+bool Scheduler::isStartRecorded(LiveJob &Job, const PlannedStart &P) const {
+  const TaskState &T = Job.step(P.m_Task.m_Occurrence, P.m_Task.m_Step)
+                           ->m_Tasks[P.m_Task.m_Index];
+  return isStartRecorded(Job, P.m_Task) &&
+         (!T.isSuspect() || isSuspectStartRecorded(Job, T, *P.m_Server));
+}
+
 bool Scheduler::isResolved(LiveJob &Job, const PlannedStart &P,
                            TimePoint Now) const {
-  return isFinal(Job.m_State) || Now >= P.m_PlannedAt + MaxPlannedTime ||
-         (isStartable(Job) && isStartRecorded(Job, P.m_Task)) ||
+  Duration MaxTime = P.m_IsIsolated ? MaxIsolatedPlannedTime : MaxPlannedTime;
+  return isFinal(Job.m_State) || Now >= P.m_PlannedAt + MaxTime ||
+         (isStartable(Job) && isStartRecorded(Job, P)) ||
          !areServersUsable(Job, P, Now);
 }
 
@@ -107,7 +123,7 @@
     return;
   Job.m_PlannedStarts = std::move(Kept);
   for (const PlannedStart &P : Resolved)
-    ServerRegistry::cancelPlannedStart(*P.m_Server, P.m_Need);
+    cancelPlannedStart(P);
   for (const PlannedStart &P : Resolved)
     startOrRequeue(Job, P, Now);
 }
@@ -120,10 +136,15 @@
   if (!T.m_Ready || isFinal(Job.m_State))
     return;
   const StepNeeds Needs = needsOf(Job, R);
+  const ServerState &Server = *P.m_Server;
+  bool IsIsolationKept =
+      Server.m_IsolatedFor.empty()
+          ? !T.isSuspect() || Server.isIdle()
+          : T.isSuspect() && Server.m_IsolatedFor == Job.m_Spec.m_Id;
   // A gang is placed as a whole, and the best server of a long-running or
   // best-effort task depends on what runs there by now.
   if (!Needs.m_Step->m_Gang && prefersLeastFree(*Needs.m_Step) &&
-      isStartable(Job) && isStartRecorded(Job, R) &&
+      isStartable(Job) && isStartRecorded(Job, P) && IsIsolationKept &&
       P.m_Server->m_Registration.m_Pool == poolOf(Job) &&
       Now >= T.m_NotBefore && isUsable(*P.m_Server, Now) &&
       !mayHaveUnknownRuns(Job, R, Now) &&
@@ -139,7 +160,7 @@
   if (Job.m_PlannedStarts.empty())
     return;
   for (const PlannedStart &P : Job.m_PlannedStarts)
-    ServerRegistry::cancelPlannedStart(*P.m_Server, P.m_Need);
+    cancelPlannedStart(P);
   Job.m_PlannedStarts.clear();
   m_JobsWithPlannedStarts.erase(std::find(m_JobsWithPlannedStarts.begin(),
                                           m_JobsWithPlannedStarts.end(), &Job));
--- a/src/scheduling/SchedulerStragglers.cpp
+++ b/src/scheduling/SchedulerStragglers.cpp
@@ -54,7 +54,7 @@
   return std::any_of(Servers.lower_bound(Needs.m_Need.m_MilliCores),
                      Servers.end(), [&](const ServerState *S) {
                        return S != &From && !S->m_OnProbation &&
-                              isUsable(*S, Now) &&
+                              !S->isHeldForSuspects(Now) && isUsable(*S, Now) &&
                               canHost(*S, *Job, Where, Needs, {});
                      });
 }
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -111,6 +111,25 @@
   S.m_Used -= It->second.m_Allocation;
   reindex(S);
   S.m_Runs.erase(It);
+  updateIsolation(S);
+}
+
+void ServerRegistry::updateIsolation(ServerState &S) {
+  if (S.m_IsolatedFor.m_Text.empty() || S.m_PlannedSuspects > 0 ||
+      std::any_of(S.m_Runs.begin(), S.m_Runs.end(),
+                  [](const auto &E) { return E.second.m_IsSuspect; }))
+    return;
+  S.m_IsolatedFor = {};
+}
+
+void ServerRegistry::planIsolation(ServerState &S, const JobId &Job) {
+  S.m_IsolatedFor = Job;
+  ++S.m_PlannedSuspects;
+}
+
+void ServerRegistry::cancelPlannedIsolation(ServerState &S) {
+  --S.m_PlannedSuspects;
+  updateIsolation(S);
 }
 
 void ServerRegistry::planStart(ServerState &S, const Resources &Need) {
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -28,6 +28,15 @@
   Resources m_Allocation;
   bool m_IsLongRunning = false;
   bool m_IsBestEffort = false;
+  /// When the start was ordered, or when this leader found the run.
+  TimePoint m_OrderedAt{};
+  /// When the server last listed the run; before m_OrderedAt if it has not.
+  TimePoint m_SeenAt{};
+  /// Whether the server is known to have begun the run.
+  bool m_HasBegun = false;
+  /// Whether the task is suspected of crashing its servers, and this run has
+  /// not proved it sound yet.
+  bool m_IsSuspect = false;
   /// When the server's answer to the last order arrived. A poll sent later
   /// shows for certain whether the server has the run.
   TimePoint m_ConfirmedAt = TimePoint::max();
@@ -87,6 +96,10 @@
   /// orders of earlier terms.
   bool m_HasAcknowledgedTerm = false;
   bool m_Reachable = true;
+  /// Whether a connection that was in use ended when the server became
+  /// unreachable. Its runs were at work then, since it would have reported
+  /// their ends.
+  bool m_WasLostAbruptly = false;
   /// When the server was last suspected to have ended. The answer to a poll
   /// that was sent before does not show that it is alive.
   TimePoint m_SuspectedAt{};
@@ -128,6 +141,18 @@
   Resources m_Planned;
   std::uint32_t m_PlannedStarts = 0;
   std::map<RunId, ActiveRun> m_Runs;
+  /// The runs that the server had when its lease expired, until it is known
+  /// whether it has crashed.
+  std::map<RunId, ActiveRun> m_LapsedRuns;
+
+  /// The job of which suspected tasks run here or are about to. Tasks of other
+  /// jobs are not started here meanwhile. Empty if there are none.
+  JobId m_IsolatedFor;
+  /// Number of planned starts of such tasks.
+  std::uint32_t m_PlannedSuspects = 0;
+  /// Until then only suspected tasks are started here, so that the server
+  /// becomes free for them.
+  TimePoint m_ClearingUntil{};
 
   /// Failed runs since the last successful one.
   std::uint32_t m_FailuresInRow = 0;
@@ -154,8 +179,17 @@
     R -= m_Planned;
     return R;
   }
+  /// Why its runs are over, given that the server has ended.
+  RunLoss lossAtEnd() const {
+    bool IsPlanned = m_Registration.m_Draining || m_Reserved;
+    return IsPlanned ? RunLoss::ServerEnded : RunLoss::ServerCrashed;
+  }
   /// Whether no task runs on the server or is about to.
   bool isIdle() const { return m_Runs.empty() && m_PlannedStarts == 0; }
+  /// Whether only suspected tasks may be started here.
+  bool isHeldForSuspects(TimePoint Now) const {
+    return !m_IsolatedFor.m_Text.empty() || Now < m_ClearingUntil;
+  }
   /// Whether the server has runs that end by themselves.
   bool hasFiniteRuns() const;
   /// Lower bound of the server's clock at \p Now, in milliseconds.
@@ -199,6 +233,13 @@
   static void planStart(ServerState &S, const Resources &Need);
   /// Reverts planStart().
   static void cancelPlannedStart(ServerState &S, const Resources &Need);
+  /// Keeps \p S free of tasks of other jobs for a planned start of a suspected
+  /// task of \p Job.
+  static void planIsolation(ServerState &S, const JobId &Job);
+  /// Reverts planIsolation().
+  static void cancelPlannedIsolation(ServerState &S);
+  /// Ends the isolation of \p S if no suspected task needs it any more.
+  static void updateIsolation(ServerState &S);
 
 private:
   /// Updates the position of \p S after its free resources have changed.
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -17,6 +17,7 @@
 /// How long after a crash the platform lists the instance as down, and how long
 /// the server is away.
 constexpr Duration ListDelay = milliseconds(500);
+constexpr Duration ListInterval = std::chrono::seconds(1);
 constexpr Duration RestartTime = std::chrono::seconds(3);
 /// How long a replaced leader keeps giving orders. The value is the same as in
 /// production.
@@ -122,7 +123,10 @@
         return;
       S->poll(Order, [this, S, Order, Answered](OrderResult R, PollReply L) {
         m_Simulation.m_Clock.after(OneWayDelay, [=] {
-          if (!canReach(S) || std::exchange(*Answered, true) || !m_Alive)
+          // A crash resets the connection.
+          bool IsReset = R == OrderResult::Unknown && !isCutOff(S);
+          if ((!IsReset && !canReach(S)) || std::exchange(*Answered, true) ||
+              !m_Alive)
             return;
           if (R == OrderResult::Done)
             m_Core->onPollReply(Order, L, m_Simulation.m_Clock.m_Now);
@@ -153,8 +157,9 @@
         return S.get();
     return nullptr;
   }
-  bool canReach(SimServer *S) const {
-    return S && S->m_IsUp && !S->m_UnreachableFrom.count(m_Number);
+  bool canReach(SimServer *S) const { return S && S->m_IsUp && !isCutOff(S); }
+  bool isCutOff(SimServer *S) const {
+    return S->m_UnreachableFrom.count(m_Number) != 0;
   }
 
   template <typename Order, typename ExecuteFn, typename ResultFn>
@@ -311,7 +316,8 @@
 void JobSimulation::failServer(SimServer &S) {
   S.crash();
   S.m_IsUp = false;
-  m_Clock.after(ListDelay, [this] { listInstances(); });
+  for (Duration At = ListDelay; At < RestartTime; At += ListInterval)
+    m_Clock.after(At, [this] { listInstances(); });
   m_Clock.after(RestartTime, [this, &S] {
     S.m_IsUp = true;
     listInstances();
