--- a/src/scheduling/Messages.cpp
+++ b/src/scheduling/Messages.cpp
@@ -13,6 +13,12 @@
   return Names[static_cast<std::size_t>(R)];
 }
 
+std::string runName(const RunId &Id) {
+  return Id.m_Task.m_Job.m_Text + "." + std::to_string(Id.m_Task.m_Occurrence) +
+         "." + std::to_string(Id.m_Task.m_Step) + "." +
+         std::to_string(Id.m_Task.m_Index) + "#" + std::to_string(Id.m_Number);
+}
+
 std::string_view endKindName(EndKind K) {
   static constexpr std::array<std::string_view, 6> Names = {
       "done", "failed", "stopped", "lapsed", "broken", "alone"};
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -63,6 +63,9 @@
   }
 };
 
+/// The name of \p Id in logs. Thread safe.
+std::string runName(const RunId &Id);
+
 /// ID and network address of a backend server.
 struct ServerAddress {
   ServerId m_Id;
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -33,12 +33,6 @@
 /// Maximum number of searches for such a server in one pass over a pool.
 constexpr std::uint32_t MaxIsolationSearches = 8;
 
-std::string runName(const RunId &Id) {
-  return Id.m_Task.m_Job.m_Text + "." + std::to_string(Id.m_Task.m_Occurrence) +
-         "." + std::to_string(Id.m_Task.m_Step) + "." +
-         std::to_string(Id.m_Task.m_Index) + "#" + std::to_string(Id.m_Number);
-}
-
 /// Whether work is lost that would last for longer than that of other runs.
 bool hasLastingRuns(const ServerState &S) {
   return std::any_of(S.m_Runs.begin(), S.m_Runs.end(), [](const auto &E) {
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -32,12 +32,6 @@
 /// because answers may arrive out of order by this much.
 constexpr std::chrono::milliseconds ClockTolerance{1000};
 
-std::string runName(const RunId &Id) {
-  return Id.m_Task.m_Job.m_Text + "." + std::to_string(Id.m_Task.m_Occurrence) +
-         "." + std::to_string(Id.m_Task.m_Step) + "." +
-         std::to_string(Id.m_Task.m_Index) + "#" + std::to_string(Id.m_Number);
-}
-
 void eraseLocation(TaskState &T, const ServerId &Server, std::uint32_t Number) {
   auto &Runs = T.m_Runs;
   Runs.erase(std::remove_if(Runs.begin(), Runs.end(),
