List the instances soon after a connection to a server has ended

What callers saw: the tasks of a crashed server, and of tasks that crash theirs, went on up to a second after the crash, when the next list of the instances showed it.

Now a list is requested as soon as a connection to a server with runs ends unexpectedly, at most each 200 ms. A time-out asks for none.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -17,6 +17,9 @@
 constexpr Duration FeedWait = std::chrono::milliseconds(1000);
 /// Interval between two requests of the instance list.
 constexpr Duration InstanceListInterval = std::chrono::milliseconds(1000);
+/// The same while servers become unreachable: the runs of a crashed server can
+/// only start elsewhere once the list shows the crash.
+constexpr Duration MinInstanceListInterval = std::chrono::milliseconds(200);
 /// How long a leader continues without confirmation that no other instance has
 /// taken over. A longer time bridges longer outages of the store, but the next
 /// leader then waits longer for backend servers that it cannot reach.
@@ -192,8 +195,17 @@
                      StateVersion, m_Loop.now(), wallNow());
 }
 
+bool Leader::isListDue(TimePoint Now) const {
+  if (m_ListPending)
+    return false;
+  return Now >= m_NextListAt ||
+         (m_Scheduler->lastAbruptSilence() > m_ListAskedAt &&
+          Now >= m_ListAskedAt + MinInstanceListInterval);
+}
+
 void Leader::listInstances() {
   m_ListPending = true;
+  m_ListAskedAt = m_Loop.now();
   m_Ports.m_Instances.list(
       PlatformCallTimeout,
       whileLeading([this, Asked = m_Loop.now()](
@@ -250,7 +262,7 @@
     Allowed.m_StartableVersion = 0;
   if (Now < m_Leadership.uncontestedAt() + MaxUnconfirmedLeadTime)
     m_Scheduler->tick(Now, wallNow(), Allowed);
-  if (!m_ListPending && Now >= m_NextListAt)
+  if (isListDue(Now))
     listInstances();
   planInstanceOrders();
   recordProgress();
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -80,6 +80,7 @@
   void followJobs();
   void finishLoadingJobs();
   void onLiveJobRow(const StoredRow &Row);
+  bool isListDue(TimePoint Now) const;
   void listInstances();
   void recordProgress();
   void readStartRecords();
@@ -137,6 +138,7 @@
   Duration m_DecisionTime{0};
   bool m_ListPending = false;
   TimePoint m_NextListAt{};
+  TimePoint m_ListAskedAt{};
   TimePoint m_NextRemovalAt{};
 };
 
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -398,7 +398,7 @@
              {{"server", Order.m_Server.m_Id.m_Text},
               {"runs", std::to_string(S->m_Runs.size())},
               {"result", std::string(orderResultName(R))}});
-  noteSilence(*S, R, Now - S->m_PollSentAt, Order.m_Timeout);
+  noteSilence(*S, R, Now - S->m_PollSentAt, Order.m_Timeout, Now);
   ++S->m_FailedPolls;
 }
 
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -188,6 +188,10 @@
   JobRegistry &jobs() { return m_Jobs; }
   ServerRegistry &servers() { return m_Servers; }
   const std::vector<InstanceListing> &instances() const { return m_Instances; }
+  /// When a connection to a server with runs last ended unexpectedly. A list of
+  /// the instances that is requested later tells whether the server has
+  /// crashed.
+  TimePoint lastAbruptSilence() const { return m_LastAbruptSilence; }
   const ServingConfig *config() const { return m_Config.get(); }
   /// Number of accepted jobs of each queue of which no task has started.
   std::map<QueueName, std::uint32_t> waitingJobs() const;
@@ -276,8 +280,8 @@
                        const std::string &Server);
   /// Marks \p S as unreachable after an order without an answer, which has
   /// waited for \p Waited of its \p Timeout.
-  static void noteSilence(ServerState &S, OrderResult R, Duration Waited,
-                          Duration Timeout);
+  void noteSilence(ServerState &S, OrderResult R, Duration Waited,
+                   Duration Timeout, TimePoint Now);
   /// Counts the runs of the previous incarnation of \p S that \p Reply does not
   /// list.
   void countCrashBefore(ServerState &S, const PollReply &Reply, TimePoint Now);
@@ -433,6 +437,7 @@
   AdviceCache m_Advice;
   std::vector<InstanceListing> m_Instances;
   bool m_InstancesKnown = false;
+  TimePoint m_LastAbruptSilence{};
   TimePoint m_TermBegunAt{};
   TimePoint m_UnknownRunsUntil{};
   std::set<PoolName> m_UnacknowledgedPools;
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -108,9 +108,12 @@
 }
 
 void Scheduler::noteSilence(ServerState &S, OrderResult R, Duration Waited,
-                            Duration Timeout) {
-  if (std::exchange(S.m_Reachable, false))
-    S.m_WasLostAbruptly = R == OrderResult::NotSent || Waited < Timeout / 2;
+                            Duration Timeout, TimePoint Now) {
+  if (!std::exchange(S.m_Reachable, false))
+    return;
+  S.m_WasLostAbruptly = R == OrderResult::NotSent || Waited < Timeout / 2;
+  if (S.m_WasLostAbruptly && !S.m_Runs.empty())
+    m_LastAbruptSilence = Now;
 }
 
 void Scheduler::countCrashBefore(ServerState &S, const PollReply &Reply,
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -89,7 +89,7 @@
     // also prevents a delayed start.
     if (Run.m_Phase == RunPhase::Starting)
       Run.m_Phase = RunPhase::Unconfirmed;
-    noteSilence(*S, R, Now - Order.m_OrderedAt, StartAnswerTime);
+    noteSilence(*S, R, Now - Order.m_OrderedAt, StartAnswerTime, Now);
     S->m_NextPoll = Now;
     return;
   case OrderResult::OtherIncarnation:
@@ -102,7 +102,7 @@
     S->m_SuspendedUntil = Now + NoConnectionDelay;
     break;
   case OrderResult::NotSent:
-    noteSilence(*S, R, Now - Order.m_OrderedAt, StartAnswerTime);
+    noteSilence(*S, R, Now - Order.m_OrderedAt, StartAnswerTime, Now);
     S->m_NextPoll = Now;
     break;
   case OrderResult::LeaseExpiredOnArrival:
