Count crashes across a change of the leader, and suspect fewer tasks

Two changes of the crash count.

Now a new leader counts each task of a recorded step that no server has, if an instance of the pool was down when the term began; such a count alone never gives a task up, but two make it a suspect, whose starts are recorded. Every crash is in the store before the next start of its task. A server listed as down has crashed under the start that an earlier leader recorded there. Four counted crashes give a task up in any case, so that two uncounted ones stay within the limit.

Suspects: a run that was there when its server took a later start has survived until then; 100 ms instead of 250. A third of a pool instead of an eighth may be cleared for suspects.

--- a/src/scheduling/CrashEvidenceTest.cpp
+++ b/src/scheduling/CrashEvidenceTest.cpp
@@ -208,6 +208,30 @@
   STRCMP_EQUAL("j", W.lastStart().m_Run.m_Task.m_Job.m_Text.c_str());
 }
 
+// The list of the instances, which shows a crash, was requested once a second.
+TEST(CrashEvidence, AnEndedConnectionAsksForAListAndATimeOutDoesNot) {
+  for (Duration Waited : {Duration(10ms), Duration(1600ms)}) {
+    CrashFixture W;
+    W.startOnFirstServer();
+    W.advance(Waited);
+    W.failPoll("s1");
+    CHECK((W.m_Core->lastAbruptSilence() == W.m_Now) == (Waited < 1s));
+  }
+}
+
+// All tasks of a crashed server that no poll had listed yet had to run apart.
+TEST(CrashEvidence, ARunThatSurvivedALaterStartIsNoFirstSuspect) {
+  CrashFixture W;
+  W.startOnFirstServer();
+  W.advance(150ms);
+  W.addJob("later", {W.step(1)});
+  W.tick();
+  W.confirmLastStart();
+  W.crash("s1");
+  CHECK(!W.job("j").task({JobId("j"), 0, 0, 0})->isSuspect());
+  CHECK(W.job("later").task({JobId("later"), 0, 0, 0})->isSuspect());
+}
+
 TEST(CrashEvidence, TheNextLeaderCountsACrashThatNoLeaderSaw) {
   for (bool HasCrashed : {false, true}) {
     CrashFixture W(2);
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/// Number of crashes under a task after which it may be given up.
-constexpr std::size_t CrashesToGiveUp = 2;
-/// The same if some of the runs may not have begun or may have ended.
-constexpr std::size_t DoubtfulCrashesToGiveUp = 3;
-/// The same if runs of other jobs were on the servers each time.
-constexpr std::size_t SharedCrashesToGiveUp = 4;
+/// Number of crashes under a task after which it is given up if no other job
+/// had runs on the latest server. Only those count during which the task is
+/// known to have been at work.
+constexpr std::ptrdiff_t CrashesToGiveUp = 2;
+/// Number of crashes after which a task is given up in any case.
+constexpr std::size_t MaxCrashes = 4;
 
 void restoreCrashes(const JobProgress &Recorded, const TaskKey &Key,
                     TaskState &T) {
@@ -38,14 +38,11 @@
 }
 
 bool CrashHistory::mustGiveUp() const {
-  if (m_Runs.size() >= SharedCrashesToGiveUp)
-    return true;
-  auto Certain = static_cast<std::size_t>(
+  auto Certain =
       std::count_if(m_Runs.begin(), m_Runs.end(),
-                    [](const CrashedRun &R) { return R.m_WasAtWork; }));
-  return !m_Runs.empty() && m_Runs.back().m_WasAlone &&
-         (Certain >= CrashesToGiveUp ||
-          m_Runs.size() >= DoubtfulCrashesToGiveUp);
+                    [](const CrashedRun &R) { return R.m_WasAtWork; });
+  return m_Runs.size() >= MaxCrashes ||
+         (Certain >= CrashesToGiveUp && m_Runs.back().m_WasAlone);
 }
 
 StepState *LiveJob::step(std::uint32_t Occurrence, std::uint32_t Step) {
@@ -352,7 +349,8 @@
   if (H.m_Start && H.m_Start->m_Number == Run.m_Number)
     H.m_Start.reset();
   Job.m_HasBegun |= Run.m_WasAtWork;
-  ++Job.m_ChangeNumber;
+  H.m_RunsChange = ++Job.m_ChangeNumber;
+  Job.m_WantsStart = true;
   if (H.mustGiveUp())
     Job.m_State = JobState::Failed;
   markDirty(Job);
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -31,6 +31,8 @@
   bool m_IsStartOfEarlierLeader = false;
   /// The job's change that records m_Start.
   std::uint64_t m_StartChange = 0;
+  /// The job's change that records the latest of m_Runs.
+  std::uint64_t m_RunsChange = 0;
   /// Since when the task waits for a server of its own; unset if it does not.
   std::optional<TimePoint> m_WaitsSince;
 
@@ -80,6 +82,8 @@
   bool m_StartRecorded = false;
   /// An earlier leader recorded that it might start runs of the step.
   bool m_MayHaveEarlierRuns = false;
+  /// The tasks whose earlier runs were not found have been counted.
+  bool m_HasCountedEarlierRuns = false;
 
   bool isDone() const { return m_DoneCount == m_Tasks.size(); }
 };
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -73,10 +73,10 @@
   bool RecordsStart = !Progress.m_SuspectStarts.empty();
   for (const auto &[Number, Step] : Progress.m_StartedSteps)
     RecordsStart |= !Job.step(Number, Step)->m_StartRecorded;
-  m_Batch.push_back({Id, Job.m_State, Job.m_ChangeNumber,
-                     Progress.m_State != JobState::Queued,
-                     std::move(Progress.m_StartedSteps),
-                     !Progress.m_SuspectStarts.empty()});
+  m_Batch.push_back(
+      {Id, Job.m_State, Job.m_ChangeNumber,
+       Progress.m_State != JobState::Queued, std::move(Progress.m_StartedSteps),
+       !Progress.m_SuspectStarts.empty() || !Progress.m_Crashes.empty()});
   return RecordsStart;
 }
 
@@ -120,7 +120,7 @@
         const StepState *S = Job->step(Number, Step);
         Job->m_WantsStart |= S->m_StartWanted && !S->m_StartRecorded;
       }
-      Job->m_WantsStart |= P.m_HasSuspectStarts;
+      Job->m_WantsStart |= P.m_HasCrashes;
       m_Core.jobs().markDirty(*Job);
     }
 }
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -58,7 +58,7 @@
     std::uint64_t m_ChangeNumber;
     bool m_IsRunning;
     std::set<std::pair<std::uint32_t, std::uint32_t>> m_StartedSteps;
-    bool m_HasSuspectStarts;
+    bool m_HasCrashes;
   };
   /// Retry state of a partition whose last transaction failed.
   struct Backoff {
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -162,8 +162,11 @@
   m_InstancesKnown = true;
   m_UnacknowledgedPoolsChanged = true;
   std::map<InstanceId, const InstanceListing *> ById;
-  for (const InstanceListing &L : m_Instances)
+  for (const InstanceListing &L : m_Instances) {
     ById[L.m_Id] = &L;
+    if (L.m_Condition == InstanceCondition::Down && Now < m_UnknownRunsUntil)
+      m_PoolsWithEarlierCrashes.insert(L.m_Pool);
+  }
   for (auto &[Id, S] : m_Servers.all()) {
     auto It = ById.find(S.m_Registration.m_Instance);
     S.m_IsListedAsGone = false;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -290,6 +290,10 @@
   void onListedSuspect(ServerState &S, const RunId &Id, ActiveRun &Run);
   /// The latest start of the task ended in another way than by a crash.
   void endSuspectStart(LiveJob &Job, const TaskId &Id);
+  /// Counts the tasks of the step that an earlier leader may have started and
+  /// that no server has, if servers of the pool crashed around the change of
+  /// the leader.
+  void countEarlierRuns(LiveJob &Job, const ReadyTask &Step);
   /// Finds out whether the starts of suspected tasks of the step that an
   /// earlier leader recorded ended in crashes.
   void resolveEarlierStarts(LiveJob &Job, const ReadyTask &Step);
@@ -437,6 +441,8 @@
   AdviceCache m_Advice;
   std::vector<InstanceListing> m_Instances;
   bool m_InstancesKnown = false;
+  /// Pools with an instance that was down when this term began.
+  std::set<PoolName> m_PoolsWithEarlierCrashes;
   TimePoint m_LastAbruptSilence{};
   TimePoint m_TermBegunAt{};
   TimePoint m_UnknownRunsUntil{};
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -18,10 +18,12 @@
 
 /// A run that its server has not been seen to survive for this long is
 /// suspected first when the server crashes.
-constexpr Duration RecentStart = std::chrono::milliseconds(250);
+constexpr Duration RecentStart = std::chrono::milliseconds(100);
 /// A run that has lasted this long shows that its task does not crash its
 /// servers at the start.
 constexpr Duration SoundTime = std::chrono::seconds(5);
+/// A call without an answer has timed out if it ends this close to its timeout.
+constexpr Duration SilenceMargin = std::chrono::milliseconds(50);
 /// How long a suspected task waits for a server without tasks of other jobs.
 constexpr Duration MaxIsolationWait = std::chrono::milliseconds(1500);
 /// How long a server gets no other tasks so that it becomes free for suspected
@@ -29,7 +31,7 @@
 constexpr Duration ClearingTime = std::chrono::milliseconds(1500);
 /// The share of a pool's servers that may be cleared at the same time; at least
 /// one is.
-constexpr std::size_t ClearedFraction = 8;
+constexpr std::size_t ClearedFraction = 3;
 /// Maximum number of searches for such a server in one pass over a pool.
 constexpr std::uint32_t MaxIsolationSearches = 8;
 
@@ -73,7 +75,9 @@
   TaskState *T = Job ? Job->task(Id.m_Task) : nullptr;
   if (!T || T->m_Done || isFinal(Job->m_State))
     return false;
-  Duration Survived = std::max(Duration(0), Run.m_SeenAt - Run.m_OrderedAt);
+  TimePoint LastAlive =
+      Run.m_HasBegun ? std::max(Run.m_SeenAt, S.m_AliveAt) : Run.m_SeenAt;
+  Duration Survived = std::max(Duration(0), LastAlive - Run.m_OrderedAt);
   // Such a task meets crashes of its servers that have other causes.
   if (Run.m_IsLongRunning && Survived >= SoundTime) {
     endSuspectStart(*Job, Id.m_Task);
@@ -111,7 +115,8 @@
                             Duration Timeout, TimePoint Now) {
   if (!std::exchange(S.m_Reachable, false))
     return;
-  S.m_WasLostAbruptly = R == OrderResult::NotSent || Waited < Timeout / 2;
+  S.m_WasLostAbruptly =
+      R == OrderResult::NotSent || Waited + SilenceMargin < Timeout;
   if (S.m_WasLostAbruptly && !S.m_Runs.empty())
     m_LastAbruptSilence = Now;
 }
@@ -152,6 +157,20 @@
   m_Jobs.endSuspectStart(Job, *Job.task(Id));
 }
 
+void Scheduler::countEarlierRuns(LiveJob &Job, const ReadyTask &Step) {
+  StepState &S = *Job.step(Step.m_Occurrence, Step.m_Step);
+  if (std::exchange(S.m_HasCountedEarlierRuns, true) ||
+      !m_PoolsWithEarlierCrashes.count(poolOf(Job)))
+    return;
+  for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
+    const TaskState &T = S.m_Tasks[I];
+    // The starts of suspects are recorded.
+    if (T.m_Ready && T.m_Runs.empty() && !T.isSuspect())
+      countCrashedRun(Job, {Job.m_Spec.m_Id, Step.m_Occurrence, Step.m_Step, I},
+                      {nextRunNumber({}) - 1, false, false, false}, "unknown");
+  }
+}
+
 void Scheduler::resolveEarlierStarts(LiveJob &Job, const ReadyTask &Step) {
   StepState &S = *Job.step(Step.m_Occurrence, Step.m_Step);
   for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I)
@@ -169,8 +188,9 @@
   const SuspectStart Start = *H.m_Start;
   const ServerState *S = m_Servers.find(ServerId(Start.m_Server));
   bool IsSameIncarnation =
-      S && (!S->m_HasAcknowledgedTerm ||
-            S->m_Registration.m_StartTimeMs == Start.m_ServerStartTimeMs);
+      S && !S->m_IsListedAsGone &&
+      (!S->m_HasAcknowledgedTerm ||
+       S->m_Registration.m_StartTimeMs == Start.m_ServerStartTimeMs);
   if (IsSameIncarnation)
     return m_Jobs.endSuspectStart(Job, T);
   // Servers with runs are not moved, so the server has most likely crashed.
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -154,6 +154,8 @@
   StepState &Step = *Job.step(First->m_Occurrence, First->m_Step);
   StepNeeds Needs = needsOf(Job, *First);
   bool IsForbidden = mayHaveUnknownRuns(Job, *First, Pass.m_Now);
+  if (Step.m_MayHaveEarlierRuns && !IsForbidden)
+    countEarlierRuns(Job, *First);
   if (Job.m_HasEarlierSuspectStarts && !IsForbidden)
     resolveEarlierStarts(Job, *First);
   if (isFinal(Job.m_State))
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -74,6 +74,7 @@
       Run.m_Phase = RunPhase::Running;
     Run.m_ConfirmedAt = Now;
     Run.m_HasBegun = true;
+    S->m_AliveAt = std::max(S->m_AliveAt, Order.m_OrderedAt);
     S->m_NextPoll = std::min(S->m_NextPoll, Now);
     if (LiveJob *Job = m_Jobs.find(Order.m_Run.m_Task.m_Job))
       Job->m_HasBegun = true;
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -61,8 +61,10 @@
 }
 
 bool Scheduler::isStartRecorded(LiveJob &Job, const ReadyTask &Task) const {
-  return !m_RecordsStarts ||
-         Job.step(Task.m_Occurrence, Task.m_Step)->m_StartRecorded;
+  const StepState &Step = *Job.step(Task.m_Occurrence, Task.m_Step);
+  const CrashHistory *H = Step.m_Tasks[Task.m_Index].m_Crashes.get();
+  return (!m_RecordsStarts || Step.m_StartRecorded) &&
+         (!H || Job.m_RecordedChangeNumber >= H->m_RunsChange);
 }
 
 void Scheduler::planStart(LiveJob &Job, const ReadyTask &Task,
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -96,6 +96,9 @@
   /// orders of earlier terms.
   bool m_HasAcknowledgedTerm = false;
   bool m_Reachable = true;
+  /// When the latest start order that it has answered was issued. The runs that
+  /// had begun before were still there.
+  TimePoint m_AliveAt{};
   /// Whether a connection that was in use ended when the server became
   /// unreachable. Its runs were at work then, since it would have reported
   /// their ends.
