Use a larger capacity of a server only after it has lasted

LIMIT, with a capacity that shrinks and grows while a server runs: less takes effect as soon as it is published, as before; more after 4 s (the largest stable window and a heartbeat of the small deployments; at once for a server that is new to a leader).

--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -4,6 +4,7 @@
 #define POLLENSPOOL_JOBS_JOBSPEC_H
 
 #include "base/Ids.h"
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -28,6 +29,11 @@
     return m_MilliCores <= Free.m_MilliCores && m_MemoryMb <= Free.m_MemoryMb &&
            m_Gpus <= Free.m_Gpus;
   }
+  /// The smaller amount of each resource.
+  Resources least(const Resources &B) const {
+    return {std::min(m_MilliCores, B.m_MilliCores),
+            std::min(m_MemoryMb, B.m_MemoryMb), std::min(m_Gpus, B.m_Gpus)};
+  }
   Resources &operator+=(const Resources &B) {
     m_MilliCores += B.m_MilliCores;
     m_MemoryMb += B.m_MemoryMb;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -116,7 +116,7 @@
   ServerState *Known = m_Servers.find(R.m_Id);
   std::int64_t KnownStart = Known ? Known->m_Registration.m_StartTimeMs : 0;
   bool NewIncarnation = KnownStart != 0 && R.m_StartTimeMs > KnownStart;
-  ServerState &S = m_Servers.upsert(R);
+  ServerState &S = m_Servers.upsert(R, Now);
   m_UnacknowledgedPoolsChanged = true;
   if (KnownStart == 0)
     return;
@@ -276,6 +276,7 @@
 void Scheduler::expireLeases(TimePoint Now) {
   std::vector<ServerId> Removable;
   for (auto &[Id, S] : m_Servers.all()) {
+    ServerRegistry::growCapacity(S, Now);
     // While the term is unconfirmed, a later leader may exist and may have
     // extended the leases.
     if (!S.m_Runs.empty() && Now >= S.m_LeasesEnd && !S.m_Reachable &&
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -58,13 +58,20 @@
   return It == m_Pools.end() ? None : It->second;
 }
 
-ServerState &ServerRegistry::upsert(const ServerRegistration &R) {
+ServerState &ServerRegistry::upsert(const ServerRegistration &R,
+                                    TimePoint Now) {
   ServerState &S = m_Servers[R.m_Id];
+  const bool IsNew = !S.m_Index;
   if (S.m_Index)
     S.m_Index->erase(&S);
   else
     S.m_IndexNumber = m_ServersAdded++;
+  const Resources Used = IsNew ? R.m_Capacity : S.m_Registration.m_Capacity;
+  if (IsNew || !R.m_Capacity.fitsIn(S.m_PublishedCapacity))
+    S.m_CapacityGrowsAt = IsNew ? Now : Now + CapacitySettlingTime;
+  S.m_PublishedCapacity = R.m_Capacity;
   S.m_Registration = R;
+  S.m_Registration.m_Capacity = Used.least(R.m_Capacity);
   S.m_Registered = true;
   S.m_Index = &m_Pools[R.m_Pool];
   S.m_IndexedMilliCores = S.freeResources().m_MilliCores;
@@ -72,6 +79,14 @@
   return S;
 }
 
+void ServerRegistry::growCapacity(ServerState &S, TimePoint Now) {
+  if (Now < S.m_CapacityGrowsAt ||
+      S.m_PublishedCapacity.fitsIn(S.m_Registration.m_Capacity))
+    return;
+  S.m_Registration.m_Capacity = S.m_PublishedCapacity;
+  reindex(S);
+}
+
 void ServerRegistry::erase(const ServerId &Id) {
   auto It = m_Servers.find(Id);
   if (It == m_Servers.end())
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -89,7 +89,12 @@
 
 /// One incarnation of a backend server, as known in this term.
 struct ServerState {
+  /// Its m_Capacity is the smallest that the server has published lately.
   ServerRegistration m_Registration;
+  /// The capacity that the server published last, and when it may be used if it
+  /// is larger.
+  Resources m_PublishedCapacity;
+  TimePoint m_CapacityGrowsAt{};
   bool m_Registered = true;
   TimePoint m_UnregisteredAt{};
   /// Whether the server has answered in this term, after which it rejects the
@@ -212,6 +217,10 @@
 /// platform guarantees that it is at most 2% slow.
 constexpr double MinServerClockRate = 0.98;
 
+/// A capacity may shrink and grow in turns, and the server may have less than
+/// it says for a while. More is used once it has been published for this long.
+constexpr Duration CapacitySettlingTime = std::chrono::seconds(4);
+
 /// The servers known in this term, by ID. Not thread safe.
 class ServerRegistry {
 public:
@@ -222,8 +231,11 @@
   const std::map<ServerId, ServerState> &all() const { return m_Servers; }
   /// The servers of \p Pool, also those that cannot take tasks.
   const ServersByFreeCores &inPool(const PoolName &Pool) const;
-  /// Adds a server or replaces its registration. Its other state is kept.
-  ServerState &upsert(const ServerRegistration &R);
+  /// Adds a server or replaces its registration. Its other state is kept. Less
+  /// capacity takes effect at once, more after CapacitySettlingTime.
+  ServerState &upsert(const ServerRegistration &R, TimePoint Now);
+  /// Lets a larger capacity of \p S take effect if it is due.
+  static void growCapacity(ServerState &S, TimePoint Now);
   void erase(const ServerId &Id);
 
   /// Records that \p S was granted a lease of \p Length at \p Now.
