--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -116,6 +116,25 @@
     {"pollenspool_runs_moved_total", MetricType::Counter,
      "Runs that stood still, stopped in this term to begin elsewhere.",
      [](const Sources &S) { return number(S.scheduler().m_RelocatedRuns); }},
+    {"pollenspool_server_crashes_total", MetricType::Counter,
+     "Backend servers that crashed in this term while they had runs.",
+     [](const Sources &S) { return number(S.scheduler().m_ServerCrashes); }},
+    {"pollenspool_suspected_runs_total", MetricType::Counter,
+     "Runs lost in such crashes whose tasks are suspected of them.",
+     [](const Sources &S) { return number(S.scheduler().m_SuspectedRuns); }},
+    {"pollenspool_suspect_starts_total", MetricType::Counter,
+     "Starts of suspected tasks in this term.",
+     [](const Sources &S) { return number(S.scheduler().m_SuspectStarts); }},
+    {"pollenspool_suspect_starts_shared_total", MetricType::Counter,
+     "Those beside tasks of other jobs, because no server became free.",
+     [](const Sources &S) {
+       return number(S.scheduler().m_SharedSuspectStarts);
+     }},
+    {"pollenspool_crashing_tasks_total", MetricType::Counter,
+     "Tasks given up in this term because backend servers crashed under them.",
+     [](const Sources &S) {
+       return number(S.scheduler().m_CrashingTasksGivenUp);
+     }},
     {"pollenspool_paces_total", MetricType::Counter,
      "Changes of the pace of filling runs in this term.",
      [](const Sources &S) { return number(S.scheduler().m_Paces); }},
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -24,6 +24,10 @@
       Job->step(First.m_Occurrence, First.m_Step)->m_Tasks[First.m_Index];
   if (Now < T.m_NotBefore)
     return "the delay after its last run is not over";
+  if (T.isSuspect())
+    return std::to_string(T.m_Crashes->m_Runs.size()) +
+           " servers have crashed under it, so it waits for a server without "
+           "tasks of other jobs";
   const PoolName Pool = poolOf(*Job);
   if (!hasServerFor(*Job, First))
     return "no server of pool " + Pool.m_Text + " may run it";
