--- a/src/scheduling/CrashEvidenceTest.cpp
+++ b/src/scheduling/CrashEvidenceTest.cpp
@@ -219,6 +219,22 @@
   }
 }
 
+// A start that each server rejects as malformed was ordered again at once, and
+// every server that rejected it got no other task for a while.
+TEST(CrashEvidence, AMalformedStartTakesNoSecondServerAtOnce) {
+  CrashFixture W;
+  W.addServer("s1");
+  W.addServer("s2");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  W.answerStart(0, OrderResult::Invalid);
+  W.tick();
+  CHECK_EQUAL(1u, W.starts());
+  W.advance(700ms);
+  W.tick();
+  CHECK_EQUAL(2u, W.starts());
+}
+
 // All tasks of a crashed server that no poll had listed yet had to run apart.
 TEST(CrashEvidence, ARunThatSurvivedALaterStartIsNoFirstSuspect) {
   CrashFixture W;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -130,6 +130,10 @@
     break;
   }
   rescheduleRun(*S, Order.m_Run, RunLoss::NotStarted, Now);
+  // The next server would most likely reject the order as well.
+  LiveJob *Job = m_Jobs.find(Order.m_Run.m_Task.m_Job);
+  if (Job && R == OrderResult::Invalid)
+    Job->task(Order.m_Run.m_Task)->m_NotBefore = Now + RejectionDelay;
 }
 
 void Scheduler::onStopResult(const StopOrder &Order, OrderResult R,
