--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -298,6 +298,15 @@
   /// earlier leader recorded ended in crashes.
   void resolveEarlierStarts(LiveJob &Job, const ReadyTask &Step);
   void resolveEarlierStart(LiveJob &Job, const TaskId &Id, TaskState &T);
+  /// How suitable a server is for a suspected task; lower is better: whether
+  /// other jobs have tasks there, whether it is not the server of the recorded
+  /// start, whether lasting tasks run there, and how many tasks do.
+  using IsolationScore = std::tuple<bool, bool, bool, std::size_t>;
+  /// Empty if the server may not be used.
+  static std::optional<IsolationScore> isolationScore(const ServerState &S,
+                                                      const LiveJob &Job,
+                                                      const CrashHistory &H,
+                                                      bool MayShare);
   /// Selects a server without tasks of other jobs. After a while any server
   /// will do.
   ServerState *selectIsolated(const LiveJob &Job, const ReadyTask &Task,
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -230,6 +230,19 @@
   S.m_ClearingUntil = {};
 }
 
+std::optional<Scheduler::IsolationScore>
+Scheduler::isolationScore(const ServerState &S, const LiveJob &Job,
+                          const CrashHistory &H, bool MayShare) {
+  bool IsOwn = S.m_IsolatedFor == Job.m_Spec.m_Id;
+  bool IsShared = !IsOwn && !S.isIdle();
+  if ((!IsOwn && !S.m_IsolatedFor.empty()) || (IsShared && !MayShare))
+    return std::nullopt;
+  bool IsInRecord =
+      H.m_Start && H.m_Start->m_Server == S.m_Registration.m_Id.m_Text;
+  return IsolationScore{IsShared, !IsInRecord, IsShared && hasLastingRuns(S),
+                        IsShared ? S.m_Runs.size() : std::size_t(!IsOwn)};
+}
+
 ServerState *Scheduler::selectIsolated(const LiveJob &Job,
                                        const ReadyTask &Task, TaskState &T,
                                        const StepNeeds &Needs,
@@ -239,34 +252,25 @@
   if (!H.m_WaitsSince)
     H.m_WaitsSince = Pass.m_Now;
   bool MayShare = Pass.m_Now >= *H.m_WaitsSince + MaxIsolationWait;
+  bool MaySearch = Pass.m_IsolationSearches++ < MaxIsolationSearches;
   const StepId Step = Needs.m_NeedsTicket ? Job.stepId(Task) : StepId();
   ServerState *Best = nullptr;
-  // Whether the server is in use by others, is not the one in the record, and
-  // has work that would be lost.
-  std::tuple<bool, bool, bool, std::size_t> BestScore;
-  if (Pass.m_IsolationSearches++ < MaxIsolationSearches)
-    for (auto It = Pass.m_Servers.rbegin(); It != Pass.m_Servers.rend(); ++It) {
-      ServerState *S = *It;
-      if (S->m_IndexedMilliCores < Needs.m_Need.m_MilliCores)
-        break;
-      ++m_Counters.m_ServersExamined;
-      bool IsOwn = S->m_IsolatedFor == Job.m_Spec.m_Id;
-      bool IsShared = !IsOwn && !S->isIdle();
-      if ((!IsOwn && !S->m_IsolatedFor.empty()) || (IsShared && !MayShare) ||
-          !isUsable(*S, Pass.m_Now) ||
-          !canHost(*S, Job, Task, Needs, GangPlan) ||
-          (Needs.m_NeedsTicket && !m_Advice.ticket(Step, *S, Pass.m_Now)))
-        continue;
-      bool IsInRecord =
-          H.m_Start && H.m_Start->m_Server == S->m_Registration.m_Id.m_Text;
-      std::tuple<bool, bool, bool, std::size_t> Score{
-          IsShared, !IsInRecord, IsShared && hasLastingRuns(*S),
-          IsShared ? S->m_Runs.size() : std::size_t(!IsOwn)};
-      if (!Best || Score < BestScore) {
-        Best = S;
-        BestScore = Score;
-      }
-    }
+  IsolationScore BestScore;
+  // Idle servers have most cores free.
+  for (auto It = Pass.m_Servers.rbegin();
+       MaySearch && It != Pass.m_Servers.rend() &&
+       (*It)->m_IndexedMilliCores >= Needs.m_Need.m_MilliCores;
+       ++It) {
+    ServerState *S = *It;
+    ++m_Counters.m_ServersExamined;
+    auto Score = isolationScore(*S, Job, H, MayShare);
+    if (!Score || (Best && *Score >= BestScore) || !isUsable(*S, Pass.m_Now) ||
+        !canHost(*S, Job, Task, Needs, GangPlan) ||
+        (Needs.m_NeedsTicket && !m_Advice.ticket(Step, *S, Pass.m_Now)))
+      continue;
+    Best = S;
+    BestScore = *Score;
+  }
   if (!Best && std::exchange(Pass.m_LastJobWaiting, &Job) != &Job)
     ++Pass.m_JobsWaitingForIsolation;
   return Best;
