Give up no task for a crash that it may not have been there for

Cause: two crashes of other tasks had made one of its tasks a suspect. It proved sound, but the store was slow, so the record still held its start as open. The server crashed later by another task; the next leader counted that for the recorded start, and two certain counts and this one gave the task up. Besides, a run that this leader had adopted and lost counted as lost before its term.

Now the crash that gives a task up has to be certain itself, and only tasks without a run number in this term count as lost before it.

--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -42,7 +42,8 @@
       std::count_if(m_Runs.begin(), m_Runs.end(),
                     [](const CrashedRun &R) { return R.m_WasAtWork; });
   return m_Runs.size() >= MaxCrashes ||
-         (Certain >= CrashesToGiveUp && m_Runs.back().m_WasAlone);
+         (Certain >= CrashesToGiveUp && m_Runs.back().m_WasAtWork &&
+          m_Runs.back().m_WasAlone);
 }
 
 StepState *LiveJob::step(std::uint32_t Occurrence, std::uint32_t Step) {
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -164,8 +164,9 @@
     return;
   for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
     const TaskState &T = S.m_Tasks[I];
-    // The starts of suspects are recorded.
-    if (T.m_Ready && T.m_Runs.empty() && !T.isSuspect())
+    // A task with a run number has had a run in this term. The starts of
+    // suspects are recorded.
+    if (T.m_Ready && T.m_LastRunNumber == 0 && !T.isSuspect())
       countCrashedRun(Job, {Job.m_Spec.m_Id, Step.m_Occurrence, Step.m_Step, I},
                       {nextRunNumber({}) - 1, false, false, false}, "unknown");
   }
