Reword comments on suspects that a newcomer would misread

From the read-through of the diff: the rule for giving a task up stood in the comment as before; a divisor was called a share; the help of one metric began with "Those".

--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -126,7 +126,8 @@
      "Starts of suspected tasks in this term.",
      [](const Sources &S) { return number(S.scheduler().m_SuspectStarts); }},
     {"pollenspool_suspect_starts_shared_total", MetricType::Counter,
-     "Those beside tasks of other jobs, because no server became free.",
+     "Starts of suspected tasks on servers with tasks of other jobs, because "
+     "no server became free.",
      [](const Sources &S) {
        return number(S.scheduler().m_SharedSuspectStarts);
      }},
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -39,9 +39,9 @@
   /// Whether the task should run apart from the tasks of other jobs: it was
   /// lost soon after its start, or more than once.
   bool isSuspect() const;
-  /// Whether the task has to be given up: two servers have crashed under it,
-  /// the latest without a run of another job. More are needed if it is not
-  /// certain that the task was at work, or if runs of other jobs were there.
+  /// Whether the task has to be given up: two servers have crashed while it is
+  /// known to have been at work, the latest of them without a run of another
+  /// job; or four crashes have been counted in all.
   bool mustGiveUp() const;
 };
 
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -29,13 +29,13 @@
 /// How long a server gets no other tasks so that it becomes free for suspected
 /// ones.
 constexpr Duration ClearingTime = std::chrono::milliseconds(1500);
-/// The share of a pool's servers that may be cleared at the same time; at least
-/// one is.
+/// One in this many of a pool's servers may be cleared at the same time, and at
+/// least one.
 constexpr std::size_t ClearedFraction = 3;
 /// Maximum number of searches for such a server in one pass over a pool.
 constexpr std::uint32_t MaxIsolationSearches = 8;
 
-/// Whether work is lost that would last for longer than that of other runs.
+/// Whether \p S has long-running or best-effort runs.
 bool hasLastingRuns(const ServerState &S) {
   return std::any_of(S.m_Runs.begin(), S.m_Runs.end(), [](const auto &E) {
     return E.second.m_IsLongRunning || E.second.m_IsBestEffort;
