Check operators' orders against the rows as they are, not as last polled

Cause: two views in one process. What /status shows comes from FleetSync, which notices of peers reach within milliseconds; an order is checked against the fleet component's view, which only this process's own polls fill (every 0.3 s in the tests, 1 s by default). An order in between is refused for instances that exist. A wave ordered while the view is incomplete would leave instances out and say nothing.

Change: each order first reads the rows that have changed and the platform's list, two calls for each order. An order fails if they cannot be read.

--- a/src/fleet/FleetDriver.cpp
+++ b/src/fleet/FleetDriver.cpp
@@ -126,8 +126,27 @@
   withCore([&](TimePoint Now) { m_Core.onDrainAck(Ack, Now); });
 }
 
+// The view that operators see may be ahead of this one, since notices of peers
+// reach it first.
+Result<void> FleetDriver::readFleet() {
+  Revision Known = 0;
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    Known = m_Core.view().revision();
+  }
+  BOOST_OUTCOME_TRY(Rows,
+                    m_Platform.changes(Known, FleetController::rowPrefixes(),
+                                       CallPriority::Control));
+  onRows(Rows);
+  TimePoint RequestedAt = steadyNow();
+  BOOST_OUTCOME_TRY(List, m_Platform.instances(CallPriority::Control));
+  onInstancesListed(List, RequestedAt);
+  return success();
+}
+
 Result<void> FleetDriver::commitOrder(const BuildOrder &Build,
                                       ConflictError Explain) {
+  BOOST_OUTCOME_TRYV(readFleet());
   std::unique_lock<std::mutex> Lock(m_Mutex);
   auto Built = Build(m_Core.view());
   if (!Built)
--- a/src/fleet/FleetDriver.h
+++ b/src/fleet/FleetDriver.h
@@ -48,7 +48,8 @@
                          TimePoint RequestedAt);
   void onAck(const DrainAck &Ack);
 
-  // Operators' orders: each commits one transaction or none. Errors: those of
+  // Operators' orders: each is checked against the platform's present state,
+  // and commits one transaction or none. Errors: those of
   // the function that builds the order, those of the platform, and Conflict,
   // which names the move or wave that committed first.
   Result<void> startMove(MoveOrder Order);
@@ -73,6 +74,9 @@
               std::string TokenPrefix);
 
   template <typename EventFn> void withCore(EventFn Event);
+  /// Reads the rows that have changed, and the platform's list. Errors: those
+  /// of the platform.
+  Result<void> readFleet();
   Result<void> commitOrder(const BuildOrder &Build, ConflictError Explain);
   void run();
   void enqueueAction(FleetAction A);
