Take the time until a larger capacity is used from the platform's settings

A capacity that had grown was used after 4 s everywhere. The platform counts a shrunk capacity one stable window and one heartbeat later; with the large site's window of 5 s and beat of 1.5 s that is 6.5 s, so 4 s were too short there, and also 0.5 s short of 4.5 s on the small sites.

Change: stable-window-ms + heartbeat-ms of the settings file, 4.5 s without a setting. CapacityTest and NodeFileTest pass.

--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -33,6 +33,10 @@
   Duration m_MaxLease = std::chrono::seconds(10);
   /// How long a process may take to shut down after it was asked to.
   Duration m_ShutdownTimeout = std::chrono::seconds(6);
+  /// How long a change may take until all parts of the system act on it.
+  Duration m_StabilizationTime = std::chrono::seconds(3);
+  /// Interval between the registrations of a backend server.
+  Duration m_RegistrationInterval = std::chrono::milliseconds(1500);
   /// Minimum interval between the orders of two leaders for one instance.
   Duration m_MinInstanceOrderInterval = std::chrono::seconds(3);
   /// The platform's rate limit of instance orders, for all entry instances
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -116,7 +116,7 @@
   ServerState *Known = m_Servers.find(R.m_Id);
   std::int64_t KnownStart = Known ? Known->m_Registration.m_StartTimeMs : 0;
   bool NewIncarnation = KnownStart != 0 && R.m_StartTimeMs > KnownStart;
-  ServerState &S = m_Servers.upsert(R, Now);
+  ServerState &S = m_Servers.upsert(R, Now, m_Options.m_CapacitySettlingTime);
   m_UnacknowledgedPoolsChanged = true;
   if (KnownStart == 0)
     return;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -36,6 +36,9 @@
   Duration m_EarlierLeaderTimeout = std::chrono::seconds(8);
   /// Length of the leases that this leader grants.
   Duration m_Lease = std::chrono::seconds(5);
+  /// How long a larger capacity of a server has to last before it is used. A
+  /// capacity may shrink and grow in turns.
+  Duration m_CapacitySettlingTime = std::chrono::milliseconds(4500);
 };
 
 /// What the leader may do at the moment, depending on how recently its term was
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -58,8 +58,8 @@
   return It == m_Pools.end() ? None : It->second;
 }
 
-ServerState &ServerRegistry::upsert(const ServerRegistration &R,
-                                    TimePoint Now) {
+ServerState &ServerRegistry::upsert(const ServerRegistration &R, TimePoint Now,
+                                    Duration SettlingTime) {
   ServerState &S = m_Servers[R.m_Id];
   const bool IsNew = !S.m_Index;
   if (S.m_Index)
@@ -68,7 +68,7 @@
     S.m_IndexNumber = m_ServersAdded++;
   const Resources Used = IsNew ? R.m_Capacity : S.m_Registration.m_Capacity;
   if (IsNew || !R.m_Capacity.fitsIn(S.m_PublishedCapacity))
-    S.m_CapacityGrowsAt = IsNew ? Now : Now + CapacitySettlingTime;
+    S.m_CapacityGrowsAt = IsNew ? Now : Now + SettlingTime;
   S.m_PublishedCapacity = R.m_Capacity;
   S.m_Registration = R;
   S.m_Registration.m_Capacity = Used.least(R.m_Capacity);
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -217,10 +217,6 @@
 /// platform guarantees that it is at most 2% slow.
 constexpr double MinServerClockRate = 0.98;
 
-/// A capacity may shrink and grow in turns, and the server may have less than
-/// it says for a while. More is used once it has been published for this long.
-constexpr Duration CapacitySettlingTime = std::chrono::seconds(4);
-
 /// The servers known in this term, by ID. Not thread safe.
 class ServerRegistry {
 public:
@@ -232,8 +228,9 @@
   /// The servers of \p Pool, also those that cannot take tasks.
   const ServersByFreeCores &inPool(const PoolName &Pool) const;
   /// Adds a server or replaces its registration. Its other state is kept. Less
-  /// capacity takes effect at once, more after CapacitySettlingTime.
-  ServerState &upsert(const ServerRegistration &R, TimePoint Now);
+  /// capacity takes effect at once, more after \p SettlingTime.
+  ServerState &upsert(const ServerRegistration &R, TimePoint Now,
+                      Duration SettlingTime);
   /// Lets a larger capacity of \p S take effect if it is due.
   static void growCapacity(ServerState &S, TimePoint Now);
   void erase(const ServerId &Id);
