Start a gang with suspected tasks as a whole, and however wide it is

Seen: in the simulation, which plays gangs, periodic and best-effort jobs, jobs with checkpoints and steps with a task per server now (JobShapes in CrashTest). Two faults, both only with gangs of which a task crashes its servers or that ran beside one:

A gang with more than 8 suspected tasks never started again and stayed until its deadline. Cause: one pass over a pool searches for at most 8 isolated servers, each member of a gang took one of these searches, and a gang is placed in one pass or not at all. It took the searches of other suspects, too, in each pass. Members that were not suspected started at once, while the others waited for the record of their starts (0.5 s in the simulation, up to 2 s with a slow store). Such a run cannot work; with the platform it ends 'alone' after gang-ms (GANG), and the deadly member was then never started, so nothing was counted. Now a gang starts when all its starts are recorded, or all of them are planned, and its planned starts are resolved together.

Ruled out: the rest of the load. Periodic jobs at the rate of the other tests also did not end in time; that was three times the work on the same servers, so the tests of kinds submit 2 jobs a second.

The oracle takes a gang as ended with its first member, and ends the other members 5 ms later.

--- a/src/scheduling/CrashEvidenceTest.cpp
+++ b/src/scheduling/CrashEvidenceTest.cpp
@@ -208,6 +208,55 @@
   STRCMP_EQUAL("j", W.lastStart().m_Run.m_Task.m_Job.m_Text.c_str());
 }
 
+// A gang with more suspected tasks than one pass searches servers for was never
+// started again.
+TEST(CrashEvidence, AWideGangOfSuspectsStartsAgain) {
+  CrashFixture W;
+  W.addServer("s1", 16);
+  StepSpec Gang = W.step(12);
+  Gang.m_Gang = true;
+  W.addJob("j", {Gang});
+  W.tick();
+  CHECK_EQUAL(12u, W.starts());
+  for (std::size_t I = 0; I < 12; ++I)
+    W.answerStart(I);
+  W.advance(50ms);
+  W.tick();
+  W.crash("s1");
+  W.addServer("s2", 16);
+  W.tick();
+  W.record();
+  W.tick();
+  CHECK_EQUAL(24u, W.starts());
+}
+
+// Members of a gang without a crash started while the others waited for their
+// record, and ended without them.
+TEST(CrashEvidence, AGangWithSuspectsStartsAsAWhole) {
+  CrashFixture W;
+  W.addServer("s1", 2);
+  W.addServer("s2", 1);
+  StepSpec Gang = W.step(3);
+  Gang.m_Gang = true;
+  W.addJob("j", {Gang});
+  W.tick();
+  CHECK_EQUAL(3u, W.starts());
+  for (std::size_t I = 0; I < 3; ++I)
+    W.answerStart(I);
+  W.advance(50ms);
+  W.tick();
+  W.crash("s1");
+  for (const StartOrder &Order : std::vector(W.m_Orders.m_Starts))
+    if (Order.m_Server.m_Id == ServerId("s2"))
+      W.answerPoll("s2", {}, {{1, Order.m_Run, EndKind::GangMemberEnded, ""}});
+  W.addServer("s3", 2);
+  for (int N = 0; N < 3 && W.starts() == 3; ++N) {
+    W.record();
+    W.tick();
+  }
+  CHECK_EQUAL(6u, W.starts());
+}
+
 // The list of the instances, which shows a crash, was requested once a second.
 TEST(CrashEvidence, AnEndedConnectionAsksForAListAndATimeOutDoesNot) {
   for (Duration Waited : {Duration(10ms), Duration(1600ms)}) {
--- a/src/scheduling/CrashTest.cpp
+++ b/src/scheduling/CrashTest.cpp
@@ -36,6 +36,31 @@
 
 void doNothing(JobSimulation &) {}
 
+/// A kind of job that may crash its servers, too.
+struct JobShape {
+  const char *m_Name;
+  void (*m_Shape)(JobSpec &);
+};
+
+constexpr JobShape JobShapes[] = {
+    {"gang", [](JobSpec &Job) { Job.m_Steps.front().m_Gang = true; }},
+    {"periodic",
+     [](JobSpec &Job) {
+       Job.m_Occurrences = 3;
+       Job.m_FirstDue = Job.m_AcceptedAt;
+       Job.m_Interval = 1s;
+     }},
+    {"best effort",
+     [](JobSpec &Job) { Job.m_Steps.front().m_IsBestEffort = true; }},
+    {"checkpoints",
+     [](JobSpec &Job) { Job.m_Steps.front().m_WritesCheckpoints = true; }},
+    {"at most one per server",
+     [](JobSpec &Job) {
+       Job.m_Steps.front().m_Count = 3;
+       Job.m_Steps.front().m_MaxPerServer = 1;
+     }},
+};
+
 } // namespace
 
 TEST_GROUP(Crash){};
@@ -74,3 +99,41 @@
     CHECK_EQUAL(0u, Simulation.liveJobs());
   }
 }
+
+TEST(Crash, TheLimitHoldsForEachKindOfJob) {
+  for (const JobShape &Shape : JobShapes) {
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      SimulationSettings Settings = deadlySettings(Seed);
+      // Periodic jobs run three times.
+      Settings.m_Rate = 2;
+      Settings.m_DeadlyJobShare = 0.15;
+      Settings.m_ShapeJob = Shape.m_Shape;
+      JobSimulation Simulation(Settings);
+      std::string Broken = play(Simulation, doNothing);
+      STRCMP_EQUAL_TEXT("", Broken.c_str(), Shape.m_Name);
+      const SimulationStats &F = Simulation.stats();
+      CHECK_TEXT(F.m_CrashesByTasks > 0, Shape.m_Name);
+      STRCMP_EQUAL_TEXT("none", Simulation.describeFirstLiveJob().c_str(),
+                        Shape.m_Name);
+      LONGS_EQUAL_TEXT(F.m_Deadly, F.m_Failed, Shape.m_Name);
+    }
+  }
+}
+
+TEST(Crash, TheLimitOutlivesTheLeaderForEachKindOfJob) {
+  for (const JobShape &Shape : JobShapes) {
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      SimulationSettings Settings = deadlySettings(Seed);
+      // Periodic jobs run three times.
+      Settings.m_Rate = 2;
+      Settings.m_DeadlyJobShare = 0.15;
+      Settings.m_ShapeJob = Shape.m_Shape;
+      JobSimulation Simulation(Settings);
+      std::string Broken =
+          play(Simulation, [](JobSimulation &S) { S.killLeader(); });
+      STRCMP_EQUAL_TEXT("", Broken.c_str(), Shape.m_Name);
+      STRCMP_EQUAL_TEXT("none", Simulation.describeFirstLiveJob().c_str(),
+                        Shape.m_Name);
+    }
+  }
+}
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -343,6 +343,8 @@
   /// list.
   void placeStep(LiveJob &Job, ReadyTasks::const_iterator First,
                  ReadyTasks::const_iterator End, PoolPass &Pass);
+  /// Places all tasks of a gang or none. They start together, or all their
+  /// starts are planned. Returns whether they were placed.
   bool placeGang(LiveJob &Job, const ReadyTask &First, StepNeeds &Needs,
                  PoolPass &Pass);
   /// Starts a task, or plans its start if that has to be recorded first.
@@ -392,12 +394,15 @@
   /// Whether the start of a step may be ordered: it is recorded in the store,
   /// or no record is needed.
   bool isStartRecorded(LiveJob &Job, const ReadyTask &Task) const;
-  /// The same for a planned start, also of a suspected task.
+  /// The same for a start on \p S, also of a suspected task.
+  bool isStartRecorded(LiveJob &Job, const ReadyTask &Task,
+                       const ServerState &S) const;
+  /// The same for all planned tasks of the gang of \p P, or for the one task.
   bool isStartRecorded(LiveJob &Job, const PlannedStart &P) const;
   /// Asks for the record of a start and keeps \p Need free on \p S until it
   /// is written.
   void planStart(LiveJob &Job, const ReadyTask &Task, const Resources &Need,
-                 ServerState &S, TimePoint Now);
+                 ServerState &S, std::uint32_t RunNumber, TimePoint Now);
   /// Starts the planned tasks whose record has been written. Makes those ready
   /// again whose server cannot take them any more, or whose record takes long,
   /// so that urgent tasks may get the resources.
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -32,7 +32,8 @@
 /// One in this many of a pool's servers may be cleared at the same time, and at
 /// least one.
 constexpr std::size_t ClearedFraction = 3;
-/// Maximum number of searches for such a server in one pass over a pool.
+/// Maximum number of searches for such a server in one pass over a pool. All
+/// members of a gang count as one.
 constexpr std::uint32_t MaxIsolationSearches = 8;
 
 /// Whether \p S has long-running or best-effort runs.
@@ -253,7 +254,9 @@
   if (!H.m_WaitsSince)
     H.m_WaitsSince = Pass.m_Now;
   bool MayShare = Pass.m_Now >= *H.m_WaitsSince + MaxIsolationWait;
-  bool MaySearch = Pass.m_IsolationSearches++ < MaxIsolationSearches;
+  // A gang is placed in one pass or not at all.
+  bool MaySearch =
+      !GangPlan.empty() || Pass.m_IsolationSearches++ < MaxIsolationSearches;
   const StepId Step = Needs.m_NeedsTicket ? Job.stepId(Task) : StepId();
   ServerState *Best = nullptr;
   IsolationScore BestScore;
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -224,23 +224,24 @@
   }
   if (Plan.size() < Step.m_Tasks.size())
     return false;
+  bool IsRecorded =
+      std::all_of(Plan.begin(), Plan.end(), [&](const auto &Member) {
+        return isStartRecorded(Job, Member.first, *Member.second);
+      });
   for (auto &[R, S] : Plan)
-    place(Job, R, Needs, *S, Number, Pass.m_Now);
+    if (IsRecorded)
+      start(Job, R, *S, Number, Pass.m_Now);
+    else
+      planStart(Job, R, Needs.m_Need, *S, Number, Pass.m_Now);
   return true;
 }
 
 void Scheduler::place(LiveJob &Job, const ReadyTask &Task,
                       const StepNeeds &Needs, ServerState &S,
                       std::uint32_t RunNumber, TimePoint Now) {
-  TaskState &T =
-      Job.step(Task.m_Occurrence, Task.m_Step)->m_Tasks[Task.m_Index];
-  bool IsSuspect = T.isSuspect();
-  if (isStartRecorded(Job, Task) &&
-      (!IsSuspect || isSuspectStartRecorded(Job, T, S)))
+  if (isStartRecorded(Job, Task, S))
     return start(Job, Task, S, RunNumber, Now);
-  planStart(Job, Task, Needs.m_Need, S, Now);
-  if (IsSuspect)
-    planSuspectStart(Job, T, S, RunNumber);
+  planStart(Job, Task, Needs.m_Need, S, RunNumber, Now);
 }
 
 void Scheduler::initRun(ActiveRun &Run, const StepSpec &Step) {
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -13,6 +13,19 @@
 /// The same for a suspected task, which must not start without its record.
 constexpr Duration MaxIsolatedPlannedTime = std::chrono::seconds(2);
 
+/// Whether \p Holds for all planned tasks of the gang of \p P, or for the one
+/// task.
+template <typename F>
+bool holdsForGang(const LiveJob &Job, const PlannedStart &P, F Holds) {
+  if (!Job.m_Spec.m_Steps[P.m_Task.m_Step].m_Gang)
+    return Holds(P);
+  return std::all_of(Job.m_PlannedStarts.begin(), Job.m_PlannedStarts.end(),
+                     [&](const PlannedStart &Each) {
+                       return !P.m_Task.isInSameStepAs(Each.m_Task) ||
+                              Holds(Each);
+                     });
+}
+
 } // namespace
 
 void Scheduler::findUnacknowledgedPools() {
@@ -69,12 +82,16 @@
 
 void Scheduler::planStart(LiveJob &Job, const ReadyTask &Task,
                           const Resources &Need, ServerState &S,
-                          TimePoint Now) {
+                          std::uint32_t RunNumber, TimePoint Now) {
   m_Jobs.requestStart(Job, Task.m_Occurrence, Task.m_Step);
   if (Job.m_PlannedStarts.empty())
     m_JobsWithPlannedStarts.push_back(&Job);
   Job.m_PlannedStarts.push_back({Task, &S, Need, Now});
   ServerRegistry::planStart(S, Need);
+  TaskState &T =
+      Job.step(Task.m_Occurrence, Task.m_Step)->m_Tasks[Task.m_Index];
+  if (T.isSuspect())
+    planSuspectStart(Job, T, S, RunNumber);
 }
 
 void Scheduler::cancelPlannedStart(const PlannedStart &P) {
@@ -93,26 +110,32 @@
 
 bool Scheduler::areServersUsable(const LiveJob &Job, const PlannedStart &P,
                                  TimePoint Now) const {
-  if (!Job.m_Spec.m_Steps[P.m_Task.m_Step].m_Gang)
-    return isUsable(*P.m_Server, Now);
-  return std::all_of(Job.m_PlannedStarts.begin(), Job.m_PlannedStarts.end(),
-                     [&](const PlannedStart &Other) {
-                       return !P.m_Task.isInSameStepAs(Other.m_Task) ||
-                              isUsable(*Other.m_Server, Now);
-                     });
+  return holdsForGang(Job, P, [&](const PlannedStart &Each) {
+    return isUsable(*Each.m_Server, Now);
+  });
+}
+
+bool Scheduler::isStartRecorded(LiveJob &Job, const ReadyTask &Task,
+                                const ServerState &S) const {
+  const TaskState &T =
+      Job.step(Task.m_Occurrence, Task.m_Step)->m_Tasks[Task.m_Index];
+  return isStartRecorded(Job, Task) &&
+         (!T.isSuspect() || isSuspectStartRecorded(Job, T, S));
 }
 
 bool Scheduler::isStartRecorded(LiveJob &Job, const PlannedStart &P) const {
-  const TaskState &T = Job.step(P.m_Task.m_Occurrence, P.m_Task.m_Step)
-                           ->m_Tasks[P.m_Task.m_Index];
-  return isStartRecorded(Job, P.m_Task) &&
-         (!T.isSuspect() || isSuspectStartRecorded(Job, T, *P.m_Server));
+  return holdsForGang(Job, P, [&](const PlannedStart &Each) {
+    return isStartRecorded(Job, Each.m_Task, *Each.m_Server);
+  });
 }
 
 bool Scheduler::isResolved(LiveJob &Job, const PlannedStart &P,
                            TimePoint Now) const {
-  Duration MaxTime = P.m_IsIsolated ? MaxIsolatedPlannedTime : MaxPlannedTime;
-  return isFinal(Job.m_State) || Now >= P.m_PlannedAt + MaxTime ||
+  auto IsOverdue = [&](const PlannedStart &Each) {
+    return Now >= Each.m_PlannedAt + (Each.m_IsIsolated ? MaxIsolatedPlannedTime
+                                                        : MaxPlannedTime);
+  };
+  return isFinal(Job.m_State) || holdsForGang(Job, P, IsOverdue) ||
          (isStartable(Job) && isStartRecorded(Job, P)) ||
          !areServersUsable(Job, P, Now);
 }
@@ -146,7 +169,7 @@
   // A gang is placed as a whole, and the best server of a long-running or
   // best-effort task depends on what runs there by now.
   if (!Needs.m_Step->m_Gang && prefersLeastFree(*Needs.m_Step) &&
-      isStartable(Job) && isStartRecorded(Job, P) && IsIsolationKept &&
+      isStartable(Job) && isStartRecorded(Job, R, Server) && IsIsolationKept &&
       P.m_Server->m_Registration.m_Pool == poolOf(Job) &&
       Now >= T.m_NotBefore && isUsable(*P.m_Server, Now) &&
       !mayHaveUnknownRuns(Job, R, Now) &&
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -16,6 +16,8 @@
 constexpr Duration OrderTimeout = milliseconds(500);
 /// How long after a crash the platform lists the instance as down, and how long
 /// the server is away.
+/// How long after a member of a gang the other members end.
+constexpr Duration GangEndDelay = milliseconds(5);
 constexpr Duration ListDelay = milliseconds(500);
 constexpr Duration ListInterval = std::chrono::seconds(1);
 constexpr Duration RestartTime = std::chrono::seconds(3);
@@ -242,6 +244,12 @@
     m_Servers.push_back(
         std::make_unique<SimServer>(m_Clock, m_Random, m_Oracle, R));
   }
+  m_Oracle.m_OnGangMemberGone = [this](const RunId &Member, EndKind Kind) {
+    m_Clock.after(GangEndDelay, [this, Member, Kind] {
+      for (auto &S : m_Servers)
+        S->endGangMembers(Member, Kind);
+    });
+  };
   startTerm();
 }
 
@@ -419,6 +427,8 @@
       chance(m_Settings.m_LongRunningShare) && longRunningJobs().size() < 2;
   Job.m_Steps = IsLongRunning ? makeLongRunningStep() : makeSteps();
   Job.m_AcceptedAt = wall();
+  if (m_Settings.m_ShapeJob && !IsLongRunning)
+    m_Settings.m_ShapeJob(Job);
   m_Oracle.onJob(Job, m_Settings.m_Attempts);
   m_Figures.m_Deadly += isDeadly({Job.m_Id, 0, 0, 0});
   LiveRow Row{
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -35,6 +35,9 @@
   /// this long after the start.
   double m_DeadlyJobShare = 0;
   Duration m_DeadlyDelay = std::chrono::milliseconds(10);
+  /// Changes each job before its submission, unless it is long-running; null:
+  /// jobs are submitted as they are.
+  void (*m_ShapeJob)(JobSpec &) = nullptr;
   /// Whether the state of the leaders is checked with findInconsistency().
   bool m_ChecksState = false;
 };
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -82,16 +82,29 @@
       T.m_AcknowledgedFailures.size() >= Submitted->second.m_Attempts)
     failInvariant("start after all attempts of the task have failed", Run);
   for (std::uint32_t Earlier : Step.m_After)
-    for (std::uint32_t I = 0;
-         I < Submitted->second.m_Spec.m_Steps[Earlier].m_Count; ++I)
-      if (!m_Tasks[{Run.m_Task.m_Job, Run.m_Task.m_Occurrence, Earlier, I}]
-               .m_Done)
-        failInvariant("start before a step that the task depends on was done",
-                      Run);
+    if (!isStepDone(Submitted->second.m_Spec, Run.m_Task.m_Occurrence, Earlier))
+      failInvariant("start before a step that the task depends on was done",
+                    Run);
   if (T.m_CrashesCaused >= MaxCrashes &&
       ++T.m_StartsBeyondLimit >= MaxStartsBeyond)
     failInvariant("three starts of a task that had crashed three servers", Run);
   T.m_RunningOn.insert(Server);
+  // A member that starts after another one has ended waits in vain.
+  if (m_EndedGangs.count(gangRunOf(Run)))
+    endGang(Run, EndKind::GangIncomplete);
+}
+
+bool RunOracle::isStepDone(const JobSpec &Spec, std::uint32_t Occurrence,
+                           std::uint32_t Step) {
+  auto IsDone = [&](std::uint32_t Index) {
+    return m_Tasks[{Spec.m_Id, Occurrence, Step, Index}].m_Done;
+  };
+  std::uint32_t Done = 0;
+  for (std::uint32_t I = 0; I < Spec.m_Steps[Step].m_Count; ++I)
+    Done += IsDone(I);
+  // The members of a gang end together.
+  return Spec.m_Steps[Step].m_Gang ? Done > 0
+                                   : Done == Spec.m_Steps[Step].m_Count;
 }
 
 void RunOracle::onLostInCrash(const ServerId &Server, const RunId &Run) {
@@ -99,6 +112,22 @@
   T.m_RunningOn.erase(Server);
   ++T.m_CrashesBeside;
   addToHistory(Run, Server, "lost in a crash");
+  endGang(Run, EndKind::GangMemberEnded);
+}
+
+void RunOracle::endGang(const RunId &Run, EndKind Kind) {
+  if (!m_OnGangMemberGone ||
+      !m_Jobs[Run.m_Task.m_Job].m_Spec.m_Steps[Run.m_Task.m_Step].m_Gang)
+    return;
+  m_EndedGangs.insert(gangRunOf(Run));
+  m_OnGangMemberGone(Run,
+                     Kind == EndKind::Done ? Kind : EndKind::GangMemberEnded);
+}
+
+RunOracle::GangRun RunOracle::gangRunOf(const RunId &Member) {
+  TaskId First = Member.m_Task;
+  First.m_Index = 0;
+  return {First, Member.m_Number};
 }
 
 void RunOracle::onCrashBy(const RunId &Run) {
@@ -125,6 +154,7 @@
   if (Kind == EndKind::Done)
     T.m_Done = true;
   T.m_FailedRuns += Kind == EndKind::Failed;
+  endGang(Run, Kind);
 }
 
 void RunOracle::onEndAcknowledged(const ServerId &Server, const RunId &Run,
@@ -248,6 +278,18 @@
   answerPendingPolls();
 }
 
+void SimServer::endGangMembers(const RunId &Member, EndKind Kind) {
+  std::vector<RunId> Members;
+  for (const auto &[Id, R] : m_Runs)
+    if (Id.m_Number == Member.m_Number &&
+        Id.m_Task.m_Job == Member.m_Task.m_Job &&
+        Id.m_Task.m_Occurrence == Member.m_Task.m_Occurrence &&
+        Id.m_Task.m_Step == Member.m_Task.m_Step)
+      Members.push_back(Id);
+  for (const RunId &Id : Members)
+    endRun(Id, Kind);
+}
+
 void SimServer::poll(const PollOrder &Order,
                      std::function<void(OrderResult, PollReply)> Callback) {
   if (Order.m_Term < m_HighestTerm)
--- a/src/scheduling/testing/SimServers.h
+++ b/src/scheduling/testing/SimServers.h
@@ -68,6 +68,9 @@
                          EndKind Kind);
   explicit RunOracle(const VirtualClock &Time) : m_Clock(Time) {}
 
+  /// Called when a member of a gang has ended or was lost.
+  std::function<void(const RunId &, EndKind)> m_OnGangMemberGone;
+
 private:
   struct Task {
     std::set<ServerId> m_RunningOn;
@@ -84,6 +87,12 @@
     /// All events of the task, for the message of a violation.
     std::string m_History;
   };
+  /// Identifies one run of a gang: the number of its run and its first member.
+  using GangRun = std::pair<TaskId, std::uint32_t>;
+  static GangRun gangRunOf(const RunId &Member);
+  void endGang(const RunId &Run, EndKind Kind);
+  bool isStepDone(const JobSpec &Spec, std::uint32_t Occurrence,
+                  std::uint32_t Step);
   [[noreturn]] void failInvariant(const char *Rule, const RunId &Run);
   void addToHistory(const RunId &Run, const ServerId &Server,
                     std::string_view What);
@@ -95,6 +104,7 @@
   std::map<JobId, Job> m_Jobs;
   std::map<TaskId, Task> m_Tasks;
   std::map<JobId, TimePoint> m_Cancelled;
+  std::set<GangRun> m_EndedGangs;
   const VirtualClock &m_Clock;
 };
 
@@ -119,6 +129,8 @@
   /// not wait, else when a run ends or the wait time is up.
   void poll(const PollOrder &Order,
             std::function<void(OrderResult, PollReply)> Callback);
+  /// Ends the runs here that belong to the gang of \p Member.
+  void endGangMembers(const RunId &Member, EndKind Kind);
   /// From now on, all work takes \p Factor times as long as at normal speed.
   void setSlowness(double Factor);
   /// Restarts the server as a new incarnation without runs, ends or lease.
