--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -20,6 +20,16 @@
 
 using std::chrono::milliseconds;
 
+/// Makes the first step of each fourth job a gang that fits on the smallest
+/// number of servers.
+void shapeSomeGangs(JobSpec &Job) {
+  if (Job.m_Id.m_Text.back() % 4 != 0)
+    return;
+  StepSpec &First = Job.m_Steps.front();
+  First.m_Gang = true;
+  First.m_Count = std::min(First.m_Count, 4U);
+}
+
 SimulationSettings settingsFor(std::uint64_t Seed) {
   std::mt19937_64 Random(Seed * 6151);
   SimulationSettings S;
@@ -34,6 +44,7 @@
   S.m_Faults.m_FailedRunShare = 0.02 * static_cast<double>(Random() % 3);
   S.m_DeadlyJobShare = 0.02 * static_cast<double>(Random() % 3);
   S.m_DeadlyDelay = milliseconds(5 + Random() % 1500);
+  S.m_ShapeJob = shapeSomeGangs;
   return S;
 }
 
--- a/src/scheduling/CrashTest.cpp
+++ b/src/scheduling/CrashTest.cpp
@@ -61,6 +61,15 @@
      }},
 };
 
+SimulationSettings settingsFor(const JobShape &Shape, std::uint64_t Seed) {
+  SimulationSettings S = deadlySettings(Seed);
+  // Periodic jobs run three times.
+  S.m_Rate = 2;
+  S.m_DeadlyJobShare = 0.15;
+  S.m_ShapeJob = Shape.m_Shape;
+  return S;
+}
+
 } // namespace
 
 TEST_GROUP(Crash){};
@@ -103,12 +112,7 @@
 TEST(Crash, TheLimitHoldsForEachKindOfJob) {
   for (const JobShape &Shape : JobShapes) {
     for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
-      SimulationSettings Settings = deadlySettings(Seed);
-      // Periodic jobs run three times.
-      Settings.m_Rate = 2;
-      Settings.m_DeadlyJobShare = 0.15;
-      Settings.m_ShapeJob = Shape.m_Shape;
-      JobSimulation Simulation(Settings);
+      JobSimulation Simulation(settingsFor(Shape, Seed));
       std::string Broken = play(Simulation, doNothing);
       STRCMP_EQUAL_TEXT("", Broken.c_str(), Shape.m_Name);
       const SimulationStats &F = Simulation.stats();
@@ -123,12 +127,7 @@
 TEST(Crash, TheLimitOutlivesTheLeaderForEachKindOfJob) {
   for (const JobShape &Shape : JobShapes) {
     for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
-      SimulationSettings Settings = deadlySettings(Seed);
-      // Periodic jobs run three times.
-      Settings.m_Rate = 2;
-      Settings.m_DeadlyJobShare = 0.15;
-      Settings.m_ShapeJob = Shape.m_Shape;
-      JobSimulation Simulation(Settings);
+      JobSimulation Simulation(settingsFor(Shape, Seed));
       std::string Broken =
           play(Simulation, [](JobSimulation &S) { S.killLeader(); });
       STRCMP_EQUAL_TEXT("", Broken.c_str(), Shape.m_Name);
