--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -146,6 +146,8 @@
 std::string encodeProgress(const JobProgress &Progress) {
   Json J{{"state", static_cast<int>(Progress.m_State)},
          {"changed", Progress.m_ChangedAt.count()}};
+  if (Progress.m_HasCrashedServers)
+    J["crashed_servers"] = true;
   for (const auto &[Key, Bits] : Progress.m_Done)
     J["done"].push_back({Key.first, Key.second, bitsToText(Bits)});
   for (const auto &[Key, Runs] : Progress.m_Failures)
@@ -172,6 +174,7 @@
         P.m_State = static_cast<JobState>(State);
         P.m_ChangedAt =
             std::chrono::milliseconds(J.at("changed").get<std::int64_t>());
+        P.m_HasCrashedServers = J.value("crashed_servers", false);
         for (const Json &Row : J.value("done", Json::array()))
           P.m_Done[{Row.at(0), Row.at(1)}] = bitsFromText(Row.at(2));
         for (const Json &Row : J.value("failures", Json::array()))
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -60,6 +60,9 @@
   JobState m_State = JobState::Queued;
   /// Wall time of the last change since the Unix epoch.
   std::chrono::milliseconds m_ChangedAt{0};
+  /// Whether a failed job was given up because one of its tasks crashed the
+  /// servers that started it.
+  bool m_HasCrashedServers = false;
   /// By occurrence and step: whether each task is done, by task index.
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<bool>> m_Done;
   /// Numbers of the failed runs, by occurrence, step and task index. They are
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -103,14 +103,14 @@
                });
 }
 
-void JobStore::state(
+void JobStore::status(
     const JobId &Id, Duration TimeLimit,
-    std::function<void(Result<std::optional<JobState>>)> Callback) {
+    std::function<void(Result<std::optional<JobStatus>>)> Callback) {
   ++m_Counters.m_StateReads;
-  auto Cached = m_FinalStates.find(Id.m_Text);
-  if (Cached != m_FinalStates.end()) {
+  auto Cached = m_FinalStatuses.find(Id.m_Text);
+  if (Cached != m_FinalStatuses.end()) {
     ++m_Counters.m_StateCacheHits;
-    return Callback(std::optional<JobState>(Cached->second));
+    return Callback(std::optional<JobStatus>(Cached->second));
   }
   TimePoint Deadline = m_Loop.now() + TimeLimit;
   readStateRow(
@@ -125,12 +125,12 @@
           Self->m_Loop.after(
               RetryDelay,
               [Self, Id, Remaining, Callback = std::move(Callback)]() mutable {
-                Self->state(Id, Remaining, std::move(Callback));
+                Self->status(Id, Remaining, std::move(Callback));
               });
           return;
         }
         if (!Row.value())
-          return Callback(std::optional<JobState>());
+          return Callback(std::optional<JobStatus>());
         auto Progress = decodeProgress(Row.value()->m_Value);
         if (!Progress) {
           logEvent(
@@ -138,17 +138,19 @@
               {{"job", Id.m_Text}, {"error", Progress.error().describe()}});
           return Callback(Progress.error());
         }
-        Self->cacheFinalState(Id, Progress.value().m_State);
-        Callback(std::optional<JobState>(Progress.value().m_State));
+        JobStatus Status{Progress.value().m_State,
+                         Progress.value().m_HasCrashedServers};
+        Self->cacheFinalStatus(Id, Status);
+        Callback(std::optional<JobStatus>(Status));
       });
 }
 
-void JobStore::cacheFinalState(const JobId &Id, JobState State) {
-  if (!isFinal(State))
+void JobStore::cacheFinalStatus(const JobId &Id, const JobStatus &Status) {
+  if (!isFinal(Status.m_State))
     return;
-  if (m_FinalStates.size() >= MaxCachedFinalStates)
-    m_FinalStates.clear();
-  m_FinalStates[Id.m_Text] = State;
+  if (m_FinalStatuses.size() >= MaxCachedFinalStates)
+    m_FinalStatuses.clear();
+  m_FinalStatuses[Id.m_Text] = Status;
 }
 
 void JobStore::cancel(const JobId &Id, Duration TimeLimit,
@@ -223,7 +225,7 @@
                             CancelResult R) {
   if (R == CancelResult::Cancelled) {
     ++m_Counters.m_Cancelled;
-    cacheFinalState(C->m_Id, JobState::Cancelled);
+    cacheFinalStatus(C->m_Id, {JobState::Cancelled, false});
   }
   C->m_Callback(R);
 }
--- a/src/jobs/JobStore.h
+++ b/src/jobs/JobStore.h
@@ -50,6 +50,14 @@
   std::uint64_t m_StateCacheHits = 0;
 };
 
+/// What callers can learn of a job.
+struct JobStatus {
+  JobState m_State = JobState::Queued;
+  /// Whether a failed job was given up because one of its tasks crashed the
+  /// servers that started it.
+  bool m_HasCrashedServers = false;
+};
+
 /// Submits and cancels jobs, and looks up their state. It only uses the
 /// metadata store, so every entry instance gives the same answers, whichever
 /// instance is the leader. Every continuation is called exactly once. Not
@@ -68,11 +76,11 @@
   /// for up to \p TimeLimit; a call that is under way then may end later.
   void cancel(const JobId &Id, Duration TimeLimit,
               std::function<void(CancelResult)> Callback);
-  /// Reads the job's state; std::nullopt if there is no such job. Retries
+  /// Reads the job's status; std::nullopt if there is no such job. Retries
   /// failed store calls for up to \p TimeLimit. Errors: those of
   /// MetadataStore::read(), and InvalidMessage if the row cannot be decoded.
-  void state(const JobId &Id, Duration TimeLimit,
-             std::function<void(Result<std::optional<JobState>>)> Callback);
+  void status(const JobId &Id, Duration TimeLimit,
+              std::function<void(Result<std::optional<JobStatus>>)> Callback);
 
   const JobStoreCounters &counters() const { return m_Counters; }
 
@@ -93,14 +101,14 @@
   void
   readStateRow(const JobId &Id, Duration Timeout,
                std::function<void(Result<std::optional<StoredRow>>)> Callback);
-  void cacheFinalState(const JobId &Id, JobState State);
+  void cacheFinalStatus(const JobId &Id, const JobStatus &Status);
 
   EventLoop &m_Loop;
   MetadataStore &m_Store;
   JobStoreCounters m_Counters;
   /// Cached final states by job ID. A final state never changes, so it has to
   /// be read only once.
-  std::unordered_map<std::string, JobState> m_FinalStates;
+  std::unordered_map<std::string, JobStatus> m_FinalStatuses;
 };
 
 } // namespace pollenspool
--- a/src/jobs/JobStoreTest.cpp
+++ b/src/jobs/JobStoreTest.cpp
@@ -62,3 +62,31 @@
   CHECK_FALSE(decodeProgress(R"({"state":5,"changed":0})").has_value());
   CHECK_FALSE(decodeProgress(R"({"state":-1,"changed":0})").has_value());
 }
+
+// Callers saw that a job had failed, and not that it had crashed servers.
+TEST(JobStore, StatusTellsWhetherTheJobHasCrashedServers) {
+  for (bool HasCrashed : {false, true}) {
+    auto Loop = EventLoop::create();
+    SlowStore Store;
+    auto Jobs = JobStore::create(*Loop, Store);
+    std::vector<bool> Answers;
+    auto Ask = [&] {
+      Jobs->status(JobId("j"), 200ms,
+                   [&](Result<std::optional<JobStatus>> Status) {
+                     CHECK(Status.value()->m_State == JobState::Failed);
+                     Answers.push_back(Status.value()->m_HasCrashedServers);
+                   });
+    };
+    Ask();
+    JobProgress Failed;
+    Failed.m_State = JobState::Failed;
+    Failed.m_HasCrashedServers = HasCrashed;
+    RowPage Page;
+    Page.m_Rows.push_back(
+        {jobStateAddress(JobId("j")), encodeProgress(Failed), 7, false});
+    Store.m_Read(Page);
+    Ask();
+    CHECK_EQUAL(1u, Store.m_Timeouts.size());
+    CHECK(Answers == std::vector<bool>({HasCrashed, HasCrashed}));
+  }
+}
--- a/src/scheduling/CrashEvidenceTest.cpp
+++ b/src/scheduling/CrashEvidenceTest.cpp
@@ -185,6 +185,7 @@
   W.tick();
   W.crash(Own);
   CHECK(W.job("j").m_State == JobState::Failed);
+  CHECK(W.m_Core->jobs().progressOf(W.job("j"), W.wall()).m_HasCrashedServers);
   CHECK(W.job("other").m_State == JobState::Running);
 }
 
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -352,8 +352,10 @@
   Job.m_HasBegun |= Run.m_WasAtWork;
   H.m_RunsChange = ++Job.m_ChangeNumber;
   Job.m_WantsStart = true;
-  if (H.mustGiveUp())
+  if (H.mustGiveUp()) {
     Job.m_State = JobState::Failed;
+    Job.m_HasCrashedServers = true;
+  }
   markDirty(Job);
   return true;
 }
@@ -431,6 +433,7 @@
   JobProgress P;
   P.m_State = Job.m_State;
   P.m_ChangedAt = Wall;
+  P.m_HasCrashedServers = Job.m_HasCrashedServers;
   if (isFinal(Job.m_State))
     return P;
   for (const auto &[Number, O] : Job.m_Occurrences)
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -147,6 +147,8 @@
   /// Version of the job's state row, on which the next write depends.
   RowVersion m_StateVersion = 0;
   JobState m_State = JobState::Queued;
+  /// Whether it has failed because a task crashed the servers that started it.
+  bool m_HasCrashedServers = false;
   /// Whether a server is known to have begun a run of the job. A start order
   /// alone does not show that.
   bool m_HasBegun = false;
