Test advised tasks that crash servers

The simulation had no placement adviser, so no test covered a suspect that needs a ticket. Its adviser answers after 10 ms and allows every second server, with tickets of 2 s. FleetDriver.h: comment wrapped.

--- a/src/fleet/FleetDriver.h
+++ b/src/fleet/FleetDriver.h
@@ -49,9 +49,9 @@
   void onAck(const DrainAck &Ack);
 
   // Operators' orders: each is checked against the platform's present state,
-  // and commits one transaction or none. Errors: those of
-  // the function that builds the order, those of the platform, and Conflict,
-  // which names the move or wave that committed first.
+  // and commits one transaction or none. Errors: those of the function that
+  // builds the order, those of the platform, and Conflict, which names the
+  // move or wave that committed first.
   Result<void> startMove(MoveOrder Order);
   Result<void> cancelMove(const InstanceId &Id, const std::string &Reason);
   Result<void> startWave(WaveOrder Order);
--- a/src/scheduling/CrashTest.cpp
+++ b/src/scheduling/CrashTest.cpp
@@ -40,6 +40,7 @@
 struct JobShape {
   const char *m_Name;
   void (*m_Shape)(JobSpec &);
+  bool m_HasAdviser = false;
 };
 
 constexpr JobShape JobShapes[] = {
@@ -59,6 +60,7 @@
        Job.m_Steps.front().m_Count = 3;
        Job.m_Steps.front().m_MaxPerServer = 1;
      }},
+    {"advised", [](JobSpec &) {}, true},
 };
 
 SimulationSettings settingsFor(const JobShape &Shape, std::uint64_t Seed) {
@@ -67,6 +69,7 @@
   S.m_Rate = 2;
   S.m_DeadlyJobShare = 0.15;
   S.m_ShapeJob = Shape.m_Shape;
+  S.m_HasAdviser = Shape.m_HasAdviser;
   return S;
 }
 
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -24,6 +24,10 @@
 /// How long a replaced leader keeps giving orders. The value is the same as in
 /// production.
 constexpr Duration ReplacedLeaderTimeout = std::chrono::seconds(5);
+/// How long the adviser takes for an answer, and how long its tickets are
+/// valid.
+constexpr milliseconds AdviceDelay{10};
+constexpr milliseconds TicketLifetime{2000};
 constexpr char TermRowKey[] = "term";
 
 } // namespace
@@ -139,10 +143,19 @@
     });
   }
 
-  // The queue of the simulation has no placement adviser, and it has no
-  // best-effort tasks.
   void pace(const PaceOrder &) override {}
-  void advise(const AdviceOrder &) override {}
+
+  void advise(const AdviceOrder &Order) override {
+    AdviceReply Reply;
+    Reply.m_TicketLifetime = TicketLifetime;
+    for (std::size_t N = 0; N < m_Simulation.m_Servers.size(); N += 2)
+      Reply.m_Tickets[m_Simulation.m_Servers[N]->m_Registration.m_Id] =
+          "ticket";
+    m_Simulation.m_Clock.after(AdviceDelay, [this, Order, Reply] {
+      if (m_Alive)
+        m_Core->onAdvice(Order, Reply, m_Simulation.m_Clock.m_Now);
+    });
+  }
 
 private:
   void checkState(const char *When) {
@@ -284,6 +297,8 @@
   Queue.m_Attempts = m_Settings.m_Attempts;
   Queue.m_DurationFactor = 1.6;
   Queue.m_Slack = milliseconds(600);
+  if (m_Settings.m_HasAdviser)
+    Queue.m_Advice = {AdviceDelay, milliseconds(0), TicketLifetime};
   Leader.m_Core->onConfig(
       ServingConfig::create(1, {Queue}, {{PoolName("desk"), false, true}}));
   for (auto &[Id, Row] : m_LiveRows)
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -38,6 +38,9 @@
   /// Changes each job before its submission, unless it is long-running; null:
   /// jobs are submitted as they are.
   void (*m_ShapeJob)(JobSpec &) = nullptr;
+  /// Whether the queue uses a placement adviser, which allows every second
+  /// server.
+  bool m_HasAdviser = false;
   /// Whether the state of the leaders is checked with findInconsistency().
   bool m_ChecksState = false;
 };
