Give the entry instances of a check ports that no connection can take

Cause: a check chose a port of 127.0.0.1 by binding and closing it. Until the instance listened there, any outgoing connection of the machine could get that port, and two of the three ports could be the same. The instance then ends at once (ListenFailed), and the check waits in vain.

Change: each check uses a loopback address of its own, chosen by its process ID, as the integration tests do; connections have 127.0.0.1 as their source. The three ports are held open together while they are chosen. The failure names the instances that have ended and their last log line.

--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -9,6 +9,7 @@
 The stand-in records each task that runs twice.
 """
 import base64
+import contextlib
 import http.client
 import json
 import os
@@ -29,10 +30,20 @@
 HOST = "jobs.example"
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def own_address():
+    """Returns a loopback address that concurrent checks do not use, and that is not the
+    source address of connections, so that a free port on it stays free."""
+    pid = os.getpid()
+    return f"127.{64 + pid // 250 % 128}.{1 + pid % 250}.250"
+
+
+def free_ports(address, count):
+    """Returns different ports that are free on the address."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((address, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 def call(address, method, path, body=None, headers=None, timeout=5):
@@ -53,12 +64,14 @@
 class Entry:
     def __init__(self, build, folder, number, platform):
         self.name = f"entry-{number}"
-        self.callers, self.ready, self.metrics = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        address = own_address()
+        self.callers, self.ready, self.metrics = (
+            f"{address}:{port}" for port in free_ports(address, 3))
         self.settings = folder / f"{self.name}.yaml"
         self.settings.write_text(f"""
 node-name: "{self.name}"
 zone: "z1"
-ip: "127.0.0.1"
+ip: "{address}"
 listen-addrs: {{frontend: "{self.callers}", ready-addr: "{self.ready}"}}
 internal-ports: [{self.metrics.split(":")[1]}]
 limits: {{cpu-share: 0.5}}
@@ -84,6 +97,10 @@
     def is_up(self):
         return self.process is not None and self.process.poll() is None
 
+    def last_line(self):
+        """Returns the last line of its log, or an empty text."""
+        return (self.log.read_text().splitlines() or [""])[-1]
+
     def is_leader(self):
         """Returns whether its latest leadership event is TermWon."""
         events = [line for line in self.log.read_text().splitlines()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -93,7 +93,12 @@
                 self.build, self.folder, number,
                 {name: link.address for name, link in links.items()}))
             self.entries[-1].start()
-        await self.until("all entry instances are ready", READY_TIMEOUT_S, self.are_ready)
+        try:
+            await self.until("all entry instances are ready", READY_TIMEOUT_S, self.are_ready)
+        except AssertionError as error:
+            last = "".join(f"\n{e.name} {'up' if e.is_up() else 'ended'}: {e.last_line()}"
+                           for e in self.entries)
+            raise AssertionError(f"{error}{last}") from error
 
     def configure(self):
         self.version += self.rng.randint(1, 3)
