Use the field's terms in comments on crashes, and one name for each duty

Change: names and comments only. areStartsRecorded() answers for a whole gang; hasLongRunningOrBestEffort() says what it looks for.

--- a/src/fleet/FleetDriverTest.cpp
+++ b/src/fleet/FleetDriverTest.cpp
@@ -109,7 +109,8 @@
   CHECK_TRUE(m_Driver->startMove(Order).has_value());
 }
 
-// A wave from an incomplete view would leave instances out without a word.
+// A wave built from an incomplete view would omit instances, and its operator
+// would not be told.
 TEST(FleetDriver, AnOrderFailsIfTheRowsCannotBeRead) {
   m_Platform.setOutage(true);
   auto Started = startWave(WaveSetKind::All, "");
--- a/src/scheduling/CapacityTest.cpp
+++ b/src/scheduling/CapacityTest.cpp
@@ -21,7 +21,7 @@
 
 TEST_GROUP(Capacity){};
 
-// LIMIT: starts brought a server over a capacity that had shrunk.
+// Starts brought a server over a capacity that had shrunk.
 TEST(Capacity, NothingStartsBeyondACapacityThatHasShrunk) {
   CapacityFixture W;
   W.addServer("s1", 4);
--- a/src/scheduling/CrashEvidenceTest.cpp
+++ b/src/scheduling/CrashEvidenceTest.cpp
@@ -78,7 +78,7 @@
   CHECK_EQUAL(1u, W.crashesOf("j"));
 }
 
-// A machine that was only silent had its work given up.
+// A server that was only silent had its tasks given up.
 TEST(CrashEvidence, ALapsedLeaseIsNoCrash) {
   CrashFixture W;
   W.startOnFirstServer();
@@ -141,12 +141,12 @@
   CHECK_EQUAL(0u, W.crashesOf("j"));
 }
 
-// A lasting task was given up after two crashes of hardware, hours apart.
+// A long-running task was given up after two crashes of hardware, hours apart.
 TEST(CrashEvidence, ALongRunningTaskMeetsCrashesForOtherReasons) {
   CrashFixture W;
-  StepSpec Lasting = W.step(1);
-  Lasting.m_IsLongRunning = true;
-  W.startOnFirstServer(Lasting);
+  StepSpec LongRunning = W.step(1);
+  LongRunning.m_IsLongRunning = true;
+  W.startOnFirstServer(LongRunning);
   for (int N = 0; N < 6; ++N) {
     W.advance(1s);
     W.answerPoll("s1", {{W.lastStart().m_Run, "", 100, 0}});
@@ -195,9 +195,9 @@
   W.startOnFirstServer();
   W.crash("s1");
   W.addServer("s2");
-  StepSpec Lasting = W.step(1);
-  Lasting.m_IsLongRunning = true;
-  W.addJob("other", {Lasting});
+  StepSpec LongRunning = W.step(1);
+  LongRunning.m_IsLongRunning = true;
+  W.addJob("other", {LongRunning});
   W.tick();
   CHECK_EQUAL(2u, W.starts());
   W.advance(1600ms);
@@ -317,20 +317,21 @@
   }
 }
 
-// AVAIL: a lasting task that had proved sound was given up, since the store was
-// slow and its record still held an open start on a server that crashed later.
+// A long-running task that had proved sound was given up, with all tasks of its
+// job, since the store was slow and its record still held an open start on a
+// server that crashed later.
 TEST(CrashEvidence, AnEarlierStartOnAServerThatIsGoneGivesNoTaskUp) {
   CrashFixture W(2);
   W.addServer("s1");
-  StepSpec Lasting = W.step(1);
-  Lasting.m_IsLongRunning = true;
+  StepSpec LongRunning = W.step(1);
+  LongRunning.m_IsLongRunning = true;
   JobProgress Earlier;
   Earlier.m_State = JobState::Running;
   Earlier.m_StartedSteps = {{0, 0}};
   Earlier.m_Crashes[{0, 0, 0}] = {{1, true, false, false},
                                   {2, true, false, false}};
   Earlier.m_SuspectStarts[{0, 0, 0}] = {3, "gone", 1};
-  W.addJob("j", {Lasting}, Earlier);
+  W.addJob("j", {LongRunning}, Earlier);
   W.list("s1", InstanceCondition::Up);
   W.tick();
   CHECK(!isFinal(W.job("j").m_State));
--- a/src/scheduling/CrashTest.cpp
+++ b/src/scheduling/CrashTest.cpp
@@ -77,7 +77,7 @@
 
 TEST_GROUP(Crash){};
 
-// BUDGET: a task that crashed each server on which it began was started again
+// A task that crashed each server on which it began was started again
 // for as long as the system ran.
 TEST(Crash, ATaskThatCrashesItsServersIsGivenUp) {
   for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -303,7 +303,8 @@
   void resolveEarlierStart(LiveJob &Job, const TaskId &Id, TaskState &T);
   /// How suitable a server is for a suspected task; lower is better: whether
   /// other jobs have tasks there, whether it is not the server of the recorded
-  /// start, whether lasting tasks run there, and how many tasks do.
+  /// start, whether long-running or best-effort tasks run there, and how many
+  /// tasks do.
   using IsolationScore = std::tuple<bool, bool, bool, std::size_t>;
   /// Empty if the server may not be used.
   static std::optional<IsolationScore> isolationScore(const ServerState &S,
@@ -398,7 +399,7 @@
   bool isStartRecorded(LiveJob &Job, const ReadyTask &Task,
                        const ServerState &S) const;
   /// The same for all planned tasks of the gang of \p P, or for the one task.
-  bool isStartRecorded(LiveJob &Job, const PlannedStart &P) const;
+  bool areStartsRecorded(LiveJob &Job, const PlannedStart &P) const;
   /// Asks for the record of a start and keeps \p Need free on \p S until it
   /// is written.
   void planStart(LiveJob &Job, const ReadyTask &Task, const Resources &Need,
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -37,7 +37,7 @@
 constexpr std::uint32_t MaxIsolationSearches = 8;
 
 /// Whether \p S has long-running or best-effort runs.
-bool hasLastingRuns(const ServerState &S) {
+bool hasLongRunningOrBestEffort(const ServerState &S) {
   return std::any_of(S.m_Runs.begin(), S.m_Runs.end(), [](const auto &E) {
     return E.second.m_IsLongRunning || E.second.m_IsBestEffort;
   });
@@ -241,7 +241,8 @@
     return std::nullopt;
   bool IsInRecord =
       H.m_Start && H.m_Start->m_Server == S.m_Registration.m_Id.m_Text;
-  return IsolationScore{IsShared, !IsInRecord, IsShared && hasLastingRuns(S),
+  return IsolationScore{IsShared, !IsInRecord,
+                        IsShared && hasLongRunningOrBestEffort(S),
                         IsShared ? S.m_Runs.size() : std::size_t(!IsOwn)};
 }
 
@@ -294,7 +295,7 @@
        It != Pass.m_Servers.rend() && Cleared < Limit; ++It) {
     ServerState &S = **It;
     if (IsCleared(&S) || !S.m_IsolatedFor.empty() || !isUsable(S, Pass.m_Now) ||
-        hasLastingRuns(S))
+        hasLongRunningOrBestEffort(S))
       continue;
     S.m_ClearingUntil = Pass.m_Now + ClearingTime;
     ++Cleared;
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -123,7 +123,7 @@
          (!T.isSuspect() || isSuspectStartRecorded(Job, T, S));
 }
 
-bool Scheduler::isStartRecorded(LiveJob &Job, const PlannedStart &P) const {
+bool Scheduler::areStartsRecorded(LiveJob &Job, const PlannedStart &P) const {
   return holdsForGang(Job, P, [&](const PlannedStart &Each) {
     return isStartRecorded(Job, Each.m_Task, *Each.m_Server);
   });
@@ -136,7 +136,7 @@
                                                         : MaxPlannedTime);
   };
   return isFinal(Job.m_State) || holdsForGang(Job, P, IsOverdue) ||
-         (isStartable(Job) && isStartRecorded(Job, P)) ||
+         (isStartable(Job) && areStartsRecorded(Job, P)) ||
          !areServersUsable(Job, P, Now);
 }
 
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -89,7 +89,7 @@
       ++T.m_StartsBeyondLimit >= MaxStartsBeyond)
     failInvariant("three starts of a task that had crashed three servers", Run);
   T.m_RunningOn.insert(Server);
-  // A member that starts after another one has ended waits in vain.
+  // A member that starts after another one has ended never begins its work.
   if (m_EndedGangs.count(gangRunOf(Run)))
     endGang(Run, EndKind::GangIncomplete);
 }
