Authorize calls by API key and keep organisations within their caps

Calls of all organisations were served whatever their key, and one organisation's load could take the room of all others: the configuration's organisations were not decoded.

Jobs keep the name of their organisation in both rows. OrganisationLedger charges every run that a server has or may have, planned starts, and, after a change of leader, tasks that may run on servers that have not answered yet. Operators see the organisations on the overview page and in metrics.

Without organisations in the configuration and without the contract in the settings nothing changes. Not yet measured on the deployments.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -92,6 +92,9 @@
     if (m_Leader)
       m_Leader->onWave(Wave);
   };
+  Callbacks.m_OnConfigConfirmed = [this](TimePoint AsOf) {
+    m_ConfigConfirmedAt = AsOf;
+  };
   m_Ports.m_Feed.watchConfigAndWaves(std::move(Callbacks));
   followLeaderTable();
   tick(m_Loop.now());
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -29,6 +29,11 @@
   bool isReady() const;
   /// The configuration in effect; null until the first one has been read.
   const ServingConfig *config() const { return m_Config.get(); }
+  /// How long it has not been confirmed that config() is the latest version.
+  Duration configAge() const { return m_Loop.now() - m_ConfigConfirmedAt; }
+  const AuthorizationPolicy &authorizationPolicy() const {
+    return m_Settings.m_Authorization;
+  }
   JobStore &jobStore() { return *m_JobStore; }
   const JobStoreCounters &jobStoreCounters() const {
     return m_JobStore->counters();
@@ -70,6 +75,7 @@
   /// Delays of the timer that calls tick().
   DelayMonitor m_TimerDelay;
   std::shared_ptr<const ServingConfig> m_Config;
+  TimePoint m_ConfigConfirmedAt{};
   std::map<WaveId, WaveRequest> m_Waves;
   TimePoint m_LastStoreAnswerAt{};
   bool m_IsStoreAnswering = false;
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -1,6 +1,7 @@
 //===- EntryMetrics.cpp - Metrics of an entry instance --------------------===//
 
 #include "entry/EntryMetrics.h"
+#include "entry/OrganisationView.h"
 #include "net/ProcessorTime.h"
 #include <array>
 #include <limits>
@@ -289,6 +290,10 @@
   Families.push_back(m_Impl->latencyFamily());
   Families.push_back(decisionFamily(Service.load().decisionTimes()));
   Families.push_back(m_Impl->refusalFamily());
+  if (Service.leader())
+    for (MetricFamily &Family :
+         organisationFamilies(listOrganisations(Service.leader()->scheduler())))
+      Families.push_back(std::move(Family));
   return prometheus::TextSerializer().Serialize(Families);
 }
 
--- a/src/entry/EntryPorts.h
+++ b/src/entry/EntryPorts.h
@@ -42,6 +42,8 @@
 struct FleetListener {
   std::function<void(std::shared_ptr<const ServingConfig>)> m_OnConfig;
   std::function<void(const WaveRequest &)> m_OnWave;
+  /// The reported configuration and waves are the latest as of that time.
+  std::function<void(TimePoint)> m_OnConfigConfirmed;
   std::function<void(const ServerRegistration &)> m_OnServer;
   std::function<void(const ServerId &)> m_OnServerUnregistered;
   /// Called once the registrations that existed at the start have been
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -5,6 +5,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "organisations/Authorization.h"
 #include <cstdint>
 #include <string>
 
@@ -29,6 +30,9 @@
   /// Bandwidth of its network link in Mbit/s.
   double m_LinkMbps = 1000;
 
+  /// How callers' API keys are checked.
+  AuthorizationPolicy m_Authorization{};
+
   /// The longest lease that a backend server grants.
   Duration m_MaxLease = std::chrono::seconds(10);
   /// How long a process may take to shut down after it was asked to.
--- a/src/entry/StatusPage.cpp
+++ b/src/entry/StatusPage.cpp
@@ -1,6 +1,7 @@
 //===- StatusPage.cpp - The operators' status page ------------------------===//
 
 #include "entry/StatusPage.h"
+#include "entry/OrganisationView.h"
 #include <nlohmann/json.hpp>
 
 namespace pollenspool {
@@ -72,6 +73,18 @@
   return Rows;
 }
 
+Json organisations(Scheduler &Sched) {
+  Json Rows = Json::array();
+  for (const OrganisationStatus &O : listOrganisations(Sched))
+    Rows.push_back({{"organisation", O.m_Name.m_Text},
+                    {"waiting", O.m_WaitingJobs},
+                    {"running", O.m_RunningJobs},
+                    {"running_millicores", O.m_RunningMilliCores},
+                    {"cap_millicores", O.m_CapMilliCores},
+                    {"weight", O.m_Weight}});
+  return Rows;
+}
+
 Json waves(const FleetPlanner &Planner) {
   Json Rows = Json::array();
   for (const WaveOverview &W : Planner.waves())
@@ -115,6 +128,7 @@
   if (Leader *L = Service.leader(); L && Service.config()) {
     Page["queues"] = queues(Service, L->scheduler());
     Page["pools"] = pools(Service, L->scheduler());
+    Page["organisations"] = organisations(L->scheduler());
     Page["waves"] = waves(L->planner());
     Page["term_certain"] = Service.leadership().isValid(Now);
   }
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -110,16 +110,18 @@
   Json Steps = Json::array();
   for (const StepSpec &S : Job.m_Steps)
     Steps.push_back(stepToJson(S));
-  return Json{{"id", Job.m_Id.m_Text},
-              {"queue", Job.m_Queue.m_Text},
-              {"pool", Job.m_Pool.m_Text},
-              {"text", Job.m_Text},
-              {"steps", Steps},
-              {"occurrences", Job.m_Occurrences},
-              {"first", Job.m_FirstDue.count()},
-              {"interval", Job.m_Interval.count()},
-              {"accepted", Job.m_AcceptedAt.count()}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+  Json J{{"id", Job.m_Id.m_Text},
+         {"queue", Job.m_Queue.m_Text},
+         {"pool", Job.m_Pool.m_Text},
+         {"text", Job.m_Text},
+         {"steps", Steps},
+         {"occurrences", Job.m_Occurrences},
+         {"first", Job.m_FirstDue.count()},
+         {"interval", Job.m_Interval.count()},
+         {"accepted", Job.m_AcceptedAt.count()}};
+  if (!Job.m_Organisation.empty())
+    J["organisation"] = Job.m_Organisation.m_Text;
+  return J.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Result<JobSpec> decodeJob(const std::string &Text) {
@@ -129,6 +131,7 @@
         Job.m_Id = JobId(J.at("id"));
         Job.m_Queue = QueueName(J.at("queue"));
         Job.m_Pool = PoolName(J.at("pool"));
+        Job.m_Organisation = OrganisationName(J.value("organisation", ""));
         Job.m_Text = J.at("text");
         for (const Json &S : J.at("steps"))
           Job.m_Steps.push_back(stepFromJson(S));
@@ -148,6 +151,8 @@
          {"changed", Progress.m_ChangedAt.count()}};
   if (Progress.m_HasCrashedServers)
     J["crashed_servers"] = true;
+  if (!Progress.m_Organisation.empty())
+    J["organisation"] = Progress.m_Organisation.m_Text;
   for (const auto &[Key, Bits] : Progress.m_Done)
     J["done"].push_back({Key.first, Key.second, bitsToText(Bits)});
   for (const auto &[Key, Runs] : Progress.m_Failures)
@@ -175,6 +180,7 @@
         P.m_ChangedAt =
             std::chrono::milliseconds(J.at("changed").get<std::int64_t>());
         P.m_HasCrashedServers = J.value("crashed_servers", false);
+        P.m_Organisation = OrganisationName(J.value("organisation", ""));
         for (const Json &Row : J.value("done", Json::array()))
           P.m_Done[{Row.at(0), Row.at(1)}] = bitsFromText(Row.at(2));
         for (const Json &Row : J.value("failures", Json::array()))
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -63,6 +63,8 @@
   /// Whether a failed job was given up because one of its tasks crashed the
   /// servers that started it.
   bool m_HasCrashedServers = false;
+  /// \see JobSpec::m_Organisation.
+  OrganisationName m_Organisation;
   /// By occurrence and step: whether each task is done, by task index.
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<bool>> m_Done;
   /// Numbers of the failed runs, by occurrence, step and task index. They are
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -17,6 +17,8 @@
 using JobId = Name<struct JobTag>;
 /// The name of a queue that accepts jobs.
 using QueueName = Name<struct QueueTag>;
+/// The name of an organisation whose callers submit jobs.
+using OrganisationName = Name<struct OrganisationTag>;
 
 /// Resources that a task requires or that a backend server has.
 struct Resources {
@@ -91,6 +93,8 @@
   JobId m_Id;
   QueueName m_Queue;
   PoolName m_Pool;
+  /// The organisation whose key submitted the job; empty if none was required.
+  OrganisationName m_Organisation;
   /// Text that is passed to each task.
   std::string m_Text;
   std::vector<StepSpec> m_Steps;
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/JobStore.h"
 #include "base/Log.h"
+#include "organisations/Authorization.h"
 #include <algorithm>
 
 namespace pollenspool {
@@ -28,6 +29,7 @@
 
 struct JobStore::Submission {
   JobId m_Id;
+  OrganisationName m_Caller;
   RowTransaction m_Txn;
   TimePoint m_Deadline;
   /// An attempt failed without telling whether it was applied.
@@ -37,6 +39,9 @@
 
 struct JobStore::Cancellation {
   JobId m_Id;
+  OrganisationName m_Caller;
+  /// Owner of the job, once its state row has been read.
+  OrganisationName m_Owner;
   TimePoint m_Deadline;
   std::function<void(CancelResult)> m_Callback;
 };
@@ -50,9 +55,11 @@
                       std::function<void(SubmitResult)> Callback) {
   auto S = std::make_shared<Submission>();
   S->m_Id = Job.m_Id;
+  S->m_Caller = Job.m_Organisation;
   Job.m_AcceptedAt = wallNow();
   JobProgress InitialProgress;
   InitialProgress.m_ChangedAt = Job.m_AcceptedAt;
+  InitialProgress.m_Organisation = Job.m_Organisation;
   RowAddress StateAddress = jobStateAddress(Job.m_Id);
   S->m_Txn.m_Conditions.push_back({StateAddress, 0});
   S->m_Txn.m_Puts.push_back({StateAddress, encodeProgress(InitialProgress)});
@@ -75,6 +82,14 @@
                  });
 }
 
+bool JobStore::isOfOtherOrganisation(const Submission &S,
+                                     const CommitOutcome &Outcome) {
+  for (const StoredRow &Row : Outcome.m_Conflicts)
+    if (auto Stored = decodeProgress(Row.m_Value))
+      return !mayAccessJob(S.m_Caller, Stored.value().m_Organisation);
+  return false;
+}
+
 void JobStore::onSubmitted(const std::shared_ptr<Submission> &S,
                            const Result<CommitOutcome> &Outcome) {
   if (!Outcome) {
@@ -83,6 +98,8 @@
                  [Self = shared_from_this(), S] { Self->trySubmit(S); });
     return;
   }
+  if (isOfOtherOrganisation(*S, Outcome.value()))
+    return S->m_Callback(SubmitResult::OtherOrganisation);
   ++(Outcome.value().m_Committed ? m_Counters.m_Accepted
                                  : m_Counters.m_Duplicates);
   S->m_Callback(SubmitResult::Accepted);
@@ -139,7 +156,8 @@
           return Callback(Progress.error());
         }
         JobStatus Status{Progress.value().m_State,
-                         Progress.value().m_HasCrashedServers};
+                         Progress.value().m_HasCrashedServers,
+                         Progress.value().m_Organisation};
         Self->cacheFinalStatus(Id, Status);
         Callback(std::optional<JobStatus>(Status));
       });
@@ -153,10 +171,12 @@
   m_FinalStatuses[Id.m_Text] = Status;
 }
 
-void JobStore::cancel(const JobId &Id, Duration TimeLimit,
+void JobStore::cancel(const JobId &Id, const OrganisationName &Caller,
+                      Duration TimeLimit,
                       std::function<void(CancelResult)> Callback) {
   auto C = std::make_shared<Cancellation>();
   C->m_Id = Id;
+  C->m_Caller = Caller;
   C->m_Deadline = m_Loop.now() + TimeLimit;
   C->m_Callback = std::move(Callback);
   readForCancel(C);
@@ -194,6 +214,9 @@
              {{"job", C->m_Id.m_Text}, {"error", Progress.error().describe()}});
     return finishCancel(C, CancelResult::Failed);
   }
+  C->m_Owner = Progress.value().m_Organisation;
+  if (!mayAccessJob(C->m_Caller, C->m_Owner))
+    return finishCancel(C, CancelResult::OtherOrganisation);
   if (isFinal(Progress.value().m_State))
     return finishCancel(C, Progress.value().m_State == JobState::Cancelled
                                ? CancelResult::Cancelled
@@ -201,6 +224,7 @@
   JobProgress CancelledProgress;
   CancelledProgress.m_State = JobState::Cancelled;
   CancelledProgress.m_ChangedAt = wallNow();
+  CancelledProgress.m_Organisation = Progress.value().m_Organisation;
   RowAddress StateAddress = jobStateAddress(C->m_Id);
   RowTransaction Txn;
   Txn.m_Conditions.push_back({StateAddress, Row.m_Version});
@@ -225,7 +249,7 @@
                             CancelResult R) {
   if (R == CancelResult::Cancelled) {
     ++m_Counters.m_Cancelled;
-    cacheFinalStatus(C->m_Id, {JobState::Cancelled, false});
+    cacheFinalStatus(C->m_Id, {JobState::Cancelled, false, C->m_Owner});
   }
   C->m_Callback(R);
 }
--- a/src/jobs/JobStore.h
+++ b/src/jobs/JobStore.h
@@ -21,6 +21,9 @@
   /// The store did not report the outcome: the job may be stored already, or
   /// may still be stored later.
   OutcomeUnknown,
+  /// A job with this ID belongs to another organisation; this one is not
+  /// stored.
+  OtherOrganisation,
 };
 
 /// Outcome of a cancellation.
@@ -31,6 +34,8 @@
   AlreadyFinished,
   /// There is no job with this ID.
   Unknown,
+  /// The job belongs to another organisation.
+  OtherOrganisation,
   /// The job's state row could not be read, decoded or replaced; the job may
   /// still be cancelled later if the store applies a commit late.
   Failed
@@ -56,6 +61,8 @@
   /// Whether a failed job was given up because one of its tasks crashed the
   /// servers that started it.
   bool m_HasCrashedServers = false;
+  /// \see JobSpec::m_Organisation.
+  OrganisationName m_Organisation{};
 };
 
 /// Submits and cancels jobs, and looks up their state. It only uses the
@@ -72,10 +79,11 @@
   /// m_AcceptedAt. Retries failed store calls for up to \p TimeLimit.
   void submit(JobSpec Job, Duration TimeLimit,
               std::function<void(SubmitResult)> Callback);
-  /// Cancels the job unless it is in a final state. Retries failed store calls
-  /// for up to \p TimeLimit; a call that is under way then may end later.
-  void cancel(const JobId &Id, Duration TimeLimit,
-              std::function<void(CancelResult)> Callback);
+  /// Cancels the job for \p Caller unless it is in a final state. Retries
+  /// failed store calls for up to \p TimeLimit; a call that is under way then
+  /// may end later.
+  void cancel(const JobId &Id, const OrganisationName &Caller,
+              Duration TimeLimit, std::function<void(CancelResult)> Callback);
   /// Reads the job's status; std::nullopt if there is no such job. Retries
   /// failed store calls for up to \p TimeLimit. Errors: those of
   /// MetadataStore::read(), and InvalidMessage if the row cannot be decoded.
@@ -90,6 +98,10 @@
   struct Submission;
   struct Cancellation;
   void trySubmit(const std::shared_ptr<Submission> &S);
+  /// Whether the conflict of \p Outcome shows a job that the caller may not
+  /// access.
+  static bool isOfOtherOrganisation(const Submission &S,
+                                    const CommitOutcome &Outcome);
   void onSubmitted(const std::shared_ptr<Submission> &S,
                    const Result<CommitOutcome> &Outcome);
   /// Timeout of the next call of a cancellation, which keeps its deadline.
--- a/src/jobs/JobStoreTest.cpp
+++ b/src/jobs/JobStoreTest.cpp
@@ -41,7 +41,7 @@
   SlowStore Store;
   auto Jobs = JobStore::create(*Loop, Store);
   std::optional<CancelResult> Answer;
-  Jobs->cancel(JobId("j"), 200ms, [&](CancelResult R) { Answer = R; });
+  Jobs->cancel(JobId("j"), {}, 200ms, [&](CancelResult R) { Answer = R; });
   RowPage Page;
   Page.m_Rows.push_back(
       {jobStateAddress(JobId("j")), encodeProgress({}), 7, false});
@@ -55,6 +55,34 @@
   CHECK(Answer == CancelResult::Cancelled);
 }
 
+// A caller could cancel a job of another organisation, or was told that its own
+// job was accepted while another organisation's job had the ID.
+TEST(JobStore, JobsOfOtherOrganisationsAreNotTouched) {
+  auto Loop = EventLoop::create();
+  SlowStore Store;
+  auto Jobs = JobStore::create(*Loop, Store);
+  JobProgress Foreign;
+  Foreign.m_Organisation = OrganisationName("other");
+  StoredRow Row{jobStateAddress(JobId("j")), encodeProgress(Foreign), 7, false};
+  std::optional<CancelResult> Cancelled;
+  Jobs->cancel(JobId("j"), OrganisationName("own"), 200ms,
+               [&](CancelResult R) { Cancelled = R; });
+  RowPage Page;
+  Page.m_Rows.push_back(Row);
+  Store.m_Read(Page);
+  CHECK(Cancelled == CancelResult::OtherOrganisation);
+  CHECK_EQUAL(1u, Store.m_Timeouts.size());
+  JobSpec Job;
+  Job.m_Id = JobId("j");
+  Job.m_Organisation = OrganisationName("own");
+  std::optional<SubmitResult> Submitted;
+  Jobs->submit(Job, 200ms, [&](SubmitResult R) { Submitted = R; });
+  CommitOutcome Conflict;
+  Conflict.m_Conflicts.push_back(Row);
+  Store.m_Commit(Conflict);
+  CHECK(Submitted == SubmitResult::OtherOrganisation);
+}
+
 // A state row with a state that this build does not know was decoded, and the
 // caller was given text from beyond the table of names.
 TEST(JobStore, AStateRowWithAnUnknownStateIsUnreadable) {
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -434,6 +434,7 @@
   P.m_State = Job.m_State;
   P.m_ChangedAt = Wall;
   P.m_HasCrashedServers = Job.m_HasCrashedServers;
+  P.m_Organisation = Job.m_Spec.m_Organisation;
   if (isFinal(Job.m_State))
     return P;
   for (const auto &[Number, O] : Job.m_Occurrences)
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -117,6 +117,7 @@
   std::uint32_t m_ServersForSpread = 0;
 };
 
+struct OrganisationAccount;
 struct ServerState;
 
 /// A server whose first unrecorded end waits for a record of the job. Void if
@@ -132,6 +133,8 @@
   ReadyTask m_Task;
   ServerState *m_Server = nullptr;
   Resources m_Need;
+  /// What the start is charged to the job's organisation.
+  Resources m_Charge;
   TimePoint m_PlannedAt{};
   /// Whether the server is kept free of tasks of other jobs.
   bool m_IsIsolated = false;
@@ -179,6 +182,8 @@
   std::vector<std::chrono::milliseconds> m_RemainingPaths;
   /// Number of failed runs of one task at which the job fails.
   std::uint32_t m_Attempts = 1;
+  /// The account of the job's organisation; null if it has none.
+  OrganisationAccount *m_Account = nullptr;
   /// The policy of the job's queue in the configuration in effect; null if the
   /// queue does not exist any more.
   const QueuePolicy *m_Policy = nullptr;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -76,6 +76,7 @@
 
 void Scheduler::onConfig(std::shared_ptr<const ServingConfig> Config) {
   m_Config = std::move(Config);
+  m_Organisations.onConfig(*m_Config);
   for (auto &[Pool, Queue] : m_Queues)
     Queue.removeIf([](const LiveJob &, std::int64_t) { return true; });
   for (auto &[Id, Job] : m_Jobs.all()) {
@@ -92,6 +93,7 @@
     return;
   LiveJob &Job = m_Jobs.add(std::move(Spec), std::move(Progress), Accepted,
                             State, Now, Wall);
+  Job.m_Account = m_Organisations.account(Job.m_Spec.m_Organisation);
   setObjective(Job);
   if (Job.m_OccurrencesDone == Job.m_Spec.occurrences()) {
     Job.m_State = JobState::Completed;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -17,6 +17,7 @@
 
 #include "scheduling/AdviceCache.h"
 #include "scheduling/JobRegistry.h"
+#include "scheduling/OrganisationLedger.h"
 #include "scheduling/PlacementQueue.h"
 #include "scheduling/ServerRegistry.h"
 #include "serving/ServingConfig.h"
@@ -190,6 +191,7 @@
   bool isSuperseded() const { return m_Superseded; }
   JobRegistry &jobs() { return m_Jobs; }
   ServerRegistry &servers() { return m_Servers; }
+  const OrganisationLedger &organisations() const { return m_Organisations; }
   const std::vector<InstanceListing> &instances() const { return m_Instances; }
   /// When a connection to a server with runs last ended unexpectedly. A list of
   /// the instances that is requested later tells whether the server has
@@ -352,11 +354,23 @@
   void place(LiveJob &Job, const ReadyTask &Task, const StepNeeds &Needs,
              ServerState &S, std::uint32_t RunNumber, TimePoint Now);
   void setObjective(LiveJob &Job) const;
-  static void initRun(ActiveRun &Run, const StepSpec &Step);
+  static void initRun(ActiveRun &Run, const LiveJob &Job, const StepSpec &Step);
   void start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
              std::uint32_t RunNumber, TimePoint Now);
   std::uint32_t nextRunNumber(const TaskState &T) const;
 
+  // Caps of organisations (SchedulerCaps.cpp).
+  /// Whether the cap of the job's organisation leaves room for \p Tasks tasks
+  /// of \p Step.
+  static bool hasRoomUnderCap(const LiveJob &Job, const StepSpec &Step,
+                              std::uint32_t Tasks, TimePoint Now);
+  /// Reserves room under the caps for tasks that an earlier leader may have
+  /// started on servers that have not answered yet.
+  void reserveUnknownRuns(TimePoint Now);
+  /// Reserves room for the tasks of one step of \p Job.
+  void reserveUnknownRuns(const LiveJob &Job, const Occurrence &O,
+                          std::uint32_t Step, TimePoint Now);
+
   // Selection of servers (SchedulerSelection.cpp).
   /// How suitable a server is for a task; lower is better.
   using PlacementScore = std::tuple<int, int, int, std::uint32_t, std::int64_t>;
@@ -420,8 +434,8 @@
   bool areServersUsable(const LiveJob &Job, const PlannedStart &P,
                         TimePoint Now) const;
   void cancelPlannedStarts(LiveJob &Job);
-  /// Frees what is kept on the server of \p P.
-  static void cancelPlannedStart(const PlannedStart &P);
+  /// Frees what is kept on the server of \p P, a planned start of \p Job.
+  static void cancelPlannedStart(const LiveJob &Job, const PlannedStart &P);
   bool hasPoolAcknowledgedTerm(const PoolName &Pool) const {
     return m_InstancesKnown && !m_UnacknowledgedPools.count(Pool);
   }
@@ -454,6 +468,10 @@
   SchedulerOptions m_Options;
   SchedulerOrders &m_Orders;
   std::shared_ptr<const ServingConfig> m_Config;
+  /// Outlives the runs that are charged to its accounts.
+  OrganisationLedger m_Organisations;
+  /// When the reservations were last computed; unset if there are none.
+  std::optional<TimePoint> m_ReservedAt;
   JobRegistry m_Jobs;
   ServerRegistry m_Servers;
   AdviceCache m_Advice;
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -53,12 +53,26 @@
     if (S.m_Registered && !S.m_Registration.m_Draining)
       D.m_CapacityMilliCores += S.m_Registration.m_Capacity.m_MilliCores;
   }
+  // Tasks beyond the cap of their organisation need no servers.
+  std::unordered_map<const OrganisationAccount *, std::int64_t> RoomUnderCaps;
+  auto TakeRoom = [&](const OrganisationAccount *Account,
+                      std::int64_t MilliCores) {
+    if (!Account || !Account->hasCap())
+      return MilliCores;
+    auto [It, IsNew] = RoomUnderCaps.try_emplace(Account, 0);
+    if (IsNew)
+      It->second = Account->freeMilliCores();
+    std::int64_t Taken = std::min(MilliCores, It->second);
+    It->second -= Taken;
+    return Taken;
+  };
   for (auto &[Id, Job] : m_Jobs.all()) {
     PoolDemand &D = Job->m_Policy ? Find(Job->m_Policy, Job->m_Policy->m_Pool)
                                   : Pools[Job->m_Spec.m_Pool];
     const JobDemand &Needs = Job->demand(m_Counters.m_DemandReads);
-    D.m_ReadyMilliCores += Needs.m_ReadyMilliCores;
-    D.m_BlockedMilliCores += Needs.m_BlockedMilliCores;
+    D.m_ReadyMilliCores += TakeRoom(Job->m_Account, Needs.m_ReadyMilliCores);
+    D.m_BlockedMilliCores +=
+        TakeRoom(Job->m_Account, Needs.m_BlockedMilliCores);
     D.m_ServersForSpread =
         std::max(D.m_ServersForSpread, Needs.m_ServersForSpread);
   }
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -65,6 +65,7 @@
   ++m_Counters.m_Passes;
   if (Now < m_UnknownRunsUntil && m_UnacknowledgedPoolsChanged)
     findUnacknowledgedPools();
+  reserveUnknownRuns(Now);
   startPlanned(Now);
   enqueueReady();
   for (auto &[Name, Queue] : m_Queues)
@@ -164,6 +165,9 @@
       placeGang(Job, *First, Needs, Pass))
     return;
   IsForbidden |= Needs.m_Step->m_Gang;
+  auto HasRoomUnderCap = [&] {
+    return hasRoomUnderCap(Job, *Needs.m_Step, 1, Pass.m_Now);
+  };
   // Once one task finds no server, the others of the step find none either,
   // except suspected ones, which need other servers.
   bool IsBlocked = IsForbidden;
@@ -173,9 +177,11 @@
       continue;
     ServerState *S = nullptr;
     if (T.isSuspect() && !IsForbidden && Pass.m_Now >= T.m_NotBefore) {
-      S = selectIsolated(Job, *First, T, Needs, {}, Pass);
+      if (HasRoomUnderCap())
+        S = selectIsolated(Job, *First, T, Needs, {}, Pass);
     } else if (!IsBlocked && !T.isSuspect() && Pass.m_Now >= T.m_NotBefore) {
-      S = selectServer(Job, *First, Needs, {}, Pass);
+      S = HasRoomUnderCap() ? selectServer(Job, *First, Needs, {}, Pass)
+                            : nullptr;
       IsBlocked = !S;
     }
     if (!S) {
@@ -198,6 +204,10 @@
       return false;
     Number = std::max(Number, nextRunNumber(T));
   }
+  if (!hasRoomUnderCap(Job, *Needs.m_Step,
+                       static_cast<std::uint32_t>(Step.m_Tasks.size()),
+                       Pass.m_Now))
+    return false;
   std::vector<std::pair<ReadyTask, ServerState *>> Plan;
   GangServers GangPlan;
   while (Plan.size() < Step.m_Tasks.size()) {
@@ -244,7 +254,10 @@
   planStart(Job, Task, Needs.m_Need, S, RunNumber, Now);
 }
 
-void Scheduler::initRun(ActiveRun &Run, const StepSpec &Step) {
+void Scheduler::initRun(ActiveRun &Run, const LiveJob &Job,
+                        const StepSpec &Step) {
+  Run.m_Account = Job.m_Account;
+  Run.m_Charge = Step.m_RequiredResources;
   Run.m_Allocation = allocationFor(Step);
   Run.m_IsLongRunning = Step.m_IsLongRunning;
   Run.m_IsBestEffort = Step.m_IsBestEffort;
@@ -275,7 +288,7 @@
     if (const std::string *Ticket = m_Advice.ticket(Job.stepId(Task), S, Now))
       Order.m_Ticket = *Ticket;
   ActiveRun Run;
-  initRun(Run, Step);
+  initRun(Run, Job, Step);
   if (T.m_Checkpoint.empty())
     Run.m_ProgressSince = Run.m_PercentChangedAt = Now;
   Run.m_OrderedAt = Now;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -366,7 +366,7 @@
   Run.m_IsSuspect = T && T->isSuspect();
   bool Wanted = T && !T->m_Done && !isFinal(Job->m_State) && T->m_Runs.empty();
   if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
-    initRun(Run, Job->m_Spec.m_Steps[Task.m_Step]);
+    initRun(Run, *Job, Job->m_Spec.m_Steps[Task.m_Step]);
     Run.m_Pace = UnknownPace;
   }
   recordProgress(Run, Report, Now);
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -86,7 +86,10 @@
   m_Jobs.requestStart(Job, Task.m_Occurrence, Task.m_Step);
   if (Job.m_PlannedStarts.empty())
     m_JobsWithPlannedStarts.push_back(&Job);
-  Job.m_PlannedStarts.push_back({Task, &S, Need, Now});
+  const Resources &Charge = Job.m_Spec.m_Steps[Task.m_Step].m_RequiredResources;
+  if (Job.m_Account)
+    Job.m_Account->charge(Charge);
+  Job.m_PlannedStarts.push_back({Task, &S, Need, Charge, Now});
   ServerRegistry::planStart(S, Need);
   TaskState &T =
       Job.step(Task.m_Occurrence, Task.m_Step)->m_Tasks[Task.m_Index];
@@ -94,7 +97,9 @@
     planSuspectStart(Job, T, S, RunNumber);
 }
 
-void Scheduler::cancelPlannedStart(const PlannedStart &P) {
+void Scheduler::cancelPlannedStart(const LiveJob &Job, const PlannedStart &P) {
+  if (Job.m_Account)
+    Job.m_Account->release(P.m_Charge);
   ServerRegistry::cancelPlannedStart(*P.m_Server, P.m_Need);
   if (P.m_IsIsolated)
     ServerRegistry::cancelPlannedIsolation(*P.m_Server);
@@ -148,7 +153,7 @@
     return;
   Job.m_PlannedStarts = std::move(Kept);
   for (const PlannedStart &P : Resolved)
-    cancelPlannedStart(P);
+    cancelPlannedStart(Job, P);
   for (const PlannedStart &P : Resolved)
     startOrRequeue(Job, P, Now);
 }
@@ -173,6 +178,7 @@
       P.m_Server->m_Registration.m_Pool == poolOf(Job) &&
       Now >= T.m_NotBefore && isUsable(*P.m_Server, Now) &&
       !mayHaveUnknownRuns(Job, R, Now) &&
+      hasRoomUnderCap(Job, *Needs.m_Step, 1, Now) &&
       canHost(*P.m_Server, Job, R, Needs, {}) &&
       (!Needs.m_NeedsTicket ||
        m_Advice.ticket(Job.stepId(R), *P.m_Server, Now)))
@@ -185,7 +191,7 @@
   if (Job.m_PlannedStarts.empty())
     return;
   for (const PlannedStart &P : Job.m_PlannedStarts)
-    cancelPlannedStart(P);
+    cancelPlannedStart(Job, P);
   Job.m_PlannedStarts.clear();
   m_JobsWithPlannedStarts.erase(std::find(m_JobsWithPlannedStarts.begin(),
                                           m_JobsWithPlannedStarts.end(), &Job));
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -116,6 +116,8 @@
                                   ActiveRun Run) {
   S.m_Used += Run.m_Allocation;
   reindex(S);
+  if (Run.m_Account)
+    Run.m_Account->charge(Run.m_Charge);
   return S.m_Runs[Id] = std::move(Run);
 }
 
@@ -125,6 +127,8 @@
     return;
   S.m_Used -= It->second.m_Allocation;
   reindex(S);
+  if (It->second.m_Account)
+    It->second.m_Account->release(It->second.m_Charge);
   S.m_Runs.erase(It);
   updateIsolation(S);
 }
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -4,6 +4,7 @@
 #define POLLENSPOOL_SCHEDULING_SERVERREGISTRY_H
 
 #include "scheduling/Messages.h"
+#include "scheduling/OrganisationLedger.h"
 #include <deque>
 #include <map>
 #include <set>
@@ -26,6 +27,10 @@
   RunPhase m_Phase = RunPhase::Starting;
   /// Resources of the server that the run occupies.
   Resources m_Allocation;
+  /// The account that the run is charged to, and how much; null if there is
+  /// none.
+  OrganisationAccount *m_Account = nullptr;
+  Resources m_Charge;
   bool m_IsLongRunning = false;
   bool m_IsBestEffort = false;
   /// When the start was ordered, or when this leader found the run.
@@ -237,9 +242,10 @@
 
   /// Records that \p S was granted a lease of \p Length at \p Now.
   static void recordLease(ServerState &S, TimePoint Now, Duration Length);
-  /// Adds a run and its allocation.
+  /// Adds a run and its allocation, and charges its organisation.
   static ActiveRun &addRun(ServerState &S, const RunId &Id, ActiveRun Run);
-  /// Removes a run and its allocation. Has no effect if the run is unknown.
+  /// Removes a run, its allocation and its charge. Has no effect if the run is
+  /// unknown.
   static void removeRun(ServerState &S, const RunId &Id);
   /// Keeps \p Need free on \p S for a task whose start is being recorded.
   static void planStart(ServerState &S, const Resources &Need);
--- a/src/serving/ServingConfig.cpp
+++ b/src/serving/ServingConfig.cpp
@@ -14,17 +14,25 @@
 
 std::shared_ptr<const ServingConfig>
 ServingConfig::create(std::uint64_t Version, std::vector<QueuePolicy> Queues,
-                      std::vector<PoolPolicy> Pools) {
+                      std::vector<PoolPolicy> Pools,
+                      std::vector<OrganisationPolicy> Organisations) {
   std::shared_ptr<ServingConfig> Config(new ServingConfig());
   Config->m_Version = Version;
   Config->m_Queues = std::move(Queues);
   Config->m_Pools = std::move(Pools);
+  Config->m_Organisations = std::move(Organisations);
   for (std::size_t I = 0; I < Config->m_Queues.size(); ++I) {
     const QueuePolicy &Q = Config->m_Queues[I];
     Config->m_IndexByName.emplace(Q.m_Name.m_Text, I);
     Config->m_IndexByRoute.emplace(routeKey(Q.m_Host, Q.m_PathPrefix), I);
     Config->m_PrefixLengths.insert(Q.m_PathPrefix.size());
   }
+  for (std::size_t I = 0; I < Config->m_Organisations.size(); ++I) {
+    const OrganisationPolicy &O = Config->m_Organisations[I];
+    Config->m_IndexByOrganisation.emplace(O.m_Name.m_Text, I);
+    for (const std::string &Key : O.m_ApiKeys)
+      Config->m_IndexByKey.emplace(Key, I);
+  }
   return Config;
 }
 
@@ -53,4 +61,17 @@
   return nullptr;
 }
 
+const OrganisationPolicy *
+ServingConfig::organisation(const OrganisationName &Name) const {
+  auto It = m_IndexByOrganisation.find(Name.m_Text);
+  return It == m_IndexByOrganisation.end() ? nullptr
+                                           : &m_Organisations[It->second];
+}
+
+const OrganisationPolicy *
+ServingConfig::organisationOfKey(std::string_view ApiKey) const {
+  auto It = m_IndexByKey.find(std::string(ApiKey));
+  return It == m_IndexByKey.end() ? nullptr : &m_Organisations[It->second];
+}
+
 } // namespace pollenspool
--- a/src/serving/ServingConfig.h
+++ b/src/serving/ServingConfig.h
@@ -39,6 +39,23 @@
   std::chrono::milliseconds m_Slack{0};
   /// Present if the placement adviser decides where the queue's tasks may run.
   std::optional<AdvicePolicy> m_Advice;
+  /// Callers need no API key. Jobs of such a queue belong to no organisation.
+  bool m_IsOpen = false;
+};
+
+/// An organisation whose callers share API keys, a weight and a cap.
+struct OrganisationPolicy {
+  OrganisationName m_Name;
+  /// Secrets: they must not appear in logs, metrics, status pages or rows.
+  std::vector<std::string> m_ApiKeys;
+  /// 0 is the highest priority.
+  std::uint32_t m_Priority = 0;
+  /// Share of the room when there is not enough for all organisations, in jobs
+  /// per second; 0: no share is guaranteed.
+  double m_Weight = 0;
+  /// What the organisation may have running on all servers together. An amount
+  /// of 0 is unlimited.
+  Resources m_Cap;
 };
 
 /// A pool of instances.
@@ -57,11 +74,16 @@
 public:
   static std::shared_ptr<const ServingConfig>
   create(std::uint64_t Version, std::vector<QueuePolicy> Queues,
-         std::vector<PoolPolicy> Pools);
+         std::vector<PoolPolicy> Pools,
+         std::vector<OrganisationPolicy> Organisations = {});
 
   std::uint64_t version() const { return m_Version; }
   const std::vector<QueuePolicy> &queues() const { return m_Queues; }
   const std::vector<PoolPolicy> &pools() const { return m_Pools; }
+  /// Empty if the deployment has no organisations. No key is required then.
+  const std::vector<OrganisationPolicy> &organisations() const {
+    return m_Organisations;
+  }
 
   /// Of the queues of \p Host, the one with the longest prefix of \p Path; null
   /// if no queue matches. A port in \p Host is ignored.
@@ -70,6 +92,10 @@
   const QueuePolicy *queue(const QueueName &Name) const;
   /// The pool of that name, or null.
   const PoolPolicy *pool(const PoolName &Name) const;
+  /// The organisation of that name, or null.
+  const OrganisationPolicy *organisation(const OrganisationName &Name) const;
+  /// The organisation that \p ApiKey belongs to; null if the key is not valid.
+  const OrganisationPolicy *organisationOfKey(std::string_view ApiKey) const;
 
 private:
   ServingConfig() = default;
@@ -78,9 +104,13 @@
   std::uint64_t m_Version = 0;
   std::vector<QueuePolicy> m_Queues;
   std::vector<PoolPolicy> m_Pools;
+  std::vector<OrganisationPolicy> m_Organisations;
   /// Indices in m_Queues.
   std::unordered_map<std::string, std::size_t> m_IndexByName;
   std::unordered_map<std::string, std::size_t> m_IndexByRoute;
+  /// Indices in m_Organisations.
+  std::unordered_map<std::string, std::size_t> m_IndexByOrganisation;
+  std::unordered_map<std::string, std::size_t> m_IndexByKey;
   /// Lengths of all path prefixes, longest first.
   std::set<std::size_t, std::greater<>> m_PrefixLengths;
 };
--- a/tools/JobCommands.cpp
+++ b/tools/JobCommands.cpp
@@ -45,6 +45,12 @@
               << P.value("running_millicores", 0) << " waiting "
               << P.value("waiting_millicores", 0) << " of "
               << P.value("capacity_millicores", 0) << "\n";
+  for (const Json &O : Body.value("organisations", Json::array()))
+    std::cout << "organisation " << O.value("organisation", "") << "  waiting "
+              << O.value("waiting", 0) << "  running " << O.value("running", 0)
+              << "  millicores running " << O.value("running_millicores", 0)
+              << " cap " << O.value("cap_millicores", 0) << "  weight "
+              << O.value("weight", 0.0) << "\n";
   for (const Json &W : Body.value("waves", Json::array()))
     std::cout << "wave " << W.value("wave", "") << "  done "
               << W.value("done", 0) << " of " << W.value("instances", 0)
