Accept jobs in shared transactions while the store is slow

A store that answers 57 times slower stopped acceptance: each submission was a transaction of its own on one of 16 partitions, which then apply six a second each, calls were given up after 0.7 s and repeated beside themselves, and callers got 504 for jobs that might run.

SubmissionBatcher lets the submissions of a partition that wait share the next transaction; a conflict of one member leaves the others. There are 64 partitions. StoreLatency makes timeouts follow what the store takes, an instance that expects no answer in time refuses with 503 before it sends anything, and a caller of a slow store is answered within its own timeout instead of after 1.5 s. The leader writes the partitions of a slow store at the same time, one partition a transaction, instead of holding up all of them.

Unit tests: 456 passed.

--- a/benchmarks/LeaderBench.cpp
+++ b/benchmarks/LeaderBench.cpp
@@ -254,17 +254,18 @@
 }
 
 void Site::recordProgress() {
-  auto Txn = m_Costs.measure(
+  auto Next = m_Costs.measure(
       Writing, [&] { return m_Writer->next(m_Clock.m_Now, wall()); });
-  if (!Txn)
+  if (!Next)
     return;
-  m_Clock.after(m_StoreLatency, [this, Txn = std::move(*Txn)] {
+  m_Clock.after(m_StoreLatency, [this, Next = std::move(*Next)] {
     CommitOutcome Outcome;
     Outcome.m_Committed = true;
     Outcome.m_Version = ++m_Version;
-    m_Costs.measure(Writing,
-                    [&] { m_Writer->onResult(Outcome, m_Clock.m_Now); });
-    applyDeletes(Txn);
+    m_Costs.measure(Writing, [&] {
+      m_Writer->onResult(Next.m_Number, Outcome, m_Clock.m_Now);
+    });
+    applyDeletes(Next.m_Txn);
     scheduleTick();
   });
 }
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -275,15 +275,14 @@
 }
 
 void Leader::recordProgress() {
-  auto Txn = m_ProgressWriter->next(m_Loop.now(), wallNow());
-  if (!Txn)
-    return;
-  m_Ports.m_Store.commit(
-      *Txn, PlatformCallTimeout,
-      whileLeading([this](const Result<CommitOutcome> &Outcome) {
-        m_ProgressWriter->onResult(Outcome, m_Loop.now());
-        scheduleTick();
-      }));
+  while (auto Next = m_ProgressWriter->next(m_Loop.now(), wallNow()))
+    m_Ports.m_Store.commit(
+        Next->m_Txn, Next->m_Timeout,
+        whileLeading(
+            [this, Number = Next->m_Number](const Result<CommitOutcome> &R) {
+              m_ProgressWriter->onResult(Number, R, m_Loop.now());
+              scheduleTick();
+            }));
 }
 
 void Leader::readStartRecords() {
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -77,9 +77,9 @@
   return Runs;
 }
 
-/// With 16 partitions, a store that is 65 times slower than usual still accepts
-/// about 80 jobs per second.
-constexpr std::size_t JobPartitionCount = 16;
+/// With 64 partitions, a store that is 57 times slower than usual still applies
+/// some 370 transactions per second.
+constexpr std::size_t JobPartitionCount = 64;
 
 const std::string &partitionOf(const JobId &Id) {
   return jobPartitions()[XXH64(Id.m_Text.data(), Id.m_Text.size(), 0) %
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -9,34 +9,22 @@
 
 namespace {
 
-/// Time limit of one store call. The store answers within 4 ms, or within 60
-/// times that when it is slow.
+/// Time limit of one call to a store that is not known to be slow. It usually
+/// answers within 10 ms.
 constexpr Duration StoreCallTimeout = std::chrono::milliseconds(700);
+/// Time limit of one call to a slow store.
+constexpr Duration MaxStoreCallTimeout = std::chrono::milliseconds(2500);
+/// Time limit of a submission while the store is not known to be slow. Callers
+/// get an answer sooner by retrying at another entry instance.
+constexpr Duration UsualSubmitTime = std::chrono::milliseconds(1500);
 constexpr Duration RetryDelay = std::chrono::milliseconds(120);
 /// Shortest timeout of a store call.
 constexpr Duration MinCallTimeout = std::chrono::milliseconds(1);
 /// Capacity of the cache of final states; an entry takes about 100 bytes.
 constexpr std::size_t MaxCachedFinalStates = 20000;
 
-/// Whether the store guarantees that a commit with this error was not applied.
-bool isCertainlyNotApplied(ErrorCode Code) {
-  return Code == ErrorCode::Unavailable || Code == ErrorCode::RateLimited ||
-         Code == ErrorCode::ConnectFailed ||
-         Code == ErrorCode::ResourceExhausted;
-}
-
 } // namespace
 
-struct JobStore::Submission {
-  JobId m_Id;
-  OrganisationName m_Caller;
-  RowTransaction m_Txn;
-  TimePoint m_Deadline;
-  /// An attempt failed without telling whether it was applied.
-  bool m_MayBeStored = false;
-  std::function<void(SubmitResult)> m_Callback;
-};
-
 struct JobStore::Cancellation {
   JobId m_Id;
   OrganisationName m_Caller;
@@ -53,63 +41,83 @@
 
 void JobStore::submit(JobSpec Job, Duration TimeLimit,
                       std::function<void(SubmitResult)> Callback) {
-  auto S = std::make_shared<Submission>();
-  S->m_Id = Job.m_Id;
-  S->m_Caller = Job.m_Organisation;
+  TimePoint Now = m_Loop.now();
+  if (m_Latency.expected(Now) >= TimeLimit) {
+    ++m_Counters.m_StoreSlow;
+    return Callback(SubmitResult::StoreSlow);
+  }
   Job.m_AcceptedAt = wallNow();
-  JobProgress InitialProgress;
-  InitialProgress.m_ChangedAt = Job.m_AcceptedAt;
-  InitialProgress.m_Organisation = Job.m_Organisation;
-  RowAddress StateAddress = jobStateAddress(Job.m_Id);
-  S->m_Txn.m_Conditions.push_back({StateAddress, 0});
-  S->m_Txn.m_Puts.push_back({StateAddress, encodeProgress(InitialProgress)});
-  S->m_Txn.m_Puts.push_back({liveJobAddress(Job.m_Id), encodeJob(Job)});
-  S->m_Deadline = m_Loop.now() + TimeLimit;
-  S->m_Callback = std::move(Callback);
-  trySubmit(S);
+  SubmissionNumber Number = m_Batcher.add(Job);
+  m_Waiters[Number] = {Now + TimeLimit, std::move(Callback)};
+  m_Loop.after(
+      std::min(TimeLimit, UsualSubmitTime),
+      [Self = shared_from_this(), Number] { Self->checkDeadline(Number); });
+  commitSubmissions();
 }
 
-void JobStore::trySubmit(const std::shared_ptr<Submission> &S) {
-  Duration Remaining = S->m_Deadline - m_Loop.now();
-  if (Remaining <= Duration(0)) {
-    ++(S->m_MayBeStored ? m_Counters.m_OutcomeUnknown : m_Counters.m_NotStored);
-    return S->m_Callback(S->m_MayBeStored ? SubmitResult::OutcomeUnknown
-                                          : SubmitResult::NotStored);
+void JobStore::commitSubmissions() {
+  TimePoint Now = m_Loop.now();
+  for (const SubmissionBatcher::Batch &B : m_Batcher.takeBatches(Now)) {
+    ++m_Counters.m_SubmissionBatches;
+    m_Store.commit(
+        B.m_Txn,
+        m_Latency.callTimeout(StoreCallTimeout, MaxStoreCallTimeout, Now),
+        [Self = shared_from_this(), Number = B.m_Number,
+         Sent = Now](Result<CommitOutcome> Outcome) {
+          Self->onSubmitted(Number, Outcome, Sent);
+        });
   }
-  m_Store.commit(S->m_Txn, std::min(Remaining, StoreCallTimeout),
-                 [Self = shared_from_this(), S](Result<CommitOutcome> Outcome) {
-                   Self->onSubmitted(S, Outcome);
-                 });
 }
 
-bool JobStore::isOfOtherOrganisation(const Submission &S,
-                                     const CommitOutcome &Outcome) {
-  for (const StoredRow &Row : Outcome.m_Conflicts)
-    if (auto Stored = decodeProgress(Row.m_Value))
-      return !mayAccessJob(S.m_Caller, Stored.value().m_Organisation);
-  return false;
+void JobStore::onSubmitted(std::uint64_t Batch,
+                           const Result<CommitOutcome> &Outcome,
+                           TimePoint Sent) {
+  onCallEnded(Outcome.has_value(), Sent);
+  for (const SubmissionBatcher::Decision &D :
+       m_Batcher.onResult(Batch, Outcome, m_Loop.now())) {
+    if (D.m_Result == SubmitResult::Accepted)
+      ++(D.m_IsDuplicate ? m_Counters.m_Duplicates : m_Counters.m_Accepted);
+    finishSubmission(D.m_Submission, D.m_Result);
+  }
+  commitSubmissions();
+  if (!Outcome)
+    m_Loop.after(SubmissionBatcher::RetryDelay,
+                 [Self = shared_from_this()] { Self->commitSubmissions(); });
 }
 
-void JobStore::onSubmitted(const std::shared_ptr<Submission> &S,
-                           const Result<CommitOutcome> &Outcome) {
-  if (!Outcome) {
-    S->m_MayBeStored |= !isCertainlyNotApplied(Outcome.error().m_Code);
-    m_Loop.after(RetryDelay,
-                 [Self = shared_from_this(), S] { Self->trySubmit(S); });
+void JobStore::checkDeadline(SubmissionNumber Number) {
+  auto It = m_Waiters.find(Number);
+  if (It == m_Waiters.end())
     return;
-  }
-  if (isOfOtherOrganisation(*S, Outcome.value()))
-    return S->m_Callback(SubmitResult::OtherOrganisation);
-  ++(Outcome.value().m_Committed ? m_Counters.m_Accepted
-                                 : m_Counters.m_Duplicates);
-  S->m_Callback(SubmitResult::Accepted);
+  TimePoint Now = m_Loop.now();
+  if (Now < It->second.m_Deadline && m_Latency.isSlow(Now))
+    return m_Loop.after(
+        It->second.m_Deadline - Now,
+        [Self = shared_from_this(), Number] { Self->checkDeadline(Number); });
+  SubmitResult R = m_Batcher.giveUp(Number);
+  ++(R == SubmitResult::OutcomeUnknown ? m_Counters.m_OutcomeUnknown
+                                       : m_Counters.m_NotStored);
+  finishSubmission(Number, R);
+}
+
+void JobStore::finishSubmission(SubmissionNumber Number, SubmitResult R) {
+  auto Node = m_Waiters.extract(Number);
+  if (!Node.empty())
+    Node.mapped().m_Callback(R);
+}
+
+void JobStore::onCallEnded(bool IsAnswered, TimePoint Sent) {
+  if (IsAnswered)
+    m_Latency.onAnswer(m_Loop.now() - Sent, m_Loop.now());
 }
 
 void JobStore::readStateRow(
     const JobId &Id, Duration Timeout,
     std::function<void(Result<std::optional<StoredRow>>)> Callback) {
   m_Store.read(jobStateAddress(Id), 1, Timeout,
-               [Id, Callback = std::move(Callback)](Result<RowPage> Page) {
+               [Self = shared_from_this(), Sent = m_Loop.now(), Id,
+                Callback = std::move(Callback)](Result<RowPage> Page) {
+                 Self->onCallEnded(Page.has_value(), Sent);
                  if (!Page)
                    return Callback(Page.error());
                  std::optional<StoredRow> Row;
@@ -131,7 +139,10 @@
   }
   TimePoint Deadline = m_Loop.now() + TimeLimit;
   readStateRow(
-      Id, std::min(TimeLimit, StoreCallTimeout),
+      Id,
+      std::min(TimeLimit,
+               m_Latency.callTimeout(StoreCallTimeout, MaxStoreCallTimeout,
+                                     m_Loop.now())),
       [Self = shared_from_this(), Id, Deadline, Callback = std::move(Callback)](
           Result<std::optional<StoredRow>> Row) mutable {
         if (!Row) {
@@ -183,8 +194,10 @@
 }
 
 Duration JobStore::remainingTime(const Cancellation &C) const {
-  return std::clamp(C.m_Deadline - m_Loop.now(), MinCallTimeout,
-                    StoreCallTimeout);
+  TimePoint Now = m_Loop.now();
+  return std::clamp(
+      C.m_Deadline - Now, MinCallTimeout,
+      m_Latency.callTimeout(StoreCallTimeout, MaxStoreCallTimeout, Now));
 }
 
 void JobStore::readForCancel(const std::shared_ptr<Cancellation> &C) {
--- a/src/jobs/JobStore.h
+++ b/src/jobs/JobStore.h
@@ -3,29 +3,16 @@
 #ifndef POLLENSPOOL_JOBS_JOBSTORE_H
 #define POLLENSPOOL_JOBS_JOBSTORE_H
 
-#include "jobs/JobRows.h"
+#include "jobs/SubmissionBatcher.h"
 #include "net/EventLoop.h"
 #include "store/MetadataStore.h"
+#include "store/StoreLatency.h"
 #include <memory>
 #include <optional>
 #include <unordered_map>
 
 namespace pollenspool {
 
-/// Outcome of a submission.
-enum class SubmitResult : std::uint8_t {
-  /// The job is stored, by this request or an earlier one with the same ID.
-  Accepted,
-  /// The job is certainly not stored.
-  NotStored,
-  /// The store did not report the outcome: the job may be stored already, or
-  /// may still be stored later.
-  OutcomeUnknown,
-  /// A job with this ID belongs to another organisation; this one is not
-  /// stored.
-  OtherOrganisation,
-};
-
 /// Outcome of a cancellation.
 enum class CancelResult : std::uint8_t {
   /// The job is cancelled, by this request or an earlier one.
@@ -50,6 +37,10 @@
   std::uint64_t m_NotStored = 0;
   /// \see SubmitResult::OutcomeUnknown.
   std::uint64_t m_OutcomeUnknown = 0;
+  /// \see SubmitResult::StoreSlow.
+  std::uint64_t m_StoreSlow = 0;
+  /// Transactions with submissions; each may hold several.
+  std::uint64_t m_SubmissionBatches = 0;
   std::uint64_t m_Cancelled = 0;
   std::uint64_t m_StateReads = 0;
   std::uint64_t m_StateCacheHits = 0;
@@ -76,7 +67,9 @@
                                           MetadataStore &Store);
 
   /// Stores \p Job unless a job with its ID is stored already, and sets its
-  /// m_AcceptedAt. Retries failed store calls for up to \p TimeLimit.
+  /// m_AcceptedAt. Retries failed store calls for up to \p TimeLimit, or for
+  /// less if the store is not known to be slow. Submissions of one partition
+  /// may share a transaction.
   void submit(JobSpec Job, Duration TimeLimit,
               std::function<void(SubmitResult)> Callback);
   /// Cancels the job for \p Caller unless it is in a final state. Retries
@@ -91,19 +84,26 @@
               std::function<void(Result<std::optional<JobStatus>>)> Callback);
 
   const JobStoreCounters &counters() const { return m_Counters; }
+  /// How long the store has taken lately.
+  const StoreLatency &latency() const { return m_Latency; }
 
 private:
   JobStore(EventLoop &Loop, MetadataStore &Store)
       : m_Loop(Loop), m_Store(Store) {}
-  struct Submission;
   struct Cancellation;
-  void trySubmit(const std::shared_ptr<Submission> &S);
-  /// Whether the conflict of \p Outcome shows a job that the caller may not
-  /// access.
-  static bool isOfOtherOrganisation(const Submission &S,
-                                    const CommitOutcome &Outcome);
-  void onSubmitted(const std::shared_ptr<Submission> &S,
-                   const Result<CommitOutcome> &Outcome);
+  /// A submission whose caller waits for the result.
+  struct Waiter {
+    TimePoint m_Deadline;
+    std::function<void(SubmitResult)> m_Callback;
+  };
+  /// Commits the submissions that are due.
+  void commitSubmissions();
+  void onSubmitted(std::uint64_t Batch, const Result<CommitOutcome> &Outcome,
+                   TimePoint Sent);
+  /// Ends a submission whose time limit has passed.
+  void checkDeadline(SubmissionNumber Number);
+  void finishSubmission(SubmissionNumber Number, SubmitResult R);
+  void onCallEnded(bool IsAnswered, TimePoint Sent);
   /// Timeout of the next call of a cancellation, which keeps its deadline.
   Duration remainingTime(const Cancellation &C) const;
   void readForCancel(const std::shared_ptr<Cancellation> &C);
@@ -118,6 +118,9 @@
   EventLoop &m_Loop;
   MetadataStore &m_Store;
   JobStoreCounters m_Counters;
+  StoreLatency m_Latency;
+  SubmissionBatcher m_Batcher;
+  std::map<SubmissionNumber, Waiter> m_Waiters;
   /// Cached final states by job ID. A final state never changes, so it has to
   /// be read only once.
   std::unordered_map<std::string, JobStatus> m_FinalStatuses;
--- a/src/organisations/AuthorizationTest.cpp
+++ b/src/organisations/AuthorizationTest.cpp
@@ -28,11 +28,12 @@
 } // namespace
 
 TEST_GROUP(Authorization) {
-  AuthorizationPolicy Policy;
+  AuthorizationPolicy m_Policy;
 
   Authorization check(const ServingConfig &Config, const char *Queue,
                       const char *Key, Duration Age = 0ms) const {
-    return authorize(Config, *Config.queue(QueueName(Queue)), Key, Age, Policy)
+    return authorize(Config, *Config.queue(QueueName(Queue)), Key, Age,
+                     m_Policy)
         .m_Result;
   }
 };
@@ -45,7 +46,7 @@
   CHECK(check(*Config, "keyed", "") == Authorization::MissingKey);
   CHECK(check(*Config, "open", "") == Authorization::Granted);
   STRCMP_EQUAL("school", authorize(*Config, *Config->queue(QueueName("keyed")),
-                                   "k1", 0ms, Policy)
+                                   "k1", 0ms, m_Policy)
                              .m_Organisation.m_Text.c_str());
 }
 
@@ -54,7 +55,7 @@
   auto Config = configWith({});
   CHECK(check(*Config, "keyed", "") == Authorization::Granted);
   // The last organisation was removed, so all of its keys are revoked.
-  Policy.m_RequiresKeys = true;
+  m_Policy.m_RequiresKeys = true;
   CHECK(check(*Config, "keyed", "k1") == Authorization::InvalidKey);
 }
 
@@ -63,7 +64,7 @@
 TEST(Authorization, StrictRevocationRefusesKeysOfAnOutdatedConfiguration) {
   auto Config = configWith({organisation("school", {"k1"})});
   CHECK(check(*Config, "keyed", "k1", 60s) == Authorization::Granted);
-  Policy.m_IsRevocationStrict = true;
+  m_Policy.m_IsRevocationStrict = true;
   CHECK(check(*Config, "keyed", "k1", 3s) == Authorization::Granted);
   CHECK(check(*Config, "keyed", "k1", 4s) == Authorization::OutdatedConfig);
   CHECK(check(*Config, "open", "", 60s) == Authorization::Granted);
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -22,6 +22,11 @@
 /// number of failures, up to MaxBackoffFactor times this value.
 constexpr Duration RetryDelay = std::chrono::milliseconds(100);
 constexpr std::uint32_t MaxBackoffFactor = 4;
+/// Pending transactions while the store is slow. Each uses a connection.
+constexpr std::size_t MaxSlowCommits = 24;
+/// Timeout of a transaction, and its limit while the store is slow.
+constexpr Duration CommitTimeout = std::chrono::milliseconds(800);
+constexpr Duration MaxCommitTimeout = std::chrono::milliseconds(2500);
 
 } // namespace
 
@@ -31,21 +36,39 @@
       new ProgressWriter(Core, std::move(TermCondition)));
 }
 
+Duration ProgressWriter::latency(TimePoint Now) const {
+  Duration Longest{0};
+  for (const auto &[Number, C] : m_Commits)
+    Longest = std::max(Longest, Now - C.m_SentAt);
+  return m_Commits.empty() ? m_LastLatency : Longest;
+}
+
+bool ProgressWriter::isStoreSlow(TimePoint Now) const {
+  return m_Latency.isSlow(Now);
+}
+
+bool ProgressWriter::mustWait(const std::string &Partition,
+                              TimePoint Now) const {
+  auto It = m_Backoffs.find(Partition);
+  return m_PendingPartitions.count(Partition) != 0 ||
+         (It != m_Backoffs.end() && Now < It->second.m_RetryAt);
+}
+
 std::vector<JobId> ProgressWriter::takeBatch(TimePoint Now) {
   auto &Dirty = m_Core.jobs().dirty();
   std::stable_partition(Dirty.begin(), Dirty.end(), [this](const JobId &Id) {
     LiveJob *Job = m_Core.jobs().find(Id);
     return Job && Job->needsUrgentRecord();
   });
+  const bool IsSplit = Now < m_SplitUntil || isStoreSlow(Now);
   std::vector<JobId> Taken, Remaining;
   std::string OnlyPartition;
   for (JobId &Id : Dirty) {
     if (!m_Core.jobs().find(Id))
       continue;
     std::string Partition = jobStateAddress(Id).m_Partition;
-    auto It = m_Backoffs.find(Partition);
-    bool Waits = It != m_Backoffs.end() && Now < It->second.m_RetryAt;
-    if (!Waits && Now < m_SplitUntil) {
+    bool Waits = mustWait(Partition, Now);
+    if (!Waits && IsSplit) {
       if (OnlyPartition.empty())
         OnlyPartition = Partition;
       Waits = Partition != OnlyPartition;
@@ -60,7 +83,7 @@
 }
 
 bool ProgressWriter::addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
-                                RowTransaction &Txn) {
+                                RowTransaction &Txn, Batch &Jobs) {
   const JobId &Id = Job.m_Spec.m_Id;
   RowAddress State = jobStateAddress(Id);
   JobProgress Progress = m_Core.jobs().progressOf(Job, Wall);
@@ -73,48 +96,62 @@
   bool RecordsStart = !Progress.m_SuspectStarts.empty();
   for (const auto &[Number, Step] : Progress.m_StartedSteps)
     RecordsStart |= !Job.step(Number, Step)->m_StartRecorded;
-  m_Batch.push_back(
+  Jobs.push_back(
       {Id, Job.m_State, Job.m_ChangeNumber,
        Progress.m_State != JobState::Queued, std::move(Progress.m_StartedSteps),
        !Progress.m_SuspectStarts.empty() || !Progress.m_Crashes.empty()});
   return RecordsStart;
 }
 
-std::optional<RowTransaction>
+std::optional<ProgressWriter::Commit>
 ProgressWriter::next(TimePoint Now, std::chrono::milliseconds Wall) {
-  if (m_CommitPending || Now < m_RetryAt || m_Core.jobs().dirty().empty() ||
-      (Now < m_LastWrite + GroupCommitDelay && !m_Core.jobs().findUrgent()))
+  const std::size_t MaxCommits = isStoreSlow(Now) ? MaxSlowCommits : 1;
+  if (m_Commits.size() >= MaxCommits || Now < m_RetryAt ||
+      m_Core.jobs().dirty().empty() ||
+      (m_Commits.empty() && Now < m_LastWrite + GroupCommitDelay &&
+       !m_Core.jobs().findUrgent()))
     return std::nullopt;
-  RowTransaction Txn;
-  m_Batch.clear();
+  Commit Out;
+  Batch Jobs;
   bool RecordsStarts = false;
   for (const JobId &Id : takeBatch(Now))
-    RecordsStarts |= addToBatch(*m_Core.jobs().find(Id), Wall, Txn);
-  if (m_Batch.empty())
+    RecordsStarts |= addToBatch(*m_Core.jobs().find(Id), Wall, Out.m_Txn, Jobs);
+  if (Jobs.empty())
     return std::nullopt;
   if (RecordsStarts)
-    Txn.m_Conditions.push_back(m_TermCondition);
+    Out.m_Txn.m_Conditions.push_back(m_TermCondition);
+  for (const Pending &P : Jobs)
+    m_PendingPartitions.insert(jobStateAddress(P.m_Job).m_Partition);
   m_LastWrite = Now;
-  m_CommitPending = true;
-  return Txn;
+  Out.m_Number = ++m_LastCommit;
+  Out.m_Timeout = m_Latency.callTimeout(CommitTimeout, MaxCommitTimeout, Now);
+  m_Commits[Out.m_Number] = {std::move(Jobs), Now};
+  return Out;
 }
 
-void ProgressWriter::onResult(const Result<CommitOutcome> &Outcome,
+void ProgressWriter::onResult(std::uint64_t Number,
+                              const Result<CommitOutcome> &Outcome,
                               TimePoint Now) {
-  m_CommitPending = false;
-  m_LastLatency = Now - m_LastWrite;
+  auto Node = m_Commits.extract(Number);
+  if (Node.empty())
+    return;
+  const Batch &Jobs = Node.mapped().m_Jobs;
+  m_LastLatency = Now - Node.mapped().m_SentAt;
+  for (const Pending &P : Jobs)
+    m_PendingPartitions.erase(jobStateAddress(P.m_Job).m_Partition);
   if (!Outcome)
-    return onFailed(Outcome.error(), Now);
-  for (const Pending &P : m_Batch)
+    return onFailed(Jobs, Outcome.error(), Now);
+  m_Latency.onAnswer(m_LastLatency, Now);
+  for (const Pending &P : Jobs)
     m_Backoffs.erase(jobStateAddress(P.m_Job).m_Partition);
   if (Outcome.value().m_Committed)
-    return onCommitted(Outcome.value().m_Version, Now);
-  markBatchDirty();
+    return onCommitted(Jobs, Outcome.value().m_Version, Now);
+  markBatchDirty(Jobs);
   onConflicts(Outcome.value().m_Conflicts);
 }
 
-void ProgressWriter::markBatchDirty() {
-  for (const Pending &P : m_Batch)
+void ProgressWriter::markBatchDirty(const Batch &Jobs) {
+  for (const Pending &P : Jobs)
     if (LiveJob *Job = m_Core.jobs().find(P.m_Job)) {
       for (const auto &[Number, Step] : P.m_StartedSteps) {
         const StepState *S = Job->step(Number, Step);
@@ -125,13 +162,14 @@
     }
 }
 
-void ProgressWriter::onFailed(const Error &Why, TimePoint Now) {
-  logEvent(Event::RecordFailed, {{"jobs", std::to_string(m_Batch.size())},
-                                 {"error", Why.describe()}});
+void ProgressWriter::onFailed(const Batch &Jobs, const Error &Why,
+                              TimePoint Now) {
+  logEvent(Event::RecordFailed,
+           {{"jobs", std::to_string(Jobs.size())}, {"error", Why.describe()}});
   std::set<std::string> Partitions;
-  for (const Pending &P : m_Batch)
+  for (const Pending &P : Jobs)
     Partitions.insert(jobStateAddress(P.m_Job).m_Partition);
-  markBatchDirty();
+  markBatchDirty(Jobs);
   m_SplitUntil = Now + SplitTime;
   // It is unknown which of several partitions failed.
   if (Partitions.size() > 1) {
@@ -142,8 +180,9 @@
   B.m_RetryAt = Now + RetryDelay * std::min(++B.m_Failures, MaxBackoffFactor);
 }
 
-void ProgressWriter::onCommitted(RowVersion Version, TimePoint Now) {
-  for (const Pending &P : m_Batch) {
+void ProgressWriter::onCommitted(const Batch &Jobs, RowVersion Version,
+                                 TimePoint Now) {
+  for (const Pending &P : Jobs) {
     LiveJob *Job = m_Core.jobs().find(P.m_Job);
     if (!Job)
       continue;
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -5,20 +5,22 @@
 
 #include "scheduling/Scheduler.h"
 #include "store/MetadataStore.h"
+#include "store/StoreLatency.h"
 #include <optional>
 
 namespace pollenspool {
 
-/// Writes the progress of jobs whose state row is out of date, one transaction
-/// at a time. Each transaction depends on the version of every row that it
-/// replaces, so that a transaction that the store applies late has no effect.
-/// A transaction that records starts also depends on the term, so that the next
-/// leader knows all records of this one when it begins. Others do not, because
-/// a completed task stays completed under every leader. Not thread safe.
+/// Writes the progress of jobs whose state row is out of date. Each transaction
+/// depends on the version of every row that it replaces, so that a transaction
+/// that the store applies late has no effect. A transaction that records starts
+/// also depends on the term, so that the next leader knows all records of this
+/// one when it begins. Others do not, because a completed task stays completed
+/// under every leader. Not thread safe.
 ///
 /// Usually a transaction spans all partitions of the store. After a failure
 /// each partition gets its own transactions for a while, so that an unavailable
-/// partition does not delay the others.
+/// partition does not delay the others. While the store is slow, partitions are
+/// written at the same time.
 class ProgressWriter {
 public:
   /// \p Core must outlive the writer.
@@ -26,29 +28,43 @@
   static std::unique_ptr<ProgressWriter> create(Scheduler &Core,
                                                 RowCondition TermCondition);
 
-  /// The next transaction, if one is due and none is pending.
-  std::optional<RowTransaction> next(TimePoint Now,
-                                     std::chrono::milliseconds Wall);
-  /// Handles the result of the transaction that next() returned.
-  void onResult(const Result<CommitOutcome> &Outcome, TimePoint Now);
-  /// How long the pending transaction has taken; if none is pending, how long
-  /// the last one took.
-  Duration latency(TimePoint Now) const {
-    return m_CommitPending ? Now - m_LastWrite : m_LastLatency;
-  }
+  /// A transaction to commit.
+  struct Commit {
+    std::uint64_t m_Number = 0;
+    RowTransaction m_Txn;
+    Duration m_Timeout{0};
+  };
+  /// The next transaction, if one is due. One is pending at a time, or one of
+  /// each partition while the store is slow.
+  std::optional<Commit> next(TimePoint Now, std::chrono::milliseconds Wall);
+  /// Handles the result of the transaction \p Number that next() returned.
+  void onResult(std::uint64_t Number, const Result<CommitOutcome> &Outcome,
+                TimePoint Now);
+  /// How long the oldest pending transaction has taken; if none is pending, how
+  /// long the last one took.
+  Duration latency(TimePoint Now) const;
 
 private:
   ProgressWriter(Scheduler &Core, RowCondition TermCondition)
       : m_Core(Core), m_TermCondition(std::move(TermCondition)) {}
+  struct Pending;
+  using Batch = std::vector<Pending>;
   std::vector<JobId> takeBatch(TimePoint Now);
-  /// Adds the state row of \p Job to \p Txn and to m_Batch. Returns whether it
+  /// Whether a job of \p Partition has to wait for a pending transaction or for
+  /// the delay after a failed one.
+  bool mustWait(const std::string &Partition, TimePoint Now) const;
+  /// Whether transactions are slow enough to commit several at a time, of one
+  /// partition each. One transaction of several partitions takes twice as long
+  /// and delays the submissions in all of them.
+  bool isStoreSlow(TimePoint Now) const;
+  /// Adds the state row of \p Job to \p Txn and to \p Jobs. Returns whether it
   /// records a start.
   bool addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
-                  RowTransaction &Txn);
+                  RowTransaction &Txn, Batch &Jobs);
   /// Makes the jobs of the failed transaction due for the next one.
-  void markBatchDirty();
-  void onCommitted(RowVersion Version, TimePoint Now);
-  void onFailed(const Error &Why, TimePoint Now);
+  void markBatchDirty(const Batch &Jobs);
+  void onCommitted(const Batch &Jobs, RowVersion Version, TimePoint Now);
+  void onFailed(const Batch &Jobs, const Error &Why, TimePoint Now);
   void onConflicts(const std::vector<StoredRow> &Rows);
 
   /// The recorded change of one job in the pending transaction.
@@ -68,8 +84,16 @@
 
   Scheduler &m_Core;
   RowCondition m_TermCondition;
-  std::vector<Pending> m_Batch;
-  bool m_CommitPending = false;
+  /// A transaction whose result is not known yet.
+  struct PendingCommit {
+    Batch m_Jobs;
+    TimePoint m_SentAt{};
+  };
+  std::map<std::uint64_t, PendingCommit> m_Commits;
+  std::uint64_t m_LastCommit = 0;
+  /// Partitions with a pending transaction.
+  std::set<std::string> m_PendingPartitions;
+  StoreLatency m_Latency;
   /// No transaction is sent before this time, after one of several partitions
   /// has failed.
   TimePoint m_RetryAt{};
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -47,11 +47,11 @@
 TEST(ProgressWriter, RecordsManyJobsInOneTransaction) {
   SchedulerFixture W;
   finishJobs(W, 20);
-  auto Txn = W.m_Writer->next(W.m_Now, W.wall());
-  CHECK(Txn.has_value());
-  CHECK_EQUAL(20u, Txn->m_Puts.size());
-  CHECK_EQUAL(20u, Txn->m_Deletes.size());
-  W.m_Writer->onResult(committed(500), W.m_Now);
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(Next.has_value());
+  CHECK_EQUAL(20u, Next->m_Txn.m_Puts.size());
+  CHECK_EQUAL(20u, Next->m_Txn.m_Deletes.size());
+  W.m_Writer->onResult(Next->m_Number, committed(500), W.m_Now);
   CHECK_EQUAL(0u, W.m_Core->jobs().all().size());
 }
 
@@ -61,19 +61,20 @@
 TEST(ProgressWriter, UnavailablePartitionDoesNotDelayOthers) {
   SchedulerFixture W;
   finishJobs(W, 20);
-  auto Txn = W.m_Writer->next(W.m_Now, W.wall());
-  const std::string FailedPartition = Txn->m_Puts.front().m_At.m_Partition;
-  W.m_Writer->onResult(Down, W.m_Now);
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  const std::string FailedPartition =
+      Next->m_Txn.m_Puts.front().m_At.m_Partition;
+  W.m_Writer->onResult(Next->m_Number, Down, W.m_Now);
   for (int Tries = 0; Tries < 200; ++Tries) {
     W.advance(10ms);
-    Txn = W.m_Writer->next(W.m_Now, W.wall());
-    if (!Txn)
+    Next = W.m_Writer->next(W.m_Now, W.wall());
+    if (!Next)
       continue;
-    bool Fails = partitionsOf(*Txn).count(FailedPartition) != 0;
+    bool Fails = partitionsOf(Next->m_Txn).count(FailedPartition) != 0;
     if (Fails)
-      W.m_Writer->onResult(Down, W.m_Now);
+      W.m_Writer->onResult(Next->m_Number, Down, W.m_Now);
     else
-      W.m_Writer->onResult(committed(500), W.m_Now);
+      W.m_Writer->onResult(Next->m_Number, committed(500), W.m_Now);
   }
   CHECK(!W.m_Core->jobs().all().empty());
   for (const auto &[Id, Job] : W.m_Core->jobs().all())
@@ -84,21 +85,22 @@
 TEST(ProgressWriter, ConflictWithAFinalStateEndsTheJob) {
   SchedulerFixture W;
   finishJobs(W, 1);
-  W.m_Writer->next(W.m_Now, W.wall());
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
   JobProgress Cancelled;
   Cancelled.m_State = JobState::Cancelled;
   CommitOutcome Conflict;
   Conflict.m_Conflicts.push_back(
       {jobStateAddress(JobId("job0")), encodeProgress(Cancelled), 77, false});
-  W.m_Writer->onResult(Conflict, W.m_Now);
+  W.m_Writer->onResult(Next->m_Number, Conflict, W.m_Now);
   CHECK_EQUAL(0u, W.m_Core->jobs().all().size());
 }
 
 TEST(ProgressWriter, RetriesAfterALostAnswer) {
   SchedulerFixture W;
   finishJobs(W, 1);
-  W.m_Writer->next(W.m_Now, W.wall());
-  W.m_Writer->onResult(makeError(ErrorCode::Timeout, "commit"), W.m_Now);
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  W.m_Writer->onResult(Next->m_Number, makeError(ErrorCode::Timeout, "commit"),
+                       W.m_Now);
   CHECK_FALSE(W.m_Writer->next(W.m_Now, W.wall()).has_value());
   W.advance(100ms);
   CHECK(W.m_Writer->next(W.m_Now, W.wall()).has_value());
@@ -109,11 +111,35 @@
 TEST(ProgressWriter, WaitsAfterAFailureOfSeveralPartitions) {
   SchedulerFixture W;
   finishJobs(W, 20);
-  auto Txn = W.m_Writer->next(W.m_Now, W.wall());
-  CHECK(partitionsOf(*Txn).size() > 1);
-  W.m_Writer->onResult(Down, W.m_Now);
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(partitionsOf(Next->m_Txn).size() > 1);
+  W.m_Writer->onResult(Next->m_Number, Down, W.m_Now);
   W.advance(90ms);
   CHECK_FALSE(W.m_Writer->next(W.m_Now, W.wall()).has_value());
   W.advance(10ms);
   CHECK(W.m_Writer->next(W.m_Now, W.wall()).has_value());
 }
+
+// A store that took half a second for each transaction recorded 33 jobs at a
+// time, while each transaction held up the submissions of all partitions.
+TEST(ProgressWriter, PartitionsOfASlowStoreAreWrittenAtTheSameTime) {
+  SchedulerFixture W;
+  finishJobs(W, 20);
+  auto First = W.m_Writer->next(W.m_Now, W.wall());
+  W.advance(400ms);
+  W.m_Writer->onResult(First->m_Number, committed(500), W.m_Now);
+  for (std::size_t N = 20; N < 40; ++N)
+    W.addJob("job" + std::to_string(N), {W.step(1)});
+  for (auto &[Id, Job] : W.m_Core->jobs().all())
+    W.m_Core->jobs().markDirty(*Job);
+  std::set<std::string> Partitions;
+  std::size_t Commits = 0;
+  while (auto Next = W.m_Writer->next(W.m_Now, W.wall())) {
+    ++Commits;
+    CHECK_EQUAL(1u, partitionsOf(Next->m_Txn).size());
+    Partitions.merge(partitionsOf(Next->m_Txn));
+    CHECK(Next->m_Timeout > 800ms);
+  }
+  CHECK(Commits > 10);
+  CHECK_EQUAL(Commits, Partitions.size());
+}
--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -169,15 +169,16 @@
   W.addJob("j", {W.step(3), W.step(1, {0})});
   W.tick();
   CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
-  auto Txn = W.m_Writer->next(W.m_Now, W.wall());
-  CHECK(Txn.has_value());
-  CHECK_EQUAL(2u, Txn->m_Conditions.size());
-  CHECK(Txn->m_Conditions[1].m_At == W.termCondition().m_At);
-  JobProgress Written = decodeProgress(Txn->m_Puts[0].m_Value).value();
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(Next.has_value());
+  CHECK_EQUAL(2u, Next->m_Txn.m_Conditions.size());
+  CHECK(Next->m_Txn.m_Conditions[1].m_At == W.termCondition().m_At);
+  JobProgress Written = decodeProgress(Next->m_Txn.m_Puts[0].m_Value).value();
   CHECK(Written.m_StartedSteps ==
         (std::set<std::pair<std::uint32_t, std::uint32_t>>{{0, 0}}));
   CHECK(Written.m_State == JobState::Running);
-  W.m_Writer->onResult(makeError(ErrorCode::Timeout, "commit"), W.m_Now);
+  W.m_Writer->onResult(Next->m_Number, makeError(ErrorCode::Timeout, "commit"),
+                       W.m_Now);
   W.tick();
   CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
   W.record();
@@ -215,8 +216,8 @@
     W.addJob("job" + std::to_string(N), {W.step(2)});
   W.tick();
   W.tick();
-  auto Txn = W.m_Writer->next(W.m_Now, W.wall());
-  CHECK_EQUAL(2u, Txn->m_Puts.size());
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK_EQUAL(2u, Next->m_Txn.m_Puts.size());
   CHECK_EQUAL(0, W.m_Core->servers().find(ServerId("s1"))->m_Used.m_MilliCores);
 }
 
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -218,24 +218,24 @@
   void record() {
     if (!m_Alive)
       return;
-    auto Txn = m_Writer->next(m_Simulation.m_Clock.m_Now, m_Simulation.wall());
-    if (!Txn)
+    auto Next = m_Writer->next(m_Simulation.m_Clock.m_Now, m_Simulation.wall());
+    if (!Next)
       return;
     bool Lost =
         m_Simulation.chance(m_Simulation.m_Settings.m_Faults.m_LostReplyShare);
     bool Late = m_Simulation.chance(
         m_Simulation.m_Settings.m_Faults.m_DelayedOrderShare);
-    auto Apply = [this, Txn = *Txn, Lost, Late] {
-      CommitOutcome Outcome = m_Simulation.apply(Txn);
+    auto Apply = [this, Next = *Next, Lost, Late] {
+      CommitOutcome Outcome = m_Simulation.apply(Next.m_Txn);
       if (!Lost && !Late && m_Alive)
-        m_Writer->onResult(Outcome, m_Simulation.m_Clock.m_Now);
+        m_Writer->onResult(Next.m_Number, Outcome, m_Simulation.m_Clock.m_Now);
     };
     m_Simulation.m_Clock.after(
         Late ? Duration(milliseconds(1500)) : CommitDelay, Apply);
     if (Lost || Late)
-      m_Simulation.m_Clock.after(OrderTimeout, [this] {
+      m_Simulation.m_Clock.after(OrderTimeout, [this, N = Next->m_Number] {
         if (m_Alive)
-          m_Writer->onResult(makeError(ErrorCode::Timeout, "commit"),
+          m_Writer->onResult(N, makeError(ErrorCode::Timeout, "commit"),
                              m_Simulation.m_Clock.m_Now);
       });
   }
--- a/src/scheduling/testing/SchedulerFixture.cpp
+++ b/src/scheduling/testing/SchedulerFixture.cpp
@@ -82,11 +82,11 @@
 
 void SchedulerFixture::record() {
   advance(std::chrono::seconds(1));
-  while (auto Txn = m_Writer->next(m_Now, wall())) {
+  while (auto Next = m_Writer->next(m_Now, wall())) {
     CommitOutcome Outcome;
     Outcome.m_Committed = true;
     Outcome.m_Version = ++m_StoreVersion;
-    m_Writer->onResult(Outcome, m_Now);
+    m_Writer->onResult(Next->m_Number, Outcome, m_Now);
     advance(std::chrono::seconds(1));
   }
 }
