Keep a slow store's leader partition free for renewals

With a store 57 times slower, the leader lost its term after 6 s: transactions that record starts depend on the term's row and were sent for many partitions at a time, and renewals were sent each 250 ms although one takes 400 ms. The leader's partition answered 429, nothing started and no instance moved.

While the store is slow the leader records no starts, as StartRecords has decided for that case, and a renewal waits up to 500 ms for the answer to the one before.

--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -199,15 +199,20 @@
   m_Leading = true;
   m_ConfirmedRenewalSentAt = Sent;
   m_LastRenewalAt = Sent;
+  m_IsRenewalPending = false;
   m_LastRenewalNumber = 0;
 }
 
 bool Leadership::isRenewalDue(TimePoint Now) const {
-  return m_Leading && Now >= m_LastRenewalAt + m_Options.m_RenewInterval;
+  return m_Leading &&
+         Now >= m_LastRenewalAt + (m_IsRenewalPending
+                                       ? m_Options.m_UnansweredRenewInterval
+                                       : m_Options.m_RenewInterval);
 }
 
 RowTransaction Leadership::renew(RenewalRow Row, TimePoint Now) {
   m_LastRenewalAt = Now;
+  m_IsRenewalPending = true;
   Row.m_Term = m_TermRow.m_Term;
   Row.m_Number = ++m_LastRenewalNumber;
   Row.m_RelativeCapacity = m_Options.m_RelativeCapacity;
@@ -220,6 +225,7 @@
 
 void Leadership::onRenewResult(const Result<CommitOutcome> &Outcome,
                                TimePoint Sent) {
+  m_IsRenewalPending &= Sent != m_LastRenewalAt;
   if (!Outcome)
     return;
   if (Outcome.value().m_Committed)
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -92,9 +92,12 @@
 
 /// Timing of the election.
 struct LeadershipOptions {
-  /// Interval between two renewals. A renewal does not wait for the answer to
-  /// the previous one, which takes half a second when the store is slow.
+  /// Interval between two renewals.
   Duration m_RenewInterval = std::chrono::milliseconds(250);
+  /// The same while the previous renewal is unanswered. A slow store takes
+  /// 400 ms for a renewal, and would be kept busy by one each 250 ms; but the
+  /// answer may also have been lost.
+  Duration m_UnansweredRenewInterval = std::chrono::milliseconds(500);
   /// Duration of the leader's lease, counted from when a renewal was sent.
   /// Shorter than m_ElectionTimeout, so that a leader stops before the next one
   /// begins.
@@ -208,6 +211,8 @@
   bool m_TakeOverPending = false;
   TimePoint m_ConfirmedRenewalSentAt{};
   TimePoint m_LastRenewalAt{};
+  /// Whether the latest renewal has not been answered.
+  bool m_IsRenewalPending = false;
   std::uint64_t m_LastRenewalNumber = 0;
   HandoverOfferRow m_HandoverOffer;
   RowVersion m_HandoverOfferVersion = 0;
--- a/src/lead/LeadershipTest.cpp
+++ b/src/lead/LeadershipTest.cpp
@@ -246,6 +246,26 @@
   CHECK_FALSE(P.m_Other.offerHandover(P.m_Now).has_value());
 }
 
+// A renewal each 250 ms kept the leader's partition of a store that takes 400
+// ms for one busy, until the term expired.
+TEST(Leadership, RenewalsWaitForTheAnswerOfASlowStore) {
+  LeadershipFixture P;
+  P.showRows();
+  CHECK(P.takeOver(P.m_Leader));
+  P.m_Now += 250ms;
+  CHECK(P.m_Leader.isRenewalDue(P.m_Now));
+  P.m_Leader.renew({}, P.m_Now);
+  TimePoint Sent = P.m_Now;
+  P.m_Now += 400ms;
+  CHECK_FALSE(P.m_Leader.isRenewalDue(P.m_Now));
+  P.m_Leader.onRenewResult(makeError(ErrorCode::RateLimited, "renew"), Sent);
+  CHECK(P.m_Leader.isRenewalDue(P.m_Now));
+  P.m_Leader.renew({}, P.m_Now);
+  // The answer may have been lost.
+  P.m_Now += 500ms;
+  CHECK(P.m_Leader.isRenewalDue(P.m_Now));
+}
+
 TEST_GROUP(DelayMonitor) {
   DelayMonitor m_Monitor;
   TimePoint m_Now{100s};
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -429,7 +429,9 @@
 }
 
 JobProgress JobRegistry::progressOf(const LiveJob &Job,
-                                    std::chrono::milliseconds Wall) const {
+                                    std::chrono::milliseconds Wall,
+                                    StartedSteps Steps) const {
+  const bool ShowsWanted = Steps == StartedSteps::Wanted;
   JobProgress P;
   P.m_State = Job.m_State;
   P.m_ChangedAt = Wall;
@@ -440,7 +442,8 @@
   for (const auto &[Number, O] : Job.m_Occurrences)
     for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N) {
       const StepState &S = O.m_Steps[N];
-      if (S.m_StartRecorded || S.m_StartWanted || mayStartSoon(Job, O, N))
+      if (S.m_StartRecorded ||
+          (ShowsWanted && (S.m_StartWanted || mayStartSoon(Job, O, N))))
         P.m_StartedSteps.insert({Number, N});
       if (S.m_DoneCount > 0) {
         auto &Bits = P.m_Done[{Number, N}];
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -281,9 +281,16 @@
   void requeue(LiveJob &Job, const TaskId &Id, TimePoint NotBefore);
   /// Marks the job's state row as out of date.
   void markDirty(LiveJob &Job);
+  /// Which started steps a state row shows.
+  enum class StartedSteps : std::uint8_t {
+    /// Those that it shows already.
+    Recorded,
+    /// Also those that wait for the record, and those that may start soon.
+    Wanted,
+  };
   /// The content for the job's state row at \p Wall.
-  JobProgress progressOf(const LiveJob &Job,
-                         std::chrono::milliseconds Wall) const;
+  JobProgress progressOf(const LiveJob &Job, std::chrono::milliseconds Wall,
+                         StartedSteps Steps = StartedSteps::Wanted) const;
 
   /// Adds \p Job to the jobs that takeNewlyReady() returns.
   void markNewlyReady(LiveJob &Job);
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -24,6 +24,8 @@
 constexpr std::uint32_t MaxBackoffFactor = 4;
 /// Pending transactions while the store is slow. Each uses a connection.
 constexpr std::size_t MaxSlowCommits = 24;
+/// Latency of a pending transaction from which on the store counts as slow.
+constexpr Duration SlowCommitLatency = std::chrono::milliseconds(150);
 /// Timeout of a transaction, and its limit while the store is slow.
 constexpr Duration CommitTimeout = std::chrono::milliseconds(800);
 constexpr Duration MaxCommitTimeout = std::chrono::milliseconds(2500);
@@ -44,7 +46,12 @@
 }
 
 bool ProgressWriter::isStoreSlow(TimePoint Now) const {
-  return m_Latency.isSlow(Now);
+  return m_Latency.isSlow(Now) || latency(Now) >= SlowCommitLatency;
+}
+
+bool ProgressWriter::onlyWantsStart(const LiveJob &Job) {
+  return Job.m_WantsStart && !isFinal(Job.m_State) &&
+         Job.m_RecordedChangeNumber == Job.m_ChangeNumber;
 }
 
 bool ProgressWriter::mustWait(const std::string &Partition,
@@ -60,14 +67,16 @@
     LiveJob *Job = m_Core.jobs().find(Id);
     return Job && Job->needsUrgentRecord();
   });
-  const bool IsSplit = Now < m_SplitUntil || isStoreSlow(Now);
+  const bool IsSlow = isStoreSlow(Now);
+  const bool IsSplit = Now < m_SplitUntil || IsSlow;
   std::vector<JobId> Taken, Remaining;
   std::string OnlyPartition;
   for (JobId &Id : Dirty) {
-    if (!m_Core.jobs().find(Id))
+    const LiveJob *Job = m_Core.jobs().find(Id);
+    if (!Job)
       continue;
     std::string Partition = jobStateAddress(Id).m_Partition;
-    bool Waits = mustWait(Partition, Now);
+    bool Waits = mustWait(Partition, Now) || (IsSlow && onlyWantsStart(*Job));
     if (!Waits && IsSplit) {
       if (OnlyPartition.empty())
         OnlyPartition = Partition;
@@ -83,10 +92,11 @@
 }
 
 bool ProgressWriter::addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
+                                JobRegistry::StartedSteps Steps,
                                 RowTransaction &Txn, Batch &Jobs) {
   const JobId &Id = Job.m_Spec.m_Id;
   RowAddress State = jobStateAddress(Id);
-  JobProgress Progress = m_Core.jobs().progressOf(Job, Wall);
+  JobProgress Progress = m_Core.jobs().progressOf(Job, Wall, Steps);
   Job.m_Dirty = false;
   Job.m_WantsStart = false;
   Txn.m_Conditions.push_back({State, Job.m_StateVersion});
@@ -105,7 +115,10 @@
 
 std::optional<ProgressWriter::Commit>
 ProgressWriter::next(TimePoint Now, std::chrono::milliseconds Wall) {
-  const std::size_t MaxCommits = isStoreSlow(Now) ? MaxSlowCommits : 1;
+  const bool IsSlow = isStoreSlow(Now);
+  const std::size_t MaxCommits = IsSlow ? MaxSlowCommits : 1;
+  const auto Steps = IsSlow ? JobRegistry::StartedSteps::Recorded
+                            : JobRegistry::StartedSteps::Wanted;
   if (m_Commits.size() >= MaxCommits || Now < m_RetryAt ||
       m_Core.jobs().dirty().empty() ||
       (m_Commits.empty() && Now < m_LastWrite + GroupCommitDelay &&
@@ -115,7 +128,8 @@
   Batch Jobs;
   bool RecordsStarts = false;
   for (const JobId &Id : takeBatch(Now))
-    RecordsStarts |= addToBatch(*m_Core.jobs().find(Id), Wall, Out.m_Txn, Jobs);
+    RecordsStarts |=
+        addToBatch(*m_Core.jobs().find(Id), Wall, Steps, Out.m_Txn, Jobs);
   if (Jobs.empty())
     return std::nullopt;
   if (RecordsStarts)
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -55,12 +55,17 @@
   bool mustWait(const std::string &Partition, TimePoint Now) const;
   /// Whether transactions are slow enough to commit several at a time, of one
   /// partition each. One transaction of several partitions takes twice as long
-  /// and delays the submissions in all of them.
+  /// and delays the submissions in all of them. Starts are not recorded then:
+  /// such a transaction would also hold up the renewals of the term.
+  /// \see StartRecords.
   bool isStoreSlow(TimePoint Now) const;
+  /// Whether all that the row of \p Job lacks is a start.
+  static bool onlyWantsStart(const LiveJob &Job);
   /// Adds the state row of \p Job to \p Txn and to \p Jobs. Returns whether it
   /// records a start.
   bool addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
-                  RowTransaction &Txn, Batch &Jobs);
+                  JobRegistry::StartedSteps Steps, RowTransaction &Txn,
+                  Batch &Jobs);
   /// Makes the jobs of the failed transaction due for the next one.
   void markBatchDirty(const Batch &Jobs);
   void onCommitted(const Batch &Jobs, RowVersion Version, TimePoint Now);
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -143,3 +143,27 @@
   CHECK(Commits > 10);
   CHECK_EQUAL(Commits, Partitions.size());
 }
+
+// Recorded starts depend on the term's row, so that dozens of them at a time
+// held up the renewals of the term until the leader had lost it.
+TEST(ProgressWriter, NoStartIsRecordedWhileTheStoreIsSlow) {
+  SchedulerFixture W;
+  finishJobs(W, 1);
+  W.m_Core->setRecordsStarts(true);
+  auto First = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(First.has_value());
+  W.addServer("s2", 4);
+  W.addJob("waiting", {W.step(1)});
+  W.tick();
+  W.advance(200ms);
+  W.tick();
+  while (auto Next = W.m_Writer->next(W.m_Now, W.wall()))
+    for (const RowCondition &C : Next->m_Txn.m_Conditions)
+      CHECK_FALSE(C.m_At == W.termCondition().m_At);
+  W.m_Writer->onResult(First->m_Number, committed(500), W.m_Now);
+  W.advance(3s);
+  W.tick();
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(Next.has_value());
+  CHECK(Next->m_Txn.m_Conditions.back().m_At == W.termCondition().m_At);
+}
