Do not take the store for slow because of its last write

After the last transaction had been slow and only starts waited for a record, none was written any more: the store counted as slow until the next transaction. A pending transaction counts now, and answers of the last two seconds.

--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -38,15 +38,19 @@
       new ProgressWriter(Core, std::move(TermCondition)));
 }
 
-Duration ProgressWriter::latency(TimePoint Now) const {
+Duration ProgressWriter::pendingFor(TimePoint Now) const {
   Duration Longest{0};
   for (const auto &[Number, C] : m_Commits)
     Longest = std::max(Longest, Now - C.m_SentAt);
-  return m_Commits.empty() ? m_LastLatency : Longest;
+  return Longest;
+}
+
+Duration ProgressWriter::latency(TimePoint Now) const {
+  return m_Commits.empty() ? m_LastLatency : pendingFor(Now);
 }
 
 bool ProgressWriter::isStoreSlow(TimePoint Now) const {
-  return m_Latency.isSlow(Now) || latency(Now) >= SlowCommitLatency;
+  return m_Latency.isSlow(Now) || pendingFor(Now) >= SlowCommitLatency;
 }
 
 bool ProgressWriter::onlyWantsStart(const LiveJob &Job) {
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -49,6 +49,8 @@
       : m_Core(Core), m_TermCondition(std::move(TermCondition)) {}
   struct Pending;
   using Batch = std::vector<Pending>;
+  /// How long the oldest pending transaction has taken; 0 if there is none.
+  Duration pendingFor(TimePoint Now) const;
   std::vector<JobId> takeBatch(TimePoint Now);
   /// Whether a job of \p Partition has to wait for a pending transaction or for
   /// the delay after a failed one.
