Check caps from the servers' side in SchedulerFuzz, and keep wanted starts

SchedulerFuzz with even seeds plays organisations whose caps change at random, over changes of leader, lost answers and late orders. RunOracle counts what runs on the servers and allows the cap, a tenth and one task.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -4,7 +4,8 @@
 // or replaced while they keep giving orders; servers crash and lose their
 // connection to the leader; replies to orders and commits are lost, or orders
 // and commits are carried out late; runs fail, some tasks crash the servers
-// that start them, and jobs are cancelled. RunOracle checks every start, and
+// that start them, and jobs are cancelled. With even seeds jobs belong to
+// organisations whose caps change. RunOracle checks every start, and
 // the state of each leader must be consistent. After the faults have ended,
 // every job must end.
 //
@@ -20,6 +21,10 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::size_t OrganisationCount = 3;
+/// A gang of four tasks of at most 2.7 cores, in thousandths of a core.
+constexpr std::int64_t LeastCap = 10800;
+
 /// Makes the first step of each fourth job a gang that fits on the smallest
 /// number of servers.
 void shapeSomeGangs(JobSpec &Job) {
@@ -30,6 +35,14 @@
   First.m_Count = std::min(First.m_Count, 4U);
 }
 
+/// Caps that hold the largest gang, from just that to far more than runs.
+std::vector<std::int64_t> drawCaps(std::mt19937_64 &Random) {
+  std::vector<std::int64_t> Caps;
+  for (std::size_t N = 0; N < OrganisationCount; ++N)
+    Caps.push_back(LeastCap + static_cast<std::int64_t>(Random() % 20000));
+  return Caps;
+}
+
 SimulationSettings settingsFor(std::uint64_t Seed) {
   std::mt19937_64 Random(Seed * 6151);
   SimulationSettings S;
@@ -45,6 +58,14 @@
   S.m_DeadlyJobShare = 0.02 * static_cast<double>(Random() % 3);
   S.m_DeadlyDelay = milliseconds(5 + Random() % 1500);
   S.m_ShapeJob = shapeSomeGangs;
+  if (Seed % 2 == 0) {
+    S.m_Organisations.resize(OrganisationCount);
+    std::vector<std::int64_t> Caps = drawCaps(Random);
+    for (std::size_t N = 0; N < OrganisationCount; ++N) {
+      S.m_Organisations[N].m_Name = OrganisationName(std::to_string(N));
+      S.m_Organisations[N].m_Cap.m_MilliCores = Caps[N];
+    }
+  }
   return S;
 }
 
@@ -72,6 +93,9 @@
   case 7:
     Simulation.cancelRandomJob();
     break;
+  case 8:
+    Simulation.setCaps(drawCaps(Random));
+    break;
   default:
     break;
   }
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -102,7 +102,10 @@
   RowAddress State = jobStateAddress(Id);
   JobProgress Progress = m_Core.jobs().progressOf(Job, Wall, Steps);
   Job.m_Dirty = false;
-  Job.m_WantsStart = false;
+  // A start that the row does not show is left for a later transaction.
+  Job.m_WantsStart &= Steps == JobRegistry::StartedSteps::Recorded;
+  if (Job.m_WantsStart)
+    m_Core.jobs().markDirty(Job);
   Txn.m_Conditions.push_back({State, Job.m_StateVersion});
   Txn.m_Puts.push_back({State, encodeProgress(Progress)});
   if (isFinal(Job.m_State))
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -167,3 +167,28 @@
   CHECK(Next.has_value());
   CHECK(Next->m_Txn.m_Conditions.back().m_At == W.termCondition().m_At);
 }
+
+// A start that waited for its record while the store was slow was forgotten
+// once another change of the job had been recorded, so the job never went on.
+TEST(ProgressWriter, AStartIsRecordedAfterTheStoreWasSlow) {
+  SchedulerFixture W;
+  finishJobs(W, 1);
+  W.m_Core->setRecordsStarts(true);
+  auto First = W.m_Writer->next(W.m_Now, W.wall());
+  W.addServer("s2", 4);
+  W.addJob("waiting", {W.step(1)});
+  W.tick();
+  LiveJob &Job = W.job("waiting");
+  CHECK(Job.m_WantsStart);
+  ++Job.m_ChangeNumber;
+  W.advance(200ms);
+  auto Slow = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(Slow.has_value());
+  CHECK(Job.m_WantsStart && Job.m_Dirty);
+  W.m_Writer->onResult(Slow->m_Number, committed(501), W.m_Now);
+  W.m_Writer->onResult(First->m_Number, committed(502), W.m_Now);
+  W.advance(3s);
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(Next.has_value());
+  CHECK(Next->m_Txn.m_Conditions.back().m_At == W.termCondition().m_At);
+}
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -263,6 +263,8 @@
         S->endGangMembers(Member, Kind);
     });
   };
+  for (const OrganisationPolicy &O : Settings.m_Organisations)
+    m_Oracle.onCap(O.m_Name, O.m_Cap);
   startTerm();
 }
 
@@ -285,12 +287,7 @@
       m_Clock.m_Now.time_since_epoch());
 }
 
-void JobSimulation::startTerm() {
-  m_TermVersion = ++m_Version;
-  m_Leaders.push_back(std::make_unique<Instance>(
-      *this, static_cast<int>(m_Leaders.size()), ++m_Term, m_TermVersion));
-  ++m_Figures.m_Terms;
-  Instance &Leader = *m_Leaders.back();
+std::shared_ptr<const ServingConfig> JobSimulation::makeConfig() const {
   QueuePolicy Queue;
   Queue.m_Name = QueueName("asks");
   Queue.m_Pool = PoolName("desk");
@@ -299,8 +296,28 @@
   Queue.m_Slack = milliseconds(600);
   if (m_Settings.m_HasAdviser)
     Queue.m_Advice = {AdviceDelay, milliseconds(0), TicketLifetime};
-  Leader.m_Core->onConfig(
-      ServingConfig::create(1, {Queue}, {{PoolName("desk"), false, true}}));
+  return ServingConfig::create(1, {Queue}, {{PoolName("desk"), false, true}},
+                               m_Settings.m_Organisations);
+}
+
+void JobSimulation::setCaps(const std::vector<std::int64_t> &MilliCores) {
+  for (std::size_t N = 0; N < m_Settings.m_Organisations.size(); ++N) {
+    OrganisationPolicy &O = m_Settings.m_Organisations[N];
+    O.m_Cap.m_MilliCores = MilliCores.at(N);
+    m_Oracle.onCap(O.m_Name, O.m_Cap);
+  }
+  for (auto &L : m_Leaders)
+    if (L->m_Alive)
+      L->m_Core->onConfig(makeConfig());
+}
+
+void JobSimulation::startTerm() {
+  m_TermVersion = ++m_Version;
+  m_Leaders.push_back(std::make_unique<Instance>(
+      *this, static_cast<int>(m_Leaders.size()), ++m_Term, m_TermVersion));
+  ++m_Figures.m_Terms;
+  Instance &Leader = *m_Leaders.back();
+  Leader.m_Core->onConfig(makeConfig());
   for (auto &[Id, Row] : m_LiveRows)
     Leader.m_Core->onJob(Row.m_Spec, m_StateRows[Id].m_Progress, Row.m_Version,
                          m_StateRows[Id].m_Version, m_Clock.m_Now, wall());
@@ -444,6 +461,10 @@
   Job.m_AcceptedAt = wall();
   if (m_Settings.m_ShapeJob && !IsLongRunning)
     m_Settings.m_ShapeJob(Job);
+  const auto &Organisations = m_Settings.m_Organisations;
+  if (!Organisations.empty() && !IsLongRunning)
+    Job.m_Organisation =
+        Organisations[m_Figures.m_Submitted % Organisations.size()].m_Name;
   m_Oracle.onJob(Job, m_Settings.m_Attempts);
   m_Figures.m_Deadly += isDeadly({Job.m_Id, 0, 0, 0});
   LiveRow Row{
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -38,6 +38,8 @@
   /// Changes each job before its submission, unless it is long-running; null:
   /// jobs are submitted as they are.
   void (*m_ShapeJob)(JobSpec &) = nullptr;
+  /// Organisations that the jobs belong to in turn; none: jobs belong to none.
+  std::vector<OrganisationPolicy> m_Organisations;
   /// Whether the queue uses a placement adviser, which allows every second
   /// server.
   bool m_HasAdviser = false;
@@ -95,6 +97,9 @@
   /// Advances the time by 3 s. Returns the long-running tasks that had no run
   /// in that time, as the leader knows them; empty if there are none.
   std::string findIdleLongRunningTasks();
+  /// Puts a configuration into effect in which the organisations have these
+  /// caps, in thousandths of a core.
+  void setCaps(const std::vector<std::int64_t> &MilliCores);
   void setJobRate(double JobsPerSecond) { m_Settings.m_Rate = JobsPerSecond; }
   void setFaults(const SimFaults &Faults) { m_Settings.m_Faults = Faults; }
 
@@ -129,6 +134,7 @@
   void cancel(const JobId &Id);
   void scheduleSubmit();
   void startTerm();
+  std::shared_ptr<const ServingConfig> makeConfig() const;
   CommitOutcome apply(const RowTransaction &Txn);
   std::chrono::milliseconds wall() const;
   bool chance(double Share);
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -16,6 +16,11 @@
 constexpr std::uint32_t MaxStartsBeyond = 3;
 /// A task under which so many servers have crashed may be given up.
 constexpr std::uint32_t CrashesToGiveUp = 2;
+/// How long a higher cap before still holds. Late orders are carried out up to
+/// 6 s after they were given.
+constexpr Duration CapGrace = std::chrono::seconds(7);
+/// An organisation may exceed its cap by a tenth and one task.
+constexpr std::int64_t CapOverageDivisor = 10;
 
 std::string formatRun(const RunId &Run) {
   return Run.m_Task.m_Job.m_Text + "." +
@@ -62,6 +67,32 @@
   m_Cancelled[Id] = Now;
 }
 
+void RunOracle::onCap(const OrganisationName &Name, const Resources &Cap) {
+  m_Organisations[Name].m_Caps[m_Clock.m_Now] = Cap.m_MilliCores;
+}
+
+const StepSpec &RunOracle::stepOf(const RunId &Run) const {
+  return m_Jobs.at(Run.m_Task.m_Job).m_Spec.m_Steps[Run.m_Task.m_Step];
+}
+
+void RunOracle::checkCap(const RunId &Run, TimePoint Now) {
+  auto It =
+      m_Organisations.find(m_Jobs.at(Run.m_Task.m_Job).m_Spec.m_Organisation);
+  if (It == m_Organisations.end())
+    return;
+  Organisation &O = It->second;
+  std::int64_t Need = stepOf(Run).m_RequiredResources.m_MilliCores;
+  O.m_RunningMilliCores += Need;
+  std::int64_t Cap = 0;
+  for (auto C = O.m_Caps.rbegin(); C != O.m_Caps.rend(); ++C) {
+    Cap = std::max(Cap, C->second);
+    if (C->first + CapGrace < Now)
+      break;
+  }
+  if (O.m_RunningMilliCores > Cap + Cap / CapOverageDivisor + Need)
+    failInvariant("start beyond the cap of its organisation", Run);
+}
+
 void RunOracle::onStart(const ServerId &Server, const RunId &Run,
                         TimePoint Now) {
   addToHistory(Run, Server, "started");
@@ -89,6 +120,7 @@
       ++T.m_StartsBeyondLimit >= MaxStartsBeyond)
     failInvariant("three starts of a task that had crashed three servers", Run);
   T.m_RunningOn.insert(Server);
+  checkCap(Run, Now);
   // A member that starts after another one has ended never begins its work.
   if (m_EndedGangs.count(gangRunOf(Run)))
     endGang(Run, EndKind::GangIncomplete);
@@ -107,9 +139,19 @@
                                    : Done == Spec.m_Steps[Step].m_Count;
 }
 
+void RunOracle::release(Task &T, const ServerId &Server, const RunId &Run) {
+  if (T.m_RunningOn.erase(Server) == 0)
+    return;
+  auto It =
+      m_Organisations.find(m_Jobs.at(Run.m_Task.m_Job).m_Spec.m_Organisation);
+  if (It != m_Organisations.end())
+    It->second.m_RunningMilliCores -=
+        stepOf(Run).m_RequiredResources.m_MilliCores;
+}
+
 void RunOracle::onLostInCrash(const ServerId &Server, const RunId &Run) {
   Task &T = m_Tasks[Run.m_Task];
-  T.m_RunningOn.erase(Server);
+  release(T, Server, Run);
   ++T.m_CrashesBeside;
   addToHistory(Run, Server, "lost in a crash");
   endGang(Run, EndKind::GangMemberEnded);
@@ -149,7 +191,7 @@
 
 void RunOracle::onEnd(const ServerId &Server, const RunId &Run, EndKind Kind) {
   Task &T = m_Tasks[Run.m_Task];
-  T.m_RunningOn.erase(Server);
+  release(T, Server, Run);
   addToHistory(Run, Server, endKindName(Kind));
   if (Kind == EndKind::Done)
     T.m_Done = true;
--- a/src/scheduling/testing/SimServers.h
+++ b/src/scheduling/testing/SimServers.h
@@ -55,6 +55,9 @@
 public:
   void onJob(const JobSpec &Job, std::uint32_t Attempts);
   void onCancelled(const JobId &Id, TimePoint Now);
+  /// From now on \p Cap limits what \p Name has running. A higher cap before
+  /// holds for a while, since orders may be carried out late.
+  void onCap(const OrganisationName &Name, const Resources &Cap);
   void onStart(const ServerId &Server, const RunId &Run, TimePoint Now);
   void onEnd(const ServerId &Server, const RunId &Run, EndKind Kind);
   /// The run was lost when its server crashed.
@@ -89,6 +92,10 @@
   };
   /// Identifies one run of a gang: the number of its run and its first member.
   using GangRun = std::pair<TaskId, std::uint32_t>;
+  /// Fails if the start of \p Run exceeds the cap of its organisation.
+  void checkCap(const RunId &Run, TimePoint Now);
+  const StepSpec &stepOf(const RunId &Run) const;
+  void release(Task &T, const ServerId &Server, const RunId &Run);
   static GangRun gangRunOf(const RunId &Member);
   void endGang(const RunId &Run, EndKind Kind);
   bool isStepDone(const JobSpec &Spec, std::uint32_t Occurrence,
@@ -101,6 +108,13 @@
     JobSpec m_Spec;
     std::uint32_t m_Attempts = 1;
   };
+  /// What an organisation has running on all servers, and its caps by the time
+  /// from which they hold.
+  struct Organisation {
+    std::int64_t m_RunningMilliCores = 0;
+    std::map<TimePoint, std::int64_t> m_Caps;
+  };
+  std::map<OrganisationName, Organisation> m_Organisations;
   std::map<JobId, Job> m_Jobs;
   std::map<TaskId, Task> m_Tasks;
   std::map<JobId, TimePoint> m_Cancelled;
