--- a/src/scheduling/SchedulerCaps.cpp
+++ b/src/scheduling/SchedulerCaps.cpp
@@ -44,8 +44,7 @@
 void Scheduler::reserveUnknownRuns(const LiveJob &Job, const Occurrence &O,
                                    std::uint32_t Step, TimePoint Now) {
   const StepState &State = O.m_Steps[Step];
-  if (State.isDone() ||
-      !mayHaveUnknownRuns(Job, {O.m_Number, Step, 0}, Now))
+  if (State.isDone() || !mayHaveUnknownRuns(Job, {O.m_Number, Step, 0}, Now))
     return;
   std::uint32_t Unknown = 0;
   for (const TaskState &T : State.m_Tasks)
