Admit and place the jobs of organisations by their shares

One organisation that sends eight times its usual took the time of all others: its jobs waited in front of theirs, and each of 35 instances sees too few of them to tell.

The leader counts accepted jobs against each weight (ShareMeter) and publishes with each renewal what fraction to admit of organisations that exceed it, and the pools that have been short of servers for 1.5 s. Among jobs of the same rank those within their share are placed first. A member of a shared transaction that the store rejects is sent alone from then on.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -56,6 +56,7 @@
   Options.m_CapacitySettlingTime =
       Settings.m_StabilizationTime + Settings.m_RegistrationInterval;
   m_Scheduler = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
+  m_Scheduler->restoreAdmission(Lead.renewal().m_Admission);
   m_ProgressWriter = ProgressWriter::create(*m_Scheduler, Lead.termCondition());
   FleetPlannerOptions Fleet;
   Fleet.m_MoveTime = Settings.m_MoveTime;
@@ -348,8 +349,10 @@
   RenewalRow Row;
   if (!m_JobsLoaded) {
     Row.m_Loads = m_Leadership.renewal().m_Loads;
+    Row.m_Admission = m_Leadership.renewal().m_Admission;
     return Row;
   }
+  Row.m_Admission = m_Scheduler->updateAdmission(m_Loop.now());
   for (const auto &[Queue, Jobs] : m_Scheduler->waitingJobs())
     Row.m_Loads.m_Queues[Queue].m_WaitingJobs = Jobs;
   Row.m_Loads.m_AsOf = m_LiveJobs->currentStoreTime();
--- a/src/jobs/SubmissionBatcher.cpp
+++ b/src/jobs/SubmissionBatcher.cpp
@@ -53,7 +53,9 @@
     // A row may occur only once in a transaction.
     bool IsTaken = Now >= S->m_NotBefore &&
                    Members.size() < MaxSubmissionsPerBatch &&
-                   (Members.empty() || Bytes + S->bytes() <= MaxBatchBytes) &&
+                   (Members.empty() ||
+                    (Bytes + S->bytes() <= MaxBatchBytes && !S->m_IsSentAlone &&
+                     !Members.front()->m_IsSentAlone)) &&
                    !IsInBatch(*S);
     if (IsTaken) {
       Bytes += S->bytes();
@@ -128,7 +130,10 @@
   // A conflict of another member shows that this one was not stored by this
   // call, and after a failed call the store may need a pause.
   bool IsRetriedAtOnce = Outcome && !Out.empty();
+  bool IsRejected =
+      !Outcome && Outcome.error().m_Code == ErrorCode::InvalidArgument;
   for (const SubmissionPtr &S : Again) {
+    S->m_IsSentAlone |= IsRejected;
     if (Outcome || isCertainlyNotApplied(Outcome.error().m_Code))
       S->m_MayBeStored = S->m_WasUnanswered;
     else
--- a/src/jobs/SubmissionBatcher.h
+++ b/src/jobs/SubmissionBatcher.h
@@ -76,6 +76,9 @@
     bool m_MayBeStored = false;
     /// An earlier call failed without telling whether it was applied.
     bool m_WasUnanswered = false;
+    /// The store has rejected a transaction that it shared, perhaps because of
+    /// another member, so it gets one of its own.
+    bool m_IsSentAlone = false;
     /// Its caller has been answered.
     bool m_IsAbandoned = false;
 
--- a/src/jobs/SubmissionBatcherTest.cpp
+++ b/src/jobs/SubmissionBatcherTest.cpp
@@ -131,3 +131,18 @@
   CHECK(m_Batcher.giveUp(3) == SubmitResult::OutcomeUnknown);
   CHECK(m_Batcher.onResult(Batch.m_Number, committed(), m_Now).empty());
 }
+
+// A job that the store rejects, for example since its row is too large, must
+// not fail the jobs that share its transaction.
+TEST(SubmissionBatcher, MembersOfARejectedTransactionAreSentAlone) {
+  auto Batch = addAndTake(3);
+  m_Batcher.onResult(Batch.m_Number,
+                     makeError(ErrorCode::InvalidArgument, "commit"), m_Now);
+  for (std::size_t N = 0; N < 3; ++N) {
+    m_Now += SubmissionBatcher::RetryDelay;
+    Batch = m_Batcher.takeBatches(m_Now).at(0);
+    CHECK_EQUAL(1u, Batch.m_Txn.m_Conditions.size());
+    CHECK_EQUAL(1u,
+                m_Batcher.onResult(Batch.m_Number, committed(), m_Now).size());
+  }
+}
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -44,14 +44,18 @@
   Json Queues = Json::object();
   for (const auto &[Name, Load] : Row.m_Loads.m_Queues)
     Queues[Name.m_Text] = {Load.m_WaitingJobs, Load.m_Wait.count()};
-  return Json{{"term", Row.m_Term},
-              {"number", Row.m_Number},
-              {"queues", Queues},
-              {"strength", Row.m_RelativeCapacity},
-              {"behind", Row.m_IsOverloaded},
-              {"as_of", Row.m_Loads.m_AsOf.count()},
-              {"at", Row.m_Address}}
-      .dump();
+  Json J{{"term", Row.m_Term},
+         {"number", Row.m_Number},
+         {"queues", Queues},
+         {"strength", Row.m_RelativeCapacity},
+         {"behind", Row.m_IsOverloaded},
+         {"as_of", Row.m_Loads.m_AsOf.count()},
+         {"at", Row.m_Address}};
+  for (const auto &[Name, Fraction] : Row.m_Admission.m_Fractions)
+    J["admit"][Name.m_Text] = Fraction;
+  for (const PoolName &Pool : Row.m_Admission.m_FullPools)
+    J["full_pools"].push_back(Pool.m_Text);
+  return J.dump();
 }
 
 Result<RenewalRow> decodeRenewal(const std::string &Text) {
@@ -65,6 +69,11 @@
     Row.m_RelativeCapacity = J.at("strength");
     Row.m_Address = J.at("at");
     Row.m_IsOverloaded = J.at("behind");
+    const Json Fractions = J.value("admit", Json::object());
+    for (const auto &[Name, Fraction] : Fractions.items())
+      Row.m_Admission.m_Fractions[OrganisationName(Name)] = Fraction;
+    for (const Json &Pool : J.value("full_pools", Json::array()))
+      Row.m_Admission.m_FullPools.insert(PoolName(Pool));
     for (const auto &[Name, Load] : J.at("queues").items())
       Row.m_Loads.m_Queues[QueueName(Name)] = {
           Load.at(0),
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -13,6 +13,7 @@
 #define POLLENSPOOL_LEAD_LEADERSHIP_H
 
 #include "base/Time.h"
+#include "organisations/AdmissionShares.h"
 #include "scheduling/Messages.h"
 #include "store/MetadataStore.h"
 #include <optional>
@@ -65,6 +66,8 @@
   std::uint64_t m_Number = 0;
   /// A leader that still reads the jobs repeats the loads of the earlier one.
   QueueLoads m_Loads;
+  /// What to admit of organisations that exceed their share.
+  AdmissionShares m_Admission;
   /// \see LeadershipOptions::m_RelativeCapacity.
   double m_RelativeCapacity = 0;
   /// Address of the leader's status page for operators.
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -182,6 +182,8 @@
   std::vector<std::chrono::milliseconds> m_RemainingPaths;
   /// Number of failed runs of one task at which the job fails.
   std::uint32_t m_Attempts = 1;
+  /// Whether its organisation had used up its share when the job was accepted.
+  bool m_IsBeyondShare = false;
   /// The account of the job's organisation; null if it has none.
   OrganisationAccount *m_Account = nullptr;
   /// The policy of the job's queue in the configuration in effect; null if the
--- a/src/scheduling/PlacementQueue.cpp
+++ b/src/scheduling/PlacementQueue.cpp
@@ -40,19 +40,26 @@
 } // namespace
 
 PlacementQueue::Entry PlacementQueue::makeEntry(LiveJob &Job, TimePoint Now) {
-  return {rankOf(Job, Now), Job.m_Priority, Job.m_Objective, &Job,
+  return {rankOf(Job, Now),
+          Job.m_IsBeyondShare,
+          Job.m_Priority,
+          Job.m_Objective,
+          &Job,
           leastMilliCores(Job)};
 }
 
 bool PlacementQueue::isBefore(const Entry &A, const Entry &B) {
-  return std::tie(A.m_Rank, A.m_Priority, A.m_Objective, A.m_Job->m_Spec.m_Id) <
-         std::tie(B.m_Rank, B.m_Priority, B.m_Objective, B.m_Job->m_Spec.m_Id);
+  auto Key = [](const Entry &E) {
+    return std::tie(E.m_Rank, E.m_IsBeyondShare, E.m_Priority, E.m_Objective,
+                    E.m_Job->m_Spec.m_Id);
+  };
+  return Key(A) < Key(B);
 }
 
 void PlacementQueue::add(LiveJob &Job) {
   if (!Job.m_PlacementQueue) {
     Job.m_PlacementQueue = this;
-    m_Entries.push_back({0, 0, {}, &Job, 0});
+    m_Entries.push_back({0, false, 0, {}, &Job, 0});
     return;
   }
   auto It = std::find_if(m_Entries.begin(), m_Entries.end(),
--- a/src/scheduling/PlacementQueue.h
+++ b/src/scheduling/PlacementQueue.h
@@ -15,6 +15,8 @@
   /// A job that waits. The least demand and the rank are as of the last sort.
   struct Entry {
     int m_Rank = 0;
+    /// \see LiveJob::m_IsBeyondShare.
+    bool m_IsBeyondShare = false;
     std::uint32_t m_Priority = 0;
     TimePoint m_Objective{};
     LiveJob *m_Job = nullptr;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -94,6 +94,10 @@
   LiveJob &Job = m_Jobs.add(std::move(Spec), std::move(Progress), Accepted,
                             State, Now, Wall);
   Job.m_Account = m_Organisations.account(Job.m_Spec.m_Organisation);
+  // Jobs of earlier terms were counted by their leaders.
+  if (Job.m_Account && Accepted > m_Options.m_TermVersion)
+    Job.m_IsBeyondShare = !m_Shares.onAccepted(Job.m_Spec.m_Organisation,
+                                               Job.m_Account->m_Weight, Now);
   setObjective(Job);
   if (Job.m_OccurrencesDone == Job.m_Spec.occurrences()) {
     Job.m_State = JobState::Completed;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -15,6 +15,7 @@
 #ifndef POLLENSPOOL_SCHEDULING_SCHEDULER_H
 #define POLLENSPOOL_SCHEDULING_SCHEDULER_H
 
+#include "organisations/ShareMeter.h"
 #include "scheduling/AdviceCache.h"
 #include "scheduling/JobRegistry.h"
 #include "scheduling/OrganisationLedger.h"
@@ -192,6 +193,12 @@
   JobRegistry &jobs() { return m_Jobs; }
   ServerRegistry &servers() { return m_Servers; }
   const OrganisationLedger &organisations() const { return m_Organisations; }
+  /// Continues with the admission shares of an earlier leader.
+  void restoreAdmission(const AdmissionShares &Earlier) {
+    m_Shares.restore(Earlier);
+  }
+  /// What to admit of each organisation. To be called every 250 ms.
+  AdmissionShares updateAdmission(TimePoint Now);
   const std::vector<InstanceListing> &instances() const { return m_Instances; }
   /// When a connection to a server with runs last ended unexpectedly. A list of
   /// the instances that is requested later tells whether the server has
@@ -470,6 +477,9 @@
   std::shared_ptr<const ServingConfig> m_Config;
   /// Outlives the runs that are charged to its accounts.
   OrganisationLedger m_Organisations;
+  ShareMeter m_Shares;
+  /// Since when each pool has had less capacity than demand.
+  std::map<PoolName, TimePoint> m_ShortSince;
   /// When the reservations were last computed; unset if there are none.
   std::optional<TimePoint> m_ReservedAt;
   JobRegistry m_Jobs;
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -13,6 +13,9 @@
 /// run. It is large enough to find all kinds of waiting tasks and small enough
 /// for a thousand waiting jobs.
 constexpr std::size_t MaxJobsSearched = 200;
+/// A pool that is short of servers for this long cannot be enlarged enough: an
+/// instance of another pool moves within 1.5 s.
+constexpr Duration GrowthTime = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -79,6 +82,20 @@
   return Pools;
 }
 
+AdmissionShares Scheduler::updateAdmission(TimePoint Now) {
+  if (m_Organisations.all().empty())
+    return {};
+  std::set<PoolName> FullPools;
+  for (const auto &[Name, D] : demand()) {
+    if (D.m_RunningMilliCores + D.m_ReadyMilliCores <= D.m_CapacityMilliCores)
+      m_ShortSince.erase(Name);
+    else if (m_ShortSince.try_emplace(Name, Now).first->second + GrowthTime <=
+             Now)
+      FullPools.insert(Name);
+  }
+  return m_Shares.update(std::move(FullPools), Now);
+}
+
 bool Scheduler::hasServerFor(const LiveJob &Job, const ReadyTask &Task) {
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
   const StepId Id = Job.stepId(Task);
--- a/standins/jobs/oracle.py
+++ b/standins/jobs/oracle.py
@@ -23,12 +23,16 @@
     # Without faults, a start that was in flight when its job was cancelled arrives within
     # this time, and so does a stop.
     CANCELLED_START_S = 3.0
+    # An order that a server carries out late was given at most this long before, and its
+    # leader may not have read the latest configuration.
+    LATE_ORDER_S = 10.0
 
     def __init__(self):
         self.tasks = collections.defaultdict(Task)
         self.jobs = {}           # id -> {"steps", "spec", "attempts"}
         self.refused = set()     # jobs whose every submission was rejected
         self.cancelled = {}      # id -> time at which the cancellation was acknowledged
+        self.caps = collections.defaultdict(list)  # organisation -> [(time, cap)]
         self.breaches = []
         self.calm = False        # no fault is active or was active recently
 
@@ -39,9 +43,32 @@
     def append_history(self, task, server, what):
         self.tasks[task].history.append(f"{time.monotonic():.3f} {server.id} {what}")
 
-    def on_job(self, job, body, attempts):
+    def on_job(self, job, body, attempts, organisation=None):
         self.jobs[job] = {"steps": body["steps"], "spec": body.get("spec", ""),
-                          "attempts": attempts}
+                          "attempts": attempts, "organisation": organisation}
+
+    def on_cap(self, organisation, cap):
+        """The organisation may have `cap` thousandths of a core running from now on."""
+        self.caps[organisation].append((time.monotonic(), cap))
+
+    def check_cap(self, name, job, step):
+        """Counts what the job's organisation has running, with the task that has started."""
+        caps = self.caps.get(job["organisation"])
+        if not caps:
+            return
+        # Orders may be carried out late, so that earlier caps hold for a while.
+        first = max((n for n, (at, _) in enumerate(caps)
+                     if at < time.monotonic() - self.LATE_ORDER_S), default=0)
+        limit = max(cap for _, cap in caps[first:])
+        running = 0
+        for other, task in self.tasks.items():
+            if task.running and self.split(other)[0] in self.jobs:
+                owner = self.jobs[self.split(other)[0]]
+                if owner["organisation"] == job["organisation"]:
+                    running += owner["steps"][self.split(other)[1]]["cpu"] * len(task.running)
+        if running > limit * 1.1 + job["steps"][step]["cpu"]:
+            self.report_violation("QUOTA", name, f"started with {running} of {limit} thousandths "
+                                  f"of a core running for {job['organisation']}")
 
     def on_refused(self, job):
         self.refused.add(job)
@@ -70,6 +97,8 @@
             self.check_step(name, task, job, step)
         task.running[server.id] = run
         task.starts.append(time.monotonic())
+        if job:
+            self.check_cap(name, job, step)
 
     def check_step(self, name, task, job, step):
         spec = job["steps"][step]
--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -117,10 +117,14 @@
             stdout=subprocess.PIPE, text=True)
         self.platform = json.loads(self.standin.stdout.readline())
         self.entries = [Entry(build, folder, n, self.platform) for n in range(3)]
+        self.put_config(3, [], [])
+
+    def put_config(self, version, routes, organisations):
+        asks = {"name": "asks", "host": HOST, "prefix": "/asks/", "service": "desk",
+                "attempts": ATTEMPTS, "stretch": 2.0, "slo-ms": 600, "priority": 0,
+                "no-auth": True}
         self.put_row("op", "config", {
-            "version": 3,
-            "routes": [{"name": "asks", "host": HOST, "prefix": "/asks/", "service": "desk",
-                        "attempts": ATTEMPTS, "stretch": 2.0, "slo-ms": 600, "priority": 0}],
+            "version": version, "routes": [asks, *routes], "tenants": organisations,
             "services": [{"name": "desk", "rejects-overload": True},
                          {"name": "spare", "spare": True}]})
 
@@ -300,6 +304,46 @@
         entry.start()
         self.until("it is ready again", lambda: self.is_ready(entry))
 
+    def authorizes_organisations(self):
+        keyed = [{"name": "keyed", "host": HOST, "prefix": "/keyed/", "service": "desk",
+                  "attempts": ATTEMPTS, "stretch": 2.0, "slo-ms": 600}]
+        school = {"name": "school", "api-keys": ["key-1", "key-2"], "weight": 50,
+                  "cap": {"cpu": 1000}}
+        other = {"name": "other", "api-keys": ["key-3"], "weight": 50}
+        job = f"{self.random.getrandbits(64):016x}"
+        body = {"spec": "work", "steps": [{"count": 3, "cpu": 1000, "estimate-ms": 300}]}
+        large = {"spec": "work", "steps": [{"count": 1, "cpu": 1001}]}
+
+        def ask(method, key, content=None, entry=self.entries[0], path=f"/keyed/{job}"):
+            headers = {"X-Key": key} if key else {}
+            return call(entry.callers, method, path, content, headers)
+
+        def until_all_answer(key, status):
+            self.until(f"all instances answer {status}", lambda: all(
+                ask("GET", key, entry=e, path="/keyed/")[0] == status for e in self.entries))
+
+        self.put_config(4, keyed, [school, other])
+        until_all_answer("key-1", 200)
+        self.expect(job, body)
+        assert ask("POST", None, body)[0] == 401
+        assert ask("POST", "key-9", body)[0] == 401
+        assert ask("POST", "key-1", large) == (429, {"reason": "exceeds_cap"})
+        assert ask("POST", "key-1", body)[0] == 200
+        for method in ("GET", "DELETE", "POST"):
+            assert ask(method, "key-3", body if method == "POST" else None)[0] == 403
+        self.until("the job is completed under its cap", lambda: ask(
+            "GET", "key-2", entry=self.entries[1])[1].get("state") == "completed")
+        self.put_config(5, keyed, [{**school, "api-keys": ["key-2"]}, other])
+        until_all_answer("key-1", 401)
+        # A revoked key must not be in force again after a restart.
+        self.entries[2].kill()
+        self.entries[2].start()
+        self.until("it is ready again", lambda: self.is_ready(self.entries[2]))
+        assert ask("GET", "key-1", entry=self.entries[2])[0] == 401
+        assert ask("GET", "key-2", entry=self.entries[2])[0] == 200
+        for entry in self.entries:
+            assert not any(f"key-{n}" in entry.log.read_text() for n in (1, 2, 3)), entry.name
+
     def shows_metrics(self):
         entry = next(e for e in self.entries if e.process.poll() is None)
         connection = http.client.HTTPConnection(entry.metrics, timeout=5)
@@ -367,7 +411,7 @@
              shows_operators_the_queues,
              survives_a_killed_leader, survives_the_loss_of_all_entries,
              survives_a_store_outage, survives_lost_answers, completes_a_wave,
-             stops_cleanly, answers_all_requests_before_it_stops, shows_metrics,
+             authorizes_organisations, stops_cleanly, answers_all_requests_before_it_stops, shows_metrics,
              survives_a_reload_while_it_starts, applies_changed_settings)
 
     def run(self):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -13,8 +13,9 @@
 class Connection:
     """A persistent connection for one call at a time. Reconnects after an error."""
 
-    def __init__(self, address):
+    def __init__(self, address, key):
         self.host, self.port = address.split(":")
+        self.key = key
         self.reader = self.writer = None
 
     async def call(self, method, path, body=None):
@@ -29,7 +30,10 @@
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(self.host, int(self.port))
         data = json.dumps(body).encode() if body is not None else b""
+        key = self.key()
+        authorization = f"X-Key: {key}\r\n" if key else ""
         self.writer.write(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Deadline-Ms: 2000\r\n"
+                          f"{authorization}"
                           f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
         head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         headers = {k.lower(): v.strip() for k, v in
@@ -48,11 +52,12 @@
 class Connections:
     """A connection pool for one entry instance, with a connection per concurrent call."""
 
-    def __init__(self, address):
-        self.address, self.idle = address, []
+    def __init__(self, address, key):
+        """`key` returns the API key to send, or None."""
+        self.address, self.key, self.idle = address, key, []
 
     async def call(self, *what):
-        connection = self.idle.pop() if self.idle else Connection(self.address)
+        connection = self.idle.pop() if self.idle else Connection(self.address, self.key)
         try:
             return await connection.call(*what)
         finally:
@@ -66,11 +71,15 @@
     LIFETIME_S = (0.5, 6)
     QUERY_INTERVAL_S = 0.2
 
-    def __init__(self, soak, rng):
+    def __init__(self, soak, rng, organisation=None):
         self.soak, self.oracle, self.rng = soak, soak.world.oracle, rng
-        self.entries = [Connections(e.callers) for e in soak.entries]
+        self.organisation = organisation
+        self.entries = [Connections(e.callers, self.key) for e in soak.entries]
         self.jobs, self.unsure, self.follow_tasks = {}, [], []
 
+    def key(self):
+        return self.soak.organisations.key_of(self.organisation) if self.organisation else None
+
     def report_violation(self, rule, job, what):
         self.oracle.report_violation(rule, job, what)
 
@@ -81,7 +90,7 @@
         while self.soak.is_submitting:
             await asyncio.sleep(self.rng.uniform(0.1, 0.8))
             job, body = self.make_job()
-            self.oracle.on_job(job, body, self.soak.ATTEMPTS)
+            self.oracle.on_job(job, body, self.soak.ATTEMPTS, self.organisation)
             if await self.submit(job, body):
                 self.jobs[job] = {"state": "queued", "body": body, "cancelled": False,
                                   "accepted_at": time.monotonic()}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path[:0] = [str(HERE), str(HERE.parent), str(HERE.parent.parent / "standins/jobs")]
 import jobs_check  # noqa: E402
+from organisations import Organisations, RevokedKeyCheck  # noqa: E402
 from clients import FINAL, Client, HOST  # noqa: E402
 from job_platform import BackendServer, SimulatedPlatform  # noqa: E402
 from proxy import Link  # noqa: E402
@@ -77,7 +78,10 @@
         self.is_submitting, self.is_injecting = True, True
         self.version, self.waves = 1, 0
         self.injected = []
-        self.seed, self.waiting_check = seed, None
+        self.seed, self.waiting_check, self.key_check = seed, None, None
+        # Every second seed has organisations.
+        self.organisations = Organisations(random.Random(f"organisations {seed}")) \
+            if seed % 2 == 0 else None
 
     async def start(self):
         await self.world.start()
@@ -109,10 +113,26 @@
         routes += [{"name": f"more-{n}", "host": HOST, "prefix": f"/more-{n}/",
                     "service": "desk", "attempts": 1, "stretch": 1.0, "slo-ms": 600}
                    for n in range(self.version % 5)]
+        organisations = {}
+        if self.organisations:
+            revoked = self.organisations.change()
+            organisations = {"tenants": self.organisations.describe()}
         self.world.write("config", {
-            "version": self.version, "routes": routes,
+            "version": self.version, "routes": routes, **organisations,
             "services": [{"name": "desk", "rejects-overload": True},
                          {"name": "spare", "spare": True}]})
+        if self.organisations:
+            self.organisations.revoked.append((time.monotonic(), revoked))
+            for name, cap in self.organisations.caps.items():
+                self.world.oracle.on_cap(name, cap)
+
+    def any_key(self):
+        return self.organisations.key_of(self.organisations.names[0]) \
+            if self.organisations else None
+
+    def organisation_of(self, client):
+        names = self.organisations.names if self.organisations else [None]
+        return names[client % len(names)]
 
     async def is_ready(self, entry):
         return (await asyncio.to_thread(jobs_check.call, entry.ready, "GET", "/readyz"))[0] == 200
@@ -299,11 +319,15 @@
 
     async def run_soak(self, seconds):
         await self.start()
-        self.clients = [Client(self, random.Random(self.rng.random())) for _ in range(CLIENT_COUNT)]
+        self.clients = [Client(self, random.Random(self.rng.random()), self.organisation_of(n))
+                        for n in range(CLIENT_COUNT)]
         if self.has_waiting_jobs():
-            self.clients.append(WaitingClient(self, random.Random(f"waiting {self.seed}")))
+            self.clients.append(WaitingClient(self, random.Random(f"waiting {self.seed}"),
+                                              self.organisation_of(0)))
         self.waiting_check = WaitingCheck(self)
         asker = asyncio.ensure_future(self.waiting_check.run())
+        self.key_check = RevokedKeyCheck(self, self.waiting_check.in_touch)
+        prober = asyncio.ensure_future(self.key_check.run()) if self.organisations else None
         callers = [asyncio.ensure_future(c.run()) for c in self.clients]
         injectors = [asyncio.ensure_future(self.inject()) for _ in range(INJECTOR_COUNT)]
         await asyncio.sleep(seconds)
@@ -311,20 +335,24 @@
         await asyncio.gather(*callers)
         await self.settle()
         self.waiting_check.stop()
+        self.key_check.stop()
         await asker
+        if prober:
+            await prober
         jobs = sum(len(c.jobs) for c in self.clients)
         states = [k["state"] for c in self.clients for k in c.jobs.values()]
         return (f"{jobs} jobs accepted, {states.count('completed')} completed, "
                 f"{states.count('cancelled')} cancelled, {states.count('failed')} failed; "
                 f"{len(self.injected)} faults, {self.waiting_check.judged} counts of waiting "
-                "jobs checked")
+                f"jobs and {self.key_check.judged} answers to revoked keys checked")
 
     def close(self):
         # Pending tasks of the stand-in are cancelled when the event loop closes; their
         # exceptions are not reported.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        if self.waiting_check:
-            self.waiting_check.stop()
+        for check in (self.waiting_check, self.key_check):
+            if check:
+                check.stop()
         for entry in self.entries:
             if entry.process and entry.process.poll() is None:
                 entry.process.send_signal(signal.SIGCONT)
--- a/tests/soak/waiting.py
+++ b/tests/soak/waiting.py
@@ -68,7 +68,7 @@
 
     def __init__(self, soak):
         self.soak, self.oracle = soak, soak.world.oracle
-        self.entries = [Connections(e.callers) for e in soak.entries]
+        self.entries = [Connections(e.callers, soak.any_key) for e in soak.entries]
         self.in_touch = InTouch(soak)
         self.judged, self.is_running = 0, True
 
