--- a/src/entry/ConnectionBudget.cpp
+++ b/src/entry/ConnectionBudget.cpp
@@ -12,8 +12,10 @@
 namespace {
 
 /// Connections to one address of the platform. Each request of a caller needs
-/// one for some milliseconds, and each change feed one at all times.
-constexpr std::size_t PlatformConnectionsPerPeer = 24;
+/// one for some milliseconds, or for half a second while the store is slow, and
+/// each change feed one at all times. A new leader reads 128 partitions of
+/// tables at the same time.
+constexpr std::size_t PlatformConnectionsPerPeer = 64;
 /// The platform has a store, an instance service and an adviser.
 constexpr std::size_t PlatformPeers = 3;
 /// Connections to one backend server: one for a poll that the server holds, the
