Let a new leader of a slow store start jobs without records at once

With the store 57 times slower, a leader killed 2 s later and entry instances restarted in turn, no job started from 8 to 12 s. The new leader read 128 partitions over 24 connections (2.9 s; 0.6 s with 64), and then took the store for fast, since it had not written anything yet: it waited to record starts, which is not done while the store is slow. The first leader's row that says so timed out after 0.8 s and was repeated.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -15,6 +15,9 @@
 constexpr Duration RetryPause = std::chrono::milliseconds(100);
 /// How long one call of the live jobs' change feed may wait.
 constexpr Duration FeedWait = std::chrono::milliseconds(1000);
+/// Timeout of the write that tells whether starts are recorded. Starts wait for
+/// it when the store has become slow, and it may take over a second then.
+constexpr Duration StartRecordsTimeout = std::chrono::milliseconds(2500);
 /// Interval between two requests of the instance list.
 constexpr Duration InstanceListInterval = std::chrono::milliseconds(1000);
 /// The same while servers become unreachable: the runs of a crashed server can
@@ -105,10 +108,12 @@
                            std::function<void(RowPage &)> Callback) {
   m_Ports.m_Store.read(
       From, Limit, PlatformCallTimeout,
-      whileLeading([this, From, Limit,
+      whileLeading([this, From, Limit, Sent = m_Loop.now(),
                     Callback = std::move(Callback)](Result<RowPage> Page) {
-        if (Page)
+        if (Page) {
+          m_ProgressWriter->onStoreAnswer(m_Loop.now() - Sent, m_Loop.now());
           return Callback(Page.value());
+        }
         logEvent(Event::ReadFailed, {{"table", From.m_Table},
                                      {"part", From.m_Partition},
                                      {"error", Page.error().describe()}});
@@ -305,7 +310,7 @@
   m_Scheduler->setRecordsStarts(m_StartRecords.mustRecord());
   if (Txn)
     m_Ports.m_Store.commit(
-        *Txn, PlatformCallTimeout,
+        *Txn, StartRecordsTimeout,
         whileLeading([this](const Result<CommitOutcome> &Outcome) {
           m_StartRecords.onResult(Outcome, m_Loop.now());
           scheduleTick();
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -46,7 +46,8 @@
 }
 
 Duration ProgressWriter::latency(TimePoint Now) const {
-  return m_Commits.empty() ? m_LastLatency : pendingFor(Now);
+  return std::max(m_Commits.empty() ? m_LastLatency : pendingFor(Now),
+                  m_Latency.expected(Now));
 }
 
 bool ProgressWriter::isStoreSlow(TimePoint Now) const {
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -40,8 +40,12 @@
   /// Handles the result of the transaction \p Number that next() returned.
   void onResult(std::uint64_t Number, const Result<CommitOutcome> &Outcome,
                 TimePoint Now);
+  /// Another call of the store was answered after \p Took.
+  void onStoreAnswer(Duration Took, TimePoint Now) {
+    m_Latency.onAnswer(Took, Now);
+  }
   /// How long the oldest pending transaction has taken; if none is pending, how
-  /// long the last one took.
+  /// long the last one took. At least what the store has taken lately.
   Duration latency(TimePoint Now) const;
 
 private:
