Write partitions at the same time after a failure

With a third of the store's partitions unavailable each transaction contains a single partition. Up to 24 are pending now, as while the store is slow.

--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -22,8 +22,9 @@
 /// number of failures, up to MaxBackoffFactor times this value.
 constexpr Duration RetryDelay = std::chrono::milliseconds(100);
 constexpr std::uint32_t MaxBackoffFactor = 4;
-/// Pending transactions while the store is slow. Each uses a connection.
-constexpr std::size_t MaxSlowCommits = 24;
+/// Pending transactions while each contains a single partition. Each uses a
+/// connection.
+constexpr std::size_t MaxSplitCommits = 24;
 /// Latency of a pending transaction from which on the store counts as slow.
 constexpr Duration SlowCommitLatency = std::chrono::milliseconds(150);
 /// Timeout of a transaction, and its limit while the store is slow.
@@ -124,7 +125,8 @@
 std::optional<ProgressWriter::Commit>
 ProgressWriter::next(TimePoint Now, std::chrono::milliseconds Wall) {
   const bool IsSlow = isStoreSlow(Now);
-  const std::size_t MaxCommits = IsSlow ? MaxSlowCommits : 1;
+  const std::size_t MaxCommits =
+      IsSlow || Now < m_SplitUntil ? MaxSplitCommits : 1;
   const auto Steps = IsSlow ? JobRegistry::StartedSteps::Recorded
                             : JobRegistry::StartedSteps::Wanted;
   if (m_Commits.size() >= MaxCommits || Now < m_RetryAt ||
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -19,8 +19,8 @@
 ///
 /// Usually a transaction spans all partitions of the store. After a failure
 /// each partition gets its own transactions for a while, so that an unavailable
-/// partition does not delay the others. While the store is slow, partitions are
-/// written at the same time.
+/// partition does not delay the others. The same holds while the store is slow.
+/// Several partitions are written at the same time then.
 class ProgressWriter {
 public:
   /// \p Core must outlive the writer.
@@ -34,8 +34,8 @@
     RowTransaction m_Txn;
     Duration m_Timeout{0};
   };
-  /// The next transaction, if one is due. One is pending at a time, or one of
-  /// each partition while the store is slow.
+  /// The next transaction, if one is due. One is pending at a time, or several
+  /// of one partition each.
   std::optional<Commit> next(TimePoint Now, std::chrono::milliseconds Wall);
   /// Handles the result of the transaction \p Number that next() returned.
   void onResult(std::uint64_t Number, const Result<CommitOutcome> &Outcome,
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -192,3 +192,19 @@
   CHECK(Next.has_value());
   CHECK(Next->m_Txn.m_Conditions.back().m_At == W.termCondition().m_At);
 }
+
+// With a third of the partitions unavailable, the others were written one after
+// the other for as long as the outage lasted, which recorded too few jobs.
+TEST(ProgressWriter, PartitionsAreWrittenAtTheSameTimeAfterAFailure) {
+  SchedulerFixture W;
+  finishJobs(W, 20);
+  auto First = W.m_Writer->next(W.m_Now, W.wall());
+  W.m_Writer->onResult(First->m_Number, Down, W.m_Now);
+  W.advance(100ms);
+  std::size_t Commits = 0;
+  while (auto Next = W.m_Writer->next(W.m_Now, W.wall())) {
+    ++Commits;
+    CHECK_EQUAL(1u, partitionsOf(Next->m_Txn).size());
+  }
+  CHECK(Commits > 10);
+}
