Mend what the reviews of caps, shares and shared transactions found

Rates of submissions are averaged with the fraction in effect, ready tasks take the room under a cap in the demand before later steps, and jobs of an organisation at its cap are passed over before their tasks are read.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -12,6 +12,8 @@
 /// How long one call of the leader table's feed may wait. An answer without a
 /// change proves that the store answers and that the leader has not renewed.
 constexpr Duration FeedWait = std::chrono::milliseconds(400);
+/// A renewal confirms the term for 1.1 s, so that later answers are of no use.
+constexpr Duration RenewalTimeout = std::chrono::milliseconds(1100);
 /// Timer interval of a leader, which runs the scheduler, and of a follower,
 /// which only checks the time limits of the election.
 constexpr Duration LeaderTickInterval = std::chrono::milliseconds(20);
@@ -222,7 +224,7 @@
   Row.m_IsOverloaded =
       m_TimerDelay.isOverloaded(m_Loop.now()) || m_Leader->areAnswersLate();
   m_Ports.m_Store.commit(
-      m_Leadership.renew(std::move(Row), m_Loop.now()), PlatformCallTimeout,
+      m_Leadership.renew(std::move(Row), m_Loop.now()), RenewalTimeout,
       [this, Sent = m_Loop.now()](Result<CommitOutcome> Outcome) {
         m_Leadership.onRenewResult(Outcome, Sent);
         if (!Outcome)
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -17,7 +17,7 @@
 constexpr Duration FeedWait = std::chrono::milliseconds(1000);
 /// Timeout of the write that tells whether starts are recorded. Starts wait for
 /// it when the store has become slow, and it may take over a second then.
-constexpr Duration StartRecordsTimeout = std::chrono::milliseconds(2500);
+constexpr Duration StartRecordsTimeout = std::chrono::milliseconds(1500);
 /// Interval between two requests of the instance list.
 constexpr Duration InstanceListInterval = std::chrono::milliseconds(1000);
 /// The same while servers become unreachable: the runs of a crashed server can
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -42,7 +42,8 @@
 void JobStore::submit(JobSpec Job, Duration TimeLimit,
                       std::function<void(SubmitResult)> Callback) {
   TimePoint Now = m_Loop.now();
-  if (m_Latency.expected(Now) >= TimeLimit) {
+  const int CallsToWaitFor = m_Batcher.isCommitting(Job.m_Id) ? 2 : 1;
+  if (m_Latency.expected(Now) * CallsToWaitFor >= TimeLimit) {
     ++m_Counters.m_StoreSlow;
     return Callback(SubmitResult::StoreSlow);
   }
@@ -73,6 +74,8 @@
                            const Result<CommitOutcome> &Outcome,
                            TimePoint Sent) {
   onCallEnded(Outcome.has_value(), Sent);
+  if (!Outcome && Outcome.error().m_Code == ErrorCode::Timeout)
+    m_Latency.onTimeout(m_Loop.now() - Sent, m_Loop.now());
   for (const SubmissionBatcher::Decision &D :
        m_Batcher.onResult(Batch, Outcome, m_Loop.now())) {
     if (D.m_Result == SubmitResult::Accepted)
@@ -80,7 +83,7 @@
     finishSubmission(D.m_Submission, D.m_Result);
   }
   commitSubmissions();
-  if (!Outcome)
+  if (!Outcome || !Outcome.value().m_Committed)
     m_Loop.after(SubmissionBatcher::RetryDelay,
                  [Self = shared_from_this()] { Self->commitSubmissions(); });
 }
--- a/src/jobs/SubmissionBatcher.cpp
+++ b/src/jobs/SubmissionBatcher.cpp
@@ -149,13 +149,23 @@
   return Out;
 }
 
+bool SubmissionBatcher::isCommitting(const JobId &Id) const {
+  auto It = m_Partitions.find(jobStateAddress(Id).m_Partition);
+  return It != m_Partitions.end() && It->second.m_IsCommitting;
+}
+
 SubmitResult SubmissionBatcher::giveUp(SubmissionNumber Number) {
   auto It = m_Open.find(Number);
   if (It == m_Open.end())
     return SubmitResult::NotStored;
   It->second->m_IsAbandoned = true;
-  SubmitResult R = It->second->m_MayBeStored ? SubmitResult::OutcomeUnknown
-                                             : SubmitResult::NotStored;
+  // Another request with the same ID may be about to store the job.
+  bool MayBeStored = It->second->m_MayBeStored;
+  for (const auto &[Other, S] : m_Open)
+    MayBeStored |=
+        S->m_MayBeStored && S->m_State.m_At == It->second->m_State.m_At;
+  SubmitResult R =
+      MayBeStored ? SubmitResult::OutcomeUnknown : SubmitResult::NotStored;
   m_Open.erase(It);
   return R;
 }
--- a/src/jobs/SubmissionBatcher.h
+++ b/src/jobs/SubmissionBatcher.h
@@ -58,6 +58,9 @@
   std::vector<Decision> onResult(std::uint64_t Number,
                                  const Result<CommitOutcome> &Outcome,
                                  TimePoint Now);
+  /// Whether a transaction is in flight in the partition of \p Id, so that a
+  /// submission has to wait for it.
+  bool isCommitting(const JobId &Id) const;
   /// Ends a submission without a decision. Returns NotStored or OutcomeUnknown.
   SubmitResult giveUp(SubmissionNumber Number);
 
--- a/src/jobs/SubmissionBatcherTest.cpp
+++ b/src/jobs/SubmissionBatcherTest.cpp
@@ -146,3 +146,12 @@
                 m_Batcher.onResult(Batch.m_Number, committed(), m_Now).size());
   }
 }
+
+// A repeated request that had not been sent was answered with "not stored"
+// while the first one was about to store the job.
+TEST(SubmissionBatcher, ARepeatedRequestIsUnknownWhileTheFirstIsInFlight) {
+  addAndTake(1);
+  m_Batcher.add(jobWith(m_Ids[0]));
+  CHECK(m_Batcher.takeBatches(m_Now).empty());
+  CHECK(m_Batcher.giveUp(2) == SubmitResult::OutcomeUnknown);
+}
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -99,8 +99,8 @@
   Duration m_RenewInterval = std::chrono::milliseconds(250);
   /// The same while the previous renewal is unanswered. A slow store takes
   /// 400 ms for a renewal, and would be kept busy by one each 250 ms; but the
-  /// answer may also have been lost.
-  Duration m_UnansweredRenewInterval = std::chrono::milliseconds(500);
+  /// answer may also have been lost, and the next one must come in time.
+  Duration m_UnansweredRenewInterval = std::chrono::milliseconds(350);
   /// Duration of the leader's lease, counted from when a renewal was sent.
   /// Shorter than m_ElectionTimeout, so that a leader stops before the next one
   /// begins.
--- a/src/lead/LeadershipTest.cpp
+++ b/src/lead/LeadershipTest.cpp
@@ -256,13 +256,13 @@
   CHECK(P.m_Leader.isRenewalDue(P.m_Now));
   P.m_Leader.renew({}, P.m_Now);
   TimePoint Sent = P.m_Now;
-  P.m_Now += 400ms;
+  P.m_Now += 300ms;
   CHECK_FALSE(P.m_Leader.isRenewalDue(P.m_Now));
   P.m_Leader.onRenewResult(makeError(ErrorCode::RateLimited, "renew"), Sent);
   CHECK(P.m_Leader.isRenewalDue(P.m_Now));
   P.m_Leader.renew({}, P.m_Now);
   // The answer may have been lost.
-  P.m_Now += 500ms;
+  P.m_Now += 350ms;
   CHECK(P.m_Leader.isRenewalDue(P.m_Now));
 }
 
--- a/src/organisations/ShareMeter.cpp
+++ b/src/organisations/ShareMeter.cpp
@@ -13,7 +13,7 @@
 constexpr std::chrono::duration<double> BurstTime{2.0};
 /// Jobs that even the smallest organisation may submit at once.
 constexpr double MinBurst = 5;
-constexpr std::chrono::duration<double> RateTime{1.0};
+constexpr std::chrono::duration<double> RateTime{0.5};
 /// Some jobs are always admitted, so that the leader sees when fewer come.
 constexpr double MinFraction = 0.05;
 /// Growth of a fraction with each update once the organisation is within its
@@ -62,11 +62,17 @@
 }
 
 void ShareMeter::updateRate(Meter &M, TimePoint Now) {
+  if (M.m_RateAt == TimePoint{}) {
+    // The fraction of an earlier leader tells what was submitted until now.
+    M.m_Rate = M.m_Fraction < 1 ? M.m_Weight / M.m_Fraction : 0;
+    M.m_RateAt = Now;
+  }
   double Passed = seconds(Now - M.m_RateAt);
   if (Passed <= 0)
     return;
   double Decay = std::exp(-Passed / RateTime.count());
-  M.m_Rate = M.m_Rate * Decay + M.m_Accepted / Passed * (1 - Decay);
+  M.m_Rate =
+      M.m_Rate * Decay + M.m_Accepted / M.m_Fraction / Passed * (1 - Decay);
   M.m_Accepted = 0;
   M.m_RateAt = Now;
 }
@@ -77,12 +83,10 @@
   for (auto &[Organisation, M] : m_Meters) {
     refill(M, Now);
     updateRate(M, Now);
-    // The rate of submissions follows from what was accepted of them.
-    double Submitted = M.m_Rate / M.m_Fraction;
     bool Exceeds = M.m_HasExceeded || M.m_Fraction < 1;
     M.m_HasExceeded = false;
-    if (!FullPools.empty() && Exceeds && Submitted > M.m_Weight)
-      M.m_Fraction = std::max(MinFraction, M.m_Weight / Submitted);
+    if (!FullPools.empty() && Exceeds && M.m_Rate > M.m_Weight)
+      M.m_Fraction = std::max(MinFraction, M.m_Weight / M.m_Rate);
     else
       M.m_Fraction = std::min(1.0, M.m_Fraction * FractionGrowth);
     if (M.m_Fraction < 1)
--- a/src/organisations/ShareMeter.h
+++ b/src/organisations/ShareMeter.h
@@ -29,7 +29,8 @@
     double m_Tokens = 0;
     bool m_IsNew = true;
     TimePoint m_RefilledAt{};
-    /// Accepted jobs per second, averaged over about a second.
+    /// Submitted jobs per second, averaged over half a second. Follows from
+    /// the accepted ones and the fraction in effect.
     double m_Rate = 0;
     TimePoint m_RateAt{};
     /// Jobs accepted since m_RateAt.
--- a/src/scheduling/OrganisationLedger.cpp
+++ b/src/scheduling/OrganisationLedger.cpp
@@ -15,6 +15,10 @@
 /// It waits for something else, for example for a server.
 constexpr Duration BlockedJobLifetime = std::chrono::milliseconds(200);
 
+/// How long the others are held back at the most. Long-running tasks may keep
+/// the room for good.
+constexpr Duration MaxHoldTime = std::chrono::seconds(3);
+
 bool isWithin(std::int64_t Used, std::int64_t Need, std::int64_t Cap) {
   return Cap <= 0 || Need == 0 || Used + Need <= Cap;
 }
@@ -29,6 +33,22 @@
          isWithin(Used.m_Gpus, Need.m_Gpus, m_Cap.m_Gpus);
 }
 
+bool OrganisationAccount::canEverHold(const Resources &Need) const {
+  return isWithin(0, Need.m_MilliCores, m_Cap.m_MilliCores) &&
+         isWithin(0, Need.m_MemoryMb, m_Cap.m_MemoryMb) &&
+         isWithin(0, Need.m_Gpus, m_Cap.m_Gpus);
+}
+
+bool OrganisationAccount::competesWithBlocked(const Resources &Need) const {
+  Resources Used = m_Charged;
+  Used += m_Reserved;
+  auto Competes = [&](std::int64_t Resources::*R) {
+    return Need.*R > 0 && !isWithin(Used.*R, m_BlockedNeed.*R, m_Cap.*R);
+  };
+  return Competes(&Resources::m_MilliCores) ||
+         Competes(&Resources::m_MemoryMb) || Competes(&Resources::m_Gpus);
+}
+
 std::int64_t OrganisationAccount::freeMilliCores() const {
   if (m_Cap.m_MilliCores <= 0)
     return std::numeric_limits<std::int64_t>::max();
@@ -69,17 +89,23 @@
   if (!Account || !Account->hasCap())
     return true;
   bool IsHeld = Account->m_BlockedJob &&
-                Now < Account->m_BlockedSeenAt + BlockedJobLifetime;
+                Now < Account->m_BlockedSeenAt + BlockedJobLifetime &&
+                Now < Account->m_BlockedSince + OvertakingTime + MaxHoldTime;
   if (IsHeld && Account->m_BlockedJob != &Job &&
-      Now >= Account->m_BlockedSince + OvertakingTime)
+      Now >= Account->m_BlockedSince + OvertakingTime &&
+      Account->competesWithBlocked(Need))
     return false;
   if (Account->hasRoomFor(Need)) {
     if (Account->m_BlockedJob == &Job)
       Account->m_BlockedJob = nullptr;
     return true;
   }
+  // A cap that was lowered may never leave room for the job.
+  if (!Account->canEverHold(Need))
+    return false;
   if (!IsHeld) {
     Account->m_BlockedJob = &Job;
+    Account->m_BlockedNeed = Need;
     Account->m_BlockedSince = Now;
   }
   if (Account->m_BlockedJob == &Job)
--- a/src/scheduling/OrganisationLedger.h
+++ b/src/scheduling/OrganisationLedger.h
@@ -27,6 +27,7 @@
   /// The job that has waited longest for room under the cap, since when, and
   /// when that was last found out. Only compared, since the job may have ended.
   const LiveJob *m_BlockedJob = nullptr;
+  Resources m_BlockedNeed;
   TimePoint m_BlockedSince{};
   TimePoint m_BlockedSeenAt{};
 
@@ -35,6 +36,10 @@
   }
   /// Whether the cap leaves room for \p Need.
   bool hasRoomFor(const Resources &Need) const;
+  /// Whether the cap would leave room for \p Need if nothing ran.
+  bool canEverHold(const Resources &Need) const;
+  /// Whether \p Need includes a resource that m_BlockedJob waits for.
+  bool competesWithBlocked(const Resources &Need) const;
   /// Cores that the cap leaves; INT64_MAX if it does not limit them.
   std::int64_t freeMilliCores() const;
   void charge(const Resources &Need) { m_Charged += Need; }
--- a/src/scheduling/OrganisationLedgerTest.cpp
+++ b/src/scheduling/OrganisationLedgerTest.cpp
@@ -77,3 +77,41 @@
   m_Now += 600ms;
   CHECK(mayCharge(m_Small, 1000));
 }
+
+// A cap was lowered below what one task of a waiting job needs, and no other
+// job of the organisation started any more.
+TEST(OrganisationLedger, AJobThatCanNeverFitHoldsNothingBack) {
+  setCap({10000, 0, 0});
+  for (int N = 0; N < 20; ++N) {
+    m_Now += 100ms;
+    CHECK_FALSE(mayCharge(m_Large, 12000));
+    CHECK(mayCharge(m_Small, 1000));
+  }
+}
+
+// Long-running tasks kept the room that a large task waited for, and no other
+// job of the organisation started any more.
+TEST(OrganisationLedger, AJobHoldsTheOthersBackForALimitedTime) {
+  setCap({10000, 0, 0});
+  m_Account->charge({5000, 0, 0});
+  bool WasHeld = false, HasStarted = false;
+  for (int N = 0; N < 60; ++N) {
+    m_Now += 100ms;
+    CHECK_FALSE(mayCharge(m_Large, 8000));
+    bool MayStart = mayCharge(m_Small, 1000);
+    HasStarted |= WasHeld && MayStart;
+    WasHeld |= !MayStart;
+  }
+  CHECK(WasHeld && HasStarted);
+}
+
+TEST(OrganisationLedger, AJobThatNeedsAnotherResourceIsNotHeldBack) {
+  setCap({10000, 0, 2});
+  m_Account->charge({0, 0, 2});
+  for (int N = 0; N < 10; ++N) {
+    m_Now += 100ms;
+    CHECK_FALSE(
+        OrganisationLedger::mayCharge(m_Account, m_Large, {0, 0, 1}, m_Now));
+    CHECK(mayCharge(m_Small, 1000));
+  }
+}
--- a/src/scheduling/PlacementQueue.cpp
+++ b/src/scheduling/PlacementQueue.cpp
@@ -16,6 +16,9 @@
   return Now + Remaining < End;
 }
 
+/// Rank of jobs whose result is of no use any more.
+constexpr int RankOfUselessJobs = 3;
+
 /// Long-running tasks come first, because they are few and have to run at all
 /// times. Then come jobs that can still be on time, then jobs whose result can
 /// still be of use.
@@ -24,7 +27,7 @@
     return 0;
   if (canCompleteBy(Job, Job.m_Objective, Now))
     return 1;
-  return canCompleteBy(Job, Job.m_Deadline, Now) ? 2 : 3;
+  return canCompleteBy(Job, Job.m_Deadline, Now) ? 2 : RankOfUselessJobs;
 }
 
 std::int64_t leastMilliCores(const LiveJob &Job) {
@@ -40,12 +43,12 @@
 } // namespace
 
 PlacementQueue::Entry PlacementQueue::makeEntry(LiveJob &Job, TimePoint Now) {
-  return {rankOf(Job, Now),
-          Job.m_IsBeyondShare,
-          Job.m_Priority,
-          Job.m_Objective,
-          &Job,
-          leastMilliCores(Job)};
+  int Rank = rankOf(Job, Now);
+  // Jobs whose result is of no use any more are not ordered by shares, so that
+  // none waits for ever.
+  bool IsBeyondShare = Job.m_IsBeyondShare && Rank < RankOfUselessJobs;
+  return {Rank, IsBeyondShare,       Job.m_Priority, Job.m_Objective,
+          &Job, leastMilliCores(Job)};
 }
 
 bool PlacementQueue::isBefore(const Entry &A, const Entry &B) {
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -57,6 +57,7 @@
 
 bool ProgressWriter::onlyWantsStart(const LiveJob &Job) {
   return Job.m_WantsStart && !isFinal(Job.m_State) &&
+         (Job.m_IsRecordedAsRunning || Job.m_State == JobState::Queued) &&
          Job.m_RecordedChangeNumber == Job.m_ChangeNumber;
 }
 
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -77,6 +77,7 @@
 void Scheduler::onConfig(std::shared_ptr<const ServingConfig> Config) {
   m_Config = std::move(Config);
   m_Organisations.onConfig(*m_Config);
+  m_ReservedAt.reset();
   for (auto &[Pool, Queue] : m_Queues)
     Queue.removeIf([](const LiveJob &, std::int64_t) { return true; });
   for (auto &[Id, Job] : m_Jobs.all()) {
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -74,11 +74,18 @@
                                   : Pools[Job->m_Spec.m_Pool];
     const JobDemand &Needs = Job->demand(m_Counters.m_DemandReads);
     D.m_ReadyMilliCores += TakeRoom(Job->m_Account, Needs.m_ReadyMilliCores);
-    D.m_BlockedMilliCores +=
-        TakeRoom(Job->m_Account, Needs.m_BlockedMilliCores);
     D.m_ServersForSpread =
         std::max(D.m_ServersForSpread, Needs.m_ServersForSpread);
   }
+  // Tasks that are ready take the room under a cap before later steps.
+  for (auto &[Id, Job] : m_Jobs.all()) {
+    std::int64_t Blocked =
+        Job->demand(m_Counters.m_DemandReads).m_BlockedMilliCores;
+    if (Blocked > 0)
+      (Job->m_Policy ? Find(Job->m_Policy, Job->m_Policy->m_Pool)
+                     : Pools[Job->m_Spec.m_Pool])
+          .m_BlockedMilliCores += TakeRoom(Job->m_Account, Blocked);
+  }
   return Pools;
 }
 
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -88,6 +88,12 @@
     return;
   Queue.sort(Now);
   Queue.removeIf([&](LiveJob &Job, std::int64_t LeastMilliCores) {
+    // Thousands of jobs of an organisation at its cap must cost little.
+    if (Job.m_Account && LeastMilliCores > Job.m_Account->freeMilliCores()) {
+      OrganisationLedger::mayCharge(Job.m_Account, Job, {LeastMilliCores, 0, 0},
+                                    Now);
+      return false;
+    }
     return LeastMilliCores <= Pass.m_MostMilliCores && placeJob(Job, Pass);
   });
   if (Pass.m_JobsWaitingForIsolation > 0)
--- a/src/serving/ServingConfig.h
+++ b/src/serving/ServingConfig.h
@@ -48,10 +48,10 @@
   OrganisationName m_Name;
   /// Secrets: they must not appear in logs, metrics, status pages or rows.
   std::vector<std::string> m_ApiKeys;
-  /// 0 is the highest priority.
+  /// 0 is the highest priority. Decoded, but queues alone decide priorities.
   std::uint32_t m_Priority = 0;
   /// Share of the room when there is not enough for all organisations, in jobs
-  /// per second; 0: no share is guaranteed.
+  /// per second; 0: the organisation is not limited to a share.
   double m_Weight = 0;
   /// What the organisation may have running on all servers together. An amount
   /// of 0 is unlimited.
--- a/src/store/StoreLatency.cpp
+++ b/src/store/StoreLatency.cpp
@@ -26,6 +26,11 @@
   m_Current = std::max(m_Current, Took);
 }
 
+void StoreLatency::onTimeout(Duration Timeout, TimePoint Now) {
+  m_LastTimeout = Timeout;
+  m_LastTimeoutAt = Now;
+}
+
 Duration StoreLatency::expected(TimePoint Now) const {
   if (Now >= m_WindowStart + 2 * Window)
     return Duration(0);
@@ -40,6 +45,8 @@
 
 Duration StoreLatency::callTimeout(Duration Usual, Duration Longest,
                                    TimePoint Now) const {
+  if (expected(Now) == Duration(0) && Now < m_LastTimeoutAt + 2 * Window)
+    return std::clamp(m_LastTimeout * 2, Usual, std::max(Usual, Longest));
   if (!isSlow(Now))
     return Usual;
   return std::clamp(expected(Now) * TimeoutFactor, Usual,
--- a/src/store/StoreLatency.h
+++ b/src/store/StoreLatency.h
@@ -14,6 +14,9 @@
 public:
   /// A call that took \p Took was answered at \p Now, which must not decrease.
   void onAnswer(Duration Took, TimePoint Now);
+  /// A call was given up after \p Timeout at \p Now. Lengthens the next timeout
+  /// if no call is answered at all, since the store may take longer than that.
+  void onTimeout(Duration Timeout, TimePoint Now);
   /// The longest time that a call took lately; 0 if none was answered.
   Duration expected(TimePoint Now) const;
   /// Whether the store takes many times as long as usual.
@@ -28,6 +31,8 @@
   Duration m_Current{0};
   Duration m_Previous{0};
   TimePoint m_WindowStart{};
+  Duration m_LastTimeout{0};
+  TimePoint m_LastTimeoutAt{};
 };
 
 } // namespace pollenspool
--- a/src/store/StoreLatencyTest.cpp
+++ b/src/store/StoreLatencyTest.cpp
@@ -34,3 +34,14 @@
   m_Now += 2s;
   CHECK(m_Latency.expected(m_Now) == 0ms);
 }
+
+// A store that became slower than the timeout at once was never waited for.
+TEST(StoreLatency, TimeoutGrowsWhileNoCallIsAnswered) {
+  m_Latency.onTimeout(700ms, m_Now);
+  CHECK(m_Latency.callTimeout(700ms, 2500ms, m_Now) == 1400ms);
+  m_Latency.onTimeout(1400ms, m_Now);
+  CHECK(m_Latency.callTimeout(700ms, 2500ms, m_Now) == 2500ms);
+  // Only some answers are lost.
+  m_Latency.onAnswer(10ms, m_Now);
+  CHECK(m_Latency.callTimeout(700ms, 2500ms, m_Now) == 700ms);
+}
