--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -163,8 +163,10 @@
   m_JobsLoaded = true;
   // Jobs with a final state had ended before this term.
   for (const auto &[Id, Row] : m_StatesAtStart)
-    if (auto P = decodeProgress(Row.m_Value); P && isFinal(P.value().m_State))
+    if (auto P = decodeProgress(Row.m_Value); P && isFinal(P.value().m_State)) {
       m_EndedAt[Id] = P.value().m_ChangedAt;
+      m_Scheduler->onEarlierEnd(JobId(Id), P.value().m_Organisation);
+    }
   m_StatesAtStart.clear();
   logEvent(Event::TermJobsLoaded,
            {{"term", std::to_string(m_Leadership.term())},
@@ -334,6 +336,7 @@
       continue;
     }
     Txn.m_Deletes.push_back(jobStateAddress(JobId(It->first)));
+    m_Scheduler->forgetEnded(JobId(It->first));
     It = m_EndedAt.erase(It);
   }
   if (Txn.m_Deletes.empty())
--- a/src/scheduling/OrganisationLedger.cpp
+++ b/src/scheduling/OrganisationLedger.cpp
@@ -26,6 +26,8 @@
 } // namespace
 
 bool OrganisationAccount::hasRoomFor(const Resources &Need) const {
+  if (hasCap() && m_RunsOfUnknownSize > 0)
+    return false;
   Resources Used = m_Charged;
   Used += m_Reserved;
   return isWithin(Used.m_MilliCores, Need.m_MilliCores, m_Cap.m_MilliCores) &&
--- a/src/scheduling/OrganisationLedger.h
+++ b/src/scheduling/OrganisationLedger.h
@@ -24,6 +24,9 @@
   /// Required resources of the tasks that an earlier leader may have started on
   /// servers that have not answered yet.
   Resources m_Reserved;
+  /// Runs of jobs that had ended before this leader knew them, so that it does
+  /// not know what they require. Nothing starts until they have been stopped.
+  std::uint32_t m_RunsOfUnknownSize = 0;
   /// The job that has waited longest for room under the cap, since when, and
   /// when that was last found out. Only compared, since the job may have ended.
   const LiveJob *m_BlockedJob = nullptr;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <unordered_map>
 
 namespace pollenspool {
 
@@ -138,6 +139,14 @@
              RowVersion State, TimePoint Now, std::chrono::milliseconds Wall);
   /// Removes a job that has ended and stops its runs.
   void onJobEnded(const JobId &Id);
+  /// A job that belongs to \p Owner had ended before this leader knew it. Its
+  /// runs may still exist.
+  void onEarlierEnd(const JobId &Id, const OrganisationName &Owner) {
+    if (!Owner.empty())
+      m_OwnersOfEndedJobs[Id.m_Text] = Owner;
+  }
+  /// The state of an ended job was removed.
+  void forgetEnded(const JobId &Id) { m_OwnersOfEndedJobs.erase(Id.m_Text); }
   /// Adds a server or updates its registration.
   void onServer(const ServerRegistration &R, TimePoint Now);
   /// The server's registration was removed. Its runs stay until they end or
@@ -477,6 +486,8 @@
   std::shared_ptr<const ServingConfig> m_Config;
   /// Outlives the runs that are charged to its accounts.
   OrganisationLedger m_Organisations;
+  /// Owners of the jobs that had ended before the term, by job ID.
+  std::unordered_map<std::string, OrganisationName> m_OwnersOfEndedJobs;
   ShareMeter m_Shares;
   /// Since when each pool has had less capacity than demand.
   std::map<PoolName, TimePoint> m_ShortSince;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -368,6 +368,10 @@
   if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
     initRun(Run, *Job, Job->m_Spec.m_Steps[Task.m_Step]);
     Run.m_Pace = UnknownPace;
+  } else if (auto Ended = m_OwnersOfEndedJobs.find(Task.m_Job.m_Text);
+             Ended != m_OwnersOfEndedJobs.end()) {
+    Run.m_Account = m_Organisations.account(Ended->second);
+    Run.m_HasUnknownSize = true;
   }
   recordProgress(Run, Report, Now);
   ServerRegistry::addRun(S, Report.m_Run, Run);
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -116,8 +116,10 @@
                                   ActiveRun Run) {
   S.m_Used += Run.m_Allocation;
   reindex(S);
-  if (Run.m_Account)
+  if (Run.m_Account) {
     Run.m_Account->charge(Run.m_Charge);
+    Run.m_Account->m_RunsOfUnknownSize += Run.m_HasUnknownSize;
+  }
   return S.m_Runs[Id] = std::move(Run);
 }
 
@@ -127,8 +129,10 @@
     return;
   S.m_Used -= It->second.m_Allocation;
   reindex(S);
-  if (It->second.m_Account)
-    It->second.m_Account->release(It->second.m_Charge);
+  if (OrganisationAccount *Account = It->second.m_Account) {
+    Account->release(It->second.m_Charge);
+    Account->m_RunsOfUnknownSize -= It->second.m_HasUnknownSize;
+  }
   S.m_Runs.erase(It);
   updateIsolation(S);
 }
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -31,6 +31,8 @@
   /// none.
   OrganisationAccount *m_Account = nullptr;
   Resources m_Charge;
+  /// \see OrganisationAccount::m_RunsOfUnknownSize.
+  bool m_HasUnknownSize = false;
   bool m_IsLongRunning = false;
   bool m_IsBestEffort = false;
   /// When the start was ordered, or when this leader found the run.
--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -233,3 +233,32 @@
   CHECK_EQUAL(3000, D.m_ReadyMilliCores);
   CHECK_EQUAL(0, D.m_BlockedMilliCores);
 }
+
+// A job was cancelled while the leader changed. The next leader did not know
+// what the job's runs require, and started others of the organisation up to the
+// cap beside them.
+TEST(Takeover, NothingStartsBesideRunsOfUnknownSizeOfACappedOrganisation) {
+  SchedulerFixture W(2);
+  OrganisationPolicy Owner;
+  Owner.m_Name = OrganisationName("school");
+  Owner.m_Cap.m_MilliCores = 4000;
+  W.m_Core->onConfig(
+      ServingConfig::create(2, {}, {{PoolName("desk"), false, true}}, {Owner}));
+  W.m_Core->onEarlierEnd(JobId("cancelled"), Owner.m_Name);
+  W.addServer("s1", 8);
+  W.tick();
+  W.answerPoll("s1", {{W.run("cancelled", 0, 0, 1), "", 50, 0}});
+  JobSpec Job;
+  Job.m_Id = JobId("new");
+  Job.m_Queue = QueueName("asks");
+  Job.m_Pool = PoolName("desk");
+  Job.m_Organisation = Owner.m_Name;
+  Job.m_Steps = {SchedulerFixture::step(1)};
+  W.m_Core->onJob(Job, {}, 1000, 1000, W.m_Now, W.wall());
+  W.tick();
+  CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
+  W.answerPoll("s1", {},
+               {{1, W.run("cancelled", 0, 0, 1), EndKind::Stopped, ""}});
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+}
