--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -24,10 +24,6 @@
 /// How long a replaced leader keeps giving orders. The value is the same as in
 /// production.
 constexpr Duration ReplacedLeaderTimeout = std::chrono::seconds(5);
-/// How long the adviser takes for an answer, and how long its tickets are
-/// valid.
-constexpr milliseconds AdviceDelay{10};
-constexpr milliseconds TicketLifetime{2000};
 constexpr char TermRowKey[] = "term";
 
 } // namespace
@@ -272,34 +268,11 @@
 
 Scheduler &JobSimulation::core() { return *m_Leaders.back()->m_Core; }
 
-std::string JobSimulation::describeFirstLiveJob() {
-  if (m_LiveRows.empty())
-    return "none";
-  JobId Id(m_LiveRows.begin()->first);
-  LiveJob *Job = core().jobs().find(Id);
-  if (!Job)
-    return Id.m_Text + ": the leader does not know it";
-  return describeTasks(*Job);
-}
-
 milliseconds JobSimulation::wall() const {
   return std::chrono::duration_cast<milliseconds>(
       m_Clock.m_Now.time_since_epoch());
 }
 
-std::shared_ptr<const ServingConfig> JobSimulation::makeConfig() const {
-  QueuePolicy Queue;
-  Queue.m_Name = QueueName("asks");
-  Queue.m_Pool = PoolName("desk");
-  Queue.m_Attempts = m_Settings.m_Attempts;
-  Queue.m_DurationFactor = 1.6;
-  Queue.m_Slack = milliseconds(600);
-  if (m_Settings.m_HasAdviser)
-    Queue.m_Advice = {AdviceDelay, milliseconds(0), TicketLifetime};
-  return ServingConfig::create(1, {Queue}, {{PoolName("desk"), false, true}},
-                               m_Settings.m_Organisations);
-}
-
 void JobSimulation::setCaps(const std::vector<std::int64_t> &MilliCores) {
   for (std::size_t N = 0; N < m_Settings.m_Organisations.size(); ++N) {
     OrganisationPolicy &O = m_Settings.m_Organisations[N];
@@ -494,14 +467,6 @@
                 });
 }
 
-void JobSimulation::cancelRandomJob() {
-  if (m_LiveRows.empty())
-    return;
-  auto It = m_LiveRows.begin();
-  std::advance(It, static_cast<long>(m_Random() % m_LiveRows.size()));
-  cancel(JobId(It->first));
-}
-
 void JobSimulation::cancel(const JobId &Id) {
   m_LiveRows.erase(Id.m_Text);
   StateRow &Row = m_StateRows[Id.m_Text];
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -114,6 +114,10 @@
 
 private:
   class Instance;
+  /// How long the adviser takes for an answer, and how long its tickets are
+  /// valid.
+  static constexpr std::chrono::milliseconds AdviceDelay{10};
+  static constexpr std::chrono::milliseconds TicketLifetime{2000};
   /// The state row of a job in the simulated store.
   struct StateRow {
     JobProgress m_Progress;
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -106,6 +106,37 @@
   return Text;
 }
 
+std::string JobSimulation::describeFirstLiveJob() {
+  if (m_LiveRows.empty())
+    return "none";
+  JobId Id(m_LiveRows.begin()->first);
+  LiveJob *Job = core().jobs().find(Id);
+  if (!Job)
+    return Id.m_Text + ": the leader does not know it";
+  return describeTasks(*Job);
+}
+
+std::shared_ptr<const ServingConfig> JobSimulation::makeConfig() const {
+  QueuePolicy Queue;
+  Queue.m_Name = QueueName("asks");
+  Queue.m_Pool = PoolName("desk");
+  Queue.m_Attempts = m_Settings.m_Attempts;
+  Queue.m_DurationFactor = 1.6;
+  Queue.m_Slack = milliseconds(600);
+  if (m_Settings.m_HasAdviser)
+    Queue.m_Advice = {AdviceDelay, milliseconds(0), TicketLifetime};
+  return ServingConfig::create(1, {Queue}, {{PoolName("desk"), false, true}},
+                               m_Settings.m_Organisations);
+}
+
+void JobSimulation::cancelRandomJob() {
+  if (m_LiveRows.empty())
+    return;
+  auto It = m_LiveRows.begin();
+  std::advance(It, static_cast<long>(m_Random() % m_LiveRows.size()));
+  cancel(JobId(It->first));
+}
+
 void JobSimulation::cancelLongRunningJobs() {
   for (const JobId &Id : longRunningJobs())
     cancel(Id);
