Own the reservations of servers, so that none outlives its reason

Cause: ServerState::m_Reserved was set in four places and cleared in five others, each for one way in which its reason ends. Other ways left a server that is up and idle reserved for the rest of the term: - an order without an answer, and a first list after it that misses the instance, or shows it as down before the server starts again under its ID; - a move, after which a late registration keeps the server's state, and the server starts again under its ID; - an instance that is taken out of a wave while its order is on its way, if the answer to the order is lost; - a draining instance that is missing from the lists until its wave ends, and returns later; - servers freed for another pool, while no instances are listed.

Change: FleetPlanner keeps a reservation for each server: the instance, the incarnation of the server, and whether an order may have shut it down. With each plan, list and answer it derives whether there still is a reason: an unanswered order, an order whose effect no list shows yet, a list that shows the server as gone after an order, a drain that a wave waits for, or a pool that needs the instance. Otherwise the server takes tasks again. Another incarnation inherits a reservation only while an order is unanswered. reservationReason() tells the reason.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -4,6 +4,7 @@
 #include "base/Log.h"
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace pollenspool {
 
@@ -82,24 +83,15 @@
 }
 
 void FleetPlanner::endOrders(TimePoint Asked) {
-  std::set<InstanceId> Ended;
   for (auto &[Id, State] : m_State)
-    if (State.m_Ordered && !State.m_Pending && Asked > State.m_OrderedAt) {
+    if (State.m_Ordered && !State.m_Pending && Asked > State.m_OrderedAt)
       State.m_Ordered = false;
-      if (!State.m_DrainingSince)
-        Ended.insert(Id);
-    }
-  for (const InstanceListing &L : m_Scheduler.instances()) {
-    ServerState *S = m_Scheduler.servers().find(L.m_Server);
-    if (S && Ended.count(L.m_Id) && L.m_Condition == InstanceCondition::Up &&
-        S->m_Registration.m_Instance == L.m_Id)
-      S->m_Reserved = false;
-  }
 }
 
 void FleetPlanner::onInstances(TimePoint Asked) {
   m_ListChanged = true;
   endOrders(Asked);
+  updateReservations();
   // An empty list tells nothing about single instances.
   if (m_Scheduler.instances().empty())
     return;
@@ -330,22 +322,6 @@
   });
 }
 
-std::set<InstanceId> FleetPlanner::takeBackFreed() {
-  std::set<InstanceId> Freed;
-  for (auto It = m_Freed.begin(); It != m_Freed.end();) {
-    auto Server = m_ServerByInstance.find(*It);
-    if (Server == m_ServerByInstance.end()) {
-      ++It;
-      continue;
-    }
-    const Instance &I = m_State[*It];
-    if (!I.m_Pending && !I.m_Ordered && !I.m_DrainingSince)
-      Server->second->m_Reserved = false;
-    Freed.insert(m_Freed.extract(It++));
-  }
-  return Freed;
-}
-
 std::vector<const FleetPlanner::InstanceView *>
 FleetPlanner::freeableInstances(const PoolName &Name, const PoolView &P,
                                 const std::set<InstanceId> &FreedBefore) {
@@ -366,7 +342,7 @@
 }
 
 void FleetPlanner::freeSurplus(Pools &All) {
-  const std::set<InstanceId> FreedBefore = takeBackFreed();
+  const std::set<InstanceId> FreedBefore = std::exchange(m_Freed, {});
   std::int64_t Missing = 0;
   for (const auto &[Name, P] : All)
     Missing += P.m_Spare ? -static_cast<std::int64_t>(P.m_Instances.size())
@@ -387,7 +363,7 @@
       if (Count-- <= 0)
         break;
       m_Freed.insert(V->m_Listing->m_Id);
-      V->m_Server->m_Reserved = true;
+      reserve(*V);
       --Missing;
     }
   }
@@ -416,8 +392,11 @@
                                               std::size_t MaxOrders) {
   m_MaxOrders = MaxOrders;
   std::vector<InstanceOrder> Out;
-  if (!m_Scheduler.config() || m_Scheduler.instances().empty())
+  if (!m_Scheduler.config() || m_Scheduler.instances().empty()) {
+    m_Freed.clear();
+    updateReservations();
     return Out;
+  }
   updateIndex();
   Pools All = collectPools();
   updateTargetSizes(All, Now);
@@ -427,6 +406,7 @@
   planUnschedulableTasks(All, Out);
   planMoves(All, Out);
   freeSurplus(All);
+  updateReservations();
   return Out;
 }
 
@@ -438,7 +418,7 @@
   const InstanceView *V = view(Order.m_Instance);
   if (!V || !V->m_Server)
     return;
-  V->m_Server->m_Reserved = true;
+  reserve(*V).m_IsOrdered = true;
   Order.m_Server = V->m_Server->m_Registration.m_Id;
 }
 
@@ -465,6 +445,7 @@
       // An earlier order may have been the one that took effect. This server
       // then registered afterwards and still runs. A status poll or the next
       // instance list tells which is the case.
+      m_Reservations.erase(Order.m_Server);
       S->m_Reserved = false;
       m_Scheduler.markSuspected(Order.m_Server, Now);
     }
@@ -472,7 +453,7 @@
       m_Waves[Order.m_Wave].m_Progress.m_Done.insert(Order.m_Instance);
       m_ChangedWaves.insert(Order.m_Wave);
     }
-    return;
+    return updateReservation(Order.m_Server);
   }
   I.m_RetryAt = Now + RefusedRetryDelay;
   if (R == InstanceOrderResult::NotInWave)
@@ -483,11 +464,10 @@
     I.m_MayHaveExecuted = true;
     I.m_Ordered = true;
     I.m_OrderedAt = Now;
-    return;
+  } else {
+    I.m_DrainingSince.reset();
   }
-  I.m_DrainingSince.reset();
-  if (S)
-    S->m_Reserved = false;
+  updateReservation(Order.m_Server);
 }
 
 } // namespace pollenspool
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -10,6 +10,7 @@
 
 #include "instances/InstanceControl.h"
 #include "scheduling/Scheduler.h"
+#include <string_view>
 #include <unordered_map>
 
 namespace pollenspool {
@@ -96,6 +97,9 @@
   /// \p Id must have been added with onWave().
   const WaveProgress &progress(const WaveId &Id) const;
   std::vector<WaveOverview> waves() const;
+  /// Why the server \p Id is kept from taking tasks; empty if the planner does
+  /// not do so. Valid after a plan, until the next event.
+  std::string_view reservationReason(const ServerId &Id) const;
   const PlannerCounters &counters() const { return m_Counters; }
 
 private:
@@ -119,6 +123,9 @@
     TimePoint m_ExpectedUpAt{};
     /// When the instance began to drain for a wave.
     std::optional<TimePoint> m_DrainingSince;
+    /// The wave and the server of that drain.
+    WaveId m_DrainingFor;
+    ServerId m_DrainingServer;
     WaveId m_Wave;
     TimePoint m_RetryAt{};
     TimePoint m_WaitLoggedAt{};
@@ -142,6 +149,15 @@
     bool m_Registered = false;
     InstanceId m_Instance;
   };
+  /// A server that is kept from taking tasks while there is a reason for it.
+  struct Reservation {
+    InstanceId m_Instance;
+    /// ServerState::m_IndexNumber and ServerState::m_Incarnation.
+    std::uint64_t m_Number = 0;
+    std::uint64_t m_Incarnation = 0;
+    /// Whether an order for the instance may have shut the server down.
+    bool m_IsOrdered = false;
+  };
   /// A pool during one planning pass.
   struct PoolView {
     std::vector<const InstanceView *> m_Instances;
@@ -174,9 +190,6 @@
   /// Frees instances of pools that are too large while others are too small:
   /// they get no new tasks, so that they can move once their tasks have ended.
   void freeSurplus(Pools &All);
-  /// Lets the servers that the last plan freed take tasks again. Returns their
-  /// instances.
-  std::set<InstanceId> takeBackFreed();
   /// The instances of \p P that may be freed: first those in \p FreedBefore,
   /// then those with the fewest runs.
   std::vector<const InstanceView *>
@@ -216,12 +229,10 @@
   void onNotInWave(WaveState &W, const InstanceId &Id, TimePoint Now);
   /// Whether the platform has no instance \p Id any more.
   bool hasLeft(const InstanceId &Id) const;
-  /// Lets the server of \p Id take tasks again if it drains for a wave.
-  void stopDraining(const InstanceId &Id);
-  /// Drains \p V. Returns why its maintenance cannot begin yet; empty if it
-  /// can.
-  std::string drainForMaintenance(const InstanceView &V, bool IsUrgent,
-                                  TimePoint Now);
+  /// Drains \p V for \p Wave. Returns why its maintenance cannot begin yet;
+  /// empty if it can.
+  std::string drainForMaintenance(const InstanceView &V, const WaveId &Wave,
+                                  bool IsUrgent, TimePoint Now);
   void logWait(const InstanceView &V, const std::string &Why, TimePoint Now);
   /// A long-running task that must not be stopped now.
   struct BlockingTask {
@@ -236,6 +247,21 @@
   /// Continues a wave that was complete if instances of it are not done.
   void reopenIfUndone(WaveState &W);
 
+  // Servers kept from taking tasks (Reservations.cpp).
+  /// Keeps the server of \p V from taking tasks.
+  Reservation &reserve(const InstanceView &V);
+  static bool isSameIncarnation(const Reservation &R, const ServerState &S);
+  /// Whether the wave for which \p Id drains still waits for its maintenance.
+  bool isDrainWanted(const InstanceId &Id, const Instance &I) const;
+  /// Why \p S is kept from taking tasks; empty if there is no reason any more.
+  std::string_view reasonFor(const Reservation &R, const ServerState &S) const;
+  /// Returns whether there still is a reason for \p R, the reservation of \p
+  /// Id. If there is none, the server may take tasks.
+  bool refresh(const ServerId &Id, Reservation &R);
+  /// Ends the reservations for which there is no reason any more.
+  void updateReservation(const ServerId &Id);
+  void updateReservations();
+
   /// Builds the index unless neither the instance list nor a server has changed
   /// since the last call.
   void updateIndex();
@@ -257,6 +283,7 @@
   std::set<WaveId> m_ChangedWaves;
   /// Instances whose servers get no new tasks, because another pool needs them.
   std::set<InstanceId> m_Freed;
+  std::map<ServerId, Reservation> m_Reservations;
   /// The index of the instances and their servers; see updateIndex().
   std::vector<InstanceView> m_Views;
   std::unordered_map<InstanceId, const InstanceView *> m_ViewById;
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -40,22 +40,13 @@
   WaveState &W = m_Waves.at(Wave.m_Id);
   // Those that are still part of a wave drain again in the next plan.
   for (const InstanceId &Id : W.m_Request.m_Instances)
-    stopDraining(Id);
+    m_State[Id].m_DrainingSince.reset();
+  updateReservations();
   W.m_Request = Wave;
   W.m_RejectedSince.clear();
   reopenIfUndone(W);
 }
 
-void FleetPlanner::stopDraining(const InstanceId &Id) {
-  Instance &I = m_State[Id];
-  if (!I.m_DrainingSince || I.m_Pending || I.m_Ordered)
-    return;
-  I.m_DrainingSince.reset();
-  for (auto &[Name, S] : m_Scheduler.servers().all())
-    if (S.m_Registration.m_Instance == Id)
-      S.m_Reserved = false;
-}
-
 void FleetPlanner::reopenIfUndone(WaveState &W) {
   const auto &Instances = W.m_Request.m_Instances;
   if (!W.m_Progress.m_Complete ||
@@ -164,7 +155,8 @@
       continue;
     }
     --AvailablePlaces;
-    std::string Why = Spare ? "" : drainForMaintenance(*V, IsUrgent, Now);
+    std::string Why =
+        Spare ? "" : drainForMaintenance(*V, W.m_Request.m_Id, IsUrgent, Now);
     if (!Why.empty()) {
       logWait(*V, Why, Now);
       continue;
@@ -186,7 +178,8 @@
 }
 
 std::string FleetPlanner::drainForMaintenance(const InstanceView &V,
-                                              bool IsUrgent, TimePoint Now) {
+                                              const WaveId &Wave, bool IsUrgent,
+                                              TimePoint Now) {
   ServerState *S = V.m_Server;
   if (!S)
     return "its backend server is not registered";
@@ -195,7 +188,9 @@
   Instance &I = *V.m_State;
   if (!I.m_DrainingSince)
     I.m_DrainingSince = Now;
-  S->m_Reserved = true;
+  I.m_DrainingFor = Wave;
+  I.m_DrainingServer = S->m_Registration.m_Id;
+  reserve(V);
   bool TasksLeft =
       std::any_of(S->m_Runs.begin(), S->m_Runs.end(), [](const auto &Entry) {
         return !Entry.second.m_IsLongRunning;
--- a/src/instances/WavePlanningTest.cpp
+++ b/src/instances/WavePlanningTest.cpp
@@ -260,11 +260,7 @@
 TEST(WavePlanning, AnInstanceThatIsTakenOutOfAWaveStopsDraining) {
   PlannerFixture W;
   W.addDesk(3, 4);
-  ServerState *Busy = nullptr;
-  for (auto &[Id, S] : W.m_World.m_Core->servers().all())
-    if (!S.m_Runs.empty())
-      Busy = &S;
-  CHECK(Busy != nullptr);
+  ServerState *Busy = &W.busyServer();
   W.addWave({Busy->m_Registration.m_Instance}, 1);
   W.plan();
   CHECK(Busy->m_Reserved);
@@ -272,3 +268,42 @@
   W.plan();
   CHECK_FALSE(Busy->m_Reserved);
 }
+
+// Guards against the same if the order for the instance was on its way then,
+// and its answer was lost.
+TEST(WavePlanning, AnInstanceTakenOutOfAWaveDuringAnOrderStopsDraining) {
+  PlannerFixture W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.addWave({InstanceId("on-s1")}, 1);
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  W.m_Planner->onWaveRewritten({WaveId("1"), {}, 60s, 1});
+  W.m_Planner->onOrderResult(Orders[0], InstanceOrderResult::Unknown,
+                             W.m_World.m_Now);
+  W.applyList();
+  W.plan();
+  CHECK_EQUAL(0u, W.reserved());
+}
+
+// Guards against a server that takes no tasks for the rest of a term: its
+// instance was missing from lists while it drained, so that the wave ended
+// without it.
+TEST(WavePlanning, AnInstanceThatReturnsAfterItsWaveStopsDraining) {
+  PlannerFixture W;
+  W.addDesk(3, 4);
+  ServerState *Busy = &W.busyServer();
+  const InstanceId Instance = Busy->m_Registration.m_Instance;
+  W.addWave({Instance}, 1);
+  W.plan();
+  CHECK(Busy->m_Reserved);
+  for (int N = 0; N < 4; ++N) {
+    W.applyListWithout(Instance);
+    W.m_World.advance(1s);
+  }
+  W.plan();
+  CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
+  W.applyList();
+  W.plan();
+  CHECK_FALSE(Busy->m_Reserved);
+}
--- a/src/instances/testing/PlannerFixture.h
+++ b/src/instances/testing/PlannerFixture.h
@@ -5,6 +5,8 @@
 
 #include "instances/FleetPlanner.h"
 #include "scheduling/testing/SchedulerFixture.h"
+#include <algorithm>
+#include <cstdlib>
 
 namespace pollenspool {
 
@@ -42,6 +44,15 @@
     m_World.m_Core->onInstances(m_List, m_World.m_Now, m_World.m_Now);
     m_Planner->onInstances(m_World.m_Now);
   }
+  /// Applies a list that misses the instance \p Id.
+  void applyListWithout(const InstanceId &Id) {
+    auto Full = m_List;
+    m_List.erase(
+        std::remove_if(m_List.begin(), m_List.end(),
+                       [&](const InstanceListing &L) { return L.m_Id == Id; }));
+    applyList();
+    m_List = std::move(Full);
+  }
   std::vector<InstanceOrder> plan() {
     return m_Planner->plan(m_World.m_Now, m_World.wall(), 12);
   }
@@ -86,6 +97,13 @@
     m_World.addJob("j", {SchedulerFixture::step(Tasks)});
     m_World.tick();
   }
+  /// A server with runs; there must be one.
+  ServerState &busyServer() {
+    for (auto &[Id, S] : m_World.m_Core->servers().all())
+      if (!S.m_Runs.empty())
+        return S;
+    std::abort();
+  }
   /// All servers, or only those that get no new tasks.
   std::vector<ServerState *> servers(bool OnlyReserved) {
     std::vector<ServerState *> Found;
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -229,6 +229,7 @@
 void Scheduler::resetIncarnation(ServerState &S) {
   logEvent(Event::BackendReborn, {{"server", S.m_Registration.m_Id.m_Text},
                                   {"runs", std::to_string(S.m_Runs.size())}});
+  ++S.m_Incarnation;
   S.m_LastSeenEnd = S.m_LastRecordedEnd = S.m_LastAcknowledgedEnd = 0;
   S.m_UnrecordedEnds.clear();
   S.m_FailuresInRow = 0;
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -102,6 +102,8 @@
   /// is larger.
   Resources m_PublishedCapacity;
   TimePoint m_CapacityGrowsAt{};
+  /// Number of times that another incarnation of the server has answered.
+  std::uint64_t m_Incarnation = 0;
   bool m_Registered = true;
   TimePoint m_UnregisteredAt{};
   /// Whether the server has answered in this term, after which it rejects the
@@ -177,7 +179,7 @@
   /// until a task has completed.
   bool m_OnProbation = false;
   /// The server is about to be moved or shut down for maintenance, so nothing
-  /// new is started there.
+  /// new is started there. Owned by FleetPlanner.
   bool m_Reserved = false;
 
   /// Position among the servers of its pool; set by ServerRegistry.
--- a/src/scheduling/testing/SchedulerFixture.cpp
+++ b/src/scheduling/testing/SchedulerFixture.cpp
@@ -43,7 +43,7 @@
   R.m_Pool = PoolName("desk");
   R.m_Address = Id;
   R.m_Capacity = {Cores * 1000, 64000, 0};
-  R.m_StartTimeMs = 1;
+  R.m_StartTimeMs = m_StartTimeMs;
   m_Core->onServer(R, m_Now);
   tick();
   answerPoll(Id);
@@ -61,7 +61,7 @@
                                   std::vector<EndReport> Ended) {
   PollReply Reply;
   Reply.m_ClockMs = wall().count();
-  Reply.m_StartTimeMs = 1;
+  Reply.m_StartTimeMs = m_StartTimeMs;
   Reply.m_Running = std::move(Running);
   Reply.m_Ended = std::move(Ended);
   PollOrder Order = lastPoll(Id);
--- a/src/scheduling/testing/SchedulerFixture.h
+++ b/src/scheduling/testing/SchedulerFixture.h
@@ -34,6 +34,8 @@
   std::unique_ptr<Scheduler> m_Core;
   std::unique_ptr<ProgressWriter> m_Writer;
   TimePoint m_Now{std::chrono::hours(1)};
+  /// Start time of the servers in registrations and answers to polls.
+  std::int64_t m_StartTimeMs = 1;
 
   void advance(Duration By) { m_Now += By; }
   void tick() { m_Core->tick(m_Now, wall()); }
