Check only servers that are due in a pass

Each pass walked all servers twice for polls and leases, and a third time in the first 15 s of a term to count the first polls.

DueServers keeps the servers that have changed since the last pass, and a heap of the times at which the others are due. They are handled in the order of their IDs, as before, so that starts and polls stay the same. The first polls are counted when a server needs one.

The IDs of LeaderBench's jobs have the length of those in production.

SchedulerInvariants checks that each server is awaited in time.

--- a/benchmarks/JobMix.h
+++ b/benchmarks/JobMix.h
@@ -90,6 +90,16 @@
   return Plan;
 }
 
+/// Length of job IDs in production; longer than what std::string holds inline.
+constexpr std::size_t JobIdLength = 16;
+
+/// The ID of the job with that number.
+inline JobId jobId(std::uint64_t Number) {
+  std::string Digits = std::to_string(Number);
+  return JobId("job-" + std::string(JobIdLength - 4 - Digits.size(), '0') +
+               Digits);
+}
+
 } // namespace pollenspool
 
 #endif // POLLENSPOOL_BENCHMARKS_JOBMIX_H
--- a/benchmarks/LeaderBench.cpp
+++ b/benchmarks/LeaderBench.cpp
@@ -425,7 +425,7 @@
                        Record.m_Plan.m_CriticalPath * DurationFactor);
   m_Due += Record.m_DueBy <= m_EndsAt;
   JobSpec Spec;
-  Spec.m_Id = JobId("job-" + std::to_string(m_Submitted++));
+  Spec.m_Id = jobId(m_Submitted++);
   Spec.m_Queue = QueueName("queue-" + std::to_string(Queue));
   Spec.m_Pool = poolName(Queue);
   Spec.m_Steps = Record.m_Plan.m_Steps;
--- a/src/scheduling/PlacementCostTest.cpp
+++ b/src/scheduling/PlacementCostTest.cpp
@@ -77,6 +77,27 @@
   CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
 }
 
+// Each pass checked every server for polls and leases, which cost a leader of
+// half a core a quarter of its decisions.
+TEST(PlacementCost, APassChecksOnlyServersThatAreDue) {
+  SchedulerFixture W;
+  addServers(W, ServersPerPool);
+  W.addJob("j", {wideStep(7, 4500)});
+  W.tick();
+  CHECK_EQUAL(7u, W.m_Orders.m_Starts.size());
+  W.tick();
+  std::uint64_t Checked = W.m_Core->counters().m_ServersChecked;
+  for (int Pass = 0; Pass < 50; ++Pass) {
+    W.advance(2ms);
+    W.tick();
+  }
+  CHECK_EQUAL(Checked, W.m_Core->counters().m_ServersChecked);
+  // Each of the two checks of a pass looks at the one server with an event.
+  W.answerStart(0);
+  W.tick();
+  CHECK(W.m_Core->counters().m_ServersChecked <= Checked + 2);
+}
+
 // In a full pool, each end of a run let every waiting job be compared with all
 // servers.
 TEST(PlacementCost, AFullPoolExaminesFewWaitingJobs) {
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -142,6 +142,7 @@
     return;
   S->m_Registered = false;
   S->m_UnregisteredAt = Now;
+  ServerRegistry::markChanged(*S);
 }
 
 void Scheduler::markSuspected(const ServerId &Id, TimePoint Now) {
@@ -149,6 +150,7 @@
     S->m_Reachable = false;
     S->m_SuspectedAt = Now;
     S->m_NextPoll = Now;
+    ServerRegistry::markChanged(*S);
   }
 }
 
@@ -161,6 +163,7 @@
   S->m_Registered = false;
   S->m_UnregisteredAt = Now - RegistrationGrace;
   S->m_LeasesEnd = Now;
+  ServerRegistry::markChanged(*S);
 }
 
 void Scheduler::onInstances(std::vector<InstanceListing> List, TimePoint Asked,
@@ -261,6 +264,7 @@
     ServerState *S = m_Servers.find(Waiter.m_Server);
     if (!S || Waiter.m_Number != S->m_EndWaiterNumber)
       continue;
+    ServerRegistry::markChanged(*S);
     if (removeRecordedEnds(*S))
       S->m_NextPoll =
           std::min(S->m_NextPoll,
@@ -282,7 +286,9 @@
 
 void Scheduler::expireLeases(TimePoint Now) {
   std::vector<ServerId> Removable;
-  for (auto &[Id, S] : m_Servers.all()) {
+  for (ServerState *Due : m_Servers.due().collect(Now)) {
+    ServerState &S = *Due;
+    ++m_Counters.m_ServersChecked;
     ServerRegistry::growCapacity(S, Now);
     // While the term is unconfirmed, a later leader may exist and may have
     // extended the leases.
@@ -294,7 +300,7 @@
     }
     if (!S.m_Registered && S.isIdle() && !S.m_PollPending &&
         Now >= S.m_UnregisteredAt + RegistrationGrace && Now >= S.m_LeasesEnd)
-      Removable.push_back(Id);
+      Removable.push_back(S.m_Registration.m_Id);
   }
   for (const ServerId &Id : Removable)
     m_Servers.erase(Id);
@@ -311,24 +317,25 @@
 }
 
 void Scheduler::sendDuePolls(TimePoint Now) {
-  std::size_t FirstPolls = firstPollsAllowed(Now);
-  for (auto &[Id, S] : m_Servers.all()) {
-    if (S.m_PollPending || Now < S.m_NextPoll)
+  // Counted when the first server needs it, which few passes do.
+  std::optional<std::size_t> FirstPolls;
+  for (ServerState *Due : m_Servers.due().collect(Now)) {
+    ServerState &S = *Due;
+    ++m_Counters.m_ServersChecked;
+    if (!S.needsPoll() || Now < S.m_NextPoll)
       continue;
     // Servers that have not failed to answer come first: an unreachable one
     // holds its place for the whole timeout.
     if (!S.m_HasAcknowledgedTerm) {
-      if (FirstPolls <= (S.m_FailedPolls > 0 ? MaxFirstPolls / 2 : 0))
+      if (!FirstPolls)
+        FirstPolls = firstPollsAllowed(Now);
+      if (*FirstPolls <= (S.m_FailedPolls > 0 ? MaxFirstPolls / 2 : 0))
         continue;
+      --*FirstPolls;
     }
-    bool Due = !S.m_HasAcknowledgedTerm || !S.m_Reachable ||
-               !S.m_Runs.empty() ||
-               S.m_LastRecordedEnd > S.m_LastAcknowledgedEnd;
-    if (!Due || (!S.m_Registered && S.m_Runs.empty()))
-      continue;
-    FirstPolls -= !S.m_HasAcknowledgedTerm;
     sendPoll(S, Now);
   }
+  m_Servers.due().finish();
 }
 
 std::chrono::milliseconds Scheduler::pollWait(const ServerState &S) {
@@ -392,6 +399,7 @@
   ServerState *S = m_Servers.find(Order.m_Server.m_Id);
   if (!S)
     return;
+  ServerRegistry::markChanged(*S);
   S->m_PollPending = false;
   S->m_NextPoll =
       Now + PollRetryDelay * std::min(S->m_FailedPolls + 1, MaxPollBackoff);
@@ -429,6 +437,7 @@
   ServerState *S = m_Servers.find(Order.m_Server.m_Id);
   if (!S)
     return;
+  ServerRegistry::markChanged(*S);
   S->m_PollPending = false;
   bool WasUnreachable = !S->m_Reachable;
   if (WasUnreachable && S->m_FailedPolls > 0)
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -61,6 +61,7 @@
   ServerState *S = m_Servers.find(Order.m_Server.m_Id);
   if (!S)
     return;
+  ServerRegistry::markChanged(*S);
   OrderResult R = Reply.m_Result;
   checkIncarnation(*S, Reply, Now);
   auto It = S->m_Runs.find(Order.m_Run);
@@ -146,6 +147,7 @@
   auto It = S->m_Runs.find(Order.m_Run);
   if (It == S->m_Runs.end())
     return;
+  ServerRegistry::markChanged(*S);
   It->second.m_StopPending = false;
   // An answered stop prevents a start that has not arrived yet. The next poll
   // shows whether the run still exists.
--- a/src/scheduling/SchedulerTypes.h
+++ b/src/scheduling/SchedulerTypes.h
@@ -59,6 +59,8 @@
   std::uint64_t m_JobsExamined = 0;
   /// Servers that were compared to place tasks.
   std::uint64_t m_ServersExamined = 0;
+  /// Servers that were checked for polls and leases that are due.
+  std::uint64_t m_ServersChecked = 0;
   /// Servers whose unrecorded ends were compared with the records of jobs.
   std::uint64_t m_EndsCompared = 0;
   /// Servers that have crashed.
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -37,6 +37,24 @@
          std::find(Labels.begin(), Labels.end(), Required) != Labels.end();
 }
 
+bool ServerState::needsPoll() const {
+  return !m_PollPending && (m_Registered || !m_Runs.empty()) &&
+         (!m_HasAcknowledgedTerm || !m_Reachable || !m_Runs.empty() ||
+          m_LastRecordedEnd > m_LastAcknowledgedEnd);
+}
+
+TimePoint ServerState::nextCheck() const {
+  TimePoint At = needsPoll() ? m_NextPoll : TimePoint::max();
+  if (!m_PublishedCapacity.fitsIn(m_Registration.m_Capacity))
+    At = std::min(At, m_CapacityGrowsAt);
+  if (!m_Reachable && !m_Runs.empty())
+    At = std::min(At, m_LeasesEnd);
+  if (!m_Registered && isIdle() && !m_PollPending)
+    At = std::min(At,
+                  std::max(m_UnregisteredAt + RegistrationGrace, m_LeasesEnd));
+  return At;
+}
+
 bool ServerState::hasFiniteRuns() const {
   return std::any_of(m_Runs.begin(), m_Runs.end(),
                      [](const auto &E) { return !E.second.m_IsLongRunning; });
@@ -76,9 +94,16 @@
   S.m_Index = &m_Pools[R.m_Pool];
   S.m_IndexedMilliCores = S.freeResources().m_MilliCores;
   S.m_Index->insert(&S);
+  S.m_DueServers = &m_Due;
+  markChanged(S);
   return S;
 }
 
+void ServerRegistry::markChanged(ServerState &S) {
+  if (S.m_DueServers)
+    S.m_DueServers->add(S);
+}
+
 void ServerRegistry::growCapacity(ServerState &S, TimePoint Now) {
   if (Now < S.m_CapacityGrowsAt ||
       S.m_PublishedCapacity.fitsIn(S.m_Registration.m_Capacity))
@@ -92,6 +117,7 @@
   if (It == m_Servers.end())
     return;
   It->second.m_Index->erase(&It->second);
+  m_Due.remove(It->second);
   m_Servers.erase(It);
 }
 
@@ -116,6 +142,7 @@
                                   ActiveRun Run) {
   S.m_Used += Run.m_Allocation;
   reindex(S);
+  markChanged(S);
   if (Run.m_Account) {
     Run.m_Account->charge(Run.m_Charge);
     Run.m_Account->m_RunsOfUnknownSize += Run.m_HasUnknownSize;
@@ -129,6 +156,7 @@
     return;
   S.m_Used -= It->second.m_Allocation;
   reindex(S);
+  markChanged(S);
   if (OrganisationAccount *Account = It->second.m_Account) {
     Account->release(It->second.m_Charge);
     Account->m_RunsOfUnknownSize -= It->second.m_HasUnknownSize;
@@ -165,6 +193,7 @@
   S.m_Planned -= Need;
   --S.m_PlannedStarts;
   reindex(S);
+  markChanged(S);
 }
 
 } // namespace pollenspool
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -3,6 +3,7 @@
 #ifndef POLLENSPOOL_SCHEDULING_SERVERREGISTRY_H
 #define POLLENSPOOL_SCHEDULING_SERVERREGISTRY_H
 
+#include "scheduling/DueServers.h"
 #include "scheduling/Messages.h"
 #include "scheduling/OrganisationLedger.h"
 #include <deque>
@@ -184,6 +185,10 @@
   ServersByFreeCores *m_Index = nullptr;
   std::int64_t m_IndexedMilliCores = 0;
   std::uint64_t m_IndexNumber = 0;
+  /// Set by ServerRegistry; m_IsDue and m_CheckAt belong to it.
+  DueServers *m_DueServers = nullptr;
+  bool m_IsDue = false;
+  TimePoint m_CheckAt = TimePoint::max();
 
   ServerAddress address() const {
     return {m_Registration.m_Id, m_Registration.m_Address};
@@ -207,6 +212,12 @@
   }
   /// Whether the server has runs that end by themselves.
   bool hasFiniteRuns() const;
+  /// Whether a poll is to be sent at m_NextPoll.
+  bool needsPoll() const;
+  /// When the next pass has something to do for the server, unless it changes
+  /// before: its capacity grows, its lease expires, it can be forgotten or it
+  /// has to be polled.
+  TimePoint nextCheck() const;
   /// Lower bound of the server's clock at \p Now, in milliseconds.
   std::int64_t minClockMs(TimePoint Now) const;
 };
@@ -241,6 +252,10 @@
   /// Lets a larger capacity of \p S take effect if it is due.
   static void growCapacity(ServerState &S, TimePoint Now);
   void erase(const ServerId &Id);
+  /// Lets the next pass look at \p S. To be called after each event that
+  /// affects a server's runs, polls, leases or registration.
+  static void markChanged(ServerState &S);
+  DueServers &due() { return m_Due; }
 
   /// Records that \p S was granted a lease of \p Length at \p Now.
   static void recordLease(ServerState &S, TimePoint Now, Duration Length);
@@ -268,6 +283,7 @@
   std::map<ServerId, ServerState> m_Servers;
   std::map<PoolName, ServersByFreeCores> m_Pools;
   std::uint64_t m_ServersAdded = 0;
+  DueServers m_Due;
 };
 
 } // namespace pollenspool
--- a/src/scheduling/testing/SchedulerInvariants.cpp
+++ b/src/scheduling/testing/SchedulerInvariants.cpp
@@ -125,6 +125,8 @@
     expect(S.m_IndexedMilliCores == S.freeResources().m_MilliCores &&
                Pool.count(const_cast<ServerState *>(&S)) == 1,
            Id, "it is not in its place among the servers of its pool");
+    expect(m_Core.servers().due().isAwaited(S), Id,
+           "no pass will check it when that is due");
   }
 
   void checkRun(const ServerState &S, const RunId &Run) {
