Log and count why jobs wait

Change: waitReason() classifies the first waiting task of a job into a closed set of reasons. Jobs count their planned starts that were given up before the record was written, since their latest start.

A pool whose free cores lie beside too little memory shows as no_memory with what is free (TellsThatServersWithFreeCoresLackMemory): demand counts cores alone, which this commit only makes visible.

--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -211,6 +211,22 @@
   return Family;
 }
 
+MetricFamily waitFamily(const WaitMonitor::Report &Report) {
+  MetricFamily Family;
+  Family.name = "pollenspool_jobs_waiting";
+  Family.help =
+      "Jobs of which nothing has run for over two seconds, by reason.";
+  Family.type = MetricType::Gauge;
+  for (std::size_t N = 0; N < WaitReasonCount; ++N) {
+    ClientMetric Metric;
+    Metric.gauge.value = number(Report.m_Counts[N]);
+    Metric.label.push_back(
+        {"reason", std::string(waitReasonName(static_cast<WaitReason>(N)))});
+    Family.metric.push_back(Metric);
+  }
+  return Family;
+}
+
 MetricFamily decisionFamily(const DecisionTimes &Times) {
   MetricFamily Family;
   Family.name = "pollenspool_decision_cpu_seconds";
@@ -296,6 +312,8 @@
   Families.push_back(m_Impl->latencyFamily());
   Families.push_back(decisionFamily(Service.load().decisionTimes()));
   Families.push_back(m_Impl->refusalFamily());
+  if (Service.leader())
+    Families.push_back(waitFamily(Service.leader()->waits().report()));
   if (Service.leader())
     for (MetricFamily &Family :
          organisationFamilies(listOrganisations(Service.leader()->scheduler())))
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -61,6 +61,7 @@
   m_Scheduler = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
   m_Scheduler->restoreAdmission(Lead.renewal().m_Admission);
   m_ProgressWriter = ProgressWriter::create(*m_Scheduler, Lead.termCondition());
+  m_Waits = WaitMonitor::create(*m_Scheduler, *m_ProgressWriter);
   FleetPlannerOptions Fleet;
   Fleet.m_MoveTime = Settings.m_MoveTime;
   Fleet.m_MaintenanceTime = Settings.m_MaintenanceTime;
@@ -276,6 +277,7 @@
     listInstances();
   planInstanceOrders();
   recordProgress();
+  m_Waits->update(Now);
   recordWaves();
   removeOldStates();
   m_DecisionTime = m_Loop.now() - Now;
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -13,6 +13,7 @@
 #include "lead/StartRecords.h"
 #include "net/EventLoop.h"
 #include "scheduling/ProgressWriter.h"
+#include "scheduling/WaitMonitor.h"
 #include "store/StoreClock.h"
 #include "store/TableMirror.h"
 #include <map>
@@ -51,6 +52,7 @@
   /// For the operators' status page.
   Scheduler &scheduler() { return *m_Scheduler; }
   const FleetPlanner &planner() const { return *m_Planner; }
+  const WaitMonitor &waits() const { return *m_Waits; }
 
   void onStartResult(const StartOrder &Order, const StartReply &Reply) override;
   void onStopResult(const StopOrder &Order, OrderResult R) override;
@@ -106,6 +108,7 @@
   LoadMonitor &m_Load;
   std::unique_ptr<Scheduler> m_Scheduler;
   std::unique_ptr<ProgressWriter> m_ProgressWriter;
+  std::unique_ptr<WaitMonitor> m_Waits;
   std::unique_ptr<FleetPlanner> m_Planner;
   StartRecords m_StartRecords;
   /// Progress of waves that earlier leaders recorded.
--- a/src/entry/StatusPage.cpp
+++ b/src/entry/StatusPage.cpp
@@ -145,7 +145,7 @@
     Page["state"] = stateName(Job->m_State);
     Page["steps"] = steps(*Job);
   }
-  Page["waits"] = L->scheduler().pendingReason(Id, Now);
+  Page["waits"] = L->waits().explain(Id, Now);
   return Page.dump();
 }
 
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -69,6 +69,26 @@
                      });
 }
 
+bool LiveJob::hasRuns() const {
+  for (const auto &[Number, O] : m_Occurrences) {
+    if (O.m_StepsDone == O.m_Steps.size())
+      continue;
+    for (const StepState &S : O.m_Steps)
+      if (std::any_of(S.m_Tasks.begin(), S.m_Tasks.end(),
+                      [](const TaskState &T) { return !T.m_Runs.empty(); }))
+        return true;
+  }
+  return false;
+}
+
+std::optional<ReadyTask> LiveJob::firstWaitingTask() const {
+  if (!m_Ready.empty())
+    return m_Ready.front();
+  if (!m_PlannedStarts.empty())
+    return m_PlannedStarts.front().m_Task;
+  return std::nullopt;
+}
+
 void LiveJob::removeFromReady(const TaskId &Id) {
   TaskState *T = task(Id);
   if (!T || !T->m_Ready)
@@ -131,6 +151,7 @@
       !Job.m_RestoredProgress.m_SuspectStarts.empty();
   Job.m_AcceptedVersion = Accepted;
   Job.m_StateVersion = State;
+  Job.m_IdleSince = Now;
   Job.m_AcceptedAt = Now - std::max(std::chrono::milliseconds(0),
                                     Wall - Job.m_Spec.m_AcceptedAt);
   JobId Id = Job.m_Spec.m_Id;
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -162,6 +162,13 @@
   /// JobRegistry::markNewlyReady() must be called.
   std::vector<ReadyTask> m_Ready;
   std::vector<PlannedStart> m_PlannedStarts;
+  /// When a start was first planned since the latest start, and how many plans
+  /// have been given up since then before their record was written.
+  std::optional<TimePoint> m_FirstPlannedAt;
+  std::uint32_t m_PlansDropped = 0;
+  /// When the job became known, its latest run ended, or its next occurrence
+  /// was last found not to be due.
+  TimePoint m_IdleSince{};
   /// The queue in which the job waits for placement; null if it does not.
   PlacementQueue *m_PlacementQueue = nullptr;
   /// Whether an earlier leader recorded starts of suspected tasks.
@@ -211,6 +218,15 @@
   TaskState *task(const TaskId &Id);
   StepState *step(std::uint32_t Occurrence, std::uint32_t Step);
   bool hasPlannedStart(const TaskId &Id) const;
+  /// Whether any task has a run.
+  bool hasRuns() const;
+  /// Whether all tasks of the occurrences released so far are done.
+  bool areReleasedTasksDone() const {
+    return m_OccurrencesDone == m_Occurrences.size();
+  }
+  /// The ready task that is tried first, or the first one with a planned start;
+  /// none if no task waits.
+  std::optional<ReadyTask> firstWaitingTask() const;
   /// Removes a task from the ready list if it is there.
   void removeFromReady(const TaskId &Id);
   /// The current demand. Adds the number of ready tasks and steps that had to
--- a/src/scheduling/Messages.cpp
+++ b/src/scheduling/Messages.cpp
@@ -13,10 +13,13 @@
   return Names[static_cast<std::size_t>(R)];
 }
 
+std::string taskName(const TaskId &Id) {
+  return Id.m_Job.m_Text + "." + std::to_string(Id.m_Occurrence) + "." +
+         std::to_string(Id.m_Step) + "." + std::to_string(Id.m_Index);
+}
+
 std::string runName(const RunId &Id) {
-  return Id.m_Task.m_Job.m_Text + "." + std::to_string(Id.m_Task.m_Occurrence) +
-         "." + std::to_string(Id.m_Task.m_Step) + "." +
-         std::to_string(Id.m_Task.m_Index) + "#" + std::to_string(Id.m_Number);
+  return taskName(Id.m_Task) + "#" + std::to_string(Id.m_Number);
 }
 
 std::string_view endKindName(EndKind K) {
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -63,6 +63,8 @@
   }
 };
 
+/// The name of \p Id in logs. Thread safe.
+std::string taskName(const TaskId &Id);
 /// The name of \p Id in logs. Thread safe.
 std::string runName(const RunId &Id);
 
--- a/src/scheduling/OrganisationLedger.cpp
+++ b/src/scheduling/OrganisationLedger.cpp
@@ -23,6 +23,14 @@
   return Cap <= 0 || Need == 0 || Used + Need <= Cap;
 }
 
+/// Whether a job waits for room under the cap of \p Account, which has been
+/// tried lately and not for too long.
+bool hasBlockedJob(const OrganisationAccount &Account, TimePoint Now) {
+  return Account.m_BlockedJob &&
+         Now < Account.m_BlockedSeenAt + BlockedJobLifetime &&
+         Now < Account.m_BlockedSince + OvertakingTime + MaxHoldTime;
+}
+
 } // namespace
 
 bool OrganisationAccount::hasRoomFor(const Resources &Need) const {
@@ -85,14 +93,23 @@
     Account.m_Reserved = {};
 }
 
+bool OrganisationLedger::isWithoutRoom(const OrganisationAccount *Account,
+                                       const LiveJob &Job,
+                                       const Resources &Need, TimePoint Now) {
+  if (!Account || !Account->hasCap())
+    return false;
+  return !Account->hasRoomFor(Need) ||
+         (hasBlockedJob(*Account, Now) && Account->m_BlockedJob != &Job &&
+          Now >= Account->m_BlockedSince + OvertakingTime &&
+          Account->competesWithBlocked(Need));
+}
+
 bool OrganisationLedger::mayCharge(OrganisationAccount *Account,
                                    const LiveJob &Job, const Resources &Need,
                                    TimePoint Now) {
   if (!Account || !Account->hasCap())
     return true;
-  bool IsHeld = Account->m_BlockedJob &&
-                Now < Account->m_BlockedSeenAt + BlockedJobLifetime &&
-                Now < Account->m_BlockedSince + OvertakingTime + MaxHoldTime;
+  bool IsHeld = hasBlockedJob(*Account, Now);
   if (IsHeld && Account->m_BlockedJob != &Job &&
       Now >= Account->m_BlockedSince + OvertakingTime &&
       Account->competesWithBlocked(Need))
--- a/src/scheduling/OrganisationLedger.h
+++ b/src/scheduling/OrganisationLedger.h
@@ -69,9 +69,15 @@
   /// Whether \p Job may start tasks that require \p Need. A job that has waited
   /// for long for room under the cap of its organisation is not overtaken by
   /// the organisation's other jobs, which would starve large tasks.
+  /// \see isWithoutRoom(), which does not count as an attempt of \p Job.
   static bool mayCharge(OrganisationAccount *Account, const LiveJob &Job,
                         const Resources &Need, TimePoint Now);
 
+  /// Whether mayCharge() would say no.
+  static bool isWithoutRoom(const OrganisationAccount *Account,
+                            const LiveJob &Job, const Resources &Need,
+                            TimePoint Now);
+
 private:
   std::map<OrganisationName, OrganisationAccount> m_Accounts;
   bool m_HasCaps = false;
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -55,6 +55,21 @@
   return m_Latency.isSlow(Now) || pendingFor(Now) >= SlowCommitLatency;
 }
 
+std::string ProgressWriter::describeWait(const JobId &Id, TimePoint Now) const {
+  const std::string Partition = jobStateAddress(Id).m_Partition;
+  std::string Text = "partition " + Partition + " ";
+  auto It = m_Backoffs.find(Partition);
+  if (m_PendingPartitions.count(Partition) != 0)
+    Text += "has a pending write";
+  else if (It != m_Backoffs.end())
+    Text += "has failed " + std::to_string(It->second.m_Failures) +
+            " writes in a row";
+  else
+    Text += Now < m_RetryAt ? "waits after a failed write" : "is idle";
+  return Text +
+         (isStoreSlow(Now) ? "; the store is slow" : "; the store is not slow");
+}
+
 bool ProgressWriter::onlyWantsStart(const LiveJob &Job) {
   return Job.m_WantsStart && !isFinal(Job.m_State) &&
          (Job.m_IsRecordedAsRunning || Job.m_State == JobState::Queued) &&
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -22,6 +22,7 @@
 #include "scheduling/PlacementQueue.h"
 #include "scheduling/SchedulerTypes.h"
 #include "scheduling/ServerRegistry.h"
+#include "scheduling/WaitReason.h"
 #include "serving/ServingConfig.h"
 #include <functional>
 #include <memory>
@@ -127,6 +128,13 @@
   std::map<QueueName, std::uint32_t> waitingJobs() const;
   /// The current demand on each pool.
   std::map<PoolName, PoolDemand> demand();
+  /// Why the first waiting task of \p Job has not started. Compares some
+  /// servers of its pool, which SchedulerCounters::m_ServersSearched counts.
+  WaitReason waitReason(const LiveJob &Job, TimePoint Now);
+  /// Describes for operators why \p Job waits for \p Reason, which waitReason()
+  /// has returned.
+  std::string describeWait(const LiveJob &Job, WaitReason Reason,
+                           TimePoint Now) const;
   /// Describes for operators why the next task of a job has not started.
   std::string pendingReason(const JobId &Id, TimePoint Now);
   /// Ready tasks that need a server of another kind, or another server that the
@@ -289,6 +297,9 @@
   /// of \p Step.
   static bool hasRoomUnderCap(const LiveJob &Job, const StepSpec &Step,
                               std::uint32_t Tasks, TimePoint Now);
+  /// Whether hasRoomUnderCap() would say no. Does not count as an attempt.
+  static bool isWithoutRoomUnderCap(const LiveJob &Job, const StepSpec &Step,
+                                    TimePoint Now);
   /// Reserves room under the caps for tasks that an earlier leader may have
   /// started on servers that have not answered yet.
   void reserveUnknownRuns(TimePoint Now);
@@ -367,6 +378,21 @@
   /// Finds the pools with servers that have not answered in this term.
   void findUnacknowledgedPools();
 
+  // Reasons why jobs wait (SchedulerExplain.cpp).
+  /// The reason apart from the servers of the pool; None if there is none.
+  WaitReason reasonBeforePlacement(const LiveJob &Job, const ReadyTask &Task,
+                                   TimePoint Now) const;
+  /// What the servers of the pool lack for the task.
+  WaitReason placementObstacle(const LiveJob &Job, const ReadyTask &Task,
+                               TimePoint Now);
+  /// What \p S, which has enough free cores, lacks for the task.
+  WaitReason obstacleOn(const ServerState &S, const LiveJob &Job,
+                        const ReadyTask &Task, const StepNeeds &Needs,
+                        TimePoint Now) const;
+  std::string describeRoom(const LiveJob &Job, const ReadyTask &Task,
+                           TimePoint Now) const;
+  std::string describeUnknownRuns(const LiveJob &Job, TimePoint Now) const;
+
   // Advice (SchedulerAdvice.cpp).
   static const AdvicePolicy *advicePolicy(const LiveJob &Job);
   void requestAdvice(LiveJob &Job, const PoolPass &Pass);
@@ -412,7 +438,12 @@
   TimePoint m_LastAbruptSilence{};
   TimePoint m_TermBegunAt{};
   TimePoint m_UnknownRunsUntil{};
-  std::set<PoolName> m_UnacknowledgedPools;
+  /// The servers of a pool that have not answered in this term.
+  struct UnacknowledgedServers {
+    std::size_t m_Count = 0;
+    ServerId m_First;
+  };
+  std::map<PoolName, UnacknowledgedServers> m_UnacknowledgedPools;
   /// Whether m_UnacknowledgedPools is out of date.
   bool m_UnacknowledgedPoolsChanged = true;
   bool m_Superseded = false;
--- a/src/scheduling/SchedulerCaps.cpp
+++ b/src/scheduling/SchedulerCaps.cpp
@@ -22,6 +22,13 @@
       Job.m_Account, Job, times(Step.m_RequiredResources, Tasks), Now);
 }
 
+bool Scheduler::isWithoutRoomUnderCap(const LiveJob &Job, const StepSpec &Step,
+                                      TimePoint Now) {
+  const std::uint32_t Tasks = Step.m_Gang ? Step.m_Count : 1;
+  return OrganisationLedger::isWithoutRoom(
+      Job.m_Account, Job, times(Step.m_RequiredResources, Tasks), Now);
+}
+
 void Scheduler::reserveUnknownRuns(TimePoint Now) {
   if (!m_Organisations.hasCaps() ||
       (m_ReservedAt && Now < *m_ReservedAt + ReservationLifetime))
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -5,52 +5,191 @@
 
 namespace pollenspool {
 
-std::string Scheduler::pendingReason(const JobId &Id, TimePoint Now) {
-  LiveJob *Job = m_Jobs.find(Id);
-  if (!Job)
-    return "it has ended, or is not known to this leader yet";
-  if (Job->m_Ready.empty() && !Job->m_PlannedStarts.empty())
-    return "its start is being recorded in the store";
-  if (Job->m_Ready.empty())
-    return Job->m_Occurrences.empty() ? "its first occurrence is not due yet"
-                                      : "it does not wait";
-  if (Job->m_AcceptedVersion > m_Authority.m_StartableVersion)
-    return "the store has not confirmed that this leader still leads";
-  if (mayHaveUnknownRuns(*Job, Job->m_Ready.front(), Now))
-    return "an earlier leader may have started it on a server that has not "
-           "answered this leader";
-  const ReadyTask &First = Job->m_Ready.front();
-  const TaskState &T =
-      Job->step(First.m_Occurrence, First.m_Step)->m_Tasks[First.m_Index];
+namespace {
+
+std::string milliseconds(Duration D) {
+  return std::to_string(D / std::chrono::milliseconds(1)) + " ms";
+}
+
+std::string describe(const Resources &R) {
+  return std::to_string(R.m_MilliCores) + " millicores, " +
+         std::to_string(R.m_MemoryMb) + " MB, " + std::to_string(R.m_Gpus) +
+         " GPUs";
+}
+
+/// Whether the text of \p R names the room on the servers of the pool.
+bool isLackOfRoom(WaitReason R) {
+  return R >= WaitReason::NoCores && R <= WaitReason::ServerLimit;
+}
+
+/// Whether all unfinished tasks of \p Step, a gang, are ready at \p Now.
+bool isGangReady(const StepState &Step, TimePoint Now) {
+  return std::all_of(Step.m_Tasks.begin(), Step.m_Tasks.end(),
+                     [&](const TaskState &T) {
+                       return T.m_Done || (T.m_Ready && Now >= T.m_NotBefore);
+                     });
+}
+
+} // namespace
+
+WaitReason Scheduler::reasonBeforePlacement(const LiveJob &Job,
+                                            const ReadyTask &Task,
+                                            TimePoint Now) const {
+  const StepState &Step =
+      Job.m_Occurrences.at(Task.m_Occurrence).m_Steps[Task.m_Step];
+  const TaskState &T = Step.m_Tasks[Task.m_Index];
+  const StepSpec &Spec = Job.m_Spec.m_Steps[Task.m_Step];
+  if (!isStartable(Job))
+    return m_Authority.m_IsTermConfirmed ? WaitReason::JobViewUnconfirmed
+                                         : WaitReason::TermUnconfirmed;
+  if (Job.m_Ready.empty())
+    return Job.m_PlansDropped > 0 ? WaitReason::StartPlannedAgain
+                                  : WaitReason::StartBeingRecorded;
+  if (mayHaveUnknownRuns(Job, Task, Now))
+    return WaitReason::EarlierLeaderRuns;
   if (Now < T.m_NotBefore)
-    return "the delay after its last run is not over";
+    return WaitReason::PauseAfterRun;
   if (T.isSuspect())
-    return std::to_string(T.m_Crashes->m_Runs.size()) +
-           " servers have crashed under it, so it waits for a server without "
-           "tasks of other jobs";
-  const PoolName Pool = poolOf(*Job);
-  if (!hasServerFor(*Job, First))
-    return "no server of pool " + Pool.m_Text + " may run it";
-  const StepNeeds Needs = needsOf(*Job, First);
-  const StepId Step = Job->stepId(First);
-  std::size_t Usable = 0, WithCapacity = 0, WithTicket = 0;
-  for (const auto &[ServerName, S] : m_Servers.all()) {
-    if (S.m_Registration.m_Pool != Pool || !isUsable(S, Now))
+    return WaitReason::Isolation;
+  if (Spec.m_Gang && !isGangReady(Step, Now))
+    return WaitReason::GangIncomplete;
+  if (isWithoutRoomUnderCap(Job, Spec, Now))
+    return WaitReason::OrganisationCap;
+  return WaitReason::None;
+}
+
+WaitReason Scheduler::obstacleOn(const ServerState &S, const LiveJob &Job,
+                                 const ReadyTask &Task, const StepNeeds &Needs,
+                                 TimePoint Now) const {
+  const Resources Free = S.freeResources();
+  if (Needs.m_Need.m_MemoryMb > Free.m_MemoryMb)
+    return WaitReason::NoMemory;
+  if (Needs.m_Need.m_Gpus > Free.m_Gpus)
+    return WaitReason::NoGpu;
+  if (!hasLabel(S.m_Registration.m_Labels, Needs.m_Step->m_RequiredLabel))
+    return WaitReason::NoLabel;
+  if (S.isHeldForSuspects(Now))
+    return WaitReason::HeldForSuspects;
+  if (!canHost(S, Job, Task, Needs, {}))
+    return WaitReason::ServerLimit;
+  if (Needs.m_NeedsTicket && !m_Advice.ticket(Job.stepId(Task), S, Now))
+    return WaitReason::NoTicket;
+  return Needs.m_Step->m_Gang ? WaitReason::GangIncomplete
+                              : WaitReason::AboutToStart;
+}
+
+WaitReason Scheduler::placementObstacle(const LiveJob &Job,
+                                        const ReadyTask &Task, TimePoint Now) {
+  if (!hasServerFor(Job, Task))
+    return WaitReason::NoSuitableServer;
+  const ServersByFreeCores &Servers = m_Servers.inPool(poolOf(Job));
+  if (std::none_of(Servers.rbegin(), Servers.rend(),
+                   [&](const ServerState *S) { return isUsable(*S, Now); }))
+    return WaitReason::NoUsableServer;
+  const StepNeeds Needs = needsOf(Job, Task);
+  WaitReason Furthest = WaitReason::NoCores;
+  for (auto It = Servers.lower_bound(Needs.m_Need.m_MilliCores);
+       It != Servers.end() && Furthest < WaitReason::GangIncomplete; ++It) {
+    ++m_Counters.m_ServersSearched;
+    if (isUsable(**It, Now))
+      Furthest = std::max(Furthest, obstacleOn(**It, Job, Task, Needs, Now));
+  }
+  return Furthest;
+}
+
+WaitReason Scheduler::waitReason(const LiveJob &Job, TimePoint Now) {
+  if (isFinal(Job.m_State))
+    return WaitReason::EndBeingRecorded;
+  const std::optional<ReadyTask> First = Job.firstWaitingTask();
+  if (!First && Job.areReleasedTasksDone())
+    return WaitReason::NotDue;
+  if (!First)
+    return Job.hasRuns() ? WaitReason::None : WaitReason::NoTaskReady;
+  WaitReason Reason = reasonBeforePlacement(Job, *First, Now);
+  if (Reason == WaitReason::None)
+    Reason = placementObstacle(Job, *First, Now);
+  if (Reason == WaitReason::AboutToStart && Job.m_PlansDropped > 0)
+    return WaitReason::StartPlannedAgain;
+  return Reason;
+}
+
+std::string Scheduler::describeRoom(const LiveJob &Job, const ReadyTask &Task,
+                                    TimePoint Now) const {
+  const StepNeeds Needs = needsOf(Job, Task);
+  std::size_t Usable = 0, WithCores = 0;
+  Resources Most;
+  for (const ServerState *S : m_Servers.inPool(poolOf(Job))) {
+    if (!isUsable(*S, Now))
       continue;
     ++Usable;
-    if (!canHost(S, *Job, First, Needs, {}))
+    const Resources Free = S->freeResources();
+    Most.m_MilliCores = std::max(Most.m_MilliCores, Free.m_MilliCores);
+    if (Free.m_MilliCores < Needs.m_Need.m_MilliCores)
       continue;
-    ++WithCapacity;
-    WithTicket += m_Advice.ticket(Step, S, Now) != nullptr;
+    ++WithCores;
+    Most.m_MemoryMb = std::max(Most.m_MemoryMb, Free.m_MemoryMb);
+    Most.m_Gpus = std::max(Most.m_Gpus, Free.m_Gpus);
+  }
+  return "none of " + std::to_string(Usable) + " usable servers of pool " +
+         poolOf(Job).m_Text + " has room for a task of step " +
+         std::to_string(Task.m_Step) + ", which needs " +
+         describe(Needs.m_Need) + "; " + std::to_string(WithCores) +
+         " have the cores; the most that is free, memory and GPUs beside "
+         "enough cores: " +
+         describe(Most) + "; ";
+}
+
+std::string Scheduler::describeUnknownRuns(const LiveJob &Job,
+                                           TimePoint Now) const {
+  auto It = m_UnacknowledgedPools.find(poolOf(Job));
+  if (It == m_UnacknowledgedPools.end())
+    It = m_UnacknowledgedPools.find(Job.m_Spec.m_Pool);
+  std::string Servers = It == m_UnacknowledgedPools.end()
+                            ? "the instances are not listed yet"
+                            : "pool " + It->first.m_Text + ": " +
+                                  std::to_string(It->second.m_Count) +
+                                  " servers have not answered, the first is " +
+                                  It->second.m_First.m_Text;
+  return "; " + Servers + "; for at most " +
+         milliseconds(m_UnknownRunsUntil - Now) + " more";
+}
+
+std::string Scheduler::describeWait(const LiveJob &Job, WaitReason Reason,
+                                    TimePoint Now) const {
+  std::string Text(waitReasonText(Reason));
+  const std::optional<ReadyTask> First = Job.firstWaitingTask();
+  if (!First)
+    return Text;
+  switch (Reason) {
+  case WaitReason::StartBeingRecorded:
+  case WaitReason::StartPlannedAgain:
+    if (Job.m_FirstPlannedAt)
+      Text += "; since " + milliseconds(Now - *Job.m_FirstPlannedAt);
+    return Text + "; plans dropped: " + std::to_string(Job.m_PlansDropped);
+  case WaitReason::EarlierLeaderRuns:
+    return Text + describeUnknownRuns(Job, Now);
+  case WaitReason::Isolation:
+    return std::to_string(Job.m_Occurrences.at(First->m_Occurrence)
+                              .m_Steps[First->m_Step]
+                              .m_Tasks[First->m_Index]
+                              .m_Crashes->m_Runs.size()) +
+           " servers have crashed under it, so " + Text;
+  case WaitReason::NoSuitableServer:
+  case WaitReason::NoUsableServer:
+    return "no server of pool " + poolOf(Job).m_Text +
+           Text.substr(std::string_view("no server of its pool").size());
+  case WaitReason::NoTicket:
+    return Text + "; pool " + poolOf(Job).m_Text;
+  default:
+    return isLackOfRoom(Reason) ? describeRoom(Job, *First, Now) + Text : Text;
   }
-  std::string Servers =
-      std::to_string(Usable) + " usable servers of pool " + Pool.m_Text;
-  if (WithCapacity == 0)
-    return "none of " + Servers + " has room for a task of step " +
-           std::to_string(First.m_Step);
-  if (advicePolicy(*Job) && WithTicket == 0)
-    return "the adviser has allowed none of " + Servers + " yet";
-  return "it is about to start";
+}
+
+std::string Scheduler::pendingReason(const JobId &Id, TimePoint Now) {
+  const LiveJob *Job = m_Jobs.find(Id);
+  if (!Job)
+    return "it has ended, or is not known to this leader yet";
+  return describeWait(*Job, waitReason(*Job, Now), Now);
 }
 
 } // namespace pollenspool
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -306,6 +306,8 @@
   ServerRegistry::addRun(S, Order.m_Run, Run);
   T.m_Ready = false;
   T.m_LastRunNumber = RunNumber;
+  Job.m_FirstPlannedAt.reset();
+  Job.m_PlansDropped = 0;
   T.m_Runs.push_back({S.m_Registration.m_Id, RunNumber});
   if (m_Jobs.markStarted(Job))
     logEvent(Event::JobStarted,
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -198,6 +198,7 @@
   if (!T)
     return;
   eraseLocation(*T, S.m_Registration.m_Id, Id.m_Number);
+  Job->m_IdleSince = Now;
   if (Loss != RunLoss::ServerCrashed)
     endSuspectStart(*Job, Id.m_Task);
   logEvent(Event::TaskAgain, {{"run", runName(Id)},
@@ -255,6 +256,7 @@
     const TaskId &Task = End.m_Run.m_Task;
     const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
     eraseLocation(*T, S.m_Registration.m_Id, End.m_Run.m_Number);
+    Job->m_IdleSince = Now;
     T->m_LastRunNumber = std::max(T->m_LastRunNumber, End.m_Run.m_Number);
     m_Jobs.endSuspectStart(*Job, *T);
     if (!End.m_Checkpoint.empty())
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -31,15 +31,24 @@
 void Scheduler::findUnacknowledgedPools() {
   m_UnacknowledgedPoolsChanged = false;
   m_UnacknowledgedPools.clear();
+  auto Count = [this](const PoolName &Pool, const ServerId &Server) {
+    UnacknowledgedServers &U = m_UnacknowledgedPools[Pool];
+    if (++U.m_Count == 1)
+      U.m_First = Server;
+  };
   for (const auto &[Id, S] : m_Servers.all())
     if (!S.m_HasAcknowledgedTerm && !S.m_IsListedAsGone)
-      m_UnacknowledgedPools.insert(S.m_Registration.m_Pool);
+      Count(S.m_Registration.m_Pool, Id);
   for (const InstanceListing &L : m_Instances) {
     if (L.m_Condition != InstanceCondition::Up || L.m_Server.empty())
       continue;
     const ServerState *S = m_Servers.find(L.m_Server);
-    if (!S || !S->m_HasAcknowledgedTerm)
-      m_UnacknowledgedPools.insert(L.m_Pool);
+    if (S && S->m_HasAcknowledgedTerm)
+      continue;
+    bool IsCounted =
+        S && !S->m_IsListedAsGone && S->m_Registration.m_Pool == L.m_Pool;
+    if (!IsCounted)
+      Count(L.m_Pool, L.m_Server);
   }
 }
 
@@ -84,6 +93,8 @@
                           const Resources &Need, ServerState &S,
                           std::uint32_t RunNumber, TimePoint Now) {
   m_Jobs.requestStart(Job, Task.m_Occurrence, Task.m_Step);
+  if (!Job.m_FirstPlannedAt)
+    Job.m_FirstPlannedAt = Now;
   if (Job.m_PlannedStarts.empty())
     m_JobsWithPlannedStarts.push_back(&Job);
   const Resources &Charge = Job.m_Spec.m_Steps[Task.m_Step].m_RequiredResources;
@@ -152,8 +163,10 @@
   if (Resolved.empty())
     return;
   Job.m_PlannedStarts = std::move(Kept);
-  for (const PlannedStart &P : Resolved)
+  for (const PlannedStart &P : Resolved) {
     cancelPlannedStart(Job, P);
+    Job.m_PlansDropped += !isStartRecorded(Job, P.m_Task, *P.m_Server);
+  }
   for (const PlannedStart &P : Resolved)
     startOrRequeue(Job, P, Now);
 }
