Call without timers and composed operations of Beast

A call of HttpClient cost 28 to 32 us of processor time, half of it in user mode: Beast's streams armed and cancelled a timer for each step, its serializer and parser walked nested buffer sequences and a map of fields, each step was a completion of its own, and each reuse peeked into the socket.

ClientConnection uses a plain Asio socket. A request is one buffer and one non-blocking send; a receive is always pending, between calls too, so that a close by the peer is seen without a check. The check stays for connections that are idle for over a second, and in the moment after a reply, when the loop may not have reported a close yet. ReplyParser fills HttpReply from Beast's parser. One set of deadlines and one timer end calls, also those that wait for a connection. Calls that are left when the client is destroyed still end once.

--- /dev/null
+++ b/src/net/ClientConnection.h
@@ -0,0 +1,101 @@
+//===- ClientConnection.h - One connection of HttpClient --------*- C++ -*-===//
+
+#ifndef POLLENSPOOL_NET_CLIENTCONNECTION_H
+#define POLLENSPOOL_NET_CLIENTCONNECTION_H
+
+#include "base/Error.h"
+#include "base/Time.h"
+#include "net/ConnectionSlots.h"
+#include "net/HttpMessage.h"
+#include "net/ReplyParser.h"
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pollenspool {
+
+/// A connection that exchanges one request and reply at a time. It waits for
+/// data all the time, also between two exchanges, so that a close by the peer
+/// is seen without a system call of its own. Destroying it closes the socket
+/// and discards what has not been sent; no callback comes after that. It knows
+/// no time limits. To be used on the event loop's thread only.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+public:
+  /// Receives a connection's events, never from within open() or send().
+  class Listener {
+  public:
+    virtual ~Listener() = default;
+    virtual void onConnected(ClientConnection &Connection) = 0;
+    /// The peer did not accept the connection.
+    virtual void onConnectFailed(ClientConnection &Connection,
+                                 const boost::system::error_code &Failed) = 0;
+    /// The exchange is complete. \p IsReusable: the connection may carry
+    /// another one.
+    virtual void onReply(ClientConnection &Connection, HttpReply Reply,
+                         bool IsReusable) = 0;
+    /// The exchange cannot be completed. The peer may have the request.
+    virtual void onExchangeFailed(ClientConnection &Connection,
+                                  const boost::system::error_code &Failed) = 0;
+    /// The peer closed the connection between two exchanges, or sent data that
+    /// no request asked for.
+    virtual void onIdleEnd(ClientConnection &Connection) = 0;
+  };
+
+  /// \p Context and \p Events must outlive the connection.
+  static std::shared_ptr<ClientConnection>
+  create(boost::asio::io_context &Context, Listener &Events,
+         ConnectionNumber Number);
+  ~ClientConnection();
+  ClientConnection(const ClientConnection &) = delete;
+  ClientConnection &operator=(const ClientConnection &) = delete;
+
+  ConnectionNumber number() const { return m_Number; }
+  /// Connects to \p Peer. Precondition: not called before.
+  void open(const boost::asio::ip::tcp::endpoint &Peer);
+  /// Sends \p Request and waits for its reply. Precondition: connected, no
+  /// exchange in progress.
+  void send(std::string Request);
+  /// Notes that the exchange has ended at \p Now.
+  void setIdleSince(TimePoint Now) { m_IdleSince = Now; }
+  /// Returns whether the peer has closed the idle connection or sent
+  /// unsolicited data on it, so that it must not be reused at \p Now.
+  bool isStale(TimePoint Now);
+
+private:
+  using Socket =
+      boost::asio::basic_stream_socket<boost::asio::ip::tcp,
+                                       boost::asio::io_context::executor_type>;
+  using ErrorCode = boost::system::error_code;
+
+  ClientConnection(boost::asio::io_context &Context, Listener &Events,
+                   ConnectionNumber Number)
+      : m_Socket(Context.get_executor()), m_Events(Events), m_Number(Number) {}
+
+  void setOptions();
+  void receive();
+  void onReceived(ErrorCode Failed, std::size_t Bytes);
+  /// Parses what has been received, and the end of the stream if \p IsClosed.
+  /// Returns whether the reply needs more.
+  bool parse(bool IsClosed);
+  void finish(bool IsClosed);
+  void fail(const ErrorCode &Failed);
+  void sendRest(std::size_t Sent);
+
+  Socket m_Socket;
+  Listener &m_Events;
+  ConnectionNumber m_Number;
+  boost::beast::flat_buffer m_Input;
+  /// Set during an exchange.
+  std::optional<ReplyParser> m_Parser;
+  /// The request, while a part of it waits for the network.
+  std::string m_Output;
+  TimePoint m_IdleSince{};
+};
+
+} // namespace pollenspool
+
+#endif // POLLENSPOOL_NET_CLIENTCONNECTION_H
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -3,67 +3,58 @@
 #include "net/HttpClient.h"
 #include "base/Address.h"
 #include "base/Log.h"
+#include "net/ClientConnection.h"
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
-#include <map>
-#include <sys/socket.h>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/set.hpp>
+#include <unordered_map>
 
 namespace pollenspool {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
+namespace intrusive = boost::intrusive;
 using boost::system::error_code;
 
 namespace {
 
-/// Maximum size of a reply body in bytes. The store's largest reply has 1 MB of
-/// rows; Base64 and JSON increase this by about half.
-constexpr std::uint64_t MaxReplyBytes = 8u << 20;
 /// Shortest interval between two log lines about a reached limit.
 constexpr Duration LimitLogInterval = std::chrono::seconds(1);
 
-struct Connection {
-  explicit Connection(asio::io_context &Context) : m_Stream(Context) {}
-  beast::tcp_stream m_Stream;
-  beast::flat_buffer m_Buffer;
-
-  /// To be called once the connection is open. Closing it discards what has not
-  /// been sent: a request that was given up must not be delivered later, when a
-  /// network that dropped it works again.
-  void setOptions() {
-    error_code Failed;
-    m_Stream.socket().set_option(asio::ip::tcp::no_delay(true), Failed);
-    if (!Failed)
-      m_Stream.socket().set_option(asio::socket_base::linger(true, 0), Failed);
-    if (Failed)
-      logEvent(Event::SocketOptionFailed, {{"error", Failed.message()}});
-  }
-
-  /// Returns whether the peer has closed the idle connection or sent
-  /// unsolicited data on it, so that it must not be reused.
-  bool isStale() {
-    char Byte = 0;
-    auto N = ::recv(m_Stream.socket().native_handle(), &Byte, 1,
-                    MSG_PEEK | MSG_DONTWAIT);
-    return N >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK) ||
-           m_Buffer.size() != 0;
-  }
-};
+using DeadlineHook =
+    intrusive::set_base_hook<intrusive::link_mode<intrusive::auto_unlink>>;
 
-struct Call {
+/// A call that has not ended. Its hook is in the client's set of deadlines.
+struct Call : DeadlineHook {
   CallNumber m_Number = 0;
   std::string m_Peer;
-  http::request<http::string_body> m_Request;
-  http::response_parser<http::string_body> m_Parser;
+  std::string m_Target;
+  /// The serialized request.
+  std::string m_Request;
   HttpClient::ReplyCallback m_Callback;
   TimePoint m_Deadline;
-  ConnectionNumber m_ConnectionNumber = 0;
-  std::unique_ptr<Connection> m_Connection;
+  /// 0 while the call waits for a connection.
+  ConnectionNumber m_Connection = 0;
+  bool m_IsSent = false;
 };
 
+struct EarlierDeadline {
+  bool operator()(const Call &Left, const Call &Right) const {
+    return Left.m_Deadline < Right.m_Deadline;
+  }
+};
+
+using DeadlineSet =
+    intrusive::multiset<Call, intrusive::compare<EarlierDeadline>,
+                        intrusive::constant_time_size<false>>;
+
+/// The end of the millisecond in which \p Time lies, so that calls of one
+/// millisecond end together.
+TimePoint endOfMillisecond(TimePoint Time) {
+  constexpr std::chrono::milliseconds Tick(1);
+  return std::chrono::floor<std::chrono::milliseconds>(Time) + Tick;
+}
+
 /// Whether an attempt to connect failed for lack of a resource of this process
 /// or system, which says nothing about the peer.
 bool isLocalFailure(const error_code &Failed) {
@@ -76,42 +67,87 @@
 
 } // namespace
 
-struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+struct HttpClient::Impl : ClientConnection::Listener,
+                          std::enable_shared_from_this<HttpClient::Impl> {
+  /// An open connection and the call on it; no call if it is idle.
+  struct Exchange {
+    std::shared_ptr<ClientConnection> m_Connection;
+    std::unique_ptr<Call> m_Call;
+  };
+
   EventLoop &m_Loop;
   std::string m_Name;
   ConnectionSlots m_Slots;
-  std::map<ConnectionNumber, std::unique_ptr<Connection>> m_Idle;
-  std::map<CallNumber, std::shared_ptr<Call>> m_Waiting;
+  /// The calls of the members below, by deadline. Destroyed after them.
+  DeadlineSet m_Deadlines;
+  std::unordered_map<ConnectionNumber, Exchange> m_Exchanges;
+  std::unordered_map<CallNumber, std::unique_ptr<Call>> m_Waiting;
+  /// Its pending wait keeps this object alive while a call has not ended.
+  asio::steady_timer m_Timer;
+  /// When the timer expires; no later than the first deadline.
+  std::optional<TimePoint> m_TimerExpiry;
+  /// Whether the client has been destroyed.
+  bool m_IsAbandoned = false;
   HttpClientCounters m_Counters;
   CallNumber m_LastCall = 0;
   TimePoint m_NextLimitLog{};
 
   Impl(EventLoop &Loop, std::string Name, const ConnectionLimits &Limits)
-      : m_Loop(Loop), m_Name(std::move(Name)), m_Slots(Limits) {}
-
-  void enqueue(const std::shared_ptr<Call> &C) {
-    m_Waiting[C->m_Number] = C;
-    m_Slots.addCall(C->m_Number, C->m_Peer);
+      : m_Loop(Loop), m_Name(std::move(Name)), m_Slots(Limits),
+        m_Timer(Loop.context()) {}
+
+  void enqueue(std::unique_ptr<Call> C) {
+    m_Deadlines.insert(*C);
+    armTimer();
+    CallNumber Number = C->m_Number;
+    const std::string &Peer = C->m_Peer;
+    auto &Waiting = m_Waiting[Number];
+    Waiting = std::move(C);
+    m_Slots.addCall(Number, Peer);
     startCalls();
-    if (m_Waiting.count(C->m_Number))
-      m_Loop.after(C->m_Deadline - m_Loop.now(),
-                   [Weak = weak_from_this(), Number = C->m_Number] {
-                     if (auto Self = Weak.lock())
-                       Self->onWaitExpired(Number);
-                   });
   }
 
-  void onWaitExpired(CallNumber Number) {
-    auto It = m_Waiting.find(Number);
-    if (It == m_Waiting.end())
+  /// Lets the timer expire at the first deadline. A wait that ends earlier is
+  /// left as it is: most calls end long before their deadline.
+  void armTimer() {
+    if (m_Deadlines.empty())
+      return;
+    TimePoint First = m_Deadlines.begin()->m_Deadline;
+    if (m_TimerExpiry && *m_TimerExpiry <= First)
       return;
+    m_TimerExpiry = First;
+    m_Timer.expires_after(First - m_Loop.now());
+    m_Timer.async_wait([Self = shared_from_this()](const error_code &Failed) {
+      if (!Failed)
+        Self->onTimer();
+    });
+  }
+
+  void onTimer() {
+    m_TimerExpiry.reset();
+    TimePoint Now = m_Loop.now();
+    while (!m_Deadlines.empty() && m_Deadlines.begin()->m_Deadline <= Now)
+      expire(*m_Deadlines.begin());
+    armTimer();
+  }
+
+  void expire(const Call &C) {
+    if (C.m_Connection == 0)
+      return expireWaiting(C.m_Number);
+    fail(C.m_Connection,
+         C.m_IsSent ? ErrorCode::Timeout : ErrorCode::ConnectFailed,
+         "the deadline has passed");
+  }
+
+  void expireWaiting(CallNumber Number) {
+    auto It = m_Waiting.find(Number);
     auto C = std::move(It->second);
     m_Waiting.erase(It);
     m_Slots.removeCall(Number, C->m_Peer);
     ++m_Counters.m_NoConnection;
-    C->m_Callback(makeError(ErrorCode::ResourceExhausted,
-                            C->m_Request.target().to_string(), C->m_Peer,
-                            "no connection was free before the deadline"));
+    end(*C, makeError(ErrorCode::ResourceExhausted, std::move(C->m_Target),
+                      std::move(C->m_Peer),
+                      "no connection was free before the deadline"));
   }
 
   /// Starts the queued calls for which the limits allow a connection.
@@ -119,35 +155,33 @@
     while (auto Next = m_Slots.next()) {
       if (Next->m_Kind == ConnectionAction::Kind::Close) {
         ++m_Counters.m_Evicted;
-        m_Idle.erase(Next->m_Connection);
+        m_Exchanges.erase(Next->m_Connection);
         continue;
       }
       auto Waiting = m_Waiting.find(Next->m_Call);
-      auto C = Waiting->second;
-      C->m_ConnectionNumber = Next->m_Connection;
       if (Next->m_Kind == ConnectionAction::Kind::Reuse) {
-        auto Idle = m_Idle.find(Next->m_Connection);
-        C->m_Connection = std::move(Idle->second);
-        m_Idle.erase(Idle);
-        if (C->m_Connection->isStale()) {
-          C->m_Connection.reset();
+        auto Idle = m_Exchanges.find(Next->m_Connection);
+        if (Idle->second.m_Connection->isStale(m_Loop.now())) {
+          m_Exchanges.erase(Idle);
           m_Slots.close(Next->m_Connection);
-          m_Slots.addCall(C->m_Number, C->m_Peer);
+          m_Slots.addCall(Next->m_Call, Waiting->second->m_Peer);
           continue;
         }
-        m_Waiting.erase(Waiting);
-        send(C);
-        continue;
+        assign(std::move(Waiting->second), Idle->first, Idle->second);
+        send(Idle->second);
+      } else {
+        connect(std::move(Waiting->second), Next->m_Connection);
       }
       m_Waiting.erase(Waiting);
-      connect(C);
     }
     logLimit();
   }
 
   void logLimit() {
+    if (!m_Slots.isTotalLimitBinding())
+      return;
     TimePoint Now = m_Loop.now();
-    if (!m_Slots.isTotalLimitBinding() || Now < m_NextLimitLog)
+    if (Now < m_NextLimitLog)
       return;
     m_NextLimitLog = Now + LimitLogInterval;
     logEvent(Event::ConnectionLimitReached,
@@ -156,91 +190,80 @@
               {"waiting_calls", std::to_string(m_Slots.queued())}});
   }
 
-  void connect(const std::shared_ptr<Call> &C) {
+  static void assign(std::unique_ptr<Call> C, ConnectionNumber Number,
+                     Exchange &E) {
+    C->m_Connection = Number;
+    E.m_Call = std::move(C);
+  }
+
+  void connect(std::unique_ptr<Call> C, ConnectionNumber Number) {
     auto Destination = parseAddress(C->m_Peer);
     error_code Bad;
     auto Ip =
         asio::ip::make_address_v4(Destination ? Destination->m_Host : "", Bad);
     ++m_Counters.m_Connections;
-    C->m_Connection = std::make_unique<Connection>(m_Loop.context());
-    if (!Destination || Bad) {
-      asio::post(m_Loop.context(), [Self = shared_from_this(), C] {
-        Self->fail(C, ErrorCode::InvalidArgument,
+    Exchange &E = m_Exchanges[Number];
+    E.m_Connection = ClientConnection::create(m_Loop.context(), *this, Number);
+    assign(std::move(C), Number, E);
+    if (Destination && !Bad)
+      return E.m_Connection->open({Ip, Destination->m_Port});
+    asio::post(m_Loop.context(), [Self = shared_from_this(), Number] {
+      if (Self->m_Exchanges.count(Number))
+        Self->fail(Number, ErrorCode::InvalidArgument,
                    "the peer is not an IPv4 address and port");
-      });
-      return;
-    }
-    setExpiry(*C);
-    C->m_Connection->m_Stream.async_connect(
-        asio::ip::tcp::endpoint(Ip, Destination->m_Port),
-        [Self = shared_from_this(), C](const error_code &Failed) {
-          if (Failed)
-            return Self->fail(C,
-                              isLocalFailure(Failed)
-                                  ? ErrorCode::ResourceExhausted
-                                  : ErrorCode::ConnectFailed,
-                              Failed.message());
-          C->m_Connection->setOptions();
-          Self->send(C);
-        });
+    });
   }
 
-  void setExpiry(Call &C) {
-    auto Left = std::max(Duration(1), C.m_Deadline - m_Loop.now());
-    C.m_Connection->m_Stream.expires_after(Left);
+  static void send(Exchange &E) {
+    E.m_Call->m_IsSent = true;
+    E.m_Connection->send(std::move(E.m_Call->m_Request));
   }
 
-  void send(const std::shared_ptr<Call> &C) {
-    setExpiry(*C);
-    http::async_write(
-        C->m_Connection->m_Stream, C->m_Request,
-        [Self = shared_from_this(), C](const error_code &Failed, std::size_t) {
-          if (Failed)
-            return Self->fail(C, toErrorCode(Failed), Failed.message());
-          Self->receive(C);
-        });
+  void onConnected(ClientConnection &Connection) override {
+    send(m_Exchanges.find(Connection.number())->second);
   }
 
-  void receive(const std::shared_ptr<Call> &C) {
-    C->m_Parser.body_limit(MaxReplyBytes);
-    http::async_read(
-        C->m_Connection->m_Stream, C->m_Connection->m_Buffer, C->m_Parser,
-        [Self = shared_from_this(), C](const error_code &Failed, std::size_t) {
-          if (Failed)
-            return Self->fail(C, toErrorCode(Failed), Failed.message());
-          Self->finish(C);
-        });
+  void onConnectFailed(ClientConnection &Connection,
+                       const error_code &Failed) override {
+    fail(Connection.number(),
+         isLocalFailure(Failed) ? ErrorCode::ResourceExhausted
+                                : ErrorCode::ConnectFailed,
+         Failed.message());
   }
 
-  static ErrorCode toErrorCode(const error_code &Failed) {
-    return Failed == beast::error::timeout ? ErrorCode::Timeout
-                                           : ErrorCode::ConnectionLost;
-  }
-
-  void finish(const std::shared_ptr<Call> &C) {
-    auto Message = C->m_Parser.release();
-    HttpReply Reply;
-    Reply.m_Status = Message.result_int();
-    for (const auto &Header : Message)
-      Reply.m_Headers.emplace_back(std::string(Header.name_string()),
-                                   std::string(Header.value()));
-    Reply.m_Body = std::move(Message.body());
-    if (Message.keep_alive()) {
-      C->m_Connection->m_Stream.expires_never();
-      m_Idle[C->m_ConnectionNumber] = std::move(C->m_Connection);
-      m_Slots.release(C->m_ConnectionNumber);
+  void onReply(ClientConnection &Connection, HttpReply Reply,
+               bool IsReusable) override {
+    auto It = m_Exchanges.find(Connection.number());
+    auto C = std::move(It->second.m_Call);
+    if (IsReusable) {
+      Connection.setIdleSince(m_Loop.now());
+      m_Slots.release(Connection.number());
     } else {
-      C->m_Connection.reset();
-      m_Slots.close(C->m_ConnectionNumber);
+      m_Exchanges.erase(It);
+      m_Slots.close(Connection.number());
     }
     startCalls();
-    C->m_Callback(std::move(Reply));
+    end(*C, std::move(Reply));
+  }
+
+  void onExchangeFailed(ClientConnection &Connection,
+                        const error_code &Failed) override {
+    fail(Connection.number(), ErrorCode::ConnectionLost, Failed.message());
+  }
+
+  void onIdleEnd(ClientConnection &Connection) override {
+    ConnectionNumber Number = Connection.number();
+    m_Exchanges.erase(Number);
+    m_Slots.close(Number);
+    startCalls();
   }
 
-  void fail(const std::shared_ptr<Call> &C, ErrorCode Code,
+  void fail(ConnectionNumber Number, ErrorCode Code,
             const std::string &Detail) {
-    C->m_Connection.reset();
-    m_Slots.close(C->m_ConnectionNumber);
+    auto It = m_Exchanges.find(Number);
+    auto C = std::move(It->second.m_Call);
+    m_Exchanges.erase(It);
+    m_Slots.close(Number);
     if (Code == ErrorCode::Timeout)
       ++m_Counters.m_Timeouts;
     else if (Code == ErrorCode::ResourceExhausted)
@@ -248,8 +271,20 @@
     else
       ++m_Counters.m_Lost;
     startCalls();
-    C->m_Callback(
-        makeError(Code, C->m_Request.target().to_string(), C->m_Peer, Detail));
+    end(*C,
+        makeError(Code, std::move(C->m_Target), std::move(C->m_Peer), Detail));
+  }
+
+  void end(Call &C, Result<HttpReply> Reply) {
+    C.unlink();
+    C.m_Callback(std::move(Reply));
+    releaseTimer();
+  }
+
+  /// Lets this object be destroyed if nothing waits for it.
+  void releaseTimer() {
+    if (m_IsAbandoned && m_Deadlines.empty())
+      m_Timer.cancel();
   }
 };
 
@@ -265,7 +300,11 @@
 }
 
 HttpClient::HttpClient(std::shared_ptr<Impl> P) : m_Impl(std::move(P)) {}
-HttpClient::~HttpClient() = default;
+
+HttpClient::~HttpClient() {
+  m_Impl->m_IsAbandoned = true;
+  m_Impl->releaseTimer();
+}
 
 std::unique_ptr<HttpClient> HttpClient::create(EventLoop &Loop,
                                                std::string Name,
@@ -276,21 +315,15 @@
 
 void HttpClient::call(const std::string &Peer, HttpRequest Request,
                       Duration Timeout, ReplyCallback Callback) {
-  auto C = std::make_shared<Call>();
+  auto C = std::make_unique<Call>();
   C->m_Number = ++m_Impl->m_LastCall;
   C->m_Peer = Peer;
-  C->m_Request.method_string(Request.m_Method);
-  C->m_Request.target(Request.m_Target);
-  C->m_Request.version(11);
-  C->m_Request.set(http::field::host, Peer);
-  for (const auto &[Key, Value] : Request.m_Headers)
-    C->m_Request.set(Key, Value);
-  C->m_Request.body() = std::move(Request.m_Body);
-  C->m_Request.prepare_payload();
+  C->m_Request = serializeRequest(Request, Peer);
+  C->m_Target = std::move(Request.m_Target);
   C->m_Callback = std::move(Callback);
-  C->m_Deadline = m_Impl->m_Loop.now() + Timeout;
+  C->m_Deadline = endOfMillisecond(m_Impl->m_Loop.now() + Timeout);
   ++m_Impl->m_Counters.m_Calls;
-  m_Impl->enqueue(C);
+  m_Impl->enqueue(std::move(C));
 }
 
 const HttpClientCounters &HttpClient::counters() const {
--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -25,6 +25,12 @@
   std::string m_Body;
 };
 
+/// The bytes of \p Request on an HTTP/1.1 connection to \p Peer ("ip:port"). A
+/// Host header of the request's own takes the place of the peer; the length is
+/// set from the body. Precondition: method, target and headers have no line
+/// breaks. Thread safe.
+std::string serializeRequest(const HttpRequest &Request, std::string_view Peer);
+
 /// An HTTP reply that is sent or was received.
 struct HttpReply {
   unsigned m_Status = 200;
