Look jobs, servers and runs up by name less often

After the walks of a pass, the planner's index, the writer's batches and the answers to polls cost most: each plan with a changed server built four maps of all instances, each batch looked every waiting job up and built the address of its row, and each run that a server lists was looked up among the jobs.

- The planner indexes the instances with each list only.
The registry counts changes of registrations, so that the planner need not compare all servers to find one.
- The registry has a hash map beside the ordered map of servers.
- JobRegistry keeps the jobs to write by address, and each job knows its partition.
ProgressWriter compares partitions by address and stops at a full transaction.
- The runs of a server are kept in a flat map.
- A reported run only concerns jobs with occurrences that are not released.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -35,44 +35,41 @@
   return std::unique_ptr<FleetPlanner>(new FleetPlanner(Options, Sched));
 }
 
-bool FleetPlanner::isIndexCurrent() const {
-  const auto &Servers = m_Scheduler.servers().all();
-  return !m_ListChanged &&
-         std::equal(Servers.begin(), Servers.end(), m_IndexedServers.begin(),
-                    m_IndexedServers.end(),
-                    [](const auto &Entry, const IndexedServer &Indexed) {
-                      const ServerState &S = Entry.second;
-                      return S.m_IndexNumber == Indexed.m_Number &&
-                             S.m_Registered == Indexed.m_Registered &&
-                             S.m_Registration.m_Instance == Indexed.m_Instance;
-                    });
-}
-
 void FleetPlanner::updateIndex() {
-  if (isIndexCurrent())
+  const std::uint64_t Changes = m_Scheduler.servers().registrationChanges();
+  if (!m_ListChanged && m_IndexedChanges == Changes)
     return;
+  if (m_ListChanged)
+    indexInstances();
+  indexServers();
   m_ListChanged = false;
-  m_IndexedServers.clear();
-  m_ServerByInstance.clear();
-  for (auto &[Id, S] : m_Scheduler.servers().all()) {
-    m_IndexedServers.push_back(
-        {S.m_IndexNumber, S.m_Registered, S.m_Registration.m_Instance});
-    if (S.m_Registered)
-      m_ServerByInstance[S.m_Registration.m_Instance] = &S;
-  }
+  m_IndexedChanges = Changes;
+}
+
+void FleetPlanner::indexInstances() {
   m_Views.clear();
   m_ViewById.clear();
   m_Views.reserve(m_Scheduler.instances().size());
   for (const InstanceListing &L : m_Scheduler.instances()) {
+    m_Views.push_back({&L, nullptr, &m_State[L.m_Id]});
+    m_ViewById[L.m_Id] = &m_Views.back();
+  }
+  m_Counters.m_IndexEntries += m_Views.size();
+}
+
+void FleetPlanner::indexServers() {
+  m_ServerByInstance.clear();
+  for (auto &[Id, S] : m_Scheduler.servers().all())
+    if (S.m_Registered)
+      m_ServerByInstance[S.m_Registration.m_Instance] = &S;
+  for (InstanceView &V : m_Views) {
+    const InstanceListing &L = *V.m_Listing;
     if (ServerState *S = m_Scheduler.servers().find(L.m_Server))
       m_ServerByInstance[L.m_Id] = S;
     auto Server = m_ServerByInstance.find(L.m_Id);
-    m_Views.push_back(
-        {&L, Server == m_ServerByInstance.end() ? nullptr : Server->second,
-         &m_State[L.m_Id]});
-    m_ViewById[L.m_Id] = &m_Views.back();
+    V.m_Server = Server == m_ServerByInstance.end() ? nullptr : Server->second;
   }
-  m_Counters.m_IndexEntries += m_IndexedServers.size() + m_Views.size();
+  m_Counters.m_IndexEntries += m_Scheduler.servers().all().size();
 }
 
 const FleetPlanner::InstanceView *
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -136,12 +136,6 @@
     ServerState *m_Server = nullptr;
     Instance *m_State = nullptr;
   };
-  /// What the index depends on of a server.
-  struct IndexedServer {
-    std::uint64_t m_Number = 0;
-    bool m_Registered = false;
-    InstanceId m_Instance;
-  };
   /// A pool during one planning pass.
   struct PoolView {
     std::vector<const InstanceView *> m_Instances;
@@ -236,10 +230,11 @@
   /// Continues a wave that was complete if instances of it are not done.
   void reopenIfUndone(WaveState &W);
 
-  /// Builds the index unless neither the instance list nor a server has changed
-  /// since the last call.
+  /// Brings the index up to date with the instance list and the servers, if
+  /// they have changed since the last call.
   void updateIndex();
-  bool isIndexCurrent() const;
+  void indexInstances();
+  void indexServers();
   /// Returns null if \p Id is not listed.
   const InstanceView *view(const InstanceId &Id) const;
   /// Whether the scheduler knows all runs on \p S. After a change of leader it
@@ -261,8 +256,9 @@
   std::vector<InstanceView> m_Views;
   std::unordered_map<InstanceId, const InstanceView *> m_ViewById;
   std::unordered_map<InstanceId, ServerState *> m_ServerByInstance;
-  std::vector<IndexedServer> m_IndexedServers;
   bool m_ListChanged = true;
+  /// ServerRegistry::registrationChanges() when the servers were indexed.
+  std::uint64_t m_IndexedChanges = 0;
   /// Recent peak demand of each pool in thousandths of a core. Decays with
   /// DemandHalfLife.
   std::map<PoolName, double> m_PeakDemand;
--- a/src/instances/PlanningCostTest.cpp
+++ b/src/instances/PlanningCostTest.cpp
@@ -58,6 +58,18 @@
   CHECK(W.m_Planner->counters().m_IndexEntries > Entries);
 }
 
+// Each change of a server indexed all instances again, and servers change in
+// most plans of a large fleet.
+TEST(PlanningCost, AChangeOfAServerDoesNotIndexTheInstancesAgain) {
+  PlannerFixture W;
+  addDesk(W, Instances);
+  W.plan();
+  std::uint64_t Entries = W.m_Planner->counters().m_IndexEntries;
+  W.m_World.m_Core->onServerUnregistered(ServerId("s1"), W.m_World.m_Now);
+  W.plan();
+  CHECK_EQUAL(Entries + Instances, W.m_Planner->counters().m_IndexEntries);
+}
+
 // Each move searched the pool again from its first instance, which is dear if
 // the servers at the front run tasks.
 TEST(PlanningCost, AllMovesOfAPlanTakeOneWalkOfAPool) {
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -81,11 +81,6 @@
 /// some 370 transactions per second.
 constexpr std::size_t JobPartitionCount = 64;
 
-const std::string &partitionOf(const JobId &Id) {
-  return jobPartitions()[XXH64(Id.m_Text.data(), Id.m_Text.size(), 0) %
-                         JobPartitionCount];
-}
-
 } // namespace
 
 const std::vector<std::string> &jobPartitions() {
@@ -98,12 +93,17 @@
   return Parts;
 }
 
+const std::string &jobPartition(const JobId &Id) {
+  return jobPartitions()[XXH64(Id.m_Text.data(), Id.m_Text.size(), 0) %
+                         JobPartitionCount];
+}
+
 RowAddress liveJobAddress(const JobId &Id) {
-  return {LiveJobsTable, Id.m_Text, partitionOf(Id)};
+  return {LiveJobsTable, Id.m_Text, jobPartition(Id)};
 }
 
 RowAddress jobStateAddress(const JobId &Id) {
-  return {JobStatesTable, Id.m_Text, partitionOf(Id)};
+  return {JobStatesTable, Id.m_Text, jobPartition(Id)};
 }
 
 std::string encodeJob(const JobSpec &Job) {
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -25,6 +25,8 @@
 /// partition. A slow store still applies a few transactions per second in each
 /// partition. Thread safe.
 const std::vector<std::string> &jobPartitions();
+/// The partition that holds the rows of the job \p Id. Thread safe.
+const std::string &jobPartition(const JobId &Id);
 /// The addresses of the job's rows. Thread safe.
 RowAddress liveJobAddress(const JobId &Id);
 RowAddress jobStateAddress(const JobId &Id);
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -134,6 +134,7 @@
   Job.m_AcceptedAt = Now - std::max(std::chrono::milliseconds(0),
                                     Wall - Job.m_Spec.m_AcceptedAt);
   JobId Id = Job.m_Spec.m_Id;
+  Job.m_Partition = &jobPartition(Id);
   m_Jobs[Id] = std::move(NewJob);
   if (Job.m_Spec.m_Occurrences == 0) {
     releaseOccurrence(Job);
@@ -147,9 +148,12 @@
 
 void JobRegistry::remove(const JobId &Id) {
   m_RecurringJobs.erase(Id);
-  if (LiveJob *Job = find(Id); Job && Job->m_IsNewlyReady)
+  LiveJob *Job = find(Id);
+  if (Job && Job->m_IsNewlyReady)
     m_NewlyReady.erase(
         std::find(m_NewlyReady.begin(), m_NewlyReady.end(), Job));
+  if (Job && Job->m_Dirty)
+    m_Dirty.erase(std::find(m_Dirty.begin(), m_Dirty.end(), Job));
   m_Jobs.erase(Id);
 }
 
@@ -158,6 +162,10 @@
   return It == m_Jobs.end() ? nullptr : It->second.get();
 }
 
+LiveJob *JobRegistry::findUnreleased(const JobId &Id) {
+  return m_RecurringJobs.count(Id) == 0 ? nullptr : find(Id);
+}
+
 bool JobRegistry::releaseDue(std::chrono::milliseconds Wall) {
   bool Any = false;
   for (auto It = m_RecurringJobs.begin(); It != m_RecurringJobs.end();) {
@@ -413,10 +421,8 @@
 bool JobRegistry::findUrgent() {
   m_MayHaveUrgent =
       m_MayHaveUrgent &&
-      std::any_of(m_Dirty.begin(), m_Dirty.end(), [this](const JobId &Id) {
-        const LiveJob *Job = find(Id);
-        return Job && Job->needsUrgentRecord();
-      });
+      std::any_of(m_Dirty.begin(), m_Dirty.end(),
+                  [](const LiveJob *Job) { return Job->needsUrgentRecord(); });
   return m_MayHaveUrgent;
 }
 
@@ -425,7 +431,7 @@
   if (Job.m_Dirty)
     return;
   Job.m_Dirty = true;
-  m_Dirty.push_back(Job.m_Spec.m_Id);
+  m_Dirty.push_back(&Job);
 }
 
 JobProgress JobRegistry::progressOf(const LiveJob &Job,
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -145,6 +145,8 @@
 /// A job that has not ended.
 struct LiveJob {
   JobSpec m_Spec;
+  /// The partition of the job's rows.
+  const std::string *m_Partition = nullptr;
   /// Version of the job's rows when the job was accepted.
   RowVersion m_AcceptedVersion = 0;
   /// Version of the job's state row, on which the next write depends.
@@ -241,6 +243,8 @@
   void remove(const JobId &Id);
   /// Returns null if the job is unknown.
   LiveJob *find(const JobId &Id);
+  /// Returns null unless the job has occurrences that are not released yet.
+  LiveJob *findUnreleased(const JobId &Id);
   std::unordered_map<JobId, std::unique_ptr<LiveJob>> &all() { return m_Jobs; }
 
   /// Releases the occurrences that are due at \p Wall. Returns whether any was
@@ -303,7 +307,7 @@
   /// or waits for a start. Exact once findUrgent() has returned.
   bool findUrgent();
   /// Jobs whose state row is out of date, in the order of their changes.
-  std::vector<JobId> &dirty() { return m_Dirty; }
+  std::vector<LiveJob *> &dirty() { return m_Dirty; }
 
 private:
   void release(LiveJob &Job, Occurrence &O);
@@ -315,7 +319,7 @@
   /// Jobs with occurrences that are not released yet.
   std::set<JobId> m_RecurringJobs;
   std::vector<LiveJob *> m_NewlyReady;
-  std::vector<JobId> m_Dirty;
+  std::vector<LiveJob *> m_Dirty;
   bool m_MayHaveUrgent = false;
 };
 
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -61,39 +61,34 @@
          Job.m_RecordedChangeNumber == Job.m_ChangeNumber;
 }
 
-bool ProgressWriter::mustWait(const std::string &Partition,
-                              TimePoint Now) const {
-  auto It = m_Backoffs.find(Partition);
-  return m_PendingPartitions.count(Partition) != 0 ||
+bool ProgressWriter::mustWait(Partition P, TimePoint Now) const {
+  auto It = m_Backoffs.find(P);
+  return m_PendingPartitions.count(P) != 0 ||
          (It != m_Backoffs.end() && Now < It->second.m_RetryAt);
 }
 
-std::vector<JobId> ProgressWriter::takeBatch(TimePoint Now) {
+std::vector<LiveJob *> ProgressWriter::takeBatch(TimePoint Now) {
   auto &Dirty = m_Core.jobs().dirty();
-  std::stable_partition(Dirty.begin(), Dirty.end(), [this](const JobId &Id) {
-    LiveJob *Job = m_Core.jobs().find(Id);
-    return Job && Job->needsUrgentRecord();
+  std::stable_partition(Dirty.begin(), Dirty.end(), [](const LiveJob *Job) {
+    return Job->needsUrgentRecord();
   });
   const bool IsSlow = isStoreSlow(Now);
   const bool IsSplit = Now < m_SplitUntil || IsSlow;
-  std::vector<JobId> Taken, Remaining;
-  std::string OnlyPartition;
-  for (JobId &Id : Dirty) {
-    const LiveJob *Job = m_Core.jobs().find(Id);
-    if (!Job)
-      continue;
-    std::string Partition = jobStateAddress(Id).m_Partition;
-    bool Waits = mustWait(Partition, Now) || (IsSlow && onlyWantsStart(*Job));
+  std::vector<LiveJob *> Taken, Remaining;
+  Partition OnlyPartition = nullptr;
+  auto It = Dirty.begin();
+  for (; It != Dirty.end() && Taken.size() < MaxJobsPerTransaction; ++It) {
+    const LiveJob &Job = **It;
+    bool Waits =
+        mustWait(Job.m_Partition, Now) || (IsSlow && onlyWantsStart(Job));
     if (!Waits && IsSplit) {
-      if (OnlyPartition.empty())
-        OnlyPartition = Partition;
-      Waits = Partition != OnlyPartition;
+      if (!OnlyPartition)
+        OnlyPartition = Job.m_Partition;
+      Waits = Job.m_Partition != OnlyPartition;
     }
-    if (Waits || Taken.size() >= MaxJobsPerTransaction)
-      Remaining.push_back(std::move(Id));
-    else
-      Taken.push_back(std::move(Id));
+    (Waits ? Remaining : Taken).push_back(*It);
   }
+  Remaining.insert(Remaining.end(), It, Dirty.end());
   Dirty = std::move(Remaining);
   return Taken;
 }
@@ -117,7 +112,7 @@
   for (const auto &[Number, Step] : Progress.m_StartedSteps)
     RecordsStart |= !Job.step(Number, Step)->m_StartRecorded;
   Jobs.push_back(
-      {Id, Job.m_State, Job.m_ChangeNumber,
+      {Id, Job.m_Partition, Job.m_State, Job.m_ChangeNumber,
        Progress.m_State != JobState::Queued, std::move(Progress.m_StartedSteps),
        !Progress.m_SuspectStarts.empty() || !Progress.m_Crashes.empty()});
   return RecordsStart;
@@ -138,15 +133,14 @@
   Commit Out;
   Batch Jobs;
   bool RecordsStarts = false;
-  for (const JobId &Id : takeBatch(Now))
-    RecordsStarts |=
-        addToBatch(*m_Core.jobs().find(Id), Wall, Steps, Out.m_Txn, Jobs);
+  for (LiveJob *Job : takeBatch(Now))
+    RecordsStarts |= addToBatch(*Job, Wall, Steps, Out.m_Txn, Jobs);
   if (Jobs.empty())
     return std::nullopt;
   if (RecordsStarts)
     Out.m_Txn.m_Conditions.push_back(m_TermCondition);
   for (const Pending &P : Jobs)
-    m_PendingPartitions.insert(jobStateAddress(P.m_Job).m_Partition);
+    m_PendingPartitions.insert(P.m_Partition);
   m_LastWrite = Now;
   Out.m_Number = ++m_LastCommit;
   Out.m_Timeout = m_Latency.callTimeout(CommitTimeout, MaxCommitTimeout, Now);
@@ -163,12 +157,12 @@
   const Batch &Jobs = Node.mapped().m_Jobs;
   m_LastLatency = Now - Node.mapped().m_SentAt;
   for (const Pending &P : Jobs)
-    m_PendingPartitions.erase(jobStateAddress(P.m_Job).m_Partition);
+    m_PendingPartitions.erase(P.m_Partition);
   if (!Outcome)
     return onFailed(Jobs, Outcome.error(), Now);
   m_Latency.onAnswer(m_LastLatency, Now);
   for (const Pending &P : Jobs)
-    m_Backoffs.erase(jobStateAddress(P.m_Job).m_Partition);
+    m_Backoffs.erase(P.m_Partition);
   if (Outcome.value().m_Committed)
     return onCommitted(Jobs, Outcome.value().m_Version, Now);
   markBatchDirty(Jobs);
@@ -191,9 +185,9 @@
                               TimePoint Now) {
   logEvent(Event::RecordFailed,
            {{"jobs", std::to_string(Jobs.size())}, {"error", Why.describe()}});
-  std::set<std::string> Partitions;
+  std::set<Partition> Partitions;
   for (const Pending &P : Jobs)
-    Partitions.insert(jobStateAddress(P.m_Job).m_Partition);
+    Partitions.insert(P.m_Partition);
   markBatchDirty(Jobs);
   m_SplitUntil = Now + SplitTime;
   // It is unknown which of several partitions failed.
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -51,14 +51,16 @@
 private:
   ProgressWriter(Scheduler &Core, RowCondition TermCondition)
       : m_Core(Core), m_TermCondition(std::move(TermCondition)) {}
+  /// One of jobPartitions().
+  using Partition = const std::string *;
   struct Pending;
   using Batch = std::vector<Pending>;
   /// How long the oldest pending transaction has taken; 0 if there is none.
   Duration pendingFor(TimePoint Now) const;
-  std::vector<JobId> takeBatch(TimePoint Now);
-  /// Whether a job of \p Partition has to wait for a pending transaction or for
+  std::vector<LiveJob *> takeBatch(TimePoint Now);
+  /// Whether a job of \p P has to wait for a pending transaction or for
   /// the delay after a failed one.
-  bool mustWait(const std::string &Partition, TimePoint Now) const;
+  bool mustWait(Partition P, TimePoint Now) const;
   /// Whether transactions are slow enough to commit several at a time, of one
   /// partition each. One transaction of several partitions takes twice as long
   /// and delays the submissions in all of them. Starts are not recorded then:
@@ -81,6 +83,7 @@
   /// The recorded change of one job in the pending transaction.
   struct Pending {
     JobId m_Job;
+    Partition m_Partition;
     JobState m_State;
     std::uint64_t m_ChangeNumber;
     bool m_IsRunning;
@@ -103,15 +106,14 @@
   std::map<std::uint64_t, PendingCommit> m_Commits;
   std::uint64_t m_LastCommit = 0;
   /// Partitions with a pending transaction.
-  std::set<std::string> m_PendingPartitions;
+  std::set<Partition> m_PendingPartitions;
   StoreLatency m_Latency;
   /// No transaction is sent before this time, after one of several partitions
   /// has failed.
   TimePoint m_RetryAt{};
   /// Until then each transaction contains a single partition.
   TimePoint m_SplitUntil{};
-  /// By the name of the partition.
-  std::map<std::string, Backoff> m_Backoffs;
+  std::map<Partition, Backoff> m_Backoffs;
   TimePoint m_LastWrite{};
   Duration m_LastLatency{0};
 };
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -140,9 +140,7 @@
   ServerState *S = m_Servers.find(Id);
   if (!S || !S->m_Registered)
     return;
-  S->m_Registered = false;
-  S->m_UnregisteredAt = Now;
-  ServerRegistry::markChanged(*S);
+  m_Servers.markUnregistered(*S, Now);
 }
 
 void Scheduler::markSuspected(const ServerId &Id, TimePoint Now) {
@@ -160,10 +158,8 @@
     return;
   rescheduleAllRuns(*S, RunLoss::ServerEnded,
                     "its instance was moved or shut down", Now);
-  S->m_Registered = false;
-  S->m_UnregisteredAt = Now - RegistrationGrace;
   S->m_LeasesEnd = Now;
-  ServerRegistry::markChanged(*S);
+  m_Servers.markUnregistered(*S, Now - RegistrationGrace);
 }
 
 void Scheduler::onInstances(std::vector<InstanceListing> List, TimePoint Asked,
@@ -389,9 +385,8 @@
 void Scheduler::onOtherIncarnation(ServerState &S, TimePoint Now) {
   rescheduleAllRuns(S, S.lossAtEnd(), "another server answered at its address",
                     Now);
-  S.m_Registered = false;
-  S.m_UnregisteredAt = Now - RegistrationGrace;
   S.m_LeasesEnd = Now;
+  m_Servers.markUnregistered(S, Now - RegistrationGrace);
 }
 
 void Scheduler::onPollFailed(const PollOrder &Order, OrderResult R,
@@ -423,7 +418,7 @@
 
 void Scheduler::releaseReported(const PollReply &Reply) {
   auto Release = [this](const TaskId &Task) {
-    if (LiveJob *Job = m_Jobs.find(Task.m_Job))
+    if (LiveJob *Job = m_Jobs.findUnreleased(Task.m_Job))
       m_Jobs.releaseThrough(*Job, Task.m_Occurrence);
   };
   for (const EndReport &End : Reply.m_Ended)
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -198,7 +198,7 @@
 
   // Crashes of servers, and the tasks suspected of them
   // (SchedulerCrashes.cpp).
-  using LostRuns = std::map<RunId, ActiveRun>;
+  using LostRuns = RunsOnServer;
   /// Counts the crash of \p S for the tasks of all runs that it had, and of
   /// those in \p Lost.
   void countCrash(ServerState &S, const LostRuns &Lost, const char *Evidence,
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -61,13 +61,13 @@
 }
 
 ServerState *ServerRegistry::find(const ServerId &Id) {
-  auto It = m_Servers.find(Id);
-  return It == m_Servers.end() ? nullptr : &It->second;
+  auto It = m_ById.find(Id);
+  return It == m_ById.end() ? nullptr : It->second;
 }
 
 const ServerState *ServerRegistry::find(const ServerId &Id) const {
-  auto It = m_Servers.find(Id);
-  return It == m_Servers.end() ? nullptr : &It->second;
+  auto It = m_ById.find(Id);
+  return It == m_ById.end() ? nullptr : It->second;
 }
 
 const ServersByFreeCores &ServerRegistry::inPool(const PoolName &Pool) const {
@@ -80,6 +80,10 @@
                                     Duration SettlingTime) {
   ServerState &S = m_Servers[R.m_Id];
   const bool IsNew = !S.m_Index;
+  if (IsNew)
+    m_ById[R.m_Id] = &S;
+  m_RegistrationChanges +=
+      IsNew || !S.m_Registered || R.m_Instance != S.m_Registration.m_Instance;
   if (S.m_Index)
     S.m_Index->erase(&S);
   else
@@ -99,6 +103,13 @@
   return S;
 }
 
+void ServerRegistry::markUnregistered(ServerState &S, TimePoint At) {
+  S.m_Registered = false;
+  S.m_UnregisteredAt = At;
+  ++m_RegistrationChanges;
+  markChanged(S);
+}
+
 void ServerRegistry::markChanged(ServerState &S) {
   if (S.m_DueServers)
     S.m_DueServers->add(S);
@@ -118,6 +129,8 @@
     return;
   It->second.m_Index->erase(&It->second);
   m_Due.remove(It->second);
+  m_ById.erase(Id);
+  ++m_RegistrationChanges;
   m_Servers.erase(It);
 }
 
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -6,9 +6,11 @@
 #include "scheduling/DueServers.h"
 #include "scheduling/Messages.h"
 #include "scheduling/OrganisationLedger.h"
+#include <boost/container/flat_map.hpp>
 #include <deque>
 #include <map>
 #include <set>
+#include <unordered_map>
 
 namespace pollenspool {
 
@@ -74,6 +76,11 @@
   TimePoint m_PacedAt{};
 };
 
+/// The runs of a server. Few enough to be kept in one piece of memory, in which
+/// they are found and read faster than in nodes. Adding or removing a run
+/// invalidates references to the others.
+using RunsOnServer = boost::container::flat_map<RunId, ActiveRun>;
+
 /// A run end that its server must not forget yet.
 struct UnrecordedEnd {
   std::uint64_t m_Number = 0;
@@ -156,10 +163,10 @@
   /// number of these tasks.
   Resources m_Planned;
   std::uint32_t m_PlannedStarts = 0;
-  std::map<RunId, ActiveRun> m_Runs;
+  RunsOnServer m_Runs;
   /// The runs that the server had when its lease expired, until it is known
   /// whether it has crashed.
-  std::map<RunId, ActiveRun> m_LapsedRuns;
+  RunsOnServer m_LapsedRuns;
 
   /// The job of which suspected tasks run here or are about to. Tasks of other
   /// jobs are not started here meanwhile. Empty if there are none.
@@ -252,6 +259,11 @@
   /// Lets a larger capacity of \p S take effect if it is due.
   static void growCapacity(ServerState &S, TimePoint Now);
   void erase(const ServerId &Id);
+  /// The registration of \p S was removed at \p At.
+  void markUnregistered(ServerState &S, TimePoint At);
+  /// Changes whenever a server is added or erased, or is registered with
+  /// another instance, or not any more.
+  std::uint64_t registrationChanges() const { return m_RegistrationChanges; }
   /// Lets the next pass look at \p S. To be called after each event that
   /// affects a server's runs, polls, leases or registration.
   static void markChanged(ServerState &S);
@@ -280,7 +292,10 @@
   /// Updates the position of \p S after its free resources have changed.
   static void reindex(ServerState &S);
 
+  /// In order, so that the effects of walks do not depend on hash codes.
   std::map<ServerId, ServerState> m_Servers;
+  std::unordered_map<ServerId, ServerState *> m_ById;
+  std::uint64_t m_RegistrationChanges = 0;
   std::map<PoolName, ServersByFreeCores> m_Pools;
   std::uint64_t m_ServersAdded = 0;
   DueServers m_Due;
--- a/src/scheduling/testing/SchedulerInvariants.cpp
+++ b/src/scheduling/testing/SchedulerInvariants.cpp
@@ -55,9 +55,8 @@
       for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N)
         checkStep(Job, Number, N, O.m_Steps[N]);
     checkQueue(Job);
-    bool IsListedAsDirty =
-        std::count(m_Core.jobs().dirty().begin(), m_Core.jobs().dirty().end(),
-                   Job.m_Spec.m_Id) == 1;
+    bool IsListedAsDirty = std::count(m_Core.jobs().dirty().begin(),
+                                      m_Core.jobs().dirty().end(), &Job) == 1;
     expect(Job.m_Dirty == IsListedAsDirty, Id,
            "its state row is out of date, but it is not listed once for it");
   }
@@ -125,6 +124,8 @@
     expect(S.m_IndexedMilliCores == S.freeResources().m_MilliCores &&
                Pool.count(const_cast<ServerState *>(&S)) == 1,
            Id, "it is not in its place among the servers of its pool");
+    expect(m_Core.servers().find(S.m_Registration.m_Id) == &S, Id,
+           "it is not found by its ID");
     expect(m_Core.servers().due().isAwaited(S), Id,
            "no pass will check it when that is due");
   }
