Start the drain of an instance anew with each of its servers

Cause: the time since which an instance drains for a wave was kept when its server crashed. The next server of the instance took tasks, and the first plan that saw it counted the drain of the one before, so that its tasks were ended for the maintenance at once instead of after 4 s.

Change: a drain belongs to a server.

Result: TheNextServerOfADrainingInstanceDrainsFromTheBeginning failed before and passes (build/unit_tests -g WavePlanning).

--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -186,7 +186,7 @@
   if (!hasKnownRuns(*S))
     return "its backend server does not answer";
   Instance &I = *V.m_State;
-  if (!I.m_DrainingSince)
+  if (!I.m_DrainingSince || I.m_DrainingServer != S->m_Registration.m_Id)
     I.m_DrainingSince = Now;
   I.m_DrainingFor = Wave;
   I.m_DrainingServer = S->m_Registration.m_Id;
--- a/src/instances/WavePlanningTest.cpp
+++ b/src/instances/WavePlanningTest.cpp
@@ -307,3 +307,30 @@
   W.plan();
   CHECK_FALSE(Busy->m_Reserved);
 }
+
+// Guards against ending tasks without need: the server of a draining instance
+// crashed, and the time since the drain of that server began counted for the
+// next one of the instance.
+TEST(WavePlanning, TheNextServerOfADrainingInstanceDrainsFromTheBeginning) {
+  PlannerFixture W;
+  W.m_World.addServer("s1", 4);
+  W.list("s1", "desk");
+  W.m_World.addJob("j", {SchedulerFixture::step(2)});
+  W.m_World.tick();
+  W.m_World.answerStart(0);
+  W.m_World.answerStart(1);
+  W.addWave({InstanceId("on-s1")}, 1);
+  CHECK_EQUAL(0u, W.plan().size());
+  W.m_World.m_Core->onServerTerminated(ServerId("s1"), W.m_World.m_Now);
+  W.m_World.advance(3s);
+  W.m_World.addServer("s2", 4);
+  ServerState &Next = *W.m_World.m_Core->servers().find(ServerId("s2"));
+  ServerRegistration R = Next.m_Registration;
+  R.m_Instance = InstanceId("on-s1");
+  W.m_World.m_Core->onServer(R, W.m_World.m_Now);
+  W.m_World.tick();
+  CHECK_EQUAL(2u, Next.m_Runs.size());
+  W.plan();
+  W.m_World.advance(2s);
+  CHECK_EQUAL(0u, W.plan().size());
+}
