--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -55,11 +55,11 @@
   return m_Latency.isSlow(Now) || pendingFor(Now) >= SlowCommitLatency;
 }
 
-std::string ProgressWriter::describeWait(const JobId &Id, TimePoint Now) const {
-  const std::string Partition = jobStateAddress(Id).m_Partition;
-  std::string Text = "partition " + Partition + " ";
-  auto It = m_Backoffs.find(Partition);
-  if (m_PendingPartitions.count(Partition) != 0)
+std::string ProgressWriter::describeWait(const LiveJob &Job,
+                                         TimePoint Now) const {
+  std::string Text = "partition " + *Job.m_Partition + " ";
+  auto It = m_Backoffs.find(Job.m_Partition);
+  if (m_PendingPartitions.count(Job.m_Partition) != 0)
     Text += "has a pending write";
   else if (It != m_Backoffs.end())
     Text += "has failed " + std::to_string(It->second.m_Failures) +
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -47,8 +47,8 @@
   /// How long the oldest pending transaction has taken; if none is pending, how
   /// long the last one took. At least what the store has taken lately.
   Duration latency(TimePoint Now) const;
-  /// Describes for operators what the next record of a job waits for.
-  std::string describeWait(const JobId &Id, TimePoint Now) const;
+  /// Describes for operators what the next record of \p Job waits for.
+  std::string describeWait(const LiveJob &Job, TimePoint Now) const;
 
 private:
   ProgressWriter(Scheduler &Core, RowCondition TermCondition)
--- a/src/scheduling/WaitMonitor.cpp
+++ b/src/scheduling/WaitMonitor.cpp
@@ -83,7 +83,7 @@
       Reason != WaitReason::StartPlannedAgain &&
       Reason != WaitReason::EndBeingRecorded)
     return {};
-  return "; " + m_Writer.describeWait(Job.m_Spec.m_Id, Now);
+  return "; " + m_Writer.describeWait(Job, Now);
 }
 
 std::string WaitMonitor::explain(const JobId &Id, TimePoint Now) const {
