Encode and decode calls and rows without JSON trees

Cause: each call of the leader built trees of nlohmann::json.

Change: bodies and rows are written with JsonWriter and read with readCompactJson(). The order of keys changes, values do not.

--- a/benchmarks/CodecBench.cpp
+++ b/benchmarks/CodecBench.cpp
@@ -71,11 +71,12 @@
   std::fflush(stdout);
 }
 
+const std::string Peer = "127.0.0.1:8080";
 const std::string Job = "5c0e7a21d94b36f8";
 
 StartOrder startOrder() {
   StartOrder Order;
-  Order.m_Server = {ServerId("crewdesk-17"), "127.0.0.1:8080"};
+  Order.m_Server = {ServerId("crewdesk-17"), Peer};
   Order.m_Run = {{JobId(Job), 0, 1, 17}, 2};
   Order.m_Text = std::string(120, 't');
   Order.m_Checkpoint = "00000bb87a21d94b";
@@ -171,13 +172,13 @@
       HttpReply{409, {}, R"({"clock-ms":482113,"reason":"room"})"};
   measure("start order", Selected,
           [Order = startOrder()] { return encodeStart(Order); });
-  measure("start reply", Selected, [&] { return toStartReply(Started); });
-  measure("start refusal", Selected, [&] { return toStartReply(Refused); });
+  measure("start reply", Selected, [&] { return toStartReply(Started, Peer); });
+  measure("start refusal", Selected,
+          [&] { return toStartReply(Refused, Peer); });
   measure("poll order", Selected,
           [Order = pollOrder()] { return encodePoll(Order); });
-  measure("poll reply", Selected, [Reply = pollReply()] {
-    return decodePollReply(Reply, "127.0.0.1:8080");
-  });
+  measure("poll reply", Selected,
+          [Reply = pollReply()] { return decodePollReply(Reply, Peer); });
 }
 
 void measureStore(const std::vector<std::string> &Selected) {
@@ -185,11 +186,10 @@
           [Txn = transaction()] { return encodeTransaction(Txn); });
   measure("commit reply", Selected,
           [Reply = HttpReply{200, {}, R"({"ver":482113,"now-ms":91234})"}] {
-            return decodeCommitReply(Reply, "127.0.0.1:8080");
+            return decodeCommitReply(Reply, Peer);
           });
-  measure("feed of 100 jobs", Selected, [Reply = feedReply()] {
-    return decodeRowPage(Reply, "127.0.0.1:8080");
-  });
+  measure("feed of 100 jobs", Selected,
+          [Reply = feedReply()] { return decodeRowPage(Reply, Peer); });
   std::string Row = encodeJob(jobSpec()), Base64Row = encodeBase64(Row);
   measure("base64 encoding of a job", Selected,
           [&] { return encodeBase64(Row); });
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -1,6 +1,7 @@
 //===- JobRows.cpp - Storage format of jobs -------------------------------===//
 
 #include "jobs/JobRows.h"
+#include "base/JsonWriter.h"
 #include "base/ReadJson.h"
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -9,74 +10,136 @@
 
 namespace {
 
-using Json = nlohmann::json;
+/// Expected sizes of parts of the rows, in bytes.
+constexpr std::size_t UsualRowSize = 256;
+constexpr std::size_t UsualStepSize = 96;
 
-Json stepToJson(const StepSpec &S) {
-  return Json::array(
-      {S.m_Count, S.m_RequiredResources.m_MilliCores,
-       S.m_RequiredResources.m_MemoryMb, S.m_RequiredResources.m_Gpus,
-       S.m_Estimate.count(), S.m_After, S.m_WritesCheckpoints, S.m_Gang,
-       S.m_SameRack, S.m_RequiredLabel, S.m_DataRack, S.m_MaxPerServer,
-       S.m_Speculative, S.m_IsLongRunning, S.m_Image,
-       S.m_TailLatencyTarget.count(), S.m_IsBestEffort, S.m_MaxUnavailable});
+void writeNumbers(JsonWriter &Row, const std::vector<std::uint32_t> &Numbers) {
+  Row.beginArray();
+  for (std::uint32_t Number : Numbers)
+    Row.add(Number);
+  Row.endArray();
 }
 
-StepSpec stepFromJson(const Json &J) {
+void writeStep(JsonWriter &Row, const StepSpec &S) {
+  Row.beginArray()
+      .add(S.m_Count)
+      .add(S.m_RequiredResources.m_MilliCores)
+      .add(S.m_RequiredResources.m_MemoryMb)
+      .add(S.m_RequiredResources.m_Gpus)
+      .add(S.m_Estimate.count());
+  writeNumbers(Row, S.m_After);
+  Row.add(S.m_WritesCheckpoints)
+      .add(S.m_Gang)
+      .add(S.m_SameRack)
+      .add(S.m_RequiredLabel)
+      .add(S.m_DataRack)
+      .add(S.m_MaxPerServer)
+      .add(S.m_Speculative)
+      .add(S.m_IsLongRunning)
+      .add(S.m_Image)
+      .add(S.m_TailLatencyTarget.count())
+      .add(S.m_IsBestEffort)
+      .add(S.m_MaxUnavailable)
+      .endArray();
+}
+
+template <typename V> std::chrono::milliseconds millisecondsFrom(const V &J) {
+  return std::chrono::milliseconds(as<std::int64_t>(J));
+}
+
+template <typename V> StepSpec stepFromJson(const V &J) {
   StepSpec S;
-  S.m_Count = J.at(0);
-  S.m_RequiredResources = {J.at(1), J.at(2), J.at(3)};
-  S.m_Estimate = std::chrono::milliseconds(J.at(4).get<std::int64_t>());
-  S.m_After = J.at(5).get<std::vector<std::uint32_t>>();
-  S.m_WritesCheckpoints = J.at(6);
-  S.m_Gang = J.at(7);
-  S.m_SameRack = J.at(8);
-  S.m_RequiredLabel = J.at(9);
-  S.m_DataRack = J.at(10);
-  S.m_MaxPerServer = J.at(11);
-  S.m_Speculative = J.at(12);
-  S.m_IsLongRunning = J.at(13);
-  S.m_Image = J.at(14);
-  S.m_TailLatencyTarget =
-      std::chrono::milliseconds(J.at(15).get<std::int64_t>());
-  S.m_IsBestEffort = J.at(16);
-  S.m_MaxUnavailable = J.at(17);
+  S.m_Count = as<std::uint32_t>(J.at(0));
+  S.m_RequiredResources = {as<std::int64_t>(J.at(1)), as<std::int64_t>(J.at(2)),
+                           as<std::int64_t>(J.at(3))};
+  S.m_Estimate = millisecondsFrom(J.at(4));
+  S.m_After = as<std::vector<std::uint32_t>>(J.at(5));
+  S.m_WritesCheckpoints = as<bool>(J.at(6));
+  S.m_Gang = as<bool>(J.at(7));
+  S.m_SameRack = as<bool>(J.at(8));
+  S.m_RequiredLabel = as<std::string>(J.at(9));
+  S.m_DataRack = as<std::string>(J.at(10));
+  S.m_MaxPerServer = as<std::uint32_t>(J.at(11));
+  S.m_Speculative = as<bool>(J.at(12));
+  S.m_IsLongRunning = as<bool>(J.at(13));
+  S.m_Image = as<std::string>(J.at(14));
+  S.m_TailLatencyTarget = millisecondsFrom(J.at(15));
+  S.m_IsBestEffort = as<bool>(J.at(16));
+  S.m_MaxUnavailable = as<std::uint32_t>(J.at(17));
   return S;
 }
 
 std::string bitsToText(const std::vector<bool> &Bits) {
-  std::string Text;
-  for (bool Bit : Bits)
-    Text += Bit ? '1' : '0';
+  std::string Text(Bits.size(), '0');
+  for (std::size_t N = 0; N < Bits.size(); ++N)
+    if (Bits[N])
+      Text[N] = '1';
   return Text;
 }
 
-std::vector<bool> bitsFromText(const std::string &Text) {
-  std::vector<bool> Bits;
-  for (char C : Text)
-    Bits.push_back(C == '1');
+std::vector<bool> bitsFromText(std::string_view Text) {
+  std::vector<bool> Bits(Text.size());
+  for (std::size_t N = 0; N < Text.size(); ++N)
+    Bits[N] = Text[N] == '1';
   return Bits;
 }
 
-Json keyToJson(const TaskKey &Key) {
-  return Json::array({std::get<0>(Key), std::get<1>(Key), std::get<2>(Key)});
+JsonWriter &addKey(JsonWriter &Row, const TaskKey &Key) {
+  return Row.add(std::get<0>(Key)).add(std::get<1>(Key)).add(std::get<2>(Key));
 }
 
-TaskKey keyFromJson(const Json &J) { return {J.at(0), J.at(1), J.at(2)}; }
+template <typename V> TaskKey keyFromJson(const V &J) {
+  return {as<std::uint32_t>(J.at(0)), as<std::uint32_t>(J.at(1)),
+          as<std::uint32_t>(J.at(2))};
+}
 
-Json crashesToJson(const std::vector<CrashedRun> &Runs) {
-  Json Rows = Json::array();
+void writeCrashes(JsonWriter &Row, const std::vector<CrashedRun> &Runs) {
+  Row.beginArray();
   for (const CrashedRun &R : Runs)
-    Rows.push_back({R.m_Number, R.m_WasAtWork, R.m_WasRecent, R.m_WasAlone});
-  return Rows;
+    Row.beginArray()
+        .add(R.m_Number)
+        .add(R.m_WasAtWork)
+        .add(R.m_WasRecent)
+        .add(R.m_WasAlone)
+        .endArray();
+  Row.endArray();
 }
 
-std::vector<CrashedRun> crashesFromJson(const Json &Rows) {
+template <typename V> std::vector<CrashedRun> crashesFromJson(const V &Rows) {
   std::vector<CrashedRun> Runs;
-  for (const Json &R : Rows)
-    Runs.push_back({R.at(0), R.at(1), R.at(2), R.at(3)});
+  for (const auto &R : Rows)
+    Runs.push_back({as<std::uint32_t>(R.at(0)), as<bool>(R.at(1)),
+                    as<bool>(R.at(2)), as<bool>(R.at(3))});
   return Runs;
 }
 
+/// Writes the member \p Name, an array with an element for each of \p Entries,
+/// unless there are none. \p Write writes the content of an element.
+template <typename C, typename F>
+void writeRows(JsonWriter &Row, std::string_view Name, const C &Entries,
+               F Write) {
+  if (Entries.empty())
+    return;
+  Row.key(Name).beginArray();
+  for (const auto &[Key, Content] : Entries) {
+    Row.beginArray();
+    Write(Key, Content);
+    Row.endArray();
+  }
+  Row.endArray();
+}
+
+/// Passes each element of the array \p Name, which may be absent, to \p Read.
+template <typename V, typename F>
+void readRows(const V &J, const char *Name, F Read) {
+  if (!J.contains(Name))
+    return;
+  const auto &Rows = J.at(Name);
+  for (const auto &Row : Rows)
+    Read(Row);
+}
+
 /// With 64 partitions, a store that is 57 times slower than usual still applies
 /// some 370 transactions per second.
 constexpr std::size_t JobPartitionCount = 64;
@@ -107,93 +170,123 @@
 }
 
 std::string encodeJob(const JobSpec &Job) {
-  Json Steps = Json::array();
+  JsonWriter Row(UsualRowSize + Job.m_Text.size() +
+                 Job.m_Steps.size() * UsualStepSize);
+  Row.beginObject()
+      .add("id", Job.m_Id.m_Text)
+      .add("queue", Job.m_Queue.m_Text)
+      .add("pool", Job.m_Pool.m_Text)
+      .add("text", Job.m_Text);
+  Row.key("steps").beginArray();
   for (const StepSpec &S : Job.m_Steps)
-    Steps.push_back(stepToJson(S));
-  Json J{{"id", Job.m_Id.m_Text},
-         {"queue", Job.m_Queue.m_Text},
-         {"pool", Job.m_Pool.m_Text},
-         {"text", Job.m_Text},
-         {"steps", Steps},
-         {"occurrences", Job.m_Occurrences},
-         {"first", Job.m_FirstDue.count()},
-         {"interval", Job.m_Interval.count()},
-         {"accepted", Job.m_AcceptedAt.count()}};
+    writeStep(Row, S);
+  Row.endArray()
+      .add("occurrences", Job.m_Occurrences)
+      .add("first", Job.m_FirstDue.count())
+      .add("interval", Job.m_Interval.count())
+      .add("accepted", Job.m_AcceptedAt.count());
   if (!Job.m_Organisation.empty())
-    J["organisation"] = Job.m_Organisation.m_Text;
-  return J.dump(-1, ' ', false, Json::error_handler_t::replace);
+    Row.add("organisation", Job.m_Organisation.m_Text);
+  return Row.endObject().take();
 }
 
 Result<JobSpec> decodeJob(const std::string &Text) {
-  return readJson<JobSpec>(
-      "decode job row", {}, Text, [&](const Json &J) -> JobSpec {
+  return readCompactJson<JobSpec>(
+      "decode job row", {}, Text, [](const auto &J) {
         JobSpec Job;
-        Job.m_Id = JobId(J.at("id"));
-        Job.m_Queue = QueueName(J.at("queue"));
-        Job.m_Pool = PoolName(J.at("pool"));
+        Job.m_Id = JobId(as<std::string>(J.at("id")));
+        Job.m_Queue = QueueName(as<std::string>(J.at("queue")));
+        Job.m_Pool = PoolName(as<std::string>(J.at("pool")));
         Job.m_Organisation = OrganisationName(J.value("organisation", ""));
-        Job.m_Text = J.at("text");
-        for (const Json &S : J.at("steps"))
+        Job.m_Text = as<std::string>(J.at("text"));
+        const auto &Steps = J.at("steps");
+        Job.m_Steps.reserve(Steps.size());
+        for (const auto &S : Steps)
           Job.m_Steps.push_back(stepFromJson(S));
-        Job.m_Occurrences = J.at("occurrences");
-        Job.m_FirstDue =
-            std::chrono::milliseconds(J.at("first").get<std::int64_t>());
-        Job.m_Interval =
-            std::chrono::milliseconds(J.at("interval").get<std::int64_t>());
-        Job.m_AcceptedAt =
-            std::chrono::milliseconds(J.at("accepted").get<std::int64_t>());
+        Job.m_Occurrences = as<std::uint32_t>(J.at("occurrences"));
+        Job.m_FirstDue = millisecondsFrom(J.at("first"));
+        Job.m_Interval = millisecondsFrom(J.at("interval"));
+        Job.m_AcceptedAt = millisecondsFrom(J.at("accepted"));
         return Job;
       });
 }
 
 std::string encodeProgress(const JobProgress &Progress) {
-  Json J{{"state", static_cast<int>(Progress.m_State)},
-         {"changed", Progress.m_ChangedAt.count()}};
+  JsonWriter Row(UsualRowSize + Progress.m_Done.size() * UsualStepSize);
+  Row.beginObject()
+      .add("state", static_cast<int>(Progress.m_State))
+      .add("changed", Progress.m_ChangedAt.count());
   if (Progress.m_HasCrashedServers)
-    J["crashed_servers"] = true;
+    Row.add("crashed_servers", true);
   if (!Progress.m_Organisation.empty())
-    J["organisation"] = Progress.m_Organisation.m_Text;
-  for (const auto &[Key, Bits] : Progress.m_Done)
-    J["done"].push_back({Key.first, Key.second, bitsToText(Bits)});
-  for (const auto &[Key, Runs] : Progress.m_Failures)
-    J["failures"].push_back(
-        {std::get<0>(Key), std::get<1>(Key), std::get<2>(Key), Runs});
-  for (const auto &[Key, Runs] : Progress.m_Crashes)
-    J["crashes"].push_back({keyToJson(Key), crashesToJson(Runs)});
-  for (const auto &[Key, Start] : Progress.m_SuspectStarts)
-    J["suspect_starts"].push_back({keyToJson(Key), Start.m_Number,
-                                   Start.m_Server, Start.m_ServerStartTimeMs});
-  for (const auto &[Number, Step] : Progress.m_StartedSteps)
-    J["started"].push_back({Number, Step});
-  return J.dump();
+    Row.add("organisation", Progress.m_Organisation.m_Text);
+  writeRows(Row, "done", Progress.m_Done,
+            [&Row](const auto &Step, const std::vector<bool> &Bits) {
+              Row.add(Step.first).add(Step.second).add(bitsToText(Bits));
+            });
+  writeRows(Row, "failures", Progress.m_Failures,
+            [&Row](const TaskKey &Key, const std::vector<std::uint32_t> &Runs) {
+              writeNumbers(addKey(Row, Key), Runs);
+            });
+  writeRows(Row, "crashes", Progress.m_Crashes,
+            [&Row](const TaskKey &Key, const std::vector<CrashedRun> &Runs) {
+              addKey(Row.beginArray(), Key).endArray();
+              writeCrashes(Row, Runs);
+            });
+  writeRows(Row, "suspect_starts", Progress.m_SuspectStarts,
+            [&Row](const TaskKey &Key, const SuspectStart &Start) {
+              addKey(Row.beginArray(), Key).endArray();
+              Row.add(Start.m_Number)
+                  .add(Start.m_Server)
+                  .add(Start.m_ServerStartTimeMs);
+            });
+  writeRows(Row, "started", Progress.m_StartedSteps,
+            [&Row](std::uint32_t Occurrence, std::uint32_t Step) {
+              Row.add(Occurrence).add(Step);
+            });
+  return Row.endObject().take();
 }
 
+namespace {
+
+/// Reads the tasks and steps of \p J into \p P.
+template <typename V> void readSteps(const V &J, JobProgress &P) {
+  readRows(J, "done", [&P](const auto &Row) {
+    P.m_Done[{as<std::uint32_t>(Row.at(0)), as<std::uint32_t>(Row.at(1))}] =
+        bitsFromText(as<std::string_view>(Row.at(2)));
+  });
+  readRows(J, "failures", [&P](const auto &Row) {
+    P.m_Failures[keyFromJson(Row)] = as<std::vector<std::uint32_t>>(Row.at(3));
+  });
+  readRows(J, "crashes", [&P](const auto &Row) {
+    P.m_Crashes[keyFromJson(Row.at(0))] = crashesFromJson(Row.at(1));
+  });
+  readRows(J, "suspect_starts", [&P](const auto &Row) {
+    P.m_SuspectStarts[keyFromJson(Row.at(0))] = {as<std::uint32_t>(Row.at(1)),
+                                                 as<std::string>(Row.at(2)),
+                                                 as<std::int64_t>(Row.at(3))};
+  });
+  readRows(J, "started", [&P](const auto &Row) {
+    P.m_StartedSteps.emplace(as<std::uint32_t>(Row.at(0)),
+                             as<std::uint32_t>(Row.at(1)));
+  });
+}
+
+} // namespace
+
 Result<JobProgress> decodeProgress(const std::string &Text) {
-  return readJson<JobProgress>(
-      "decode job state", {}, Text, [&](const Json &J) -> Result<JobProgress> {
+  return readCompactJson<JobProgress>(
+      "decode job state", {}, Text, [](const auto &J) -> Result<JobProgress> {
         JobProgress P;
-        int State = J.at("state").get<int>();
+        int State = as<int>(J.at("state"));
         if (State < 0 || State > static_cast<int>(JobState::Cancelled))
           return makeError(ErrorCode::InvalidMessage, "decode job state", {},
                            "state " + std::to_string(State));
         P.m_State = static_cast<JobState>(State);
-        P.m_ChangedAt =
-            std::chrono::milliseconds(J.at("changed").get<std::int64_t>());
+        P.m_ChangedAt = millisecondsFrom(J.at("changed"));
         P.m_HasCrashedServers = J.value("crashed_servers", false);
         P.m_Organisation = OrganisationName(J.value("organisation", ""));
-        for (const Json &Row : J.value("done", Json::array()))
-          P.m_Done[{Row.at(0), Row.at(1)}] = bitsFromText(Row.at(2));
-        for (const Json &Row : J.value("failures", Json::array()))
-          P.m_Failures[{Row.at(0), Row.at(1), Row.at(2)}] =
-              Row.at(3).get<std::vector<std::uint32_t>>();
-        for (const Json &Row : J.value("crashes", Json::array()))
-          P.m_Crashes[keyFromJson(Row.at(0))] = crashesFromJson(Row.at(1));
-        for (const Json &Row : J.value("suspect_starts", Json::array()))
-          P.m_SuspectStarts[keyFromJson(Row.at(0))] = {Row.at(1), Row.at(2),
-                                                       Row.at(3)};
-        for (const Json &Row : J.value("started", Json::array()))
-          P.m_StartedSteps.emplace(Row.at(0).get<std::uint32_t>(),
-                                   Row.at(1).get<std::uint32_t>());
+        readSteps(J, P);
         return P;
       });
 }
