Hash the keys of a mirrored table, and parse digits by a set

TableMirror kept its versions, and the rows of each answer, in ordered maps of strings; they are hash maps now. Rows that a read lacks are still reported in the order of their keys.

Spirit's digit parser asserts on bytes that are not ASCII. Without assertions the bytes were rejected as they should be; the grammar uses a set instead.

--- a/src/base/CompactJson.cpp
+++ b/src/base/CompactJson.cpp
@@ -155,9 +155,10 @@
 const auto Space = x3::ascii::char_(" \t\r\n");
 const auto String =
     x3::lexeme['"' >> x3::raw[*x3::ascii::char_(" !#-[]-~")][AddString] >> '"'];
-const auto Digits = +x3::ascii::digit;
+const auto Digit = x3::ascii::char_("0-9");
+const auto Digits = +Digit;
 const auto Integer = -x3::lit('-') >>
-                     (x3::lit('0') | (x3::ascii::char_("1-9") >> *x3::digit));
+                     (x3::lit('0') | (x3::ascii::char_("1-9") >> *Digit));
 const auto Fraction = '.' >> Digits;
 const auto Exponent = x3::ascii::char_("eE") >>
                       -x3::ascii::char_("+-") >> Digits;
--- a/src/store/TableMirror.cpp
+++ b/src/store/TableMirror.cpp
@@ -86,7 +86,7 @@
   std::chrono::milliseconds StoreTime = Page.value().m_StoreTime;
   m_SnapshotStoreTime = std::min(m_SnapshotStoreTime, StoreTime);
   for (const StoredRow &Row : Page.value().m_Rows) {
-    m_SnapshotRows[Row.m_At.m_Key] = Row.m_Version;
+    m_SnapshotRows.insert(Row.m_At.m_Key);
     apply(Row);
   }
   if (Page.value().m_HasMore && !Page.value().m_Rows.empty())
@@ -111,6 +111,7 @@
   for (const auto &[Key, Version] : m_Versions)
     if (!m_SnapshotRows.count(Key))
       RemovedKeys.push_back(Key);
+  std::sort(RemovedKeys.begin(), RemovedKeys.end());
   for (const std::string &Key : RemovedKeys)
     apply({{m_Table, Key, {}}, {}, m_SnapshotVersion, true});
 }
@@ -136,10 +137,12 @@
     return onFailure(Changes.error());
   }
   // The feed lists every change; only the latest one of each row is reported.
-  std::map<std::string_view, RowVersion> Newest;
-  for (const StoredRow &Row : Changes.value().m_Rows)
+  const std::vector<StoredRow> &Rows = Changes.value().m_Rows;
+  std::unordered_map<std::string_view, RowVersion> Newest;
+  Newest.reserve(Rows.size());
+  for (const StoredRow &Row : Rows)
     Newest[Row.m_At.m_Key] = Row.m_Version;
-  for (const StoredRow &Row : Changes.value().m_Rows)
+  for (const StoredRow &Row : Rows)
     if (Row.m_Version == Newest[Row.m_At.m_Key])
       apply(Row);
   m_ReportedVersion = std::max(m_ReportedVersion, Changes.value().m_Version);
@@ -155,12 +158,13 @@
 }
 
 void TableMirror::apply(const StoredRow &Row) {
-  RowVersion &Known = m_Versions[Row.m_At.m_Key];
-  if (Row.m_Version <= Known && !(Row.m_IsDeleted && Row.m_Version == Known))
+  auto Known = m_Versions.try_emplace(Row.m_At.m_Key).first;
+  if (Row.m_Version <= Known->second &&
+      !(Row.m_IsDeleted && Row.m_Version == Known->second))
     return;
-  Known = Row.m_Version;
+  Known->second = Row.m_Version;
   if (Row.m_IsDeleted)
-    m_Versions.erase(Row.m_At.m_Key);
+    m_Versions.erase(Known);
   m_Listener.m_OnRow(Row);
 }
 
--- a/src/store/TableMirror.h
+++ b/src/store/TableMirror.h
@@ -5,9 +5,10 @@
 
 #include "net/EventLoop.h"
 #include "store/MetadataStore.h"
-#include <map>
 #include <memory>
 #include <optional>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace pollenspool {
 
@@ -84,9 +85,9 @@
   Duration m_BatchDelay{0};
   Listener m_Listener;
   /// Versions of the reported rows by key.
-  std::map<std::string, RowVersion> m_Versions;
+  std::unordered_map<std::string, RowVersion> m_Versions;
   /// Rows found by the read in progress; rows that it lacks have been deleted.
-  std::map<std::string, RowVersion> m_SnapshotRows;
+  std::unordered_set<std::string> m_SnapshotRows;
   RowVersion m_ReportedVersion = 0;
   /// Oldest version of the pages of the read in progress.
   RowVersion m_SnapshotVersion = 0;
