Test each end of a call of HttpClient

Until now one test covered the client. The new ones end a call by its deadline while it waits, connects and has been sent, let 200 deadlines fall on one time, close an idle connection and one together with its reply, cut a reply into segments, send data that nobody asked for, and destroy the client before the answer.

--- a/src/net/HttpClientTest.cpp
+++ b/src/net/HttpClientTest.cpp
@@ -6,7 +6,10 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <list>
 #include <optional>
+#include <vector>
 
 using namespace pollenspool;
 using namespace std::chrono_literals;
@@ -56,6 +59,88 @@
   std::optional<error_code> m_End;
 };
 
+/// A server that answers each request with what its script does to the socket.
+class ScriptedServer {
+public:
+  using Socket = asio::ip::tcp::socket;
+  /// Receives the socket and the number of requests so far, this one included.
+  using Script = std::function<void(Socket &, int)>;
+
+  ScriptedServer(EventLoop &Loop, Script OnRequest)
+      : m_Loop(Loop), m_OnRequest(std::move(OnRequest)),
+        m_Acceptor(Loop.context(), {asio::ip::address_v4::loopback(), 0}) {
+    accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
+  }
+
+private:
+  void accept() {
+    m_Sockets.emplace_back(m_Loop.context());
+    m_Acceptor.async_accept(m_Sockets.back(), [this](const error_code &Failed) {
+      if (Failed)
+        return;
+      read(m_Sockets.back());
+      accept();
+    });
+  }
+
+  void read(Socket &S) {
+    S.async_read_some(asio::buffer(m_Buffer),
+                      [this, &S](const error_code &Failed, std::size_t) {
+                        if (Failed)
+                          return;
+                        m_OnRequest(S, ++m_Requests);
+                        if (S.is_open())
+                          read(S);
+                      });
+  }
+
+  EventLoop &m_Loop;
+  Script m_OnRequest;
+  asio::ip::tcp::acceptor m_Acceptor;
+  /// The last one waits for a connection.
+  std::list<Socket> m_Sockets;
+  std::array<char, 4096> m_Buffer{};
+  int m_Requests = 0;
+};
+
+void reply(asio::ip::tcp::socket &S, const std::string &Body) {
+  asio::write(S, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                              std::to_string(Body.size()) + "\r\n\r\n" + Body));
+}
+
+/// What a call gave: the body of its reply, or a failure.
+struct Answer {
+  std::string m_Body;
+  std::optional<ErrorCode> m_Failure;
+  int m_Callbacks = 0;
+};
+
+const HttpRequest Order{"POST", "/order", {}, "{}"};
+
+HttpClient::ReplyCallback storeTo(Answer &A) {
+  return [&A](Result<HttpReply> Reply) {
+    ++A.m_Callbacks;
+    if (Reply)
+      A.m_Body = Reply.value().m_Body;
+    else
+      A.m_Failure = Reply.error().m_Code;
+  };
+}
+
+/// Runs the loop until \p IsDone, at most for some seconds.
+void runUntil(EventLoop &Loop, const std::function<bool()> &IsDone) {
+  Loop.after(10s, [&Loop] { Loop.stop(); });
+  Loop.every(1ms, [&Loop, IsDone] {
+    if (IsDone())
+      Loop.stop();
+  });
+  Loop.run();
+}
+
 } // namespace
 
 TEST_GROUP(HttpClient){};
@@ -79,3 +164,196 @@
   CHECK(Server.bytesRead() > 0);
   CHECK(Server.end() == asio::error::connection_reset);
 }
+
+// Guards against a call that waits for ever behind calls that use all
+// connections, and against one that is said to have been sent.
+TEST(HttpClient, ADeadlineEndsACallThatWaitsForAConnection) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [](ScriptedServer::Socket &, int) {});
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer First;
+  Answer Second;
+  Client->call(Server.address(), Order, 100ms, storeTo(First));
+  Client->call(Server.address(), Order, 30ms, storeTo(Second));
+  CHECK_EQUAL(1u, Client->queuedCalls());
+  runUntil(*Loop, [&] { return First.m_Callbacks > 0; });
+  CHECK_EQUAL(1, Second.m_Callbacks);
+  CHECK(Second.m_Failure == ErrorCode::ResourceExhausted);
+  CHECK(First.m_Failure == ErrorCode::Timeout);
+  CHECK_EQUAL(0u, Client->queuedCalls());
+  CHECK_EQUAL(0u, Client->openConnections());
+  CHECK_EQUAL(1u, Client->counters().m_Timeouts);
+  CHECK_EQUAL(1u, Client->counters().m_NoConnection);
+}
+
+// Guards against a call to a host that drops packets, which would keep its
+// connection until the system gives up, and would count as sent.
+TEST(HttpClient, ADeadlineEndsACallThatConnects) {
+  auto Loop = EventLoop::create();
+  asio::ip::tcp::acceptor Full(Loop->context());
+  Full.open(asio::ip::tcp::v4());
+  Full.bind({asio::ip::address_v4::loopback(), 0});
+  Full.listen(0);
+  std::list<asio::ip::tcp::socket> Fillers;
+  for (int N = 0; N < 4; ++N)
+    Fillers.emplace_back(Loop->context())
+        .async_connect(Full.local_endpoint(), [](const error_code &) {});
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer Given;
+  Client->call("127.0.0.1:" + std::to_string(Full.local_endpoint().port()),
+               Order, 50ms, storeTo(Given));
+  runUntil(*Loop, [&] { return Given.m_Callbacks > 0; });
+  CHECK(Given.m_Failure == ErrorCode::ConnectFailed);
+  CHECK_EQUAL(0u, Client->openConnections());
+  CHECK_EQUAL(1u, Client->counters().m_Lost);
+}
+
+// Guards against deadlines that are lost or end a call twice because others
+// fall on the same time.
+TEST(HttpClient, EndsEachOfManyCallsWithTheSameDeadlineOnce) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [](ScriptedServer::Socket &, int) {});
+  auto Client = HttpClient::create(*Loop, "test", {150, 150});
+  std::vector<Answer> All(200);
+  std::size_t Ended = 0;
+  for (Answer &A : All)
+    Client->call(Server.address(), Order, 60ms,
+                 [&, Store = storeTo(A)](Result<HttpReply> Reply) {
+                   ++Ended;
+                   Store(std::move(Reply));
+                 });
+  CHECK_EQUAL(0u, Ended);
+  runUntil(*Loop, [&] { return Ended >= All.size(); });
+  for (const Answer &A : All) {
+    CHECK_EQUAL(1, A.m_Callbacks);
+    // By the stage of the call: sent, waiting or connecting.
+    CHECK(A.m_Failure == ErrorCode::Timeout ||
+          A.m_Failure == ErrorCode::ResourceExhausted ||
+          A.m_Failure == ErrorCode::ConnectFailed);
+  }
+  CHECK_EQUAL(0u, Client->openConnections());
+}
+
+// Guards against calls on connections that the peer has closed meanwhile: they
+// would be lost though the peer never had them.
+TEST(HttpClient, DropsAnIdleConnectionThatThePeerCloses) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int Number) {
+    reply(S, std::to_string(Number));
+    Loop->after(5ms, [&S] { S.close(); });
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer First;
+  Answer Second;
+  Client->call(Server.address(), Order, 5s, storeTo(First));
+  Loop->after(40ms, [&] {
+    Client->call(Server.address(), Order, 5s, storeTo(Second));
+  });
+  runUntil(*Loop, [&] { return Second.m_Callbacks > 0; });
+  STRCMP_EQUAL("1", First.m_Body.c_str());
+  STRCMP_EQUAL("2", Second.m_Body.c_str());
+  CHECK_EQUAL(2u, Client->counters().m_Connections);
+  CHECK_EQUAL(0u, Client->counters().m_Lost);
+}
+
+// Guards against a lost call after a server that answers and exits: the close
+// arrives with the reply, and the next call starts before the loop reports it.
+TEST(HttpClient, DoesNotReuseAConnectionThatIsClosedWithTheReply) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [](ScriptedServer::Socket &S, int Number) {
+    reply(S, std::to_string(Number));
+    S.close();
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer First;
+  Answer Second;
+  Client->call(Server.address(), Order, 5s, storeTo(First));
+  Client->call(Server.address(), Order, 5s, storeTo(Second));
+  runUntil(*Loop, [&] { return Second.m_Callbacks > 0; });
+  STRCMP_EQUAL("1", First.m_Body.c_str());
+  STRCMP_EQUAL("2", Second.m_Body.c_str());
+  CHECK_EQUAL(0u, Client->counters().m_Lost);
+}
+
+// Guards against a reply whose end is the end of the stream, which a client
+// that only counts bytes would wait for or call lost.
+TEST(HttpClient, TakesTheEndOfTheStreamForTheEndOfAReplyWithoutLength) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [](ScriptedServer::Socket &S, int) {
+    asio::write(S, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nall")));
+    S.close();
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer Given;
+  Client->call(Server.address(), Order, 5s, storeTo(Given));
+  runUntil(*Loop, [&] { return Given.m_Callbacks > 0; });
+  STRCMP_EQUAL("all", Given.m_Body.c_str());
+  CHECK_EQUAL(0u, Client->openConnections());
+}
+
+// Guards against a reply that is taken for complete, or for a failure, because
+// the network cut it within a line of its header or within its body.
+TEST(HttpClient, ReadsAReplyThatComesInSeveralSegments) {
+  auto Loop = EventLoop::create();
+  const std::string Large(100 * 1024, 'x');
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int Number) {
+    if (Number > 1)
+      return reply(S, Large);
+    const char *Parts[] = {"HTTP/1.1 20", "0 OK\r\nContent-Le",
+                           "ngth: 6\r\n\r\nabc", "def"};
+    Duration Delay{};
+    for (const char *Part : Parts)
+      Loop->after(Delay += 5ms, [&S, Text = std::string(Part)] {
+        asio::write(S, asio::buffer(Text));
+      });
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer First;
+  Answer Second;
+  Client->call(Server.address(), Order, 5s, storeTo(First));
+  Client->call(Server.address(), Order, 5s, storeTo(Second));
+  runUntil(*Loop, [&] { return Second.m_Callbacks > 0; });
+  STRCMP_EQUAL("abcdef", First.m_Body.c_str());
+  CHECK(Second.m_Body == Large);
+  CHECK_EQUAL(1u, Client->counters().m_Connections);
+}
+
+// Guards against a stray reply that is taken for the answer of the next call.
+TEST(HttpClient, DropsAnIdleConnectionWithUnsolicitedData) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int Number) {
+    reply(S, std::to_string(Number));
+    if (Number == 1)
+      Loop->after(5ms, [&S] { reply(S, "stray"); });
+    if (Number == 2)
+      reply(S, "stray");
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  std::array<Answer, 3> Given;
+  Client->call(Server.address(), Order, 5s, storeTo(Given[0]));
+  Loop->after(40ms, [&] {
+    Client->call(Server.address(), Order, 5s, storeTo(Given[1]));
+    Client->call(Server.address(), Order, 5s, storeTo(Given[2]));
+  });
+  runUntil(*Loop, [&] { return Given[2].m_Callbacks > 0; });
+  STRCMP_EQUAL("1", Given[0].m_Body.c_str());
+  STRCMP_EQUAL("2", Given[1].m_Body.c_str());
+  STRCMP_EQUAL("3", Given[2].m_Body.c_str());
+  CHECK_EQUAL(3u, Client->counters().m_Connections);
+}
+
+// Guards against a client that loses a call, or touches what is gone, when it
+// is destroyed before the answer.
+TEST(HttpClient, ACallEndsOnceAlsoAfterItsClientIsDestroyed) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int) {
+    Loop->after(20ms, [&S] { reply(S, "late"); });
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer Given;
+  Client->call(Server.address(), Order, 5s, storeTo(Given));
+  Loop->after(5ms, [&] { Client.reset(); });
+  runUntil(*Loop, [&] { return Given.m_Callbacks > 0; });
+  STRCMP_EQUAL("late", Given.m_Body.c_str());
+  CHECK_EQUAL(1, Given.m_Callbacks);
+}
