Size pools by memory and GPUs, too

Cause: the demand of a pool counted cores alone. With its memory full and cores free, a pool had "enough", also if best-effort tasks, which occupy no cores, had filled it. A ready task waited until a task ended, forever beside tasks that last, while spare instances were left. The planner could even free instances of such a pool.

Change: the demand of jobs and pools is an amount of each resource, with what best-effort tasks occupy. The resource that needs most instances gives the size of a pool. Admission compares cores as before. PoolSized also logs memory.

TakeoverTest only follows the renamed members.

--- a/src/entry/StatusPage.cpp
+++ b/src/entry/StatusPage.cpp
@@ -66,9 +66,9 @@
                     {"servers", C.m_Servers},
                     {"silent", C.m_NotResponding},
                     {"slow", C.m_Slow},
-                    {"running_millicores", D.m_RunningMilliCores},
-                    {"waiting_millicores", D.m_ReadyMilliCores},
-                    {"capacity_millicores", D.m_CapacityMilliCores}});
+                    {"running_millicores", D.m_Running.m_MilliCores},
+                    {"waiting_millicores", D.m_Ready.m_MilliCores},
+                    {"capacity_millicores", D.m_Capacity.m_MilliCores}});
   }
   return Rows;
 }
--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -29,6 +29,33 @@
          Need.m_RequiredResources.fitsIn(L.m_Capacity);
 }
 
+/// The resources whose demand is compared with the capacity of instances.
+constexpr std::array<std::int64_t Resources::*, ResourceKinds> AllResources = {
+    &Resources::m_MilliCores, &Resources::m_MemoryMb, &Resources::m_Gpus};
+
+/// Raises \p Peak, of which \p Decay is left, to the demand \p D.
+const PeakDemand &updatePeak(PeakDemand &Peak, const PoolDemand &D,
+                             double Decay) {
+  for (std::size_t N = 0; N < ResourceKinds; ++N) {
+    auto Kind = AllResources[N];
+    double Demand =
+        static_cast<double>(D.m_Running.*Kind + D.m_Ready.*Kind) +
+        static_cast<double>(D.m_Blocked.*Kind) * BlockedDemandWeight;
+    Peak[N] = std::max(Demand, Peak[N] * Decay);
+  }
+  return Peak;
+}
+
+/// How many instances of \p Capacity hold \p Demand. Resources that they lack
+/// do not count.
+double instancesNeeded(const PeakDemand &Demand, const Resources &Capacity) {
+  double Needed = 0;
+  for (std::size_t N = 0; N < ResourceKinds; ++N)
+    if (std::int64_t Amount = Capacity.*AllResources[N]; Amount > 0)
+      Needed = std::max(Needed, Demand[N] / static_cast<double>(Amount));
+  return Needed;
+}
+
 } // namespace
 
 std::unique_ptr<FleetPlanner>
@@ -148,19 +175,16 @@
     if (P.m_Spare)
       continue;
     const PoolDemand &D = P.m_Demand = Demand[Name];
-    double MilliCores =
-        static_cast<double>(D.m_RunningMilliCores) +
-        static_cast<double>(D.m_ReadyMilliCores) +
-        static_cast<double>(D.m_BlockedMilliCores) * BlockedDemandWeight;
-    double &Peak = m_PeakDemand[Name];
-    Peak = std::max(MilliCores, Peak * Decay);
-    std::int64_t Largest = 1, Draining = 0;
+    Resources Largest{1, 0, 0};
+    std::int64_t Draining = 0;
     m_Counters.m_InstancesExamined += P.m_Instances.size();
     for (const InstanceView *V : P.m_Instances) {
-      Largest = std::max(Largest, V->m_Listing->m_Capacity.m_MilliCores);
+      Largest = Largest.most(V->m_Listing->m_Capacity);
       Draining += V->m_State->m_DrainingSince.has_value();
     }
-    double Instances = Peak * HeadroomFactor / static_cast<double>(Largest);
+    double Instances =
+        HeadroomFactor *
+        instancesNeeded(updatePeak(m_PeakDemand[Name], D, Decay), Largest);
     P.m_MinSize = D.m_ServersForSpread + std::int64_t(1);
     P.m_TargetSize =
         std::max(P.m_MinSize, static_cast<std::int64_t>(std::ceil(Instances)));
@@ -382,9 +406,11 @@
         {{"pool", Name.m_Text},
          {"instances", std::to_string(P.m_Instances.size())},
          {"target", std::to_string(P.m_TargetSize)},
-         {"running_mcores", std::to_string(P.m_Demand.m_RunningMilliCores)},
-         {"ready_mcores", std::to_string(P.m_Demand.m_ReadyMilliCores)},
-         {"blocked_mcores", std::to_string(P.m_Demand.m_BlockedMilliCores)}});
+         {"running_mcores", std::to_string(P.m_Demand.m_Running.m_MilliCores)},
+         {"ready_mcores", std::to_string(P.m_Demand.m_Ready.m_MilliCores)},
+         {"blocked_mcores", std::to_string(P.m_Demand.m_Blocked.m_MilliCores)},
+         {"running_mb", std::to_string(P.m_Demand.m_Running.m_MemoryMb)},
+         {"ready_mb", std::to_string(P.m_Demand.m_Ready.m_MemoryMb)}});
 }
 
 std::vector<InstanceOrder> FleetPlanner::plan(TimePoint Now,
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -10,6 +10,7 @@
 
 #include "instances/InstanceControl.h"
 #include "scheduling/Scheduler.h"
+#include <array>
 #include <string_view>
 #include <unordered_map>
 
@@ -57,6 +58,11 @@
   std::uint64_t m_IndexEntries = 0;
 };
 
+/// Number of kinds of resources.
+inline constexpr std::size_t ResourceKinds = 3;
+/// Demand by resource: thousandths of a core, MB of memory, GPUs.
+using PeakDemand = std::array<double, ResourceKinds>;
+
 /// Decides which instances move between pools and when instances of a wave go
 /// into maintenance. Not thread safe.
 class FleetPlanner {
@@ -290,9 +296,8 @@
   std::unordered_map<InstanceId, ServerState *> m_ServerByInstance;
   std::vector<IndexedServer> m_IndexedServers;
   bool m_ListChanged = true;
-  /// Recent peak demand of each pool in thousandths of a core. Decays with
-  /// DemandHalfLife.
-  std::map<PoolName, double> m_PeakDemand;
+  /// Recent peak demand of each pool. Decays with DemandHalfLife.
+  std::map<PoolName, PeakDemand> m_PeakDemand;
   /// Time of the latest plan.
   TimePoint m_PlannedAt{};
   TimePoint m_NextShortageLog{};
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -266,3 +266,56 @@
     return O.m_Instance == InstanceId("on-r2") && O.m_To == PoolName("hall");
   }));
 }
+
+namespace {
+
+/// A step of tasks that last and need \p Required each.
+StepSpec lastingStep(std::uint32_t Count, const Resources &Required) {
+  StepSpec Step = SchedulerFixture::step(Count);
+  Step.m_IsLongRunning = true;
+  Step.m_RequiredResources = Required;
+  return Step;
+}
+
+/// Starts \p Lasting on \p Servers servers, adds a task that needs \p Required
+/// and finds no room on them, and expects that the only spare instance moves
+/// to the pool.
+void expectMoveForTask(PlannerFixture &W, std::size_t Servers,
+                       const StepSpec &Lasting, const Resources &Required) {
+  for (std::size_t N = 0; N < Servers; ++N) {
+    W.m_World.addServer("s" + std::to_string(N), 4);
+    W.list("s" + std::to_string(N), "desk");
+  }
+  W.list("r1", "reserve");
+  W.m_World.addJob("l", {Lasting});
+  W.m_World.tick();
+  CHECK_EQUAL(Lasting.m_Count, W.m_World.m_Orders.m_Starts.size());
+  StepSpec Step = SchedulerFixture::step(1);
+  Step.m_RequiredResources = Required;
+  W.m_World.addJob("j", {Step});
+  W.m_World.tick();
+  CHECK_EQUAL(Lasting.m_Count, W.m_World.m_Orders.m_Starts.size());
+  auto Orders = W.plan();
+  CHECK_EQUAL(1u, Orders.size());
+  STRCMP_EQUAL("on-r1", Orders[0].m_Instance.m_Text.c_str());
+  STRCMP_EQUAL("desk", Orders[0].m_To.m_Text.c_str());
+}
+
+} // namespace
+
+// Guards against a task that waits forever in a pool with free cores and too
+// little free memory, while spare instances are left.
+TEST(FleetPlanner, APoolGrowsIfItsMemoryIsFull) {
+  PlannerFixture W;
+  expectMoveForTask(W, 2, lastingStep(2, {500, 60000, 0}), {1000, 8000, 0});
+}
+
+// Guards against the same if best-effort tasks, which occupy no cores, have
+// filled the memory.
+TEST(FleetPlanner, APoolGrowsIfBestEffortTasksHaveFilledItsMemory) {
+  PlannerFixture W;
+  StepSpec Filling = SchedulerFixture::step(2);
+  Filling.m_IsBestEffort = true;
+  Filling.m_RequiredResources = {1000, 60000, 0};
+  expectMoveForTask(W, 2, Filling, {1000, 8000, 0});
+}
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -36,6 +36,11 @@
     return {std::min(m_MilliCores, B.m_MilliCores),
             std::min(m_MemoryMb, B.m_MemoryMb), std::min(m_Gpus, B.m_Gpus)};
   }
+  /// The larger amount of each resource.
+  Resources most(const Resources &B) const {
+    return {std::max(m_MilliCores, B.m_MilliCores),
+            std::max(m_MemoryMb, B.m_MemoryMb), std::max(m_Gpus, B.m_Gpus)};
+  }
   Resources &operator+=(const Resources &B) {
     m_MilliCores += B.m_MilliCores;
     m_MemoryMb += B.m_MemoryMb;
@@ -48,6 +53,9 @@
     m_Gpus -= B.m_Gpus;
     return *this;
   }
+  friend Resources operator*(const Resources &A, std::int64_t Count) {
+    return {A.m_MilliCores * Count, A.m_MemoryMb * Count, A.m_Gpus * Count};
+  }
 };
 
 /// One step of a job: a number of identical tasks.
@@ -86,6 +94,12 @@
   /// Maximum number of tasks that operations of this system, such as moves and
   /// maintenance, may make unavailable at the same time; 0: unlimited.
   std::uint32_t m_MaxUnavailable = 0;
+
+  /// Resources of a backend server that one task occupies.
+  Resources allocation() const {
+    return {m_IsBestEffort ? 0 : m_RequiredResources.m_MilliCores,
+            m_RequiredResources.m_MemoryMb, m_RequiredResources.m_Gpus};
+  }
 };
 
 /// A job as it was accepted, with the pool that its queue used at that time.
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -85,18 +85,13 @@
 
 JobDemand LiveJob::computeDemand() const {
   JobDemand D;
-  for (const ReadyTask &R : m_Ready) {
-    const StepSpec &Step = m_Spec.m_Steps[R.m_Step];
-    if (!Step.m_IsBestEffort)
-      D.m_ReadyMilliCores += Step.m_RequiredResources.m_MilliCores;
-  }
+  for (const ReadyTask &R : m_Ready)
+    D.m_Ready += m_Spec.m_Steps[R.m_Step].allocation();
   for (const auto &[Number, O] : m_Occurrences)
     for (std::size_t N = 0; N < O.m_Steps.size(); ++N) {
       const StepSpec &Step = m_Spec.m_Steps[N];
-      if (!O.m_Steps[N].m_Released && !O.m_Steps[N].isDone() &&
-          !Step.m_IsBestEffort)
-        D.m_BlockedMilliCores +=
-            Step.m_Count * Step.m_RequiredResources.m_MilliCores;
+      if (!O.m_Steps[N].m_Released && !O.m_Steps[N].isDone())
+        D.m_Blocked += Step.allocation() * Step.m_Count;
     }
   for (const StepSpec &Step : m_Spec.m_Steps)
     if (Step.m_IsLongRunning && Step.m_MaxPerServer > 0)
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -106,12 +106,11 @@
   }
 };
 
-/// The cores that the unfinished tasks of a job need, without best-effort
-/// tasks.
+/// The resources that the unfinished tasks of a job occupy.
 struct JobDemand {
-  std::int64_t m_ReadyMilliCores = 0;
+  Resources m_Ready;
   /// Of the steps that still wait for other steps.
-  std::int64_t m_BlockedMilliCores = 0;
+  Resources m_Blocked;
   /// Servers that its long-running steps need to respect their limit of tasks
   /// per server.
   std::uint32_t m_ServersForSpread = 0;
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -49,42 +49,45 @@
   for (auto &[Id, S] : m_Servers.all()) {
     PoolDemand &D = Find(S.m_Index, S.m_Registration.m_Pool);
     // Nothing else starts on a server that is kept for a suspected task.
-    D.m_RunningMilliCores +=
-        S.m_IsolatedFor.empty()
-            ? S.m_Used.m_MilliCores + S.m_Planned.m_MilliCores
-            : S.m_Registration.m_Capacity.m_MilliCores;
+    if (S.m_IsolatedFor.empty()) {
+      D.m_Running += S.m_Used;
+      D.m_Running += S.m_Planned;
+    } else {
+      D.m_Running += S.m_Registration.m_Capacity;
+    }
     if (S.m_Registered && !S.m_Registration.m_Draining)
-      D.m_CapacityMilliCores += S.m_Registration.m_Capacity.m_MilliCores;
+      D.m_Capacity += S.m_Registration.m_Capacity;
   }
   // Tasks beyond the cap of their organisation need no servers.
   std::unordered_map<const OrganisationAccount *, std::int64_t> RoomUnderCaps;
   auto TakeRoom = [&](const OrganisationAccount *Account,
-                      std::int64_t MilliCores) {
-    if (!Account || !Account->hasCap())
-      return MilliCores;
+                      const Resources &Needed) {
+    if (!Account || !Account->hasCap() || Needed.m_MilliCores <= 0)
+      return Needed;
     auto [It, IsNew] = RoomUnderCaps.try_emplace(Account, 0);
     if (IsNew)
       It->second = Account->freeMilliCores();
-    std::int64_t Taken = std::min(MilliCores, It->second);
+    std::int64_t Taken = std::min(Needed.m_MilliCores, It->second);
     It->second -= Taken;
-    return Taken;
+    // The tasks that have room need their part of the other resources.
+    return Resources{Taken, Needed.m_MemoryMb * Taken / Needed.m_MilliCores,
+                     Needed.m_Gpus * Taken / Needed.m_MilliCores};
   };
   for (auto &[Id, Job] : m_Jobs.all()) {
     PoolDemand &D = Job->m_Policy ? Find(Job->m_Policy, Job->m_Policy->m_Pool)
                                   : Pools[Job->m_Spec.m_Pool];
     const JobDemand &Needs = Job->demand(m_Counters.m_DemandReads);
-    D.m_ReadyMilliCores += TakeRoom(Job->m_Account, Needs.m_ReadyMilliCores);
+    D.m_Ready += TakeRoom(Job->m_Account, Needs.m_Ready);
     D.m_ServersForSpread =
         std::max(D.m_ServersForSpread, Needs.m_ServersForSpread);
   }
   // Tasks that are ready take the room under a cap before later steps.
   for (auto &[Id, Job] : m_Jobs.all()) {
-    std::int64_t Blocked =
-        Job->demand(m_Counters.m_DemandReads).m_BlockedMilliCores;
-    if (Blocked > 0)
+    const Resources &Blocked = Job->demand(m_Counters.m_DemandReads).m_Blocked;
+    if (!Blocked.fitsIn({}))
       (Job->m_Policy ? Find(Job->m_Policy, Job->m_Policy->m_Pool)
                      : Pools[Job->m_Spec.m_Pool])
-          .m_BlockedMilliCores += TakeRoom(Job->m_Account, Blocked);
+          .m_Blocked += TakeRoom(Job->m_Account, Blocked);
   }
   return Pools;
 }
@@ -94,7 +97,8 @@
     return {};
   std::set<PoolName> FullPools;
   for (const auto &[Name, D] : demand()) {
-    if (D.m_RunningMilliCores + D.m_ReadyMilliCores <= D.m_CapacityMilliCores)
+    if (D.m_Running.m_MilliCores + D.m_Ready.m_MilliCores <=
+        D.m_Capacity.m_MilliCores)
       m_ShortSince.erase(Name);
     else if (m_ShortSince.try_emplace(Name, Now).first->second + GrowthTime <=
              Now)
--- a/src/scheduling/SchedulerSelection.cpp
+++ b/src/scheduling/SchedulerSelection.cpp
@@ -24,10 +24,7 @@
 }
 
 Resources Scheduler::allocationFor(const StepSpec &Step) {
-  Resources Allocation = Step.m_RequiredResources;
-  if (Step.m_IsBestEffort)
-    Allocation.m_MilliCores = 0;
-  return Allocation;
+  return Step.allocation();
 }
 
 Scheduler::StepNeeds Scheduler::needsOf(const LiveJob &Job,
--- a/src/scheduling/SchedulerTypes.h
+++ b/src/scheduling/SchedulerTypes.h
@@ -77,18 +77,18 @@
   std::uint64_t m_ServersSearched = 0;
 };
 
-/// Demand on a pool in thousandths of a core, for sizing the pool and for
-/// admission control. Best-effort tasks are not included.
+/// Demand on a pool, for sizing the pool and for admission control.
+/// Best-effort tasks occupy no cores.
 struct PoolDemand {
-  std::int64_t m_RunningMilliCores = 0;
-  std::int64_t m_ReadyMilliCores = 0;
+  Resources m_Running;
+  Resources m_Ready;
   /// Demand of the steps that still wait for other steps.
-  std::int64_t m_BlockedMilliCores = 0;
+  Resources m_Blocked;
   /// Servers that long-running steps need to respect their limit of tasks per
   /// server.
   std::uint32_t m_ServersForSpread = 0;
   /// Capacity of the registered servers that are not draining.
-  std::int64_t m_CapacityMilliCores = 0;
+  Resources m_Capacity;
 };
 
 /// A ready task that no server of its pool may run, regardless of free
--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -230,8 +230,8 @@
   W.addJob("j", {SchedulerFixture::step(2), SchedulerFixture::step(3, {0})},
            Progress);
   PoolDemand D = W.m_Core->demand()[PoolName("desk")];
-  CHECK_EQUAL(3000, D.m_ReadyMilliCores);
-  CHECK_EQUAL(0, D.m_BlockedMilliCores);
+  CHECK_EQUAL(3000, D.m_Ready.m_MilliCores);
+  CHECK_EQUAL(0, D.m_Blocked.m_MilliCores);
 }
 
 // A job was cancelled while the leader changed. The next leader did not know
