Move an instance to a pool where lasting tasks leave no room for a task

Cause: whether any server of a pool may run a ready task was answered by the servers' whole capacity. Where tasks that last leave some room on each server, but on none enough for the task, the demand in sum fitted the pool, and the task waited forever although spare instances were left.

Change: a server counts only if the task fits once the runs there have ended that end by themselves.

--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -319,3 +319,10 @@
   Filling.m_RequiredResources = {1000, 60000, 0};
   expectMoveForTask(W, 2, Filling, {1000, 8000, 0});
 }
+
+// Guards against the same if the free cores are enough in sum, but too few on
+// each server, and the tasks there do not end.
+TEST(FleetPlanner, APoolGrowsIfNoServerHasRoomBesideLastingTasks) {
+  PlannerFixture W;
+  expectMoveForTask(W, 10, lastingStep(10, {3000, 1000, 0}), {2000, 1000, 0});
+}
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -17,6 +17,15 @@
 /// instance of another pool moves within 1.5 s.
 constexpr Duration GrowthTime = std::chrono::milliseconds(1500);
 
+/// What is free on \p S once all runs have ended that end by themselves.
+Resources roomInTime(const ServerState &S) {
+  Resources Room = S.m_Registration.m_Capacity;
+  for (const auto &[Id, Run] : S.m_Runs)
+    if (Run.m_IsLongRunning)
+      Room -= Run.m_Allocation;
+  return Room;
+}
+
 } // namespace
 
 const PoolName &Scheduler::poolOf(const LiveJob &Job) {
@@ -110,13 +119,14 @@
 bool Scheduler::hasServerFor(const LiveJob &Job, const ReadyTask &Task) {
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
   const StepId Id = Job.stepId(Task);
+  const Resources Need = allocationFor(Step);
   const ServersByFreeCores &Servers = m_Servers.inPool(poolOf(Job));
   return std::any_of(Servers.begin(), Servers.end(), [&](const ServerState *S) {
     const ServerRegistration &R = S->m_Registration;
     ++m_Counters.m_ServersSearched;
     return S->m_Registered && !R.m_Draining &&
            hasLabel(R.m_Labels, Step.m_RequiredLabel) &&
-           allocationFor(Step).fitsIn(R.m_Capacity) &&
+           Need.fitsIn(R.m_Capacity) && Need.fitsIn(roomInTime(*S)) &&
            !(advicePolicy(Job) && m_Advice.isDenied(Id, R.m_Id));
   });
 }
--- a/src/scheduling/SchedulerTypes.h
+++ b/src/scheduling/SchedulerTypes.h
@@ -91,8 +91,8 @@
   Resources m_Capacity;
 };
 
-/// A ready task that no server of its pool may run, regardless of free
-/// resources.
+/// A ready task that no server of its pool may run, even once all tasks there
+/// have ended that do not last.
 struct UnschedulableTask {
   PoolName m_Pool;
   /// The required label; empty if any server will do.
