Find a call's peer once in ConnectionSlots

Each step of a call looked its peer up by name in a tree, copied the name, and allocated a node for the idle connection, the queued call and the entry of startable calls. Peers and connections are in hash maps now, connections and startable calls point to their peer, list nodes move between the idle ones and those in use, and the short sets are flat. The order of calls and connections is the same. ConnectionSlotsTest includes <map> itself now; it is otherwise unchanged.

--- a/src/net/ConnectionSlots.cpp
+++ b/src/net/ConnectionSlots.cpp
@@ -6,9 +6,13 @@
 namespace pollenspool {
 
 void ConnectionSlots::addCall(CallNumber Call, const std::string &Peer) {
-  if (m_Peers[Peer].m_Queued.insert(Call).second)
+  auto [It, IsNew] = m_Peers.try_emplace(Peer);
+  PeerState &P = It->second;
+  if (IsNew)
+    P.m_Name = Peer;
+  if (P.m_Queued.insert(Call).second)
     ++m_Queued;
-  refresh(Peer);
+  refresh(P);
 }
 
 bool ConnectionSlots::removeCall(CallNumber Call, const std::string &Peer) {
@@ -16,7 +20,7 @@
   if (It == m_Peers.end() || It->second.m_Queued.erase(Call) == 0)
     return false;
   --m_Queued;
-  refresh(Peer);
+  refresh(It->second);
   return true;
 }
 
@@ -26,9 +30,9 @@
     return;
   Connection &C = It->second;
   C.m_IsIdle = true;
-  C.m_Age = m_IdleByAge.insert(m_IdleByAge.end(), Number);
-  m_Peers[C.m_Peer].m_Idle.push_back(Number);
-  refresh(C.m_Peer);
+  m_IdleByAge.splice(m_IdleByAge.end(), m_InUse, C.m_Position);
+  C.m_Peer->m_Idle.push_back(Number);
+  refresh(*C.m_Peer);
 }
 
 void ConnectionSlots::close(ConnectionNumber Number) {
@@ -37,28 +41,28 @@
     return;
   if (It->second.m_IsIdle)
     removeIdle(Number, It->second);
-  std::string Peer = std::move(It->second.m_Peer);
+  PeerState &P = *It->second.m_Peer;
+  m_InUse.erase(It->second.m_Position);
   m_Connections.erase(It);
-  --m_Peers[Peer].m_Open;
-  refresh(Peer);
+  --P.m_Open;
+  refresh(P);
 }
 
 std::optional<ConnectionAction> ConnectionSlots::next() {
   if (m_Startable.empty())
     return std::nullopt;
   const auto [Call, Peer] = *m_Startable.begin();
-  PeerState &P = m_Peers[Peer];
+  PeerState &P = *Peer;
   ConnectionAction Action;
   Action.m_Call = Call;
   if (!P.m_Idle.empty()) {
     Action.m_Kind = ConnectionAction::Kind::Reuse;
     Action.m_Connection = P.m_Idle.back();
-    removeIdle(Action.m_Connection, m_Connections[Action.m_Connection]);
+    removeIdle(Action.m_Connection,
+               m_Connections.find(Action.m_Connection)->second);
   } else if (m_Connections.size() < m_Limits.m_Total) {
     Action.m_Kind = ConnectionAction::Kind::Open;
-    Action.m_Connection = ++m_LastConnection;
-    m_Connections[Action.m_Connection].m_Peer = Peer;
-    ++P.m_Open;
+    Action.m_Connection = openConnection(P);
   } else if (!m_IdleByAge.empty()) {
     Action = {ConnectionAction::Kind::Close, m_IdleByAge.front(), 0};
     close(Action.m_Connection);
@@ -68,35 +72,40 @@
   }
   P.m_Queued.erase(Call);
   --m_Queued;
-  refresh(Peer);
+  refresh(P);
   return Action;
 }
 
+ConnectionNumber ConnectionSlots::openConnection(PeerState &P) {
+  ConnectionNumber Number = ++m_LastConnection;
+  m_Connections[Number] = {&P, false, m_InUse.insert(m_InUse.end(), Number)};
+  ++P.m_Open;
+  return Number;
+}
+
 bool ConnectionSlots::isTotalLimitBinding() const {
   return !m_Startable.empty() && m_IdleByAge.empty() &&
          m_Connections.size() >= m_Limits.m_Total;
 }
 
-void ConnectionSlots::refresh(const std::string &Peer) {
-  auto It = m_Peers.find(Peer);
-  PeerState &P = It->second;
+void ConnectionSlots::refresh(PeerState &P) {
   bool MayStart = !P.m_Queued.empty() &&
                   (!P.m_Idle.empty() || P.m_Open < m_Limits.m_PerPeer);
   CallNumber First = MayStart ? *P.m_Queued.begin() : 0;
   if (First != P.m_StartableCall) {
     m_Startable.erase(P.m_StartableCall);
     if (MayStart)
-      m_Startable[First] = Peer;
+      m_Startable[First] = &P;
     P.m_StartableCall = First;
   }
   if (P.m_Queued.empty() && P.m_Open == 0)
-    m_Peers.erase(It);
+    m_Peers.erase(m_Peers.find(P.m_Name));
 }
 
 void ConnectionSlots::removeIdle(ConnectionNumber Number, Connection &C) {
-  m_IdleByAge.erase(C.m_Age);
+  m_InUse.splice(m_InUse.end(), m_IdleByAge, C.m_Position);
   C.m_IsIdle = false;
-  auto &Idle = m_Peers[C.m_Peer].m_Idle;
+  auto &Idle = C.m_Peer->m_Idle;
   Idle.erase(std::find(Idle.begin(), Idle.end(), Number));
 }
 
--- a/src/net/ConnectionSlots.h
+++ b/src/net/ConnectionSlots.h
@@ -3,13 +3,14 @@
 #ifndef POLLENSPOOL_NET_CONNECTIONSLOTS_H
 #define POLLENSPOOL_NET_CONNECTIONSLOTS_H
 
+#include <boost/container/flat_map.hpp>
+#include <boost/container/flat_set.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <list>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pollenspool {
@@ -75,7 +76,8 @@
 
 private:
   struct PeerState {
-    std::set<CallNumber> m_Queued;
+    std::string m_Name;
+    boost::container::flat_set<CallNumber> m_Queued;
     /// Idle connections; the most recently used one is the last.
     std::vector<ConnectionNumber> m_Idle;
     std::size_t m_Open = 0;
@@ -83,25 +85,29 @@
     CallNumber m_StartableCall = 0;
   };
   struct Connection {
-    std::string m_Peer;
+    PeerState *m_Peer = nullptr;
     bool m_IsIdle = false;
-    /// Position in m_IdleByAge, if idle.
-    std::list<ConnectionNumber>::iterator m_Age;
+    /// Position in m_IdleByAge if idle, else in m_InUse.
+    std::list<ConnectionNumber>::iterator m_Position;
   };
 
   /// Updates the peer's entry in m_Startable, and forgets a peer without calls
   /// and connections.
-  void refresh(const std::string &Peer);
+  void refresh(PeerState &P);
   void removeIdle(ConnectionNumber Number, Connection &C);
+  ConnectionNumber openConnection(PeerState &P);
 
   ConnectionLimits m_Limits;
-  std::map<std::string, PeerState> m_Peers;
-  std::map<ConnectionNumber, Connection> m_Connections;
+  /// Elements keep their addresses.
+  std::unordered_map<std::string, PeerState> m_Peers;
+  std::unordered_map<ConnectionNumber, Connection> m_Connections;
   /// Idle connections, the least recently used one first.
   std::list<ConnectionNumber> m_IdleByAge;
+  /// The other connections. Elements move between the lists.
+  std::list<ConnectionNumber> m_InUse;
   /// The first queued call of each peer that is below its limit or has an idle
   /// connection.
-  std::map<CallNumber, std::string> m_Startable;
+  boost::container::flat_map<CallNumber, PeerState *> m_Startable;
   ConnectionNumber m_LastConnection = 0;
   std::size_t m_Queued = 0;
 };
--- a/src/net/ConnectionSlotsTest.cpp
+++ b/src/net/ConnectionSlotsTest.cpp
@@ -2,6 +2,7 @@
 
 #include "net/ConnectionSlots.h"
 #include <CppUTest/TestHarness.h>
+#include <map>
 #include <random>
 
 using namespace pollenspool;
