Give the HTTP client's connection a name of its own

The peers' transport has a class ClientConnection in the same namespace. The class of src/net is HttpClientConnection now.

build/unit_tests: 486 ran, no failure.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -3,7 +3,7 @@
 #include "net/HttpClient.h"
 #include "base/Address.h"
 #include "base/Log.h"
-#include "net/ClientConnection.h"
+#include "net/HttpClientConnection.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -67,11 +67,11 @@
 
 } // namespace
 
-struct HttpClient::Impl : ClientConnection::Listener,
+struct HttpClient::Impl : HttpClientConnection::Listener,
                           std::enable_shared_from_this<HttpClient::Impl> {
   /// An open connection and the call on it; no call if it is idle.
   struct Exchange {
-    std::shared_ptr<ClientConnection> m_Connection;
+    std::shared_ptr<HttpClientConnection> m_Connection;
     std::unique_ptr<Call> m_Call;
   };
 
@@ -203,7 +203,8 @@
         asio::ip::make_address_v4(Destination ? Destination->m_Host : "", Bad);
     ++m_Counters.m_Connections;
     Exchange &E = m_Exchanges[Number];
-    E.m_Connection = ClientConnection::create(m_Loop.context(), *this, Number);
+    E.m_Connection =
+        HttpClientConnection::create(m_Loop.context(), *this, Number);
     assign(std::move(C), Number, E);
     if (Destination && !Bad)
       return E.m_Connection->open({Ip, Destination->m_Port});
@@ -219,11 +220,11 @@
     E.m_Connection->send(std::move(E.m_Call->m_Request));
   }
 
-  void onConnected(ClientConnection &Connection) override {
+  void onConnected(HttpClientConnection &Connection) override {
     send(m_Exchanges.find(Connection.number())->second);
   }
 
-  void onConnectFailed(ClientConnection &Connection,
+  void onConnectFailed(HttpClientConnection &Connection,
                        const error_code &Failed) override {
     fail(Connection.number(),
          isLocalFailure(Failed) ? ErrorCode::ResourceExhausted
@@ -231,7 +232,7 @@
          Failed.message());
   }
 
-  void onReply(ClientConnection &Connection, HttpReply Reply,
+  void onReply(HttpClientConnection &Connection, HttpReply Reply,
                bool IsReusable) override {
     auto It = m_Exchanges.find(Connection.number());
     auto C = std::move(It->second.m_Call);
@@ -246,12 +247,12 @@
     end(*C, std::move(Reply));
   }
 
-  void onExchangeFailed(ClientConnection &Connection,
+  void onExchangeFailed(HttpClientConnection &Connection,
                         const error_code &Failed) override {
     fail(Connection.number(), ErrorCode::ConnectionLost, Failed.message());
   }
 
-  void onIdleEnd(ClientConnection &Connection) override {
+  void onIdleEnd(HttpClientConnection &Connection) override {
     ConnectionNumber Number = Connection.number();
     m_Exchanges.erase(Number);
     m_Slots.close(Number);
--- a/src/net/ClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -1,6 +1,6 @@
-//===- ClientConnection.cpp - One connection of HttpClient ----------------===//
+//===- HttpClientConnection.cpp - One connection of HttpClient ------------===//
 
-#include "net/ClientConnection.h"
+#include "net/HttpClientConnection.h"
 #include "base/Log.h"
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -29,23 +29,23 @@
 
 } // namespace
 
-std::shared_ptr<ClientConnection>
-ClientConnection::create(asio::io_context &Context, Listener &Events,
-                         ConnectionNumber Number) {
-  return std::shared_ptr<ClientConnection>(
-      new ClientConnection(Context, Events, Number));
+std::shared_ptr<HttpClientConnection>
+HttpClientConnection::create(asio::io_context &Context, Listener &Events,
+                             ConnectionNumber Number) {
+  return std::shared_ptr<HttpClientConnection>(
+      new HttpClientConnection(Context, Events, Number));
 }
 
 /// Asio's socket would turn the option of setOptions() off in its destructor,
 /// and send what is left in the background.
-ClientConnection::~ClientConnection() {
+HttpClientConnection::~HttpClientConnection() {
   ErrorCode Failed;
   m_Socket.close(Failed);
   if (Failed)
     logEvent(Event::SocketOptionFailed, {{"error", Failed.message()}});
 }
 
-void ClientConnection::open(const asio::ip::tcp::endpoint &Peer) {
+void HttpClientConnection::open(const asio::ip::tcp::endpoint &Peer) {
   m_Socket.async_connect(
       Peer, [Weak = weak_from_this()](const ErrorCode &Failed) {
         auto Self = Weak.lock();
@@ -62,7 +62,7 @@
 /// Closing the connection discards what has not been sent: a request that was
 /// given up must not be delivered later, when a network that dropped it works
 /// again.
-void ClientConnection::setOptions() {
+void HttpClientConnection::setOptions() {
   ErrorCode Failed;
   m_Socket.set_option(asio::ip::tcp::no_delay(true), Failed);
   if (!Failed)
@@ -73,7 +73,7 @@
     logEvent(Event::SocketOptionFailed, {{"error", Failed.message()}});
 }
 
-void ClientConnection::send(std::string Request) {
+void HttpClientConnection::send(std::string Request) {
   m_Parser.emplace(MaxReplyBytes);
   ErrorCode Failed;
   std::size_t Sent = m_Socket.send(asio::buffer(Request), 0, Failed);
@@ -91,7 +91,7 @@
   sendRest(Sent);
 }
 
-void ClientConnection::sendRest(std::size_t Sent) {
+void HttpClientConnection::sendRest(std::size_t Sent) {
   asio::async_write(
       m_Socket, asio::buffer(m_Output) + Sent,
       [Weak = weak_from_this()](const ErrorCode &Failed, std::size_t) {
@@ -104,7 +104,7 @@
       });
 }
 
-bool ClientConnection::isStale(TimePoint Now) {
+bool HttpClientConnection::isStale(TimePoint Now) {
   Duration Idle = Now - m_IdleSince;
   if (Idle > FreshIdleTime && Idle < LongIdleTime)
     return false;
@@ -113,7 +113,7 @@
   return N >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-void ClientConnection::receive() {
+void HttpClientConnection::receive() {
   bool IsContinued = m_Parser && m_Parser->got_some();
   m_Socket.async_receive(
       m_Input.prepare(IsContinued ? FurtherReadBytes : FirstReadBytes),
@@ -123,7 +123,7 @@
       });
 }
 
-void ClientConnection::onReceived(ErrorCode Failed, std::size_t Bytes) {
+void HttpClientConnection::onReceived(ErrorCode Failed, std::size_t Bytes) {
   if (!m_Parser)
     return m_Events.onIdleEnd(*this);
   std::size_t Wanted = m_Parser->got_some() ? FurtherReadBytes : FirstReadBytes;
@@ -141,7 +141,7 @@
   fail(Failed);
 }
 
-bool ClientConnection::parse(bool IsClosed) {
+bool HttpClientConnection::parse(bool IsClosed) {
   ErrorCode Failed;
   if (!IsClosed)
     m_Input.consume(m_Parser->put(m_Input.data(), Failed));
@@ -160,7 +160,7 @@
   return false;
 }
 
-void ClientConnection::finish(bool IsClosed) {
+void HttpClientConnection::finish(bool IsClosed) {
   bool IsReusable = m_Parser->keep_alive() && !IsClosed &&
                     m_Input.size() == 0 && m_Output.empty();
   HttpReply Reply = m_Parser->take();
@@ -172,7 +172,7 @@
   m_Events.onReply(*this, std::move(Reply), IsReusable);
 }
 
-void ClientConnection::fail(const ErrorCode &Failed) {
+void HttpClientConnection::fail(const ErrorCode &Failed) {
   m_Events.onExchangeFailed(*this, Failed);
 }
 
--- a/src/net/ClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -1,7 +1,7 @@
-//===- ClientConnection.h - One connection of HttpClient --------*- C++ -*-===//
+//===- HttpClientConnection.h - One connection of HttpClient -- -*- C++ -*-===//
 
-#ifndef POLLENSPOOL_NET_CLIENTCONNECTION_H
-#define POLLENSPOOL_NET_CLIENTCONNECTION_H
+#ifndef POLLENSPOOL_NET_HTTPCLIENTCONNECTION_H
+#define POLLENSPOOL_NET_HTTPCLIENTCONNECTION_H
 
 #include "base/Error.h"
 #include "base/Time.h"
@@ -23,35 +23,36 @@
 /// is seen without a system call of its own. Destroying it closes the socket
 /// and discards what has not been sent; no callback comes after that. It knows
 /// no time limits. To be used on the event loop's thread only.
-class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+class HttpClientConnection
+    : public std::enable_shared_from_this<HttpClientConnection> {
 public:
   /// Receives a connection's events, never from within open() or send().
   class Listener {
   public:
     virtual ~Listener() = default;
-    virtual void onConnected(ClientConnection &Connection) = 0;
+    virtual void onConnected(HttpClientConnection &Connection) = 0;
     /// The peer did not accept the connection.
-    virtual void onConnectFailed(ClientConnection &Connection,
+    virtual void onConnectFailed(HttpClientConnection &Connection,
                                  const boost::system::error_code &Failed) = 0;
     /// The exchange is complete. \p IsReusable: the connection may carry
     /// another one.
-    virtual void onReply(ClientConnection &Connection, HttpReply Reply,
+    virtual void onReply(HttpClientConnection &Connection, HttpReply Reply,
                          bool IsReusable) = 0;
     /// The exchange cannot be completed. The peer may have the request.
-    virtual void onExchangeFailed(ClientConnection &Connection,
+    virtual void onExchangeFailed(HttpClientConnection &Connection,
                                   const boost::system::error_code &Failed) = 0;
     /// The peer closed the connection between two exchanges, or sent data that
     /// no request asked for.
-    virtual void onIdleEnd(ClientConnection &Connection) = 0;
+    virtual void onIdleEnd(HttpClientConnection &Connection) = 0;
   };
 
   /// \p Context and \p Events must outlive the connection.
-  static std::shared_ptr<ClientConnection>
+  static std::shared_ptr<HttpClientConnection>
   create(boost::asio::io_context &Context, Listener &Events,
          ConnectionNumber Number);
-  ~ClientConnection();
-  ClientConnection(const ClientConnection &) = delete;
-  ClientConnection &operator=(const ClientConnection &) = delete;
+  ~HttpClientConnection();
+  HttpClientConnection(const HttpClientConnection &) = delete;
+  HttpClientConnection &operator=(const HttpClientConnection &) = delete;
 
   ConnectionNumber number() const { return m_Number; }
   /// Connects to \p Peer. Precondition: not called before.
@@ -71,8 +72,8 @@
                                        boost::asio::io_context::executor_type>;
   using ErrorCode = boost::system::error_code;
 
-  ClientConnection(boost::asio::io_context &Context, Listener &Events,
-                   ConnectionNumber Number)
+  HttpClientConnection(boost::asio::io_context &Context, Listener &Events,
+                       ConnectionNumber Number)
       : m_Socket(Context.get_executor()), m_Events(Events), m_Number(Number) {}
 
   void setOptions();
@@ -98,4 +99,4 @@
 
 } // namespace pollenspool
 
-#endif // POLLENSPOOL_NET_CLIENTCONNECTION_H
+#endif // POLLENSPOOL_NET_HTTPCLIENTCONNECTION_H
