--- a/src/scheduling/testing/SchedulerInvariants.cpp
+++ b/src/scheduling/testing/SchedulerInvariants.cpp
@@ -10,6 +10,7 @@
 struct Planned {
   Resources m_Sum;
   std::uint32_t m_Count = 0;
+  std::uint32_t m_Isolated = 0;
 };
 
 bool isEqual(const Resources &A, const Resources &B) {
@@ -46,6 +47,7 @@
       Planned &Sum = m_Planned[P.m_Server];
       Sum.m_Sum += P.m_Need;
       ++Sum.m_Count;
+      Sum.m_Isolated += P.m_IsIsolated;
     }
     // Tasks of a job that has ended are not started, so their places are not
     // kept up to date.
@@ -120,6 +122,14 @@
     const Planned &Sum = m_Planned[&S];
     expect(isEqual(Sum.m_Sum, S.m_Planned) && Sum.m_Count == S.m_PlannedStarts,
            Id, "its planned starts do not add up to its reservations");
+    expect(Sum.m_Isolated == S.m_PlannedSuspects, Id,
+           "its planned starts of suspects do not add up");
+    bool HasSuspect =
+        S.m_PlannedSuspects > 0 ||
+        std::any_of(S.m_Runs.begin(), S.m_Runs.end(),
+                    [](const auto &E) { return E.second.m_IsSuspect; });
+    expect(S.m_IsolatedFor.m_Text.empty() || HasSuspect, Id,
+           "it is kept for suspected tasks and has none");
     const ServersByFreeCores &Pool =
         m_Core.servers().inPool(S.m_Registration.m_Pool);
     expect(S.m_IndexedMilliCores == S.freeResources().m_MilliCores &&
--- a/src/scheduling/testing/SchedulerInvariants.h
+++ b/src/scheduling/testing/SchedulerInvariants.h
@@ -15,7 +15,9 @@
 /// - a job with ready tasks is in one placement queue, or will be added to one;
 /// - a planned start that waits for a record has been asked for;
 /// - the free resources and runs of each server agree with its runs, the
-///   planned starts and the tasks.
+///   planned starts and the tasks;
+/// - a server is kept for suspected tasks only while it has one or is to get
+///   one.
 /// Not thread safe.
 std::string findInconsistency(Scheduler &Core);
 
