Let no instance leave a pool for those that are on their way to it

Cause: the surplus of a pool counted instances that were still moving in. A peak that ended early sent away the servers that had arrived, and left the pool without any until the others came 1.5 s later; a step that became ready then could not start. The moves bought nothing.

Change: an instance leaves only if the instances that have arrived exceed the target size. What is left over moves once the others are there. The code that frees instances is now beside the reservations, unchanged.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -4,7 +4,6 @@
 #include "base/Log.h"
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace pollenspool {
 
@@ -181,6 +180,7 @@
     for (const InstanceView *V : P.m_Instances) {
       Largest = Largest.most(V->m_Listing->m_Capacity);
       Draining += V->m_State->m_DrainingSince.has_value();
+      P.m_Arrived += hasArrived(Name, *V);
     }
     double Instances =
         HeadroomFactor *
@@ -230,6 +230,7 @@
     const InstanceView *V = *It;
     if (isMovable(*V, OnlyEmpty)) {
       From.m_Instances.erase(It);
+      --From.m_Arrived;
       return V;
     }
     ++From.m_NextCandidate;
@@ -249,6 +250,7 @@
     return nullptr;
   const InstanceView *V = *It;
   From.m_Instances.erase(It);
+  --From.m_Arrived;
   return V;
 }
 
@@ -274,8 +276,7 @@
         });
     const InstanceView *V = nullptr;
     for (auto &[Name, From] : All)
-      if (!IsArriving && !V && &From != &P &&
-          (From.m_Spare || From.surplus() > 0))
+      if (!IsArriving && !V && &From != &P && (From.m_Spare || From.canGive()))
         V = takeSuitable(From, !From.m_Spare, Need);
     if (V)
       orderMove(*V, Need.m_Pool, All, Out);
@@ -309,7 +310,7 @@
     const InstanceView *V =
         Spare.empty() ? nullptr : takeMovable(All[Spare], false);
     for (auto &[Name, P] : All)
-      if (!V && !P.m_Spare && P.surplus() > 0)
+      if (!V && !P.m_Spare && P.canGive())
         V = takeMovable(P, true);
     if (!V)
       break;
@@ -320,7 +321,7 @@
   for (auto &[Name, P] : All) {
     if (P.m_Spare)
       continue;
-    while (Out.size() < m_MaxOrders && P.surplus() > 0) {
+    while (Out.size() < m_MaxOrders && P.canGive()) {
       const InstanceView *V = takeMovable(P, true);
       if (!V)
         break;
@@ -329,68 +330,17 @@
   }
 }
 
-bool FleetPlanner::hasArrivedUnaffected(const PoolName &Pool,
-                                        const InstanceView &V) {
-  ++m_Counters.m_InstancesExamined;
+bool FleetPlanner::hasArrived(const PoolName &Pool, const InstanceView &V) {
   return V.m_Server && V.m_Server->m_Registration.m_Pool == Pool &&
-         hasKnownRuns(*V.m_Server) && canOrder(V, m_PlannedAt) &&
+         !V.m_State->m_Pending && !V.m_State->m_Ordered &&
          !V.m_State->m_DrainingSince;
 }
 
-bool FleetPlanner::isFreeable(const PoolName &Pool, const InstanceView &V) {
-  if (!hasArrivedUnaffected(Pool, V))
-    return false;
-  const auto &Runs = V.m_Server->m_Runs;
-  return std::none_of(Runs.begin(), Runs.end(), [](const auto &Run) {
-    return Run.second.m_IsLongRunning || Run.second.m_IsBestEffort;
-  });
-}
-
-std::vector<const FleetPlanner::InstanceView *>
-FleetPlanner::freeableInstances(const PoolName &Name, const PoolView &P,
-                                const std::set<InstanceId> &FreedBefore) {
-  std::vector<std::tuple<bool, std::size_t, const InstanceView *>> Order;
-  for (const InstanceView *V : P.m_Instances)
-    if (isFreeable(Name, *V))
-      Order.emplace_back(FreedBefore.count(V->m_Listing->m_Id) == 0,
-                         V->m_Server->m_Runs.size(), V);
-  std::stable_sort(Order.begin(), Order.end(),
-                   [](const auto &A, const auto &B) {
-                     return std::tie(std::get<0>(A), std::get<1>(A)) <
-                            std::tie(std::get<0>(B), std::get<1>(B));
-                   });
-  std::vector<const InstanceView *> Sorted;
-  for (const auto &[IsNew, Runs, V] : Order)
-    Sorted.push_back(V);
-  return Sorted;
-}
-
-void FleetPlanner::freeSurplus(Pools &All) {
-  const std::set<InstanceId> FreedBefore = std::exchange(m_Freed, {});
-  std::int64_t Missing = 0;
-  for (const auto &[Name, P] : All)
-    Missing += P.m_Spare ? -static_cast<std::int64_t>(P.m_Instances.size())
-                         : std::max<std::int64_t>(0, -P.surplus());
-  for (auto &[Name, P] : All) {
-    if (P.m_Spare || std::min(P.surplus(), Missing) <= 0)
-      continue;
-    // Instances that have not arrived yet run no tasks.
-    auto Usable = std::count_if(P.m_Instances.begin(), P.m_Instances.end(),
-                                [&, &PoolName = Name](const InstanceView *V) {
-                                  return hasArrivedUnaffected(PoolName, *V);
-                                });
-    std::int64_t Count =
-        std::min({P.surplus(), Missing, Usable - P.m_TargetSize});
-    if (Count <= 0)
-      continue;
-    for (const InstanceView *V : freeableInstances(Name, P, FreedBefore)) {
-      if (Count-- <= 0)
-        break;
-      m_Freed.insert(V->m_Listing->m_Id);
-      reserve(*V);
-      --Missing;
-    }
-  }
+bool FleetPlanner::hasArrivedUnaffected(const PoolName &Pool,
+                                        const InstanceView &V) {
+  ++m_Counters.m_InstancesExamined;
+  return hasArrived(Pool, V) && hasKnownRuns(*V.m_Server) &&
+         canOrder(V, m_PlannedAt);
 }
 
 void FleetPlanner::logShortage(const Pools &All, TimePoint Now) {
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -173,11 +173,15 @@
     /// The target size is not lowered below this.
     std::int64_t m_MinSize = 0;
     PoolDemand m_Demand;
+    /// Instances whose servers have arrived and take tasks.
+    std::int64_t m_Arrived = 0;
     bool m_Spare = false;
 
     std::int64_t surplus() const {
       return static_cast<std::int64_t>(m_Instances.size()) - m_TargetSize;
     }
+    /// Whether an instance may leave. Those on their way do not count yet.
+    bool canGive() const { return surplus() > 0 && m_Arrived > m_TargetSize; }
   };
   using Pools = std::map<PoolName, PoolView>;
 
@@ -193,20 +197,11 @@
   /// for all pools, so that the backlog of one pool does not starve the others.
   static void shareInstances(Pools &All);
   void planMoves(Pools &All, std::vector<InstanceOrder> &Out);
-  /// Frees instances of pools that are too large while others are too small:
-  /// they get no new tasks, so that they can move once their tasks have ended.
-  void freeSurplus(Pools &All);
-  /// The instances of \p P that may be freed: first those in \p FreedBefore,
-  /// then those with the fewest runs.
-  std::vector<const InstanceView *>
-  freeableInstances(const PoolName &Name, const PoolView &P,
-                    const std::set<InstanceId> &FreedBefore);
+  /// Whether the server of \p V has arrived in \p Pool and is to stay.
+  static bool hasArrived(const PoolName &Pool, const InstanceView &V);
   /// Whether \p V has arrived in \p Pool, its runs are known, and no order or
   /// wave affects it.
   bool hasArrivedUnaffected(const PoolName &Pool, const InstanceView &V);
-  /// Whether the same holds for \p V and it only has runs that end by
-  /// themselves.
-  bool isFreeable(const PoolName &Pool, const InstanceView &V);
   /// Logs the sizes of all pools, at most once per second, while some pool has
   /// fewer instances than its target size.
   void logShortage(const Pools &All, TimePoint Now);
@@ -254,6 +249,17 @@
   void reopenIfUndone(WaveState &W);
 
   // Servers kept from taking tasks (Reservations.cpp).
+  /// Frees instances of pools that are too large while others are too small:
+  /// they get no new tasks, so that they can move once their tasks have ended.
+  void freeSurplus(Pools &All);
+  /// The instances of \p P that may be freed: first those in \p FreedBefore,
+  /// then those with the fewest runs.
+  std::vector<const InstanceView *>
+  freeableInstances(const PoolName &Name, const PoolView &P,
+                    const std::set<InstanceId> &FreedBefore);
+  /// Whether hasArrivedUnaffected() holds for \p V and it only has runs that
+  /// end by themselves.
+  bool isFreeable(const PoolName &Pool, const InstanceView &V);
   /// Keeps the server of \p V from taking tasks.
   Reservation &reserve(const InstanceView &V);
   static bool isSameIncarnation(const Reservation &R, const ServerState &S);
--- a/src/instances/FleetPlannerTest.cpp
+++ b/src/instances/FleetPlannerTest.cpp
@@ -326,3 +326,27 @@
   PlannerFixture W;
   expectMoveForTask(W, 10, lastingStep(10, {3000, 1000, 0}), {2000, 1000, 0});
 }
+
+// Guards against a pool without any server while its instances are on their
+// way: those that had arrived moved out, since the others counted for them.
+TEST(FleetPlanner, InstancesOnTheirWayDoNotReplaceThoseThatHaveArrived) {
+  PlannerFixture W;
+  W.addDesk(2, 40);
+  for (const char *Id : {"r1", "r2", "r3"})
+    W.list(Id, "reserve");
+  for (std::size_t N = 0; N < W.m_World.m_Orders.m_Starts.size(); ++N)
+    W.m_World.answerStart(N);
+  auto Orders = W.plan();
+  CHECK_EQUAL(3u, Orders.size());
+  for (const InstanceOrder &Order : Orders)
+    W.m_Planner->onOrderResult(Order, InstanceOrderResult::Done,
+                               W.m_World.m_Now);
+  W.m_World.m_Core->onJobEnded(JobId("j"));
+  for (ServerState *S : W.servers(false))
+    W.endRuns(*S);
+  W.m_World.advance(60s);
+  std::size_t MovedOut = 0;
+  for (const InstanceOrder &Order : W.plan())
+    MovedOut += Order.m_To == PoolName("reserve");
+  CHECK_EQUAL(1u, MovedOut);
+}
--- a/src/instances/Reservations.cpp
+++ b/src/instances/Reservations.cpp
@@ -1,6 +1,8 @@
 //===- Reservations.cpp - Servers kept from taking tasks ------------------===//
 
 #include "instances/FleetPlanner.h"
+#include <algorithm>
+#include <utility>
 
 namespace pollenspool {
 
@@ -80,4 +82,60 @@
       It = m_Reservations.erase(It);
 }
 
+bool FleetPlanner::isFreeable(const PoolName &Pool, const InstanceView &V) {
+  if (!hasArrivedUnaffected(Pool, V))
+    return false;
+  const auto &Runs = V.m_Server->m_Runs;
+  return std::none_of(Runs.begin(), Runs.end(), [](const auto &Run) {
+    return Run.second.m_IsLongRunning || Run.second.m_IsBestEffort;
+  });
+}
+
+std::vector<const FleetPlanner::InstanceView *>
+FleetPlanner::freeableInstances(const PoolName &Name, const PoolView &P,
+                                const std::set<InstanceId> &FreedBefore) {
+  std::vector<std::tuple<bool, std::size_t, const InstanceView *>> Order;
+  for (const InstanceView *V : P.m_Instances)
+    if (isFreeable(Name, *V))
+      Order.emplace_back(FreedBefore.count(V->m_Listing->m_Id) == 0,
+                         V->m_Server->m_Runs.size(), V);
+  std::stable_sort(Order.begin(), Order.end(),
+                   [](const auto &A, const auto &B) {
+                     return std::tie(std::get<0>(A), std::get<1>(A)) <
+                            std::tie(std::get<0>(B), std::get<1>(B));
+                   });
+  std::vector<const InstanceView *> Sorted;
+  for (const auto &[IsNew, Runs, V] : Order)
+    Sorted.push_back(V);
+  return Sorted;
+}
+
+void FleetPlanner::freeSurplus(Pools &All) {
+  const std::set<InstanceId> FreedBefore = std::exchange(m_Freed, {});
+  std::int64_t Missing = 0;
+  for (const auto &[Name, P] : All)
+    Missing += P.m_Spare ? -static_cast<std::int64_t>(P.m_Instances.size())
+                         : std::max<std::int64_t>(0, -P.surplus());
+  for (auto &[Name, P] : All) {
+    if (P.m_Spare || std::min(P.surplus(), Missing) <= 0)
+      continue;
+    // Instances that have not arrived yet run no tasks.
+    auto Usable = std::count_if(P.m_Instances.begin(), P.m_Instances.end(),
+                                [&, &PoolName = Name](const InstanceView *V) {
+                                  return hasArrivedUnaffected(PoolName, *V);
+                                });
+    std::int64_t Count =
+        std::min({P.surplus(), Missing, Usable - P.m_TargetSize});
+    if (Count <= 0)
+      continue;
+    for (const InstanceView *V : freeableInstances(Name, P, FreedBefore)) {
+      if (Count-- <= 0)
+        break;
+      m_Freed.insert(V->m_Listing->m_Id);
+      reserve(*V);
+      --Missing;
+    }
+  }
+}
+
 } // namespace pollenspool
