Store job IDs inline, and keep the hash codes of names

A job ID has 16 characters, one more than std::string stores without an allocation, and each copy of the ID of a task or run allocated it anew. Their order compared the job twice. Hash tables of names computed the hash code of every entry that a search passed, because libstdc++ keeps the codes only if the hash function may throw.

The text of a JobId is a ShortText: the string of Boost.Container, which stores 22 characters inline, with conversions to std::string, so that code that reads m_Text stays as it is. Hash codes and order are those of std::string.

--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -10,17 +10,19 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace pollenspool {
 
-/// A string identifier of the kind \p Tag. Distinct objects may be used
-/// concurrently; a single object must not be modified concurrently.
-template <typename Tag> struct Name {
-  std::string m_Text;
+/// A string identifier of the kind \p Tag, of which \p Text holds the
+/// characters. Distinct objects may be used concurrently; a single object must
+/// not be modified concurrently.
+template <typename Tag, typename Text = std::string> struct Name {
+  Text m_Text;
 
   Name() = default;
-  explicit Name(std::string Text) : m_Text(std::move(Text)) {}
+  explicit Name(Text Characters) : m_Text(std::move(Characters)) {}
 
   bool empty() const { return m_Text.empty(); }
   friend bool operator==(const Name &A, const Name &B) {
@@ -30,6 +32,9 @@
   friend bool operator<(const Name &A, const Name &B) {
     return A.m_Text < B.m_Text;
   }
+  /// Less than, equal to or greater than 0 as the name is less than, equal to
+  /// or greater than \p Other.
+  int compare(const Name &Other) const { return m_Text.compare(Other.m_Text); }
 };
 
 /// The ID of a backend server instance, e.g. "howrah-r1-i3".
@@ -50,9 +55,12 @@
 
 } // namespace pollenspool
 
-template <typename Tag> struct std::hash<pollenspool::Name<Tag>> {
-  std::size_t operator()(const pollenspool::Name<Tag> &N) const noexcept {
-    return std::hash<std::string>()(N.m_Text);
+/// Not noexcept, which lets libstdc++ keep the hash code of each entry of a
+/// table instead of computing those of all entries that a search passes.
+template <typename Tag, typename Text>
+struct std::hash<pollenspool::Name<Tag, Text>> {
+  std::size_t operator()(const pollenspool::Name<Tag, Text> &N) const {
+    return std::hash<std::string_view>()({N.m_Text.data(), N.m_Text.size()});
   }
 };
 
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -128,7 +128,7 @@
   return readJson<JobSpec>(
       "decode job row", {}, Text, [&](const Json &J) -> JobSpec {
         JobSpec Job;
-        Job.m_Id = JobId(J.at("id"));
+        Job.m_Id = JobId(J.at("id").get<std::string>());
         Job.m_Queue = QueueName(J.at("queue"));
         Job.m_Pool = PoolName(J.at("pool"));
         Job.m_Organisation = OrganisationName(J.value("organisation", ""));
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -4,6 +4,7 @@
 #define POLLENSPOOL_JOBS_JOBSPEC_H
 
 #include "base/Ids.h"
+#include "base/ShortText.h"
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
@@ -13,8 +14,9 @@
 
 namespace pollenspool {
 
-/// The ID that the caller chose for a job.
-using JobId = Name<struct JobTag>;
+/// The ID that the caller chose for a job. Usually has 16 characters, and is
+/// part of the ID of each task and run.
+using JobId = Name<struct JobTag, ShortText>;
 /// The name of a queue that accepts jobs.
 using QueueName = Name<struct QueueTag>;
 /// The name of an organisation whose callers submit jobs.
@@ -122,14 +124,14 @@
   std::uint32_t m_Index = 0;
 
   friend bool operator==(const TaskId &A, const TaskId &B) {
-    return A.asTuple() == B.asTuple();
+    return A.numbers() == B.numbers() && A.m_Job == B.m_Job;
   }
   friend bool operator<(const TaskId &A, const TaskId &B) {
-    return A.asTuple() < B.asTuple();
+    const int Order = A.m_Job.compare(B.m_Job);
+    return Order < 0 || (Order == 0 && A.numbers() < B.numbers());
   }
-  std::tuple<const std::string &, std::uint32_t, std::uint32_t, std::uint32_t>
-  asTuple() const {
-    return {m_Job.m_Text, m_Occurrence, m_Step, m_Index};
+  std::tuple<std::uint32_t, std::uint32_t, std::uint32_t> numbers() const {
+    return {m_Occurrence, m_Step, m_Index};
   }
 };
 
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -56,10 +56,13 @@
   std::uint32_t m_Number = 0;
 
   friend bool operator<(const RunId &A, const RunId &B) {
-    return std::tie(A.m_Task, A.m_Number) < std::tie(B.m_Task, B.m_Number);
+    const int Order = A.m_Task.m_Job.compare(B.m_Task.m_Job);
+    return Order < 0 ||
+           (Order == 0 && std::make_pair(A.m_Task.numbers(), A.m_Number) <
+                              std::make_pair(B.m_Task.numbers(), B.m_Number));
   }
   friend bool operator==(const RunId &A, const RunId &B) {
-    return A.m_Task == B.m_Task && A.m_Number == B.m_Number;
+    return A.m_Number == B.m_Number && A.m_Task == B.m_Task;
   }
 };
 
