Find a listed instance's server with one search

When a server has changed, the planner searched each instance's server three times: by the ID in the list, to write it to the index, and by the instance. The second search of the index is enough if it gives the listed server, as it does unless an instance has two servers.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -64,10 +64,13 @@
       m_ServerByInstance[S.m_Registration.m_Instance] = &S;
   for (InstanceView &V : m_Views) {
     const InstanceListing &L = *V.m_Listing;
-    if (ServerState *S = m_Scheduler.servers().find(L.m_Server))
-      m_ServerByInstance[L.m_Id] = S;
     auto Server = m_ServerByInstance.find(L.m_Id);
     V.m_Server = Server == m_ServerByInstance.end() ? nullptr : Server->second;
+    // The list and the registrations name the same server as a rule.
+    if (V.m_Server && V.m_Server->m_Registration.m_Id == L.m_Server)
+      continue;
+    if (ServerState *S = m_Scheduler.servers().find(L.m_Server))
+      V.m_Server = m_ServerByInstance[L.m_Id] = S;
   }
   m_Counters.m_IndexEntries += m_Scheduler.servers().all().size();
 }
