Do not wait for unreachable servers that the earlier leader knew to be idle

Cause: after a change of leader one server without an answer held up all recorded steps of its pool for up to 10.6 s, though the earlier leader knew that nothing ran there.

Change: the leader names such servers in a row of its own (IdleServers), and starts nothing on them until a write without them is committed. The next leader does not wait for them. Ruled out: a field of the renewals, since the store may apply a renewal after a later one; counting an answer of this term as proof, since a restarted server takes orders of earlier leaders again.

The simulation writes and reads the row with lost and late commits. SchedulerFuzz also lets leaders release their term and cuts servers off from two leaders.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -1,13 +1,13 @@
 //===- SchedulerFuzz.cpp - Fuzzing of the scheduler -----------------------===//
 //
 // SchedulerFuzz --seed N [--steps M] injects random faults: leaders are killed,
-// or replaced while they keep giving orders; servers crash and lose their
-// connection to the leader; replies to orders and commits are lost, or orders
-// and commits are carried out late; runs fail, some tasks crash the servers
-// that start them, and jobs are cancelled. With even seeds jobs belong to
-// organisations whose caps change. RunOracle checks every start, and
-// the state of each leader must be consistent. After the faults have ended,
-// every job must end.
+// replaced while they keep giving orders, or release their term; servers crash
+// and lose their connection to the leader, or also to the next one; replies to
+// orders and commits are lost, or orders and commits are carried out late; runs
+// fail, some tasks crash the servers that start them, and jobs are cancelled.
+// With even seeds jobs belong to organisations whose caps change. RunOracle
+// checks every start, and the state of each leader must be consistent. After
+// the faults have ended, every job must end.
 //
 //===----------------------------------------------------------------------===//
 
@@ -96,6 +96,12 @@
   case 8:
     Simulation.setCaps(drawCaps(Random));
     break;
+  case 9:
+    Simulation.isolateServer(Server);
+    break;
+  case 10:
+    Simulation.releaseTerm();
+    break;
   default:
     break;
   }
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -41,6 +41,8 @@
 /// How long the final state of a job is kept after callers can no longer query
 /// it.
 constexpr std::chrono::seconds RemovalMargin{60};
+/// Interval between two searches for unreachable servers without runs.
+constexpr Duration IdleServersInterval = std::chrono::milliseconds(100);
 /// Interval between two removals of old final states.
 constexpr Duration RemovalInterval = std::chrono::seconds(10);
 constexpr std::size_t MaxRemovalsPerTransaction = 90;
@@ -50,7 +52,8 @@
 Leader::Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
                Leadership &Lead, LoadMonitor &Load)
     : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings), m_Leadership(Lead),
-      m_Load(Load), m_StartRecords(Lead.term(), Lead.termCondition()) {
+      m_Load(Load), m_StartRecords(Lead.term(), Lead.termCondition()),
+      m_IdleServers(Lead.term(), Lead.termCondition()) {
   SchedulerOptions Options;
   Options.m_Term = Lead.term();
   Options.m_TermVersion = Lead.termCondition().m_Version;
@@ -83,6 +86,7 @@
     readJobStates({JobStatesTable, {}, Part});
   followJobs();
   readStartRecords();
+  readIdleServers();
   readWaves();
   readRecentOrders();
   listInstances();
@@ -278,6 +282,7 @@
     listInstances();
   planInstanceOrders();
   recordProgress();
+  updateIdleServers();
   m_Waits->update(Now);
   recordWaves();
   removeOldStates();
@@ -322,6 +327,39 @@
         }));
 }
 
+void Leader::readIdleServers() {
+  readWithRetry({IdleServersTable, IdleServersKey, LeaderPartition}, 1,
+                [this](RowPage &Page) {
+                  std::optional<StoredRow> Row;
+                  if (!Page.m_Rows.empty() &&
+                      Page.m_Rows.front().m_At.m_Key == IdleServersKey)
+                    Row = Page.m_Rows.front();
+                  m_IdleServers.onRead(Row);
+                  m_Scheduler->setServersWithoutEarlierRuns(
+                      m_IdleServers.inherited());
+                  scheduleTick();
+                });
+}
+
+void Leader::updateIdleServers() {
+  TimePoint Now = m_Loop.now();
+  if (Now < m_NextIdleServersAt || !m_Leadership.isValid(Now))
+    return;
+  m_NextIdleServersAt = Now + IdleServersInterval;
+  auto Txn =
+      m_IdleServers.next(m_Scheduler->unreachableServersWithoutRuns(Now), Now);
+  if (!Txn)
+    return;
+  m_Scheduler->holdServers(m_IdleServers.held());
+  m_Ports.m_Store.commit(
+      *Txn, PlatformCallTimeout,
+      whileLeading([this](const Result<CommitOutcome> &Outcome) {
+        m_IdleServers.onResult(Outcome, m_Loop.now());
+        m_Scheduler->holdServers(m_IdleServers.held());
+        scheduleTick();
+      }));
+}
+
 void Leader::removeOldStates() {
   TimePoint Now = m_Loop.now();
   if (Now < m_NextRemovalAt)
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -9,6 +9,7 @@
 #include "instances/FleetPlanner.h"
 #include "instances/RecentOrders.h"
 #include "lead/DelayMonitor.h"
+#include "lead/IdleServers.h"
 #include "lead/Leadership.h"
 #include "lead/StartRecords.h"
 #include "net/EventLoop.h"
@@ -87,6 +88,8 @@
   void recordProgress();
   void readStartRecords();
   void updateStartRecords();
+  void readIdleServers();
+  void updateIdleServers();
   void runDecisions();
   void scheduleTick();
   void removeOldStates();
@@ -111,6 +114,8 @@
   std::unique_ptr<WaitMonitor> m_Waits;
   std::unique_ptr<FleetPlanner> m_Planner;
   StartRecords m_StartRecords;
+  IdleServers m_IdleServers;
+  TimePoint m_NextIdleServersAt{};
   /// Progress of waves that earlier leaders recorded.
   std::map<WaveId, WaveProgress> m_RecordedWaves;
   /// Waves requested before the recorded progress was loaded.
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -124,6 +124,8 @@
   std::int64_t KnownStart = Known ? Known->m_Registration.m_StartTimeMs : 0;
   bool NewIncarnation = KnownStart != 0 && R.m_StartTimeMs > KnownStart;
   ServerState &S = m_Servers.upsert(R, Now, m_Options.m_CapacitySettlingTime);
+  S.m_IsHeld = m_HeldServers.count(R.m_Id) != 0;
+  m_ForgottenServers.erase(R.m_Id);
   m_UnacknowledgedPoolsChanged = true;
   if (KnownStart == 0)
     return;
@@ -174,6 +176,11 @@
     if (L.m_Condition == InstanceCondition::Down && Now < m_UnknownRunsUntil)
       m_PoolsWithEarlierCrashes.insert(L.m_Pool);
   }
+  std::set<ServerId> Forgotten;
+  for (const InstanceListing &L : m_Instances)
+    if (m_ForgottenServers.count(L.m_Server) != 0)
+      Forgotten.insert(L.m_Server);
+  m_ForgottenServers = std::move(Forgotten);
   for (auto &[Id, S] : m_Servers.all()) {
     auto It = ById.find(S.m_Registration.m_Instance);
     S.m_IsListedAsGone = false;
@@ -296,8 +303,11 @@
         Now >= S.m_UnregisteredAt + RegistrationGrace && Now >= S.m_LeasesEnd)
       Removable.push_back(Id);
   }
-  for (const ServerId &Id : Removable)
+  for (const ServerId &Id : Removable) {
+    if (m_Servers.find(Id)->isUnreachableForLong())
+      m_ForgottenServers.insert(Id);
     m_Servers.erase(Id);
+  }
   m_UnacknowledgedPoolsChanged |= !Removable.empty();
 }
 
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -102,6 +102,15 @@
   /// Whether a step is only started once its start is recorded in the store. By
   /// default it is not.
   void setRecordsStarts(bool Records) { m_RecordsStarts = Records; }
+  /// No earlier leader has runs on \p Servers or can start any there, now or
+  /// later. By default that is not known of any server.
+  void setServersWithoutEarlierRuns(std::set<ServerId> Servers);
+  /// Unreachable servers, at most 200, that certainly have no runs: those of
+  /// this leader are over, those of earlier ones too.
+  std::set<ServerId> unreachableServersWithoutRuns(TimePoint Now) const;
+  /// Starts nothing on \p Servers until the next call, which replaces them.
+  /// They must be without runs and planned starts.
+  void holdServers(std::set<ServerId> Servers);
   /// Sets how far the process is behind with its work. Servers are polled less
   /// often with a larger lag.
   void setLag(Duration Lag) { m_Lag = Lag; }
@@ -444,6 +453,12 @@
     ServerId m_First;
   };
   std::map<PoolName, UnacknowledgedServers> m_UnacknowledgedPools;
+  /// \see setServersWithoutEarlierRuns(), holdServers().
+  std::set<ServerId> m_ServersWithoutEarlierRuns;
+  std::set<ServerId> m_HeldServers;
+  /// Servers that were unreachable when they were forgotten. The platform may
+  /// still list them.
+  std::set<ServerId> m_ForgottenServers;
   /// Whether m_UnacknowledgedPools is out of date.
   bool m_UnacknowledgedPoolsChanged = true;
   bool m_Superseded = false;
--- a/src/scheduling/SchedulerSelection.cpp
+++ b/src/scheduling/SchedulerSelection.cpp
@@ -19,7 +19,7 @@
 bool Scheduler::isUsable(const ServerState &S, TimePoint Now) const {
   bool Present = S.m_Registered || Now < S.m_UnregisteredAt + RegistrationGrace;
   return Present && !S.m_Registration.m_Draining && S.m_HasAcknowledgedTerm &&
-         S.m_ClockKnown && S.m_Reachable && !S.m_Reserved &&
+         S.m_ClockKnown && S.m_Reachable && !S.m_Reserved && !S.m_IsHeld &&
          Now >= S.m_SuspendedUntil;
 }
 
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -12,6 +12,8 @@
 constexpr Duration MaxPlannedTime = std::chrono::milliseconds(300);
 /// The same for a suspected task, which must not start without its record.
 constexpr Duration MaxIsolatedPlannedTime = std::chrono::seconds(2);
+/// Unreachable servers that the next leader is told of.
+constexpr std::size_t MaxIdleServers = 200;
 
 /// Whether \p Holds for all planned tasks of the gang of \p P, or for the one
 /// task.
@@ -37,13 +39,15 @@
       U.m_First = Server;
   };
   for (const auto &[Id, S] : m_Servers.all())
-    if (!S.m_HasAcknowledgedTerm && !S.m_IsListedAsGone)
+    if (!S.m_HasAcknowledgedTerm && !S.m_IsListedAsGone &&
+        !m_ServersWithoutEarlierRuns.count(Id))
       Count(S.m_Registration.m_Pool, Id);
   for (const InstanceListing &L : m_Instances) {
     if (L.m_Condition != InstanceCondition::Up || L.m_Server.empty())
       continue;
     const ServerState *S = m_Servers.find(L.m_Server);
-    if (S && S->m_HasAcknowledgedTerm)
+    if ((S && S->m_HasAcknowledgedTerm) ||
+        m_ServersWithoutEarlierRuns.count(L.m_Server))
       continue;
     bool IsCounted =
         S && !S->m_IsListedAsGone && S->m_Registration.m_Pool == L.m_Pool;
@@ -52,6 +56,35 @@
   }
 }
 
+void Scheduler::setServersWithoutEarlierRuns(std::set<ServerId> Servers) {
+  m_ServersWithoutEarlierRuns = std::move(Servers);
+  m_UnacknowledgedPoolsChanged = true;
+}
+
+std::set<ServerId>
+Scheduler::unreachableServersWithoutRuns(TimePoint Now) const {
+  std::set<ServerId> Idle;
+  // An answer in this term is not enough: a server that has restarted since
+  // then takes orders of earlier leaders again.
+  auto Add = [&](const ServerId &Id) {
+    if (Idle.size() < MaxIdleServers &&
+        (Now >= m_UnknownRunsUntil || m_ServersWithoutEarlierRuns.count(Id)))
+      Idle.insert(Id);
+  };
+  for (const auto &[Id, S] : m_Servers.all())
+    if (S.isUnreachableForLong() && S.isIdle() && Now >= S.m_LeasesEnd)
+      Add(Id);
+  for (const ServerId &Id : m_ForgottenServers)
+    Add(Id);
+  return Idle;
+}
+
+void Scheduler::holdServers(std::set<ServerId> Servers) {
+  m_HeldServers = std::move(Servers);
+  for (auto &[Id, S] : m_Servers.all())
+    S.m_IsHeld = m_HeldServers.count(Id) != 0;
+}
+
 bool Scheduler::mayHaveUnknownRuns(const LiveJob &Job, const ReadyTask &Task,
                                    TimePoint Now) const {
   if (Now >= m_UnknownRunsUntil ||
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -11,6 +11,10 @@
 /// time that a server takes to terminate its runs.
 constexpr Duration LeaseMargin = std::chrono::milliseconds(100);
 
+/// Failed polls in a row from which on a server counts as unreachable for long.
+/// A single lost answer is no reason to tell the next leader.
+constexpr std::uint32_t ManyFailedPolls = 3;
+
 } // namespace
 
 bool ByFreeCores::operator()(const ServerState *A, const ServerState *B) const {
@@ -37,6 +41,10 @@
          std::find(Labels.begin(), Labels.end(), Required) != Labels.end();
 }
 
+bool ServerState::isUnreachableForLong() const {
+  return !m_Reachable && m_FailedPolls >= ManyFailedPolls;
+}
+
 bool ServerState::hasFiniteRuns() const {
   return std::any_of(m_Runs.begin(), m_Runs.end(),
                      [](const auto &E) { return !E.second.m_IsLongRunning; });
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -179,6 +179,11 @@
   /// The server is about to be moved or shut down for maintenance, so nothing
   /// new is started there.
   bool m_Reserved = false;
+  /// The next leader may be told that the server has no runs, so nothing is
+  /// started there.
+  bool m_IsHeld = false;
+  /// Whether the server has not answered several polls in a row.
+  bool isUnreachableForLong() const;
 
   /// Position among the servers of its pool; set by ServerRegistry.
   ServersByFreeCores *m_Index = nullptr;
--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -262,3 +262,107 @@
   W.tick();
   CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
 }
+
+// A rack was dark for longer than its leases when the leader changed. Jobs with
+// recorded starts waited 10.6 s for it, although the earlier leader knew that
+// nothing ran there.
+TEST(Takeover, ServersThatTheEarlierLeaderFoundIdleAreNotWaitedFor) {
+  SchedulerFixture W(2);
+  W.m_Core->setStartsRecordedSince(0);
+  W.addServer("s1");
+  registerServers(W, 1);
+  InstanceListing Dark;
+  Dark.m_Id = InstanceId("on-s0");
+  Dark.m_Pool = PoolName("desk");
+  Dark.m_Server = ServerId("s0");
+  W.m_Core->onInstances({Dark}, W.m_Now, W.m_Now);
+  JobProgress Recorded;
+  Recorded.m_State = JobState::Running;
+  Recorded.m_StartedSteps = {{0, 0}};
+  W.addJob("begun", {W.step(1)}, Recorded);
+  W.tick();
+  CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
+  W.m_Core->setServersWithoutEarlierRuns({ServerId("s0")});
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+}
+
+namespace {
+
+/// Lets \p Count polls of \p Server fail.
+void failPolls(SchedulerFixture &W, const std::string &Server, int Count) {
+  for (int N = 0; N < Count; ++N) {
+    W.tick();
+    W.failPoll(Server);
+    W.advance(1s);
+  }
+}
+
+} // namespace
+
+// Guards against telling the next leader that a server is idle while a run of
+// this leader may still be there.
+TEST(Takeover, AServerCountsAsIdleOnceTheLeasesOfItsRunsAreOver) {
+  SchedulerFixture W;
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  W.answerStart(0);
+  failPolls(W, "s1", 4);
+  CHECK(W.m_Core->unreachableServersWithoutRuns(W.m_Now).empty());
+  failPolls(W, "s1", 2);
+  W.tick();
+  CHECK(W.m_Core->unreachableServersWithoutRuns(W.m_Now) ==
+        std::set<ServerId>{ServerId("s1")});
+}
+
+// An earlier leader may start runs on a server that has restarted since it
+// answered this one. Guards against telling the next leader that it is idle.
+TEST(Takeover, NoServerCountsAsIdleWhileEarlierLeadersMayHaveRuns) {
+  SchedulerFixture W(2);
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.m_Core->markSuspected(ServerId("s1"), W.m_Now);
+  failPolls(W, "s1", 8);
+  CHECK(W.m_Core->unreachableServersWithoutRuns(W.m_Now).empty());
+  W.m_Core->setServersWithoutEarlierRuns({ServerId("s1")});
+  CHECK_EQUAL(1u, W.m_Core->unreachableServersWithoutRuns(W.m_Now).size());
+  W.m_Core->setServersWithoutEarlierRuns({});
+  failPolls(W, "s1", 8);
+  CHECK_EQUAL(1u, W.m_Core->unreachableServersWithoutRuns(W.m_Now).size());
+}
+
+// The registration of a server that is dark for long expires, but the platform
+// lists it. Guards against a next leader that waits for it.
+TEST(Takeover, AForgottenServerCountsAsIdleWhileItIsListed) {
+  SchedulerFixture W;
+  W.addServer("s1");
+  W.m_Core->markSuspected(ServerId("s1"), W.m_Now);
+  failPolls(W, "s1", 4);
+  W.m_Core->onServerUnregistered(ServerId("s1"), W.m_Now);
+  W.advance(8s);
+  W.tick();
+  CHECK(!W.m_Core->servers().find(ServerId("s1")));
+  InstanceListing Dark;
+  Dark.m_Id = InstanceId("on-s1");
+  Dark.m_Pool = PoolName("desk");
+  Dark.m_Server = ServerId("s1");
+  W.m_Core->onInstances({Dark}, W.m_Now, W.m_Now);
+  CHECK_EQUAL(1u, W.m_Core->unreachableServersWithoutRuns(W.m_Now).size());
+  W.m_Core->onInstances({}, W.m_Now, W.m_Now);
+  CHECK(W.m_Core->unreachableServersWithoutRuns(W.m_Now).empty());
+}
+
+// Guards against a start on a server that the next leader takes for idle, also
+// after the server has registered again.
+TEST(Takeover, NothingStartsOnAHeldServer) {
+  SchedulerFixture W;
+  W.m_Core->holdServers({ServerId("s1")});
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
+  W.m_Core->holdServers({});
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+}
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -1,6 +1,7 @@
 //===- JobSimulation.cpp - Scheduling in virtual time ---------------------===//
 
 #include "scheduling/testing/JobSimulation.h"
+#include "lead/IdleServers.h"
 #include "scheduling/testing/SchedulerInvariants.h"
 #include <stdexcept>
 
@@ -12,6 +13,7 @@
 
 constexpr Duration OneWayDelay = milliseconds(1);
 constexpr Duration CommitDelay = milliseconds(7);
+constexpr Duration LateCommitDelay = milliseconds(1500);
 constexpr Duration TickInterval = milliseconds(5);
 constexpr Duration OrderTimeout = milliseconds(500);
 /// How long after a crash the platform lists the instance as down, and how long
@@ -32,12 +34,13 @@
 class JobSimulation::Instance : public SchedulerOrders {
 public:
   Instance(JobSimulation &Simulation, int Number, Term T,
-           RowVersion TermVersion)
-      : m_Simulation(Simulation), m_Number(Number) {
+           RowVersion TermVersion, Duration EarlierLeaderTimeout)
+      : m_IdleServers(T, {{"lead", TermRowKey, "lead"}, TermVersion}),
+        m_Simulation(Simulation), m_Number(Number) {
     SchedulerOptions Options;
     Options.m_Term = T;
     Options.m_TermVersion = TermVersion;
-    Options.m_EarlierLeaderTimeout = ReplacedLeaderTimeout;
+    Options.m_EarlierLeaderTimeout = EarlierLeaderTimeout;
     m_Core = Scheduler::create(Options, *this, Simulation.m_Clock.m_Now);
     m_Writer = ProgressWriter::create(
         *m_Core, {{"lead", TermRowKey, "lead"}, TermVersion});
@@ -48,6 +51,7 @@
 
   std::unique_ptr<Scheduler> m_Core;
   std::unique_ptr<ProgressWriter> m_Writer;
+  IdleServers m_IdleServers;
   bool m_Alive = true;
   /// When the next term was requested; unset while this one is in effect.
   std::optional<TimePoint> m_ReplacedAt;
@@ -71,6 +75,7 @@
       checkState("after a tick");
     }
     record();
+    recordIdleServers();
     m_Simulation.m_Clock.after(TickInterval, [this] { tick(); });
   }
 
@@ -211,31 +216,51 @@
       });
   }
 
+  /// Applies \p Txn to the store and passes the result to \p OnResult, unless
+  /// the answer is lost or late.
+  void
+  commit(const RowTransaction &Txn,
+         const std::function<void(const Result<CommitOutcome> &)> &OnResult) {
+    const SimFaults &Faults = m_Simulation.m_Settings.m_Faults;
+    bool Lost = m_Simulation.chance(Faults.m_LostReplyShare);
+    bool Late = m_Simulation.chance(Faults.m_DelayedOrderShare);
+    m_Simulation.m_Clock.after(Late ? LateCommitDelay : CommitDelay, [=] {
+      CommitOutcome Outcome = m_Simulation.apply(Txn);
+      if (!Lost && !Late && m_Alive)
+        OnResult(Outcome);
+    });
+    if (Lost || Late)
+      m_Simulation.m_Clock.after(OrderTimeout, [this, OnResult] {
+        if (m_Alive)
+          OnResult(makeError(ErrorCode::Timeout, "commit"));
+      });
+  }
+
   void record() {
     if (!m_Alive)
       return;
     auto Next = m_Writer->next(m_Simulation.m_Clock.m_Now, m_Simulation.wall());
-    if (!Next)
-      return;
-    bool Lost =
-        m_Simulation.chance(m_Simulation.m_Settings.m_Faults.m_LostReplyShare);
-    bool Late = m_Simulation.chance(
-        m_Simulation.m_Settings.m_Faults.m_DelayedOrderShare);
-    auto Apply = [this, Next = *Next, Lost, Late] {
-      CommitOutcome Outcome = m_Simulation.apply(Next.m_Txn);
-      if (!Lost && !Late && m_Alive)
-        m_Writer->onResult(Next.m_Number, Outcome, m_Simulation.m_Clock.m_Now);
-    };
-    m_Simulation.m_Clock.after(
-        Late ? Duration(milliseconds(1500)) : CommitDelay, Apply);
-    if (Lost || Late)
-      m_Simulation.m_Clock.after(OrderTimeout, [this, N = Next->m_Number] {
-        if (m_Alive)
-          m_Writer->onResult(N, makeError(ErrorCode::Timeout, "commit"),
-                             m_Simulation.m_Clock.m_Now);
+    if (Next)
+      commit(Next->m_Txn, [this, N = Next->m_Number](const auto &Outcome) {
+        m_Writer->onResult(N, Outcome, m_Simulation.m_Clock.m_Now);
       });
   }
 
+  void recordIdleServers() {
+    if (!m_Alive || m_ReplacedAt)
+      return;
+    TimePoint Now = m_Simulation.m_Clock.m_Now;
+    auto Txn =
+        m_IdleServers.next(m_Core->unreachableServersWithoutRuns(Now), Now);
+    if (!Txn)
+      return;
+    m_Core->holdServers(m_IdleServers.held());
+    commit(*Txn, [this](const auto &Outcome) {
+      m_IdleServers.onResult(Outcome, m_Simulation.m_Clock.m_Now);
+      m_Core->holdServers(m_IdleServers.held());
+    });
+  }
+
   JobSimulation &m_Simulation;
   int m_Number;
 };
@@ -261,7 +286,7 @@
   };
   for (const OrganisationPolicy &O : Settings.m_Organisations)
     m_Oracle.onCap(O.m_Name, O.m_Cap);
-  startTerm();
+  startTerm(ReplacedLeaderTimeout);
 }
 
 JobSimulation::~JobSimulation() = default;
@@ -273,6 +298,13 @@
       m_Clock.m_Now.time_since_epoch());
 }
 
+void JobSimulation::forEachLeader(
+    const std::function<void(Scheduler &)> &Callback) {
+  for (auto &L : m_Leaders)
+    if (L->m_Alive && !L->m_ReplacedAt)
+      Callback(*L->m_Core);
+}
+
 void JobSimulation::setCaps(const std::vector<std::int64_t> &MilliCores) {
   for (std::size_t N = 0; N < m_Settings.m_Organisations.size(); ++N) {
     OrganisationPolicy &O = m_Settings.m_Organisations[N];
@@ -284,12 +316,16 @@
       L->m_Core->onConfig(makeConfig());
 }
 
-void JobSimulation::startTerm() {
+void JobSimulation::startTerm(Duration EarlierLeaderTimeout) {
   m_TermVersion = ++m_Version;
+  m_TermBegunAt = m_Clock.m_Now;
   m_Leaders.push_back(std::make_unique<Instance>(
-      *this, static_cast<int>(m_Leaders.size()), ++m_Term, m_TermVersion));
+      *this, static_cast<int>(m_Leaders.size()), ++m_Term, m_TermVersion,
+      EarlierLeaderTimeout));
   ++m_Figures.m_Terms;
   Instance &Leader = *m_Leaders.back();
+  Leader.m_IdleServers.onRead(m_IdleRow);
+  Leader.m_Core->setServersWithoutEarlierRuns(Leader.m_IdleServers.inherited());
   Leader.m_Core->onConfig(makeConfig());
   for (auto &[Id, Row] : m_LiveRows)
     Leader.m_Core->onJob(Row.m_Spec, m_StateRows[Id].m_Progress, Row.m_Version,
@@ -311,9 +347,9 @@
       L.m_Condition = InstanceCondition::Down;
     List.push_back(L);
   }
-  for (auto &L : m_Leaders)
-    if (L->m_Alive && !L->m_ReplacedAt)
-      L->m_Core->onInstances(List, m_Clock.m_Now, m_Clock.m_Now);
+  forEachLeader([&](Scheduler &Core) {
+    Core.onInstances(List, m_Clock.m_Now, m_Clock.m_Now);
+  });
 }
 
 void JobSimulation::scheduleCrash(SimServer &S, const RunId &Run) {
@@ -334,9 +370,9 @@
   m_Clock.after(RestartTime, [this, &S] {
     S.m_IsUp = true;
     listInstances();
-    for (auto &L : m_Leaders)
-      if (L->m_Alive && !L->m_ReplacedAt)
-        L->m_Core->onServer(S.m_Registration, m_Clock.m_Now);
+    forEachLeader([&](Scheduler &Core) {
+      Core.onServer(S.m_Registration, m_Clock.m_Now);
+    });
   });
 }
 
@@ -346,22 +382,29 @@
   Old.m_VersionWhenReplaced = m_Version;
   // The next term begins only after the earlier one has certainly expired.
   m_Clock.runUntil(m_Clock.m_Now + milliseconds(300));
-  startTerm();
+  startTerm(ReplacedLeaderTimeout);
 }
 
 void JobSimulation::killLeader() {
   m_Leaders.back()->m_Alive = false;
   m_Clock.runUntil(m_Clock.m_Now + milliseconds(1500));
-  startTerm();
+  startTerm(ReplacedLeaderTimeout);
+}
+
+void JobSimulation::releaseTerm() {
+  m_Leaders.back()->m_Alive = false;
+  // The leader before may go on, as in Leadership::earlierLeaderTimeout().
+  Duration Age = m_Clock.m_Now - m_TermBegunAt;
+  startTerm(std::max(Duration(0), ReplacedLeaderTimeout - Age));
 }
 
 void JobSimulation::crashServer(std::size_t Index) {
   SimServer &S = *m_Servers[Index];
   S.crash();
   m_Clock.after(milliseconds(300), [this, &S] {
-    for (auto &L : m_Leaders)
-      if (L->m_Alive && !L->m_ReplacedAt)
-        L->m_Core->onServer(S.m_Registration, m_Clock.m_Now);
+    forEachLeader([&](Scheduler &Core) {
+      Core.onServer(S.m_Registration, m_Clock.m_Now);
+    });
   });
 }
 
@@ -374,6 +417,12 @@
       static_cast<int>(m_Leaders.size()) - 1);
 }
 
+void JobSimulation::isolateServer(std::size_t Index) {
+  disconnectServer(Index);
+  m_Servers[Index]->m_UnreachableFrom.insert(
+      static_cast<int>(m_Leaders.size()));
+}
+
 void JobSimulation::reconnectServers() {
   for (auto &S : m_Servers)
     S->m_UnreachableFrom.clear();
@@ -387,6 +436,11 @@
         Outcome.m_Conflicts.push_back({C.m_At, {}, m_TermVersion, false});
       continue;
     }
+    if (C.m_At.m_Table == IdleServersTable) {
+      if (C.m_Version != m_IdleRow.m_Version)
+        Outcome.m_Conflicts.push_back(m_IdleRow);
+      continue;
+    }
     const StateRow &Row = m_StateRows[C.m_At.m_Key];
     if (Row.m_Version != C.m_Version)
       Outcome.m_Conflicts.push_back(
@@ -397,6 +451,10 @@
   Outcome.m_Committed = true;
   Outcome.m_Version = ++m_Version;
   for (const RowPut &P : Txn.m_Puts) {
+    if (P.m_At.m_Table == IdleServersTable) {
+      m_IdleRow = {P.m_At, P.m_Value, m_Version, false};
+      continue;
+    }
     StateRow &Row = m_StateRows[P.m_At.m_Key];
     Row.m_Progress = decodeProgress(P.m_Value).value();
     Row.m_Version = m_Version;
@@ -423,65 +481,6 @@
   return Outcome;
 }
 
-void JobSimulation::submit() {
-  JobSpec Job;
-  Job.m_Id = JobId("job" + std::to_string(++m_Figures.m_Submitted));
-  Job.m_Queue = QueueName("asks");
-  Job.m_Pool = PoolName("desk");
-  bool IsLongRunning =
-      chance(m_Settings.m_LongRunningShare) && longRunningJobs().size() < 2;
-  Job.m_Steps = IsLongRunning ? makeLongRunningStep() : makeSteps();
-  Job.m_AcceptedAt = wall();
-  if (m_Settings.m_ShapeJob && !IsLongRunning)
-    m_Settings.m_ShapeJob(Job);
-  const auto &Organisations = m_Settings.m_Organisations;
-  if (!Organisations.empty() && !IsLongRunning)
-    Job.m_Organisation =
-        Organisations[m_Figures.m_Submitted % Organisations.size()].m_Name;
-  m_Oracle.onJob(Job, m_Settings.m_Attempts);
-  m_Figures.m_Deadly += isDeadly({Job.m_Id, 0, 0, 0});
-  LiveRow Row{
-      Job, ++m_Version, m_Clock.m_Now,
-      m_Clock.m_Now + milliseconds(600) +
-          std::chrono::duration_cast<Duration>(criticalPathOf(Job) * 1.6)};
-  m_LiveRows[Job.m_Id.m_Text] = Row;
-  m_StateRows[Job.m_Id.m_Text] = {{}, m_Version};
-  m_Clock.after(milliseconds(5), [this, Row] {
-    for (auto &L : m_Leaders)
-      if (L->m_Alive && !L->m_ReplacedAt &&
-          m_LiveRows.count(Row.m_Spec.m_Id.m_Text))
-        L->m_Core->onJob(Row.m_Spec, {}, Row.m_Version, Row.m_Version,
-                         m_Clock.m_Now, wall());
-  });
-}
-
-void JobSimulation::scheduleSubmit() {
-  std::exponential_distribution<> Interarrival(m_Settings.m_Rate);
-  m_Clock.after(std::chrono::duration_cast<Duration>(
-                    std::chrono::duration<double>(Interarrival(m_Random))),
-                [this] {
-                  if (!m_HasDemand)
-                    return;
-                  submit();
-                  scheduleSubmit();
-                });
-}
-
-void JobSimulation::cancel(const JobId &Id) {
-  m_LiveRows.erase(Id.m_Text);
-  StateRow &Row = m_StateRows[Id.m_Text];
-  Row.m_Progress = {};
-  Row.m_Progress.m_State = JobState::Cancelled;
-  Row.m_Version = ++m_Version;
-  m_Oracle.onCancelled(Id, m_Clock.m_Now);
-  ++m_Figures.m_Failed;
-  m_Clock.after(milliseconds(5), [this, Id] {
-    for (auto &L : m_Leaders)
-      if (L->m_Alive && !L->m_ReplacedAt)
-        L->m_Core->onJobEnded(Id);
-  });
-}
-
 void JobSimulation::run(Duration Length, bool WithDemand) {
   if (WithDemand && !m_HasDemand) {
     m_HasDemand = true;
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -80,6 +80,9 @@
   void replaceLeader();
   /// Stops the leader at once and begins the next term after 1.5 s.
   void killLeader();
+  /// Stops the leader and begins the next term at once. Orders that are under
+  /// way are still carried out.
+  void releaseTerm();
   /// Restarts the server without its runs; it registers again after 0.3 s.
   void crashServer(std::size_t Index);
   /// From now on the server takes \p Factor times as long for all work.
@@ -91,6 +94,8 @@
   /// reconnectServers().
   void disconnectServer(std::size_t Index);
   void reconnectServers();
+  /// The same also for orders of the next leader.
+  void isolateServer(std::size_t Index);
   /// Cancels a random live job, if there is any.
   void cancelRandomJob();
   void cancelLongRunningJobs();
@@ -137,7 +142,10 @@
   std::vector<JobId> longRunningJobs() const;
   void cancel(const JobId &Id);
   void scheduleSubmit();
-  void startTerm();
+  /// \p EarlierLeaderTimeout: \see SchedulerOptions.
+  void startTerm(Duration EarlierLeaderTimeout);
+  /// Calls \p Callback for each leader whose term is in effect.
+  void forEachLeader(const std::function<void(Scheduler &)> &Callback);
   std::shared_ptr<const ServingConfig> makeConfig() const;
   CommitOutcome apply(const RowTransaction &Txn);
   std::chrono::milliseconds wall() const;
@@ -162,6 +170,9 @@
   RowVersion m_Version = 10;
   Term m_Term = 0;
   RowVersion m_TermVersion = 0;
+  TimePoint m_TermBegunAt{};
+  /// The row of IdleServers.
+  StoredRow m_IdleRow;
   bool m_HasDemand = false;
   SimulationStats m_Figures;
 };
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -142,4 +142,61 @@
     cancel(Id);
 }
 
+void JobSimulation::submit() {
+  JobSpec Job;
+  Job.m_Id = JobId("job" + std::to_string(++m_Figures.m_Submitted));
+  Job.m_Queue = QueueName("asks");
+  Job.m_Pool = PoolName("desk");
+  bool IsLongRunning =
+      chance(m_Settings.m_LongRunningShare) && longRunningJobs().size() < 2;
+  Job.m_Steps = IsLongRunning ? makeLongRunningStep() : makeSteps();
+  Job.m_AcceptedAt = wall();
+  if (m_Settings.m_ShapeJob && !IsLongRunning)
+    m_Settings.m_ShapeJob(Job);
+  const auto &Organisations = m_Settings.m_Organisations;
+  if (!Organisations.empty() && !IsLongRunning)
+    Job.m_Organisation =
+        Organisations[m_Figures.m_Submitted % Organisations.size()].m_Name;
+  m_Oracle.onJob(Job, m_Settings.m_Attempts);
+  m_Figures.m_Deadly += isDeadly({Job.m_Id, 0, 0, 0});
+  LiveRow Row{
+      Job, ++m_Version, m_Clock.m_Now,
+      m_Clock.m_Now + milliseconds(600) +
+          std::chrono::duration_cast<Duration>(criticalPathOf(Job) * 1.6)};
+  m_LiveRows[Job.m_Id.m_Text] = Row;
+  m_StateRows[Job.m_Id.m_Text] = {{}, m_Version};
+  m_Clock.after(milliseconds(5), [this, Row] {
+    if (m_LiveRows.count(Row.m_Spec.m_Id.m_Text) != 0)
+      forEachLeader([&](Scheduler &Core) {
+        Core.onJob(Row.m_Spec, {}, Row.m_Version, Row.m_Version, m_Clock.m_Now,
+                   wall());
+      });
+  });
+}
+
+void JobSimulation::scheduleSubmit() {
+  std::exponential_distribution<> Interarrival(m_Settings.m_Rate);
+  m_Clock.after(std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(Interarrival(m_Random))),
+                [this] {
+                  if (!m_HasDemand)
+                    return;
+                  submit();
+                  scheduleSubmit();
+                });
+}
+
+void JobSimulation::cancel(const JobId &Id) {
+  m_LiveRows.erase(Id.m_Text);
+  StateRow &Row = m_StateRows[Id.m_Text];
+  Row.m_Progress = {};
+  Row.m_Progress.m_State = JobState::Cancelled;
+  Row.m_Version = ++m_Version;
+  m_Oracle.onCancelled(Id, m_Clock.m_Now);
+  ++m_Figures.m_Failed;
+  m_Clock.after(milliseconds(5), [this, Id] {
+    forEachLeader([&](Scheduler &Core) { Core.onJobEnded(Id); });
+  });
+}
+
 } // namespace pollenspool
