Test that a start follows its record after its partition failed

With a partition that refuses writes for 10 s the task waits, its record stays wanted, and it starts within 0.4 s of the first write that is taken. A job waits for as long as its partition fails, not longer; no fix. Not covered: a store that answers slowly.

--- a/src/scheduling/PlannedStartTest.cpp
+++ b/src/scheduling/PlannedStartTest.cpp
@@ -115,3 +115,39 @@
   CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
   CHECK_EQUAL(2u, W.m_Orders.m_Starts[0].m_Run.m_Number);
 }
+
+// A planned start is given up after 300 ms and made again. Guards against a job
+// that waits on after its partition of the store takes writes again.
+TEST(PlannedStart, ATaskStartsSoonAfterTheStoreTakesItsRecord) {
+  SchedulerFixture W;
+  W.m_Core->setRecordsStarts(true);
+  W.addServer("s1", 4);
+  W.addJob("j", {W.step(2)});
+  W.tick();
+  auto WriteWith = [&W](const Result<CommitOutcome> &Outcome) {
+    auto Next = W.m_Writer->next(W.m_Now, W.wall());
+    if (Next)
+      W.m_Writer->onResult(Next->m_Number, Outcome, W.m_Now);
+    return Next.has_value();
+  };
+  std::size_t Writes = 0;
+  for (int N = 0; N < 1000; ++N) {
+    W.advance(10ms);
+    W.tick();
+    Writes += WriteWith(makeError(ErrorCode::Unavailable, "commit"));
+  }
+  CHECK(Writes > 20);
+  CHECK(W.job("j").m_PlansDropped > 20);
+  CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
+  CommitOutcome Committed;
+  Committed.m_Committed = true;
+  Committed.m_Version = 500;
+  // The longest delay between two writes of a partition that fails.
+  for (int N = 0; N < 40; ++N) {
+    W.advance(10ms);
+    WriteWith(Committed);
+    W.tick();
+  }
+  CHECK_EQUAL(2u, W.m_Orders.m_Starts.size());
+  CHECK_EQUAL(0u, W.job("j").m_PlansDropped);
+}
