Tell simulated leaders of jobs that had ended, as real ones are told

A leader of the simulation did not learn the owners of jobs that were cancelled around a change of leader, so their runs were not charged. Leader.cpp tells it with onEarlierEnd().

Change: the simulation does the same; the oracle is unchanged.

--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -330,6 +330,9 @@
   for (auto &[Id, Row] : m_LiveRows)
     Leader.m_Core->onJob(Row.m_Spec, m_StateRows[Id].m_Progress, Row.m_Version,
                          m_StateRows[Id].m_Version, m_Clock.m_Now, wall());
+  for (const auto &[Id, Row] : m_StateRows)
+    if (isFinal(Row.m_Progress.m_State))
+      Leader.m_Core->onEarlierEnd(JobId(Id), Row.m_Progress.m_Organisation);
   for (auto &S : m_Servers)
     Leader.m_Core->onServer(S->m_Registration, m_Clock.m_Now);
   listInstances();
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -187,9 +187,11 @@
 }
 
 void JobSimulation::cancel(const JobId &Id) {
+  OrganisationName Owner = m_LiveRows[Id.m_Text].m_Spec.m_Organisation;
   m_LiveRows.erase(Id.m_Text);
   StateRow &Row = m_StateRows[Id.m_Text];
   Row.m_Progress = {};
+  Row.m_Progress.m_Organisation = Owner;
   Row.m_Progress.m_State = JobState::Cancelled;
   Row.m_Version = ++m_Version;
   m_Oracle.onCancelled(Id, m_Clock.m_Now);
