--- a/src/base/JsonWriter.h
+++ b/src/base/JsonWriter.h
@@ -3,6 +3,7 @@
 #ifndef POLLENSPOOL_BASE_JSONWRITER_H
 #define POLLENSPOOL_BASE_JSONWRITER_H
 
+#include "base/ShortText.h"
 #include <charconv>
 #include <cstdint>
 #include <string>
@@ -39,6 +40,7 @@
   JsonWriter &add(const std::string &Value) {
     return add(std::string_view(Value));
   }
+  JsonWriter &add(const ShortText &Value) { return add(Value.view()); }
   JsonWriter &add(const char *Value) { return add(std::string_view(Value)); }
   JsonWriter &add(bool Value) {
     return addToken(Value ? std::string_view("true") : "false");
