--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -162,6 +162,21 @@
   CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
 }
 
+// An instance that has been moved to the spare pool is up and has no server. The
+// registration of its former server held up all jobs of the pool for seconds.
+TEST(Takeover, AServerWhoseInstanceHasLeftThePoolIsNotWaitedFor) {
+  SchedulerFixture W(2);
+  W.addServer("s1");
+  registerServers(W, 1);
+  InstanceListing Spare;
+  Spare.m_Id = InstanceId("on-s0");
+  Spare.m_Pool = PoolName("reserve");
+  W.m_Core->onInstances({Spare}, W.m_Now, W.m_Now);
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+}
+
 TEST(Takeover, AStartIsOrderedOnceItIsRecordedUnderTheTerm) {
   SchedulerFixture W;
   W.m_Core->setRecordsStarts(true);
