--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -162,8 +162,9 @@
   CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
 }
 
-// An instance that has been moved to the spare pool is up and has no server. The
-// registration of its former server held up all jobs of the pool for seconds.
+// An instance that has been moved to the spare pool is up and has no server.
+// The registration of its former server held up all jobs of the pool for
+// seconds.
 TEST(Takeover, AServerWhoseInstanceHasLeftThePoolIsNotWaitedFor) {
   SchedulerFixture W(2);
   W.addServer("s1");
