Hold servers that were named to the next leader after its term has begun

Cause: a leader whose term has ended wrote the row of idle servers once more, was told of the row that the next leader had written, and released the servers that only the next leader names. For up to 5 s it could start tasks on servers on which the next leader expects no runs.

Change: a row of another term releases nothing.

Result: IdleServers.TheRowOfALaterLeaderFreesNoServer comes with the change; that it failed before was not shown.

--- a/src/lead/IdleServers.cpp
+++ b/src/lead/IdleServers.cpp
@@ -101,11 +101,13 @@
     return;
   }
   // An earlier write whose answer was lost has taken effect. Those that depend
-  // on the version before it no longer can.
+  // on the version before it no longer can. The row of a later leader says
+  // nothing of the servers that this one has named.
   for (const StoredRow &Row : Outcome.value().m_Conflicts)
     if (Row.m_At.m_Key == IdleServersKey && Row.m_Version != m_StoredVersion) {
       apply(Row);
-      m_Held = m_Stored.m_Servers;
+      if (m_Stored.m_Term == m_Term)
+        m_Held = m_Stored.m_Servers;
     }
 }
 
--- a/src/lead/IdleServersTest.cpp
+++ b/src/lead/IdleServersTest.cpp
@@ -132,3 +132,15 @@
   CHECK(Txn.has_value());
   CHECK_EQUAL(300u, Txn->m_Conditions[1].m_Version);
 }
+
+// Guards against a leader of a past term that uses servers on which the next
+// leader, which has written the row since, does not expect any runs.
+TEST(IdleServers, TheRowOfALaterLeaderFreesNoServer) {
+  IdleFixture F(5);
+  F.m_List.onRead(std::nullopt);
+  CHECK(F.next(AB).has_value());
+  F.commit();
+  CHECK(F.next(None).has_value());
+  F.conflict(rowOf({6, A}, 300));
+  CHECK(F.m_List.held() == AB);
+}
