Name idle servers again that have not registered in this term

Cause: a server that is dark over two changes of leader has no registration that the second leader has seen. That leader did not name it, and the third waited for it for 10.6 s.

Change: what the leader has inherited stays named as long as the server is not registered.

Result: Takeover.AnIdleServerThatHasNotRegisteredIsNamedAgain comes with the change; that it failed before was not shown.

--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -76,6 +76,10 @@
       Add(Id);
   for (const ServerId &Id : m_ForgottenServers)
     Add(Id);
+  // Servers that have not registered in this term may still be listed.
+  for (const ServerId &Id : m_ServersWithoutEarlierRuns)
+    if (!m_Servers.find(Id))
+      Add(Id);
   return Idle;
 }
 
--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -348,6 +348,15 @@
   CHECK_EQUAL(1u, W.m_Core->unreachableServersWithoutRuns(W.m_Now).size());
 }
 
+// A server is dark over two changes of leader, and the second leader has never
+// seen its registration. Guards against a third one that waits for it.
+TEST(Takeover, AnIdleServerThatHasNotRegisteredIsNamedAgain) {
+  SchedulerFixture W(2);
+  W.m_Core->setServersWithoutEarlierRuns({ServerId("s1")});
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Core->unreachableServersWithoutRuns(W.m_Now).size());
+}
+
 // The registration of a server that is dark for long expires, but the platform
 // lists it. Guards against a next leader that waits for it.
 TEST(Takeover, AForgottenServerCountsAsIdleWhileItIsListed) {
