Wait for orders of a leader that released its term, as for others

Cause: waited only for leases after such a leader, since they end at times on the server's clock that were set when the order was created. An order without an answer may be carried out seconds later. If its server has restarted under its ID by then, the server's clock starts anew, and the lease lasts as long as the server allows: a task could run twice.

The simulation waits after a release as Leader does.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -57,8 +57,7 @@
   SchedulerOptions Options;
   Options.m_Term = Lead.term();
   Options.m_TermVersion = Lead.termCondition().m_Version;
-  Options.m_EarlierLeaderTimeout =
-      Lead.earlierLeaderTimeout(MaxUnconfirmedLeadTime);
+  Options.m_EarlierLeaderTimeout = MaxUnconfirmedLeadTime;
   Options.m_Lease = std::min(Options.m_Lease, Settings.m_MaxLease);
   Options.m_CapacitySettlingTime =
       Settings.m_StabilizationTime + Settings.m_RegistrationInterval;
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -124,11 +124,8 @@
   // After it released a term, release() has set a later time, which stays.
   m_NoRenewalSince = std::max(m_NoRenewalSince, Now);
   m_OverloadedSince.reset();
-  if (auto Read = decodeTerm(Row.m_Value)) {
-    if (Read.value().m_Term != m_TermRow.m_Term)
-      m_TermSeenAt = Now;
+  if (auto Read = decodeTerm(Row.m_Value))
     m_TermRow = std::move(Read.value());
-  }
   m_Leading = false;
 }
 
@@ -182,9 +179,6 @@
   if (Until < m_NoRenewalSince + Wait)
     return std::nullopt;
   m_TakeOverPending = true;
-  // The condition on the term row makes sure that no other term comes between.
-  m_Predecessor = {m_TermRow.m_Released || m_TermRow.m_Leader == m_Name,
-                   Now - m_TermSeenAt};
   TermRow Next{m_TermRow.m_Term + 1, m_Name, false};
   RowTransaction Txn;
   Txn.m_Conditions.push_back(termCondition());
@@ -208,10 +202,8 @@
   // The feed may already have reported an even later term.
   if (Outcome.value().m_Version < m_TermRowVersion)
     return;
-  if (Outcome.value().m_Version > m_TermRowVersion) {
+  if (Outcome.value().m_Version > m_TermRowVersion)
     m_TermRow = {m_TermRow.m_Term + 1, m_Name, false};
-    m_TermSeenAt = Now;
-  }
   m_TermRowVersion = Outcome.value().m_Version;
   m_Leading = true;
   m_ConfirmedRenewalSentAt = Sent;
@@ -220,12 +212,6 @@
   m_LastRenewalNumber = 0;
 }
 
-Duration Leadership::earlierLeaderTimeout(Duration Longest) const {
-  if (!m_Predecessor.m_HasStopped)
-    return Longest;
-  return std::max(Duration(0), Longest - m_Predecessor.m_Age);
-}
-
 bool Leadership::isRenewalDue(TimePoint Now) const {
   return m_Leading &&
          Now >= m_LastRenewalAt + (m_IsRenewalPending
--- a/src/lead/Leadership.h
+++ b/src/lead/Leadership.h
@@ -180,10 +180,6 @@
   /// over, as reported by the feed.
   RowVersion uncontestedVersion() const { return m_FeedVersion; }
   Term term() const { return m_TermRow.m_Term; }
-  /// How long earlier leaders may have sent orders after the term of this
-  /// instance began, if each goes on for at most \p Longest after its term. To
-  /// be called while this instance leads.
-  Duration earlierLeaderTimeout(Duration Longest) const;
   /// Condition that the term row is unchanged.
   RowCondition termCondition() const {
     return {{LeaderTable, TermKey, LeaderPartition}, m_TermRowVersion};
@@ -205,17 +201,6 @@
   LeadershipOptions m_Options;
   TermRow m_TermRow;
   RowVersion m_TermRowVersion = 0;
-  /// When a row of the current term was first seen.
-  TimePoint m_TermSeenAt{};
-  /// The term before the one that this instance begins.
-  struct Predecessor {
-    /// Its leader has stopped sending orders: it has released the term, or was
-    /// this instance.
-    bool m_HasStopped = false;
-    /// For how long that term is known to have been in effect, at least.
-    Duration m_Age{0};
-  };
-  Predecessor m_Predecessor;
   RenewalRow m_Renewal;
   TimePoint m_RenewalSeenAt{};
   /// When the leader was last known to be alive, or the store began to answer
--- a/src/lead/LeadershipTest.cpp
+++ b/src/lead/LeadershipTest.cpp
@@ -55,15 +55,6 @@
     return Who.isLeading();
   }
 
-  /// The strong instance leads once no leader has renewed for 3 s.
-  void takeOverAfterSilence() {
-    for (int N = 0; N < 2 && !m_Other.isLeading(); ++N) {
-      m_Now += 3s;
-      showRows();
-      takeOver(m_Other);
-    }
-  }
-
   void renewOverloaded() {
     RenewalRow Row;
     Row.m_IsOverloaded = true;
@@ -303,60 +294,3 @@
     CHECK_FALSE(m_Monitor.isOverloaded(m_Now));
   }
 }
-
-// A leader that stopped without a word may go on for 5 s. Guards against a
-// successor that does not wait for its orders.
-TEST(Leadership, ASilentLeaderMayGoOnAfterItsTerm) {
-  LeadershipFixture F;
-  F.showRows();
-  CHECK(F.takeOver(F.m_Leader));
-  F.takeOverAfterSilence();
-  CHECK(F.m_Other.isLeading());
-  CHECK(F.m_Other.earlierLeaderTimeout(5s) == 5s);
-}
-
-// After a planned hand-over all jobs with recorded starts waited 10.6 s for one
-// unreachable server, 5 s of that for orders of a leader that had stopped.
-TEST(Leadership, ALeaderThatReleasedItsTermSendsNoMoreOrders) {
-  LeadershipFixture F;
-  F.showRows();
-  CHECK(F.takeOver(F.m_Leader));
-  F.m_Now += 6s;
-  F.commit(F.m_Leader.release(F.m_Now));
-  F.showRows();
-  F.m_Now += 10s;
-  CHECK(F.takeOver(F.m_Other));
-  CHECK(F.m_Other.earlierLeaderTimeout(5s) == 0s);
-}
-
-// The leader before the one that released its term may still send orders.
-TEST(Leadership, AReleaseDoesNotSpeakForTheLeaderBefore) {
-  LeadershipFixture F;
-  F.showRows();
-  CHECK(F.takeOver(F.m_Leader));
-  F.takeOverAfterSilence();
-  CHECK(F.m_Other.isLeading());
-  F.m_Now += 1s;
-  F.commit(F.m_Other.release(F.m_Now));
-  F.showRows();
-  F.m_Now += 1s;
-  CHECK(F.takeOver(F.m_Leader));
-  CHECK(F.m_Leader.earlierLeaderTimeout(5s) == 3s);
-}
-
-// Guards against a wait of an instance for its own orders before its restart.
-TEST(Leadership, ARestartedLeaderHasStopped) {
-  LeadershipFixture F;
-  F.showRows();
-  CHECK(F.takeOver(F.m_Leader));
-  Leadership Restarted("weak", LeadershipFixture::options(1));
-  for (const StoredRow &Row : F.m_Rows)
-    Restarted.onRow(Row, F.m_Now);
-  Restarted.onFeedAnswer(TimePoint{}, F.m_Now, F.m_Version, F.m_Now);
-  F.m_Now += 2s;
-  auto Txn = Restarted.tryTakeOver(F.m_Now);
-  CHECK(Txn.has_value());
-  Restarted.onTakeOverResult(F.commit(*Txn), F.m_Now, F.m_Now);
-  CHECK(Restarted.isLeading());
-  CHECK(Restarted.earlierLeaderTimeout(5s) == 3s);
-}
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -318,7 +318,6 @@
 
 void JobSimulation::startTerm(Duration EarlierLeaderTimeout) {
   m_TermVersion = ++m_Version;
-  m_TermBegunAt = m_Clock.m_Now;
   m_Leaders.push_back(std::make_unique<Instance>(
       *this, static_cast<int>(m_Leaders.size()), ++m_Term, m_TermVersion,
       EarlierLeaderTimeout));
@@ -396,9 +395,7 @@
 
 void JobSimulation::releaseTerm() {
   m_Leaders.back()->m_Alive = false;
-  // The leader before may go on, as in Leadership::earlierLeaderTimeout().
-  Duration Age = m_Clock.m_Now - m_TermBegunAt;
-  startTerm(std::max(Duration(0), ReplacedLeaderTimeout - Age));
+  startTerm(ReplacedLeaderTimeout);
 }
 
 void JobSimulation::crashServer(std::size_t Index) {
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -170,7 +170,6 @@
   RowVersion m_Version = 10;
   Term m_Term = 0;
   RowVersion m_TermVersion = 0;
-  TimePoint m_TermBegunAt{};
   /// The row of IdleServers.
   StoredRow m_IdleRow;
   bool m_HasDemand = false;
