Free the servers of a rejected list of idle servers

Cause: a write that named servers was rejected with a row that could not be read.

Change: a list is written as long as servers are held.

Result: IdleServers.AServerOfARejectedWriteIsFreedByTheNextOne failed before (no write) and passes.

--- a/src/lead/IdleServers.cpp
+++ b/src/lead/IdleServers.cpp
@@ -65,8 +65,9 @@
   if (!m_IsRead || m_IsWritePending || Now < m_NextWriteAt)
     return std::nullopt;
   // The next leader does not use a row of an earlier term.
-  const bool IsCurrent =
-      m_Stored.m_Term == m_Term ? m_Stored.m_Servers == Wanted : Wanted.empty();
+  const bool IsCurrent = m_Stored.m_Term == m_Term
+                             ? m_Stored.m_Servers == Wanted
+                             : Wanted.empty() && m_Held.empty();
   if (IsCurrent && !m_IsUncertain)
     return std::nullopt;
   m_Written = {m_Term, std::move(Wanted)};
--- a/src/lead/IdleServersTest.cpp
+++ b/src/lead/IdleServersTest.cpp
@@ -144,3 +144,20 @@
   F.conflict(rowOf({6, A}, 300));
   CHECK(F.m_List.held() == AB);
 }
+
+// Guards against servers that stay without tasks for the rest of the term: they
+// answered again after a write that named them was rejected with a damaged row.
+TEST(IdleServers, AServerOfARejectedWriteIsFreedByTheNextOne) {
+  IdleFixture F(5);
+  F.m_List.onRead(std::nullopt);
+  CHECK(F.next(A).has_value());
+  StoredRow Damaged = rowOf({5, A}, 300);
+  Damaged.m_Value.clear();
+  F.conflict(Damaged);
+  CHECK(F.m_List.held() == A);
+  auto Txn = F.next(None);
+  CHECK(Txn.has_value());
+  CHECK_EQUAL(300u, Txn->m_Conditions[1].m_Version);
+  F.commit();
+  CHECK(F.m_List.held() == None);
+}
