End a call once if its connection was reset beside a reply nobody asked for

Cause: a peer sent a second reply and reset the connection. The next call on it could not be sent, which is reported later, and took the second reply as its own meanwhile.

Change: a connection that could not send reads nothing more.

Result: HttpClient.ACallOnAConnectionThatWasResetEndsOnce ended with a segmentation fault before and passes.

--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -79,12 +79,14 @@
   std::size_t Sent = m_Socket.send(asio::buffer(Request), 0, Failed);
   if (Failed == asio::error::would_block)
     Failed = {};
-  if (Failed)
+  if (Failed) {
+    m_HasFailedToSend = true;
     return asio::post(m_Socket.get_executor(),
                       [Weak = weak_from_this(), Failed] {
                         if (auto Self = Weak.lock())
                           Self->fail(Failed);
                       });
+  }
   if (Sent == Request.size())
     return;
   m_Output = std::move(Request);
@@ -124,6 +126,9 @@
 }
 
 void HttpClientConnection::onReceived(ErrorCode Failed, std::size_t Bytes) {
+  // What has arrived cannot be the reply to a request that was not sent.
+  if (m_HasFailedToSend)
+    return;
   if (!m_Parser)
     return m_Events.onIdleEnd(*this);
   std::size_t Wanted = m_Parser->got_some() ? FurtherReadBytes : FirstReadBytes;
--- a/src/net/HttpClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -95,6 +95,8 @@
   /// The request, while a part of it waits for the network.
   std::string m_Output;
   TimePoint m_IdleSince{};
+  /// The exchange ends with an error that is on its way through the loop.
+  bool m_HasFailedToSend = false;
 };
 
 } // namespace pollenspool
--- a/src/net/HttpClientTest.cpp
+++ b/src/net/HttpClientTest.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <list>
 #include <optional>
@@ -357,3 +358,31 @@
   STRCMP_EQUAL("late", Given.m_Body.c_str());
   CHECK_EQUAL(1, Given.m_Callbacks);
 }
+
+// A peer sent a reply that no call had asked for and reset the connection, and
+// the next call began before the loop had seen either. Guards against an error
+// of that call's request that is reported after its end: the process died.
+TEST(HttpClient, ACallOnAConnectionThatWasResetEndsOnce) {
+  auto Loop = EventLoop::create();
+  ScriptedServer::Socket *Peer = nullptr;
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int) {
+    Peer = &S;
+    reply(S, "first");
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  std::array<Answer, 2> Given;
+  bool IsOver = false;
+  Client->call(Server.address(), Order, 5s, storeTo(Given[0]));
+  Loop->after(40ms, [&] {
+    reply(*Peer, "unasked");
+    Peer->set_option(asio::socket_base::linger(true, 0));
+    Peer->close();
+    asio::post(Loop->context(), [&] {
+      Client->call(Server.address(), Order, 5s, storeTo(Given[1]));
+      Loop->after(20ms, [&] { IsOver = true; });
+    });
+  });
+  runUntil(*Loop, [&] { return IsOver; });
+  STRCMP_EQUAL("first", Given[0].m_Body.c_str());
+  CHECK_EQUAL(1, Given[1].m_Callbacks);
+}
