Keep a job whose row in an answer of the store cannot be read

Cause: after a conflict the leader took a row that it could not decode for the row of a job that had ended, and forgot the job.

Change: the answer is logged as RecordUnreadable, and the write is repeated after the delay of a failed one.

Result: ProgressWriter.ConflictWithAnUnreadableRowKeepsTheJob failed before (0 jobs instead of 1) and passes.

--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -181,7 +181,7 @@
   if (Outcome.value().m_Committed)
     return onCommitted(Jobs, Outcome.value().m_Version, Now);
   markBatchDirty(Jobs);
-  onConflicts(Outcome.value().m_Conflicts);
+  onConflicts(Outcome.value().m_Conflicts, Now);
 }
 
 void ProgressWriter::markBatchDirty(const Batch &Jobs) {
@@ -210,7 +210,11 @@
     m_RetryAt = Now + RetryDelay;
     return;
   }
-  Backoff &B = m_Backoffs[*Partitions.begin()];
+  delay(*Partitions.begin(), Now);
+}
+
+void ProgressWriter::delay(Partition P, TimePoint Now) {
+  Backoff &B = m_Backoffs[P];
   B.m_RetryAt = Now + RetryDelay * std::min(++B.m_Failures, MaxBackoffFactor);
 }
 
@@ -237,16 +241,23 @@
   m_Core.onProgressRecorded(Now);
 }
 
-void ProgressWriter::onConflicts(const std::vector<StoredRow> &Rows) {
+void ProgressWriter::onConflicts(const std::vector<StoredRow> &Rows,
+                                 TimePoint Now) {
   for (const StoredRow &Row : Rows) {
     JobId Id(Row.m_At.m_Key);
     LiveJob *Job = m_Core.jobs().find(Id);
     if (!Job || Row.m_Version == Job->m_StateVersion)
       continue;
     auto Stored = decodeProgress(Row.m_Value);
+    if (Row.m_Version != 0 && !Stored) {
+      logEvent(Event::RecordUnreadable,
+               {{"row", Id.m_Text}, {"error", Stored.error().describe()}});
+      delay(Job->m_Partition, Now);
+      continue;
+    }
     // The job was cancelled by a caller, or ended by an earlier write of this
     // leader whose answer was lost.
-    if (Row.m_Version == 0 || !Stored || isFinal(Stored.value().m_State)) {
+    if (Row.m_Version == 0 || isFinal(Stored.value().m_State)) {
       m_Core.onJobEnded(Id);
       continue;
     }
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -80,7 +80,9 @@
   void markBatchDirty(const Batch &Jobs);
   void onCommitted(const Batch &Jobs, RowVersion Version, TimePoint Now);
   void onFailed(const Batch &Jobs, const Error &Why, TimePoint Now);
-  void onConflicts(const std::vector<StoredRow> &Rows);
+  void onConflicts(const std::vector<StoredRow> &Rows, TimePoint Now);
+  /// Lets the jobs of \p P wait after a failed write.
+  void delay(Partition P, TimePoint Now);
 
   /// The recorded change of one job in the pending transaction.
   struct Pending {
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -95,6 +95,25 @@
   CHECK_EQUAL(0u, W.m_Core->jobs().all().size());
 }
 
+// Guards against a job that the leader forgets although it has not ended,
+// because the row in the store's answer was damaged.
+TEST(ProgressWriter, ConflictWithAnUnreadableRowKeepsTheJob) {
+  SchedulerFixture W;
+  finishJobs(W, 1);
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  const RowVersion Known = Next->m_Txn.m_Conditions[0].m_Version;
+  CommitOutcome Conflict;
+  Conflict.m_Conflicts.push_back(
+      {jobStateAddress(JobId("job0")), "", 77, false});
+  W.m_Writer->onResult(Next->m_Number, Conflict, W.m_Now);
+  CHECK_EQUAL(1u, W.m_Core->jobs().all().size());
+  CHECK_FALSE(W.m_Writer->next(W.m_Now, W.wall()).has_value());
+  W.advance(100ms);
+  Next = W.m_Writer->next(W.m_Now, W.wall());
+  CHECK(Next.has_value());
+  CHECK_EQUAL(Known, Next->m_Txn.m_Conditions[0].m_Version);
+}
+
 TEST(ProgressWriter, RetriesAfterALostAnswer) {
   SchedulerFixture W;
   finishJobs(W, 1);
