Wait for a server that registered after the list of instances was requested

A list that was requested before the instance moved, and arrived after the new server had registered, showed the new server as gone.

Change: a list says nothing of a server that registered after it was requested.

Result: Takeover.AServerIsWaitedForIfItRegisteredAfterTheListWasRequested failed before (1 start instead of 0) and passes.

--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -186,12 +186,13 @@
     if (It == ById.end())
       continue;
     const InstanceListing &L = *It->second;
-    // An instance of the spare pool is listed without a server. An answer that
-    // arrived after the list was requested shows that the server is alive.
+    // An instance of the spare pool is listed without a server. An answer or a
+    // registration that arrived after the list was requested shows that the
+    // list may be older than the server.
     S.m_IsListedAsGone = (L.m_Condition != InstanceCondition::Up ||
                           L.m_Pool != S.m_Registration.m_Pool ||
                           (!L.m_Server.empty() && L.m_Server != Id)) &&
-                         S.m_ClockAt < Asked;
+                         S.m_ClockAt < Asked && S.m_RegisteredAt <= Asked;
     if (S.m_IsListedAsGone && !S.m_Reachable &&
         !(S.m_Runs.empty() && S.m_LapsedRuns.empty()))
       rescheduleAllRuns(
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -90,6 +90,10 @@
   const bool IsNew = !S.m_Index;
   if (IsNew)
     m_ById[R.m_Id] = &S;
+  if (IsNew || !S.m_Registered || R.m_Instance != S.m_Registration.m_Instance ||
+      R.m_Pool != S.m_Registration.m_Pool ||
+      R.m_StartTimeMs != S.m_Registration.m_StartTimeMs)
+    S.m_RegisteredAt = Now;
   m_RegistrationChanges +=
       IsNew || !S.m_Registered || R.m_Instance != S.m_Registration.m_Instance;
   if (S.m_Index)
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -139,6 +139,8 @@
   /// the local clock.
   std::int64_t m_ClockMs = 0;
   TimePoint m_ClockAt{};
+  /// When this start of the server was first seen to be registered in its pool.
+  TimePoint m_RegisteredAt{};
   /// Time by which all leases granted so far have expired.
   TimePoint m_LeasesEnd{};
 
--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -178,6 +178,26 @@
   CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
 }
 
+// An instance left the spare pool after the list was requested, and an earlier
+// leader may have runs on its new server. Guards against a second run.
+TEST(Takeover, AServerIsWaitedForIfItRegisteredAfterTheListWasRequested) {
+  SchedulerFixture W(2);
+  W.addServer("s1");
+  TimePoint Asked = W.m_Now;
+  W.advance(10ms);
+  registerServers(W, 1);
+  InstanceListing Spare;
+  Spare.m_Id = InstanceId("on-s0");
+  Spare.m_Pool = PoolName("reserve");
+  W.m_Core->onInstances({Spare}, Asked, W.m_Now);
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
+  W.m_Core->onInstances({Spare}, W.m_Now, W.m_Now);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+}
+
 TEST(Takeover, AStartIsOrderedOnceItIsRecordedUnderTheTerm) {
   SchedulerFixture W;
   W.m_Core->setRecordsStarts(true);
