Let unreachable servers take turns for the first polls of a term

Cause: at most 64 servers that have failed to answer are polled at a time in a new term, in the order of their IDs.

Change: the server whose poll has been due for longest comes first.

Result: Takeover.UnreachableServersArePolledAgainInTurns failed before (servers polled once in 8 s) and passes. build/unit_tests: 564 tests, OK.

--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -325,27 +325,43 @@
 }
 
 void Scheduler::sendDuePolls(TimePoint Now) {
-  // Counted when the first server needs it, which few passes do.
-  std::optional<std::size_t> FirstPolls;
+  std::vector<ServerState *> First;
   for (ServerState *Due : m_Servers.due().collect(Now)) {
     ServerState &S = *Due;
     ++m_Counters.m_ServersChecked;
     if (!S.needsPoll() || Now < S.m_NextPoll)
       continue;
-    // Servers that have not failed to answer come first: an unreachable one
-    // holds its place for the whole timeout.
-    if (!S.m_HasAcknowledgedTerm) {
-      if (!FirstPolls)
-        FirstPolls = firstPollsAllowed(Now);
-      if (*FirstPolls <= (S.m_FailedPolls > 0 ? MaxFirstPolls / 2 : 0))
-        continue;
-      --*FirstPolls;
-    }
-    sendPoll(S, Now);
+    if (S.m_HasAcknowledgedTerm)
+      sendPoll(S, Now);
+    else
+      First.push_back(&S);
   }
+  sendFirstPolls(std::move(First), Now);
   m_Servers.due().finish();
 }
 
+void Scheduler::sendFirstPolls(std::vector<ServerState *> Servers,
+                               TimePoint Now) {
+  if (Servers.empty())
+    return;
+  // Servers that have not failed to answer come first: an unreachable one
+  // holds its place for the whole timeout. Those take turns.
+  auto Rank = [](const ServerState *S) {
+    return S->m_FailedPolls == 0 ? TimePoint::min() : S->m_NextPoll;
+  };
+  std::stable_sort(Servers.begin(), Servers.end(),
+                   [&](const ServerState *A, const ServerState *B) {
+                     return Rank(A) < Rank(B);
+                   });
+  std::size_t Allowed = firstPollsAllowed(Now);
+  for (ServerState *S : Servers) {
+    if (Allowed <= (S->m_FailedPolls > 0 ? MaxFirstPolls / 2 : 0))
+      return;
+    --Allowed;
+    sendPoll(*S, Now);
+  }
+}
+
 std::chrono::milliseconds Scheduler::pollWait(const ServerState &S) {
   std::chrono::milliseconds Wait = PollWait;
   for (const auto &[Id, Run] : S.m_Runs) {
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -411,6 +411,9 @@
   bool canRelocate(const RunId &Id, const ServerState &From, TimePoint Now);
 
   void sendDuePolls(TimePoint Now);
+  /// Polls \p Servers, which have not answered in this term, as far as the
+  /// limit of such polls allows.
+  void sendFirstPolls(std::vector<ServerState *> Servers, TimePoint Now);
   std::size_t firstPollsAllowed(TimePoint Now) const;
   void sendPoll(ServerState &S, TimePoint Now);
   static std::chrono::milliseconds pollWait(const ServerState &S);
--- a/src/scheduling/TakeoverTest.cpp
+++ b/src/scheduling/TakeoverTest.cpp
@@ -60,6 +60,31 @@
   CHECK(Others >= 64);
 }
 
+// With more unreachable servers than can be polled at once, those with the
+// first IDs took all places. The others were not polled again for 15 s, and
+// jobs waited for them although they answered by then.
+TEST(Takeover, UnreachableServersArePolledAgainInTurns) {
+  constexpr std::size_t Unreachable = 400;
+  SchedulerFixture W(2);
+  registerServers(W, Unreachable);
+  std::map<std::string, int> Polls;
+  std::vector<PollOrder> Pending;
+  for (int N = 0; N < 80; ++N) {
+    if (N % 6 == 0)
+      for (const PollOrder &Order : std::exchange(Pending, {}))
+        W.m_Core->onPollFailed(Order, OrderResult::Unknown, W.m_Now);
+    W.tick();
+    for (const PollOrder &Order : std::exchange(W.m_Orders.m_Polls, {})) {
+      ++Polls[Order.m_Server.m_Id.m_Text];
+      Pending.push_back(Order);
+    }
+    W.advance(100ms);
+  }
+  CHECK_EQUAL(Unreachable, Polls.size());
+  for (const auto &[Server, Count] : Polls)
+    CHECK(Count > 1);
+}
+
 TEST(Takeover, AFailureOfThisProcessIsNoEvidenceAgainstAServer) {
   SchedulerFixture W;
   W.addServer("s1");
