Let each case of the review read TROUBLE itself

Cause: the scripts read it through a function of review/common.py, so that nothing in the folders of the cases showed it.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,6 +9,9 @@
 sys.path.insert(0, str(FOLDER.parent))
 import common  # noqa: E402
 
+# TROUBLE=0 does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 CUT_S = 5.5
 
 
@@ -35,7 +38,7 @@
     zone = [m for m in world.minions() if m.zone == common.ZONES[0]]
     if server not in zone or not entries[0].is_leader():
         raise AssertionError("the task or the leader is not in the zone that is to be cut off")
-    if common.trouble() and "cut" in parts:
+    if TROUBLE and "cut" in parts:
         links = [*entries[0].links.values(), *(m.link for m in zone)]
         world.record.add("network", f"cuts {common.ZONES[0]} off: {entries[0].name}, "
                          f"{[m.id for m in zone]}")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,6 +8,9 @@
 sys.path.insert(0, str(FOLDER.parent))
 import common  # noqa: E402
 
+# TROUBLE=0 does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 SERVERS = 20
 DOWN_S = 1.0        # at most 4.5 s
 CUT_S = 5.5
@@ -29,7 +32,7 @@
     # Among servers with equally much room the one that registered first gets the task.
     idle = [m for m in world.minions() if not m.runs]
     minion = min(idle, key=lambda m: int(m.id.split("-")[1]))
-    if common.trouble() and os.environ.get("RESTART", "1") != "0":
+    if TROUBLE and os.environ.get("RESTART", "1") != "0":
         minion.crash()
         await asyncio.sleep(DOWN_S)
         minion = await minion.revive()
@@ -39,7 +42,7 @@
     if first.id != minion.id:
         raise AssertionError(f"the task runs on {first.id}, not on {minion.id}")
     await asyncio.sleep(0.5)
-    if common.trouble():
+    if TROUBLE:
         world.record.add("network", f"cuts {first.id} off")
         first.link.cut()
         await asyncio.sleep(CUT_S)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,6 +8,9 @@
 sys.path.insert(0, str(FOLDER.parent))
 import common  # noqa: E402
 
+# TROUBLE=0 does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 WORK_S = 12.0
 GAP_S = 2.0
 
@@ -22,10 +25,10 @@
     await asyncio.sleep(1)
     # PARTS leaves parts out, to see what the fault depends on.
     parts = os.environ.get("PARTS", "route roll")
-    if common.trouble() and "route" in parts:
+    if TROUBLE and "route" in parts:
         world.configure(4, ["asks"])
         await asyncio.sleep(2)
-    if common.trouble() and "roll" in parts:
+    if TROUBLE and "roll" in parts:
         for entry in entries:
             await entry.restart()
             await asyncio.sleep(GAP_S)
@@ -33,7 +36,7 @@
                         for line in world.oracle.tasks[name].history if line.endswith("failed")]
     await common.until("a run has failed", 40, failures)
     await asyncio.sleep(4)
-    if common.trouble() and "route" in parts:
+    if TROUBLE and "route" in parts:
         world.configure(6, ["asks", "more"])
         await asyncio.sleep(3)
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,6 @@
 """A task that lasts is on a backend server that crashes, and then on another one that does."""
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -7,6 +8,9 @@
 sys.path.insert(0, str(FOLDER.parent))
 import common  # noqa: E402
 
+# TROUBLE=0 does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 CRASHES = 2
 DOWN_S = 2.0        # at most 4.5 s
 RUNS_BEFORE_CRASH_S = 1.5
@@ -24,7 +28,7 @@
 
     def holder():
         return [m for m in world.minions() if any(t == first for t, _ in m.runs)]
-    for _ in range(CRASHES if common.trouble() else 0):
+    for _ in range(CRASHES if TROUBLE else 0):
         minion = (await common.until("the first task runs", 10, holder))[0]
         await asyncio.sleep(RUNS_BEFORE_CRASH_S)
         minion.crash()
--- a/review/common.py
+++ b/review/common.py
@@ -33,11 +33,6 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
 
-def trouble():
-    """Whether the script injects its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Writes what was sent, answered and run to record.txt."""
 
