Grant no lease by the clock of an earlier incarnation of a server

Cause: a registration with a later start time asked for a poll, but the server stayed reachable with the clock of its earlier incarnation. The poll granted a lease by that clock, which the server shortened to its maximum of 10 s, while the leader counted 5 s.

Change: what holds for one incarnation is one part of ServerState and is replaced as a whole. A suspected restart makes the server unreachable until it has answered a poll without a lease. A start by an earlier clock is recognised by its answer, whatever the difference of the clocks, and the lease counted as long as it may be. A new leader counts such leases of earlier ones. The simulated servers limit leases, and SchedulerFuzz plays a quiet pool in which servers restart idle.

Why it works: no order carries a lease by a clock that may be out of date, and one that did is counted as the server may count it.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -9,6 +9,10 @@
 // checks every start, and the state of each leader must be consistent. After
 // the faults have ended, every job must end.
 //
+// Each seed plays two pools, one after the other: a busy one with short tasks,
+// and a quiet one in which servers restart while they are idle and tasks
+// outlast leases.
+//
 //===----------------------------------------------------------------------===//
 
 #include "FuzzMain.h"
@@ -22,6 +26,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t OrganisationCount = 3;
+/// Longest time between two faults. In the quiet pool a cut outlasts leases.
+constexpr milliseconds BusyPause{1500};
+constexpr milliseconds QuietPause{4000};
 /// A gang of four tasks of at most 2.7 cores, in thousandths of a core.
 constexpr std::int64_t LeastCap = 10800;
 
@@ -69,7 +76,25 @@
   return S;
 }
 
-void stepOnce(JobSimulation &Simulation) {
+SimulationSettings quietSettingsFor(std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed * 7919);
+  SimulationSettings S;
+  S.m_Seed = Seed;
+  S.m_ChecksState = true;
+  S.m_LongRunningShare = 0.1;
+  S.m_Servers = 3 + Random() % 4;
+  S.m_Rate = 0.15 + 0.05 * static_cast<double>(Random() % 4);
+  S.m_MaxSteps = 2;
+  S.m_MaxTasksPerStep = 3;
+  S.m_MedianWork = std::chrono::seconds(8);
+  S.m_Faults.m_LostReplyShare = 0.03 * static_cast<double>(Random() % 3);
+  S.m_MinRegistrationDelay = milliseconds(5);
+  S.m_MaxRegistrationDelay = milliseconds(50 + Random() % 3000);
+  return S;
+}
+
+/// Injects one fault and lets up to \p MaxPause pass.
+void stepOnce(JobSimulation &Simulation, milliseconds MaxPause) {
   auto &Random = Simulation.random();
   std::size_t Server = Random() % Simulation.servers();
   switch (Random() % 12) {
@@ -105,14 +130,16 @@
   default:
     break;
   }
-  Simulation.run(milliseconds(Random() % 1500));
+  Simulation.run(milliseconds(Random() % MaxPause.count()));
 }
 
-std::string runSimulation(const FuzzArguments &Arguments, std::uint64_t &Step) {
-  JobSimulation Simulation(settingsFor(Arguments.m_Seed));
+std::string runSimulation(const SimulationSettings &Settings,
+                          milliseconds MaxPause, std::uint64_t Steps,
+                          std::uint64_t &Step) {
+  JobSimulation Simulation(Settings);
   try {
-    for (Step = 0; Step < Arguments.m_Steps; ++Step)
-      stepOnce(Simulation);
+    for (Step = 0; Step < Steps; ++Step)
+      stepOnce(Simulation, MaxPause);
     Simulation.reconnectServers();
     Simulation.setFaults({});
     // Long enough for the largest backlog on the smallest number of servers.
@@ -135,9 +162,21 @@
          std::to_string(F.m_Terms) + " terms";
 }
 
+std::string runBothPools(const FuzzArguments &Arguments, std::uint64_t &Step) {
+  std::string Busy = runSimulation(settingsFor(Arguments.m_Seed), BusyPause,
+                                   Arguments.m_Steps, Step);
+  try {
+    return Busy + "; quiet pool: " +
+           runSimulation(quietSettingsFor(Arguments.m_Seed), QuietPause,
+                         Arguments.m_Steps, Step);
+  } catch (const OracleFailure &Failure) {
+    throw OracleFailure(std::string("quiet pool: ") + Failure.what());
+  }
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
   setUpLog(Severity::Error, "fuzz");
-  return runFuzz(Argc, Argv, 60, runSimulation);
+  return runFuzz(Argc, Argv, 60, runBothPools);
 }
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -59,6 +59,7 @@
   Options.m_TermVersion = Lead.termCondition().m_Version;
   Options.m_EarlierLeaderTimeout = MaxUnconfirmedLeadTime;
   Options.m_Lease = std::min(Options.m_Lease, Settings.m_MaxLease);
+  Options.m_MaxLease = Settings.m_MaxLease;
   Options.m_CapacitySettlingTime =
       Settings.m_StabilizationTime + Settings.m_RegistrationInterval;
   m_Scheduler = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -110,10 +110,8 @@
   // Only the server's own list tells which runs the new incarnation
   // has. Until it arrives, the recorded state describes the known incarnation.
   S.m_Registration.m_StartTimeMs = KnownStart;
-  if (NewIncarnation) {
-    S.m_HasAcknowledgedTerm = false;
-    S.m_NextPoll = Now;
-  }
+  if (NewIncarnation)
+    suspectRestart(S, Now);
 }
 
 void Scheduler::onServerUnregistered(const ServerId &Id, TimePoint Now) {
@@ -318,6 +316,7 @@
     return;
   if (R == OrderResult::OtherIncarnation)
     return onOtherIncarnation(*S, Now);
+  noteGrant(*S, Order.m_LeaseUntilMs, 0, Now);
   if (S->m_Reachable)
     logEvent(Event::BackendSilent,
              {{"server", Order.m_Server.m_Id.m_Text},
@@ -352,12 +351,13 @@
               {"failed_looks", std::to_string(S->m_FailedPolls)}});
   S->m_Reachable = S->m_PollSentAt >= S->m_SuspectedAt;
   S->m_FailedPolls = 0;
+  noteGrant(*S, Order.m_LeaseUntilMs, Reply.m_ClockMs, Now);
   bool IsNewIncarnation =
       Reply.m_StartTimeMs != 0 && S->m_Registration.m_StartTimeMs != 0 &&
       Reply.m_StartTimeMs != S->m_Registration.m_StartTimeMs;
   if (IsNewIncarnation) {
     countCrashBefore(*S, Reply, Now);
-    resetIncarnation(*S);
+    beginIncarnation(*S);
   } else {
     S->m_LapsedRuns.clear();
     S->m_LastAcknowledgedEnd =
@@ -370,6 +370,8 @@
   S->m_ClockKnown = true;
   S->m_ClockMs = Reply.m_ClockMs;
   S->m_ClockAt = Now;
+  if (First)
+    noteEarlierGrants(*S, Reply.m_ClockMs, Now);
   releaseReported(Reply);
   for (const EndReport &End : Reply.m_Ended)
     if (End.m_Number > S->m_LastSeenEnd)
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -207,11 +207,23 @@
   void releaseReported(const PollReply &Reply);
   /// Another server has answered at the address of \p S, which has ended.
   void onOtherIncarnation(ServerState &S, TimePoint Now);
-  void checkIncarnation(ServerState &S, const StartReply &Reply, TimePoint Now);
-  /// Forgets what belongs to the previous incarnation of a server. Its
-  /// runs are kept, since the list in the answer shows which of them the new
+  /// \p S has restarted, or may have. It gets no lease, no start and no
+  /// acknowledgement of ends until it has answered a poll sent from now on.
+  void suspectRestart(ServerState &S, TimePoint Now);
+  /// An order that grants a lease until \p LeaseUntilMs on the server's clock
+  /// (0: none) has been answered when that clock showed \p ClockMs, or got no
+  /// answer (0). Notes the longest lease that the server may have now. Returns
+  /// whether the lease was computed by the clock of another incarnation.
+  bool noteGrant(ServerState &S, std::int64_t LeaseUntilMs,
+                 std::int64_t ClockMs, TimePoint Now);
+  /// \p S, whose clock shows \p ClockMs, has answered for the first time in
+  /// this term. Notes the longest lease that an earlier leader may have given
+  /// it by the clock of an earlier incarnation, of whose end it did not know.
+  void noteEarlierGrants(ServerState &S, std::int64_t ClockMs, TimePoint Now);
+  /// Replaces what is known of the previous incarnation of a server. Its runs
+  /// are kept, since the list in the answer shows which of them the new
   /// incarnation already has.
-  static void resetIncarnation(ServerState &S);
+  void beginIncarnation(ServerState &S);
 
   // Crashes of servers, and the tasks suspected of them
   // (SchedulerCrashes.cpp).
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -28,9 +28,9 @@
 /// A server that can be reached answers a start order within this time.
 constexpr Duration StartAnswerTime = std::chrono::milliseconds(400);
 
-/// How far a reported server clock may be behind its calculated lower bound,
-/// because answers may arrive out of order by this much.
-constexpr std::chrono::milliseconds ClockTolerance{1000};
+/// How much of a lease may be left beyond its intended length because times are
+/// rounded. Less than the margin of ServerRegistry::recordLease().
+constexpr Duration ClockRounding = std::chrono::milliseconds(20);
 
 void eraseLocation(TaskState &T, const ServerId &Server, std::uint32_t Number) {
   auto &Runs = T.m_Runs;
@@ -44,16 +44,43 @@
 
 } // namespace
 
-void Scheduler::checkIncarnation(ServerState &S, const StartReply &Reply,
-                                 TimePoint Now) {
-  if (Reply.m_ClockMs == 0 || !S.m_ClockKnown ||
-      Reply.m_ClockMs + ClockTolerance.count() >= S.minClockMs(Now))
-    return;
-  // The server's clock has been reset, so this is a new incarnation, which
-  // numbers its run ends from the beginning. The next poll acknowledges nothing
-  // and identifies the incarnation.
+void Scheduler::suspectRestart(ServerState &S, TimePoint Now) {
   S.m_Reachable = false;
+  S.m_SuspectedAt = Now;
+  S.m_ClockKnown = false;
+  // A server that has restarted takes orders of earlier terms again.
+  S.m_HasAcknowledgedTerm = false;
   S.m_NextPoll = Now;
+  m_UnacknowledgedPoolsChanged = true;
+  ServerRegistry::markChanged(S);
+}
+
+bool Scheduler::noteGrant(ServerState &S, std::int64_t LeaseUntilMs,
+                          std::int64_t ClockMs, TimePoint Now) {
+  if (LeaseUntilMs == 0)
+    return false;
+  if (ClockMs == 0)
+    S.m_LastGrantAt = std::max(S.m_LastGrantAt, Now);
+  Duration Left = m_Options.m_MaxLease;
+  if (ClockMs != 0 || S.m_ClockKnown)
+    Left = std::min<Duration>(
+        Left, std::chrono::milliseconds(
+                  LeaseUntilMs - (ClockMs ? ClockMs : S.minClockMs(Now))));
+  // The clock of one incarnation only advances, so that no more is left there
+  // than was intended.
+  if (Left <= m_Options.m_Lease + ClockRounding)
+    return false;
+  ServerRegistry::recordLease(S, Now, Left);
+  return true;
+}
+
+void Scheduler::noteEarlierGrants(ServerState &S, std::int64_t ClockMs,
+                                  TimePoint Now) {
+  // A leader that reads no registrations gives orders for that long at most.
+  Duration Left = m_Options.m_EarlierLeaderTimeout + m_Options.m_MaxLease -
+                  std::chrono::milliseconds(ClockMs);
+  if (m_Options.m_Term > 1 && Left > Duration(0))
+    ServerRegistry::recordLease(S, Now, std::min(Left, m_Options.m_MaxLease));
 }
 
 void Scheduler::onStartResult(const StartOrder &Order, const StartReply &Reply,
@@ -63,7 +90,16 @@
     return;
   ServerRegistry::markChanged(*S);
   OrderResult R = Reply.m_Result;
-  checkIncarnation(*S, Reply, Now);
+  if (R != OrderResult::OtherIncarnation &&
+      noteGrant(*S, Order.m_LeaseUntilMs, Reply.m_ClockMs, Now) &&
+      Reply.m_ClockMs != 0) {
+    logEvent(Event::LeaseTooLong,
+             {{"run", runName(Order.m_Run)},
+              {"server", Order.m_Server.m_Id.m_Text},
+              {"clock_ms", std::to_string(Reply.m_ClockMs)},
+              {"lease_until_ms", std::to_string(Order.m_LeaseUntilMs)}});
+    suspectRestart(*S, Now);
+  }
   auto It = S->m_Runs.find(Order.m_Run);
   if (R == OrderResult::Fenced)
     m_Superseded = true;
@@ -229,13 +265,13 @@
   }
 }
 
-void Scheduler::resetIncarnation(ServerState &S) {
+void Scheduler::beginIncarnation(ServerState &S) {
   logEvent(Event::BackendReborn, {{"server", S.m_Registration.m_Id.m_Text},
                                   {"runs", std::to_string(S.m_Runs.size())}});
-  ++S.m_Incarnation;
-  S.m_LastSeenEnd = S.m_LastRecordedEnd = S.m_LastAcknowledgedEnd = 0;
-  S.m_UnrecordedEnds.clear();
-  S.m_FailuresInRow = 0;
+  S.beginIncarnation();
+  // Orders of which no answer has shown the clock may have been computed by
+  // that of the previous incarnation, too late for it.
+  ServerRegistry::recordLease(S, S.m_LastGrantAt, m_Options.m_MaxLease);
 }
 
 void Scheduler::countServerFailure(ServerState &S, TimePoint Now) {
--- a/src/scheduling/SchedulerTypes.h
+++ b/src/scheduling/SchedulerTypes.h
@@ -18,6 +18,8 @@
   Duration m_EarlierLeaderTimeout = std::chrono::seconds(8);
   /// Length of the leases that this leader grants.
   Duration m_Lease = std::chrono::seconds(5);
+  /// The longest lease that a server accepts. It shortens longer ones to that.
+  Duration m_MaxLease = std::chrono::seconds(10);
   /// How long a larger capacity of a server has to last before it is used. A
   /// capacity may shrink and grow in turns.
   Duration m_CapacitySettlingTime = std::chrono::milliseconds(4500);
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -161,6 +161,7 @@
   auto Longest =
       std::chrono::duration_cast<Duration>(Length / MinServerClockRate);
   S.m_LeasesEnd = std::max(S.m_LeasesEnd, Now + Longest + LeaseMargin);
+  S.m_LastGrantAt = std::max(S.m_LastGrantAt, Now);
 }
 
 ActiveRun &ServerRegistry::addRun(ServerState &S, const RunId &Id,
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -102,8 +102,47 @@
 /// The servers of one pool.
 using ServersByFreeCores = std::set<ServerState *, ByFreeCores>;
 
-/// One incarnation of a backend server, as known in this term.
-struct ServerState {
+/// What holds for one incarnation of a backend server only. Replaced as a whole
+/// when another incarnation answers.
+struct ServerIncarnation {
+  /// Whether the server has answered in this term, after which it rejects the
+  /// orders of earlier terms.
+  bool m_HasAcknowledgedTerm = false;
+  /// When the latest start order that it has answered was issued. The runs that
+  /// had begun before were still there.
+  TimePoint m_AliveAt{};
+  /// Whether a connection that was in use ended when the server became
+  /// unreachable. Its runs were at work then, since it would have reported
+  /// their ends.
+  bool m_WasLostAbruptly = false;
+
+  bool m_ClockKnown = false;
+  /// The server's clock in its last answer, and when that answer arrived on
+  /// the local clock.
+  std::int64_t m_ClockMs = 0;
+  TimePoint m_ClockAt{};
+
+  /// Number of the last run end that has been processed.
+  std::uint64_t m_LastSeenEnd = 0;
+  /// Run ends that are not recorded yet, in ascending order.
+  std::deque<UnrecordedEnd> m_UnrecordedEnds;
+  /// All run ends up to this number are recorded in the store.
+  std::uint64_t m_LastRecordedEnd = 0;
+  /// The server has been told to forget the run ends up to this number.
+  std::uint64_t m_LastAcknowledgedEnd = 0;
+
+  /// Failed runs since the last successful one.
+  std::uint32_t m_FailuresInRow = 0;
+  /// No runs are started on the server before this time.
+  TimePoint m_SuspendedUntil{};
+  /// Runs of the server have stalled or failed. It gets one task at a time
+  /// until a task has completed.
+  bool m_OnProbation = false;
+};
+
+/// A backend server under its ID, as known in this term. The members of its own
+/// outlast a restart of the server.
+struct ServerState : ServerIncarnation {
   /// Its m_Capacity is the smallest that the server has published lately.
   ServerRegistration m_Registration;
   /// The capacity that the server published last, and when it may be used if it
@@ -114,17 +153,7 @@
   std::uint64_t m_Incarnation = 0;
   bool m_Registered = true;
   TimePoint m_UnregisteredAt{};
-  /// Whether the server has answered in this term, after which it rejects the
-  /// orders of earlier terms.
-  bool m_HasAcknowledgedTerm = false;
   bool m_Reachable = true;
-  /// When the latest start order that it has answered was issued. The runs that
-  /// had begun before were still there.
-  TimePoint m_AliveAt{};
-  /// Whether a connection that was in use ended when the server became
-  /// unreachable. Its runs were at work then, since it would have reported
-  /// their ends.
-  bool m_WasLostAbruptly = false;
   /// When the server was last suspected to have ended. The answer to a poll
   /// that was sent before does not show that it is alive.
   TimePoint m_SuspectedAt{};
@@ -134,15 +163,13 @@
   /// Failed polls since the last answer.
   std::uint32_t m_FailedPolls = 0;
 
-  bool m_ClockKnown = false;
-  /// The server's clock in its last answer, and when that answer arrived on
-  /// the local clock.
-  std::int64_t m_ClockMs = 0;
-  TimePoint m_ClockAt{};
   /// When this start of the server was first seen to be registered in its pool.
   TimePoint m_RegisteredAt{};
   /// Time by which all leases granted so far have expired.
   TimePoint m_LeasesEnd{};
+  /// When the latest order that grants a lease was sent, or ended without an
+  /// answer, whichever came last.
+  TimePoint m_LastGrantAt{};
 
   bool m_PollPending = false;
   TimePoint m_PollSentAt{};
@@ -150,16 +177,8 @@
   /// Number of polls that the server has answered.
   std::uint64_t m_PollsAnswered = 0;
 
-  /// Number of the last run end that has been processed.
-  std::uint64_t m_LastSeenEnd = 0;
-  /// Run ends that are not recorded yet, in ascending order.
-  std::deque<UnrecordedEnd> m_UnrecordedEnds;
-  /// Number of the latest EndWaiter for the first of them.
+  /// Number of the latest EndWaiter for the first of m_UnrecordedEnds.
   std::uint64_t m_EndWaiterNumber = 0;
-  /// All run ends up to this number are recorded in the store.
-  std::uint64_t m_LastRecordedEnd = 0;
-  /// The server has been told to forget the run ends up to this number.
-  std::uint64_t m_LastAcknowledgedEnd = 0;
 
   /// Sum of the allocations of m_Runs.
   Resources m_Used;
@@ -181,13 +200,6 @@
   /// becomes free for them.
   TimePoint m_ClearingUntil{};
 
-  /// Failed runs since the last successful one.
-  std::uint32_t m_FailuresInRow = 0;
-  /// No runs are started on the server before this time.
-  TimePoint m_SuspendedUntil{};
-  /// Runs of the server have stalled or failed. It gets one task at a time
-  /// until a task has completed.
-  bool m_OnProbation = false;
   /// The server is about to be moved or shut down for maintenance, so nothing
   /// new is started there. Owned by FleetPlanner.
   bool m_Reserved = false;
@@ -220,6 +232,12 @@
     bool IsPlanned = m_Registration.m_Draining || m_Reserved;
     return IsPlanned ? RunLoss::ServerEnded : RunLoss::ServerCrashed;
   }
+  /// Replaces what holds for one incarnation only, because another one has
+  /// answered.
+  void beginIncarnation() {
+    static_cast<ServerIncarnation &>(*this) = {};
+    ++m_Incarnation;
+  }
   /// Whether no task runs on the server or is about to.
   bool isIdle() const { return m_Runs.empty() && m_PlannedStarts == 0; }
   /// Whether only suspected tasks may be started here.
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -40,6 +40,10 @@
   void (*m_ShapeJob)(JobSpec &) = nullptr;
   /// Organisations that the jobs belong to in turn; none: jobs belong to none.
   std::vector<OrganisationPolicy> m_Organisations;
+  /// The longest time after which the registration of a restarted server is
+  /// read, and the shortest. Until then no leader knows of the restart.
+  Duration m_MaxRegistrationDelay = std::chrono::milliseconds(300);
+  Duration m_MinRegistrationDelay = std::chrono::milliseconds(300);
   /// Whether the queue uses a placement adviser, which allows every second
   /// server.
   bool m_HasAdviser = false;
@@ -83,7 +87,8 @@
   /// Stops the leader and begins the next term at once. Orders that are under
   /// way are still carried out.
   void releaseTerm();
-  /// Restarts the server without its runs; it registers again after 0.3 s.
+  /// Restarts the server without its runs. It registers again after the delay
+  /// of the settings.
   void crashServer(std::size_t Index);
   /// From now on the server takes \p Factor times as long for all work.
   void slowServer(std::size_t Index, double Factor);
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -222,6 +222,11 @@
 }
 
 void SimServer::extendLease(std::int64_t UntilMs) {
+  UntilMs = std::min<std::int64_t>(
+      UntilMs,
+      clockMs() + std::chrono::duration_cast<std::chrono::milliseconds>(
+                      SchedulerOptions().m_MaxLease)
+                      .count());
   if (UntilMs <= m_LeaseUntilMs)
     return;
   m_LeaseUntilMs = UntilMs;
