Record the pools in which the runs of a job may be

Cause: a new leader waited for the unreachable servers of the queue's pool now and at acceptance. That its runs may be in a pool that the queue had in between was recorded nowhere.

Change: the state row of a job names each other pool before the first start there, under the term. A new leader waits for all of them, and counts crashes in all of them. Rows without the member are read as before; jobs of queues that are not moved have the same rows and writes. SchedulerFuzz moves, removes and puts back the queue of its quiet pool.

Why it works: the record is written before a run can be there, so each later leader knows of it.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -10,8 +10,8 @@
 // the faults have ended, every job must end.
 //
 // Each seed plays two pools, one after the other: a busy one with short tasks,
-// and a quiet one in which servers restart while they are idle and tasks
-// outlast leases.
+// and a quiet one in which servers restart while they are idle, tasks outlast
+// leases, and the queue is moved between pools, removed and put back.
 //
 //===----------------------------------------------------------------------===//
 
@@ -83,16 +83,29 @@
   S.m_ChecksState = true;
   S.m_LongRunningShare = 0.1;
   S.m_Servers = 3 + Random() % 4;
+  S.m_Pools = 1 + Random() % 3;
   S.m_Rate = 0.15 + 0.05 * static_cast<double>(Random() % 4);
   S.m_MaxSteps = 2;
   S.m_MaxTasksPerStep = 3;
   S.m_MedianWork = std::chrono::seconds(8);
   S.m_Faults.m_LostReplyShare = 0.03 * static_cast<double>(Random() % 3);
+  S.m_Faults.m_FailedRunShare = 0.04 * static_cast<double>(Random() % 3);
   S.m_MinRegistrationDelay = milliseconds(5);
   S.m_MaxRegistrationDelay = milliseconds(50 + Random() % 3000);
   return S;
 }
 
+/// Moves the queue, or removes it or puts it back, in a simulation of several
+/// pools.
+void changeQueue(JobSimulation &Simulation) {
+  if (Simulation.pools() == 1)
+    return;
+  if (Simulation.random()() % 3 == 0)
+    Simulation.setHasQueue(!Simulation.hasQueue());
+  else
+    Simulation.moveQueue();
+}
+
 /// Injects one fault and lets up to \p MaxPause pass.
 void stepOnce(JobSimulation &Simulation, milliseconds MaxPause) {
   auto &Random = Simulation.random();
@@ -128,6 +141,7 @@
     Simulation.releaseTerm();
     break;
   default:
+    changeQueue(Simulation);
     break;
   }
   Simulation.run(milliseconds(Random() % MaxPause.count()));
@@ -142,6 +156,7 @@
       stepOnce(Simulation, MaxPause);
     Simulation.reconnectServers();
     Simulation.setFaults({});
+    Simulation.setHasQueue(true);
     // Long enough for the largest backlog on the smallest number of servers.
     Simulation.run(std::chrono::minutes(15), false);
     std::string Idle = Simulation.findIdleLongRunningTasks();
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -244,6 +244,12 @@
             [&Row](std::uint32_t Occurrence, std::uint32_t Step) {
               Row.add(Occurrence).add(Step);
             });
+  if (!Progress.m_OtherPools.empty()) {
+    Row.key("other_pools").beginArray();
+    for (const PoolName &Pool : Progress.m_OtherPools)
+      Row.add(Pool.m_Text);
+    Row.endArray();
+  }
   return Row.endObject().take();
 }
 
@@ -270,6 +276,9 @@
     P.m_StartedSteps.emplace(as<std::uint32_t>(Row.at(0)),
                              as<std::uint32_t>(Row.at(1)));
   });
+  readRows(J, "other_pools", [&P](const auto &Name) {
+    P.m_OtherPools.emplace(as<std::string>(Name));
+  });
 }
 
 } // namespace
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -79,6 +79,9 @@
   /// before the first start, so that the next leader need not look for runs of
   /// other steps. \see StartRecords.
   std::set<std::pair<std::uint32_t, std::uint32_t>> m_StartedSteps;
+  /// Pools beside JobSpec::m_Pool in which a leader may have started runs,
+  /// since the queue's pool has changed. Written before the first start there.
+  std::set<PoolName> m_OtherPools;
 };
 
 /// Conversion to and from the values of the rows. Thread safe. Decoding errors:
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -7,6 +7,7 @@
 #include "scheduling/Messages.h"
 #include "serving/ServingConfig.h"
 #include "store/MetadataStore.h"
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -199,6 +200,10 @@
   const QueuePolicy *m_Policy = nullptr;
   /// Priority of the job's queue; 0 is the highest.
   std::uint32_t m_Priority = 0;
+  /// \see JobProgress::m_OtherPools. m_OtherPoolsChange is the number of the
+  /// latest change of it.
+  std::set<PoolName> m_OtherPools;
+  std::uint64_t m_OtherPoolsChange = 0;
   /// Whether the job's state row is out of date.
   bool m_Dirty = false;
   /// Whether a start waits for the next write of the state row.
@@ -219,8 +224,27 @@
   TaskState *task(const TaskId &Id);
   StepState *step(std::uint32_t Occurrence, std::uint32_t Step);
   bool hasPlannedStart(const TaskId &Id) const;
+  /// Whether the store tells the next leader that runs may be in \p Pool.
+  bool isPoolRecorded(const PoolName &Pool) const {
+    return Pool == m_Spec.m_Pool ||
+           (m_OtherPools.count(Pool) != 0 &&
+            m_RecordedChangeNumber >= m_OtherPoolsChange);
+  }
   /// Whether any task has a run.
   bool hasRuns() const;
+  /// The pool in which new runs of the job start.
+  const PoolName &pool() const {
+    return m_Policy ? m_Policy->m_Pool : m_Spec.m_Pool;
+  }
+  /// Whether \p Holds for any pool in which earlier leaders may have started
+  /// runs: that of the queue when the job was accepted, those that the state
+  /// row named, and that of the queue now, which a leader that records no pools
+  /// may have used.
+  template <typename F> bool anyPoolOfEarlierRuns(F Holds) const {
+    const std::set<PoolName> &Others = m_RestoredProgress.m_OtherPools;
+    return Holds(m_Spec.m_Pool) || Holds(pool()) ||
+           std::any_of(Others.begin(), Others.end(), Holds);
+  }
   /// Whether all tasks of the occurrences released so far are done.
   bool areReleasedTasksDone() const {
     return m_OccurrencesDone == m_Occurrences.size();
@@ -275,6 +299,8 @@
   /// Marks the job as running, since one of its tasks has a run. Returns
   /// whether this is its first run.
   bool markStarted(LiveJob &Job);
+  /// Asks for a record that runs of the job may be in \p Pool.
+  void requestPool(LiveJob &Job, const PoolName &Pool);
   /// Asks for a record that runs of the step may exist.
   void requestStart(LiveJob &Job, std::uint32_t Occurrence, std::uint32_t Step);
   /// The steps in \p Steps are recorded as started.
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -123,13 +123,15 @@
   Txn.m_Puts.push_back({State, encodeProgress(Progress)});
   if (isFinal(Job.m_State))
     Txn.m_Deletes.push_back(liveJobAddress(Id));
-  bool RecordsStart = !Progress.m_SuspectStarts.empty();
+  bool RecordsStart = !Progress.m_SuspectStarts.empty() ||
+                      Job.m_OtherPoolsChange > Job.m_RecordedChangeNumber;
   for (const auto &[Number, Step] : Progress.m_StartedSteps)
     RecordsStart |= !Job.step(Number, Step)->m_StartRecorded;
   Jobs.push_back(
       {Id, Job.m_Partition, Job.m_State, Job.m_ChangeNumber,
        Progress.m_State != JobState::Queued, std::move(Progress.m_StartedSteps),
-       !Progress.m_SuspectStarts.empty() || !Progress.m_Crashes.empty()});
+       !Progress.m_SuspectStarts.empty() || !Progress.m_Crashes.empty() ||
+           !Progress.m_OtherPools.empty()});
   return RecordsStart;
 }
 
@@ -191,7 +193,7 @@
         const StepState *S = Job->step(Number, Step);
         Job->m_WantsStart |= S->m_StartWanted && !S->m_StartRecorded;
       }
-      Job->m_WantsStart |= P.m_HasCrashes;
+      Job->m_WantsStart |= P.m_MayHoldStarts;
       m_Core.jobs().markDirty(*Job);
     }
 }
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -92,7 +92,9 @@
     std::uint64_t m_ChangeNumber;
     bool m_IsRunning;
     std::set<std::pair<std::uint32_t, std::uint32_t>> m_StartedSteps;
-    bool m_HasCrashes;
+    /// Whether starts may wait for something in the row other than the record
+    /// of their step.
+    bool m_MayHoldStarts;
   };
   /// Retry state of a partition whose last transaction failed.
   struct Backoff {
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -200,6 +200,8 @@
           Job, {Id, std::get<0>(Where), std::get<1>(Where), std::get<2>(Where)},
           Run, "of an earlier leader");
   JobRegistry::markStartsRecorded(Job, Stored.m_StartedSteps);
+  Job.m_OtherPools.insert(Stored.m_OtherPools.begin(),
+                          Stored.m_OtherPools.end());
 }
 
 bool Scheduler::isRecorded(const UnrecordedEnd &End) {
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -161,7 +161,9 @@
 void Scheduler::countEarlierRuns(LiveJob &Job, const ReadyTask &Step) {
   StepState &S = *Job.step(Step.m_Occurrence, Step.m_Step);
   if (std::exchange(S.m_HasCountedEarlierRuns, true) ||
-      !m_PoolsWithEarlierCrashes.count(poolOf(Job)))
+      !Job.anyPoolOfEarlierRuns([this](const PoolName &Pool) {
+        return m_PoolsWithEarlierCrashes.count(Pool) != 0;
+      }))
     return;
   for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
     const TaskState &T = S.m_Tasks[I];
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -28,9 +28,7 @@
 
 } // namespace
 
-const PoolName &Scheduler::poolOf(const LiveJob &Job) {
-  return Job.m_Policy ? Job.m_Policy->m_Pool : Job.m_Spec.m_Pool;
-}
+const PoolName &Scheduler::poolOf(const LiveJob &Job) { return Job.pool(); }
 
 std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
   std::map<QueueName, std::uint32_t> Waiting;
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -141,9 +141,11 @@
 
 std::string Scheduler::describeUnknownRuns(const LiveJob &Job,
                                            TimePoint Now) const {
-  auto It = m_UnacknowledgedPools.find(poolOf(Job));
-  if (It == m_UnacknowledgedPools.end())
-    It = m_UnacknowledgedPools.find(Job.m_Spec.m_Pool);
+  auto It = m_UnacknowledgedPools.end();
+  Job.anyPoolOfEarlierRuns([&](const PoolName &Pool) {
+    It = m_UnacknowledgedPools.find(Pool);
+    return It != m_UnacknowledgedPools.end();
+  });
   std::string Servers = It == m_UnacknowledgedPools.end()
                             ? "the instances are not listed yet"
                             : "pool " + It->first.m_Text + ": " +
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -99,10 +99,8 @@
            .m_Steps[Task.m_Step]
            .m_MayHaveEarlierRuns)
     return false;
-  PoolName Pool = poolOf(Job);
-  return !hasPoolAcknowledgedTerm(Pool) ||
-         (Pool != Job.m_Spec.m_Pool &&
-          !hasPoolAcknowledgedTerm(Job.m_Spec.m_Pool));
+  return Job.anyPoolOfEarlierRuns(
+      [this](const PoolName &Pool) { return !hasPoolAcknowledgedTerm(Pool); });
 }
 
 bool Scheduler::mayAllHaveUnknownRuns(const LiveJob &Job, TimePoint Now) const {
@@ -123,6 +121,7 @@
   const StepState &Step = *Job.step(Task.m_Occurrence, Task.m_Step);
   const CrashHistory *H = Step.m_Tasks[Task.m_Index].m_Crashes.get();
   return (!m_RecordsStarts || Step.m_StartRecorded) &&
+         Job.isPoolRecorded(poolOf(Job)) &&
          (!H || Job.m_RecordedChangeNumber >= H->m_RunsChange);
 }
 
@@ -130,6 +129,7 @@
                           const Resources &Need, ServerState &S,
                           std::uint32_t RunNumber, TimePoint Now) {
   m_Jobs.requestStart(Job, Task.m_Occurrence, Task.m_Step);
+  m_Jobs.requestPool(Job, S.m_Registration.m_Pool);
   if (!Job.m_FirstPlannedAt)
     Job.m_FirstPlannedAt = Now;
   if (Job.m_PlannedStarts.empty())
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -271,7 +271,7 @@
     ServerRegistration R;
     R.m_Id = ServerId("s" + std::to_string(N));
     R.m_Instance = InstanceId("i" + std::to_string(N));
-    R.m_Pool = PoolName("desk");
+    R.m_Pool = poolName(N % Settings.m_Pools);
     R.m_Address = R.m_Id.m_Text;
     R.m_Capacity = {Settings.m_CoresPerServer * 1000, 1 << 20, 0};
     R.m_StartTimeMs = 1;
@@ -305,12 +305,7 @@
       Callback(*L->m_Core);
 }
 
-void JobSimulation::setCaps(const std::vector<std::int64_t> &MilliCores) {
-  for (std::size_t N = 0; N < m_Settings.m_Organisations.size(); ++N) {
-    OrganisationPolicy &O = m_Settings.m_Organisations[N];
-    O.m_Cap.m_MilliCores = MilliCores.at(N);
-    m_Oracle.onCap(O.m_Name, O.m_Cap);
-  }
+void JobSimulation::applyConfig() {
   for (auto &L : m_Leaders)
     if (L->m_Alive)
       L->m_Core->onConfig(makeConfig());
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -17,6 +17,9 @@
 struct SimulationSettings {
   std::uint64_t m_Seed = 1;
   std::size_t m_Servers = 8;
+  /// Pools over which the servers are spread in turn. The queue begins with the
+  /// first.
+  std::size_t m_Pools = 1;
   std::int64_t m_CoresPerServer = 32;
   SimFaults m_Faults;
   /// Mean number of submitted jobs per second.
@@ -68,7 +71,7 @@
   std::uint64_t m_Terms = 0;
 };
 
-/// One pool with one queue, and the leaders of all terms so far. Not thread
+/// One queue, its pools, and the leaders of all terms so far. Not thread
 /// safe. Throws std::runtime_error if RunOracle finds a violation, or if the
 /// state of a leader is inconsistent.
 class JobSimulation {
@@ -110,6 +113,10 @@
   /// Puts a configuration into effect in which the organisations have these
   /// caps, in thousandths of a core.
   void setCaps(const std::vector<std::int64_t> &MilliCores);
+  /// Makes the tasks of the queue run in a random pool from now on.
+  void moveQueue();
+  /// Removes the queue from the configuration, or puts it back.
+  void setHasQueue(bool HasQueue);
   void setJobRate(double JobsPerSecond) { m_Settings.m_Rate = JobsPerSecond; }
   void setFaults(const SimFaults &Faults) { m_Settings.m_Faults = Faults; }
 
@@ -118,6 +125,8 @@
   /// The leader's state of the first live job, for error messages.
   std::string describeFirstLiveJob();
   std::size_t servers() const { return m_Servers.size(); }
+  std::size_t pools() const { return m_Settings.m_Pools; }
+  bool hasQueue() const { return m_HasQueue; }
   std::mt19937_64 &random() { return m_Random; }
   /// The scheduler of the current leader.
   Scheduler &core();
@@ -152,6 +161,9 @@
   /// Calls \p Callback for each leader whose term is in effect.
   void forEachLeader(const std::function<void(Scheduler &)> &Callback);
   std::shared_ptr<const ServingConfig> makeConfig() const;
+  /// Puts makeConfig() into effect for all leaders.
+  void applyConfig();
+  PoolName poolName(std::size_t Index) const;
   CommitOutcome apply(const RowTransaction &Txn);
   std::chrono::milliseconds wall() const;
   bool chance(double Share);
@@ -165,6 +177,9 @@
   Duration criticalPathOf(const JobSpec &Job);
 
   SimulationSettings m_Settings;
+  /// The pool of the queue, and whether the configuration has the queue.
+  std::size_t m_QueuePool = 0;
+  bool m_HasQueue = true;
   VirtualClock m_Clock;
   std::mt19937_64 m_Random;
   RunOracle m_Oracle{m_Clock};
--- a/src/scheduling/testing/SchedulerFixture.cpp
+++ b/src/scheduling/testing/SchedulerFixture.cpp
@@ -22,8 +22,7 @@
 }
 
 void SchedulerFixture::applyConfig() {
-  m_Core->onConfig(
-      ServingConfig::create(1, m_Queues, {{PoolName("desk"), false, true}}));
+  m_Core->onConfig(ServingConfig::create(1, m_Queues, m_Pools));
 }
 
 void SchedulerFixture::setAdvicePolicy(const AdvicePolicy &Policy) {
@@ -31,20 +30,37 @@
   applyConfig();
 }
 
+void SchedulerFixture::moveQueue(const std::string &Pool) {
+  m_Queues.front().m_Pool = PoolName(Pool);
+  m_Pools.push_back({PoolName(Pool), false, true});
+  applyConfig();
+}
+
+void SchedulerFixture::removeQueue() {
+  m_Queues.clear();
+  applyConfig();
+}
+
 std::chrono::milliseconds SchedulerFixture::wall() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       m_Now.time_since_epoch());
 }
 
-void SchedulerFixture::addServer(const std::string &Id, int Cores) {
+void SchedulerFixture::registerServer(const std::string &Id, int Cores,
+                                      const std::string &Pool) {
   ServerRegistration R;
   R.m_Id = ServerId(Id);
   R.m_Instance = InstanceId("on-" + Id);
-  R.m_Pool = PoolName("desk");
+  R.m_Pool = PoolName(Pool);
   R.m_Address = Id;
   R.m_Capacity = {Cores * 1000, 64000, 0};
   R.m_StartTimeMs = m_StartTimeMs;
   m_Core->onServer(R, m_Now);
+}
+
+void SchedulerFixture::addServer(const std::string &Id, int Cores,
+                                 const std::string &Pool) {
+  registerServer(Id, Cores, Pool);
   tick();
   answerPoll(Id);
 }
--- a/src/scheduling/testing/SchedulerFixture.h
+++ b/src/scheduling/testing/SchedulerFixture.h
@@ -43,8 +43,16 @@
 
   /// Makes the queue use the placement adviser from now on.
   void setAdvicePolicy(const AdvicePolicy &Policy);
-  /// Registers a server that has \p Cores cores and answers its first poll.
-  void addServer(const std::string &Id, int Cores = 4);
+  /// Makes the tasks of the queue run in \p Pool from now on.
+  void moveQueue(const std::string &Pool);
+  /// Removes the queue from the configuration.
+  void removeQueue();
+  /// Registers a server of \p Pool with \p Cores cores.
+  void registerServer(const std::string &Id, int Cores = 4,
+                      const std::string &Pool = "desk");
+  /// The same, and the server answers its first poll.
+  void addServer(const std::string &Id, int Cores = 4,
+                 const std::string &Pool = "desk");
   /// Answers the latest poll of the server \p Id with these lists. Aborts if
   /// there is none.
   void answerPoll(const std::string &Id, std::vector<RunReport> Running = {},
@@ -74,6 +82,7 @@
 
 private:
   std::vector<QueuePolicy> m_Queues;
+  std::vector<PoolPolicy> m_Pools{{PoolName("desk"), false, true}};
   void applyConfig();
   RowVersion m_StoreVersion = 1000;
   const PollOrder &lastPoll(const std::string &Id) const;
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -116,17 +116,44 @@
   return describeTasks(*Job);
 }
 
+void JobSimulation::setCaps(const std::vector<std::int64_t> &MilliCores) {
+  for (std::size_t N = 0; N < m_Settings.m_Organisations.size(); ++N) {
+    OrganisationPolicy &O = m_Settings.m_Organisations[N];
+    O.m_Cap.m_MilliCores = MilliCores.at(N);
+    m_Oracle.onCap(O.m_Name, O.m_Cap);
+  }
+  applyConfig();
+}
+
+PoolName JobSimulation::poolName(std::size_t Index) const {
+  return PoolName(Index == 0 ? "desk" : "annex" + std::to_string(Index));
+}
+
+void JobSimulation::moveQueue() {
+  m_QueuePool = m_Random() % m_Settings.m_Pools;
+  applyConfig();
+}
+
+void JobSimulation::setHasQueue(bool HasQueue) {
+  m_HasQueue = HasQueue;
+  applyConfig();
+}
+
 std::shared_ptr<const ServingConfig> JobSimulation::makeConfig() const {
+  std::vector<PoolPolicy> Pools;
+  for (std::size_t N = 0; N < m_Settings.m_Pools; ++N)
+    Pools.push_back({poolName(N), false, true});
+  if (!m_HasQueue)
+    return ServingConfig::create(1, {}, Pools, m_Settings.m_Organisations);
   QueuePolicy Queue;
   Queue.m_Name = QueueName("asks");
-  Queue.m_Pool = PoolName("desk");
+  Queue.m_Pool = poolName(m_QueuePool);
   Queue.m_Attempts = m_Settings.m_Attempts;
   Queue.m_DurationFactor = 1.6;
   Queue.m_Slack = milliseconds(600);
   if (m_Settings.m_HasAdviser)
     Queue.m_Advice = {AdviceDelay, milliseconds(0), TicketLifetime};
-  return ServingConfig::create(1, {Queue}, {{PoolName("desk"), false, true}},
-                               m_Settings.m_Organisations);
+  return ServingConfig::create(1, {Queue}, Pools, m_Settings.m_Organisations);
 }
 
 void JobSimulation::cancelRandomJob() {
@@ -146,7 +173,7 @@
   JobSpec Job;
   Job.m_Id = JobId("job" + std::to_string(++m_Figures.m_Submitted));
   Job.m_Queue = QueueName("asks");
-  Job.m_Pool = PoolName("desk");
+  Job.m_Pool = poolName(m_QueuePool);
   bool IsLongRunning =
       chance(m_Settings.m_LongRunningShare) && longRunningJobs().size() < 2;
   Job.m_Steps = IsLongRunning ? makeLongRunningStep() : makeSteps();
@@ -181,7 +208,8 @@
                 [this] {
                   if (!m_HasDemand)
                     return;
-                  submit();
+                  if (m_HasQueue)
+                    submit();
                   scheduleSubmit();
                 });
 }
