Use one name for each thing in the fixes of restarts and moved queues

The pool of a job had two accessors, and the two parts of a SchedulerFuzz run were called pools like the pools in them; they are scenarios now. Test fixtures hid a method of their base, and comments called one thing earlier and previous.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -9,9 +9,9 @@
 // checks every start, and the state of each leader must be consistent. After
 // the faults have ended, every job must end.
 //
-// Each seed plays two pools, one after the other: a busy one with short tasks,
-// and a quiet one in which servers restart while they are idle, tasks outlast
-// leases, and the queue is moved between pools, removed and put back.
+// Each seed plays two scenarios, one after the other: a busy one with short
+// tasks, and a quiet one in which servers restart while they are idle, tasks
+// outlast leases, and the queue is moved between pools, removed and put back.
 //
 //===----------------------------------------------------------------------===//
 
@@ -26,7 +26,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t OrganisationCount = 3;
-/// Longest time between two faults. In the quiet pool a cut outlasts leases.
+/// Longest time between two faults. In the quiet scenario a cut outlasts
+/// leases.
 constexpr milliseconds BusyPause{1500};
 constexpr milliseconds QuietPause{4000};
 /// A gang of four tasks of at most 2.7 cores, in thousandths of a core.
@@ -177,15 +178,16 @@
          std::to_string(F.m_Terms) + " terms";
 }
 
-std::string runBothPools(const FuzzArguments &Arguments, std::uint64_t &Step) {
+std::string runBothScenarios(const FuzzArguments &Arguments,
+                             std::uint64_t &Step) {
   std::string Busy = runSimulation(settingsFor(Arguments.m_Seed), BusyPause,
                                    Arguments.m_Steps, Step);
   try {
-    return Busy + "; quiet pool: " +
+    return Busy + "; quiet scenario: " +
            runSimulation(quietSettingsFor(Arguments.m_Seed), QuietPause,
                          Arguments.m_Steps, Step);
   } catch (const OracleFailure &Failure) {
-    throw OracleFailure(std::string("quiet pool: ") + Failure.what());
+    throw OracleFailure(std::string("quiet scenario: ") + Failure.what());
   }
 }
 
@@ -193,5 +195,5 @@
 
 int main(int Argc, char **Argv) {
   setUpLog(Severity::Error, "fuzz");
-  return runFuzz(Argc, Argv, 60, runBothPools);
+  return runFuzz(Argc, Argv, 60, runBothScenarios);
 }
--- a/src/scheduling/IncarnationTest.cpp
+++ b/src/scheduling/IncarnationTest.cpp
@@ -21,13 +21,14 @@
   const PollOrder &lastPoll() const { return m_Orders.m_Polls.back(); }
   std::size_t starts() const { return m_Orders.m_Starts.size(); }
 
+  /// The server restarts after 20 s, which the leader does not see.
   void restart() {
     advance(20s);
     m_RestartedAt = m_Now;
     ++m_StartTimeMs;
   }
   /// The registration of the current incarnation arrives.
-  void registerServer() {
+  void registerRestart() {
     ServerRegistration R =
         m_Core->servers().find(ServerId("s1"))->m_Registration;
     R.m_Capacity = {4000, 64000, 0};
@@ -78,13 +79,13 @@
 TEST_GROUP(Incarnation){};
 
 // A server that had restarted while it was idle got a lease that was computed
-// by the clock of its earlier incarnation. It lasted for twice as long as the
+// by the clock of its previous incarnation. It lasted for twice as long as the
 // leader expected, so that a task ran twice once the server was cut off.
 TEST(Incarnation, TheFirstPollAfterARegisteredRestartGrantsNoLease) {
   RestartFixture W;
   W.addServer("s1");
   W.restart();
-  W.registerServer();
+  W.registerRestart();
   W.tick();
   CHECK_EQUAL(0, W.lastPoll().m_LeaseUntilMs);
   CHECK_EQUAL(0u, W.lastPoll().m_AcknowledgedEndNumber);
@@ -97,9 +98,9 @@
   CHECK(W.m_Orders.m_Starts[0].m_LeaseUntilMs <= W.clockMs() + 5000);
 }
 
-// The answer to a poll that was sent to the earlier incarnation made the server
-// reachable, with the clock of that incarnation.
-TEST(Incarnation, AnAnswerOfTheEarlierIncarnationDoesNotEndTheSuspicion) {
+// Guards against a late answer of the previous incarnation that makes the
+// server reachable with the clock of that incarnation.
+TEST(Incarnation, AnAnswerOfThePreviousIncarnationDoesNotEndTheSuspicion) {
   RestartFixture W;
   W.addServer("s1");
   W.addJob("j", {SchedulerFixture::step(1)});
@@ -112,7 +113,7 @@
   Reply.m_StartTimeMs = W.m_StartTimeMs;
   Reply.m_Running = {{W.m_Orders.m_Starts[0].m_Run, "", 0, 0}};
   W.restart();
-  W.registerServer();
+  W.registerRestart();
   W.m_Core->onPollReply(Earlier, Reply, W.m_Now);
   W.tick();
   CHECK_EQUAL(0, W.lastPoll().m_LeaseUntilMs);
@@ -121,7 +122,7 @@
 
 // A start that reached the new incarnation before its registration was read
 // gave it a lease of the longest length.
-TEST(Incarnation, AnAnsweredStartByAnEarlierClockCountsAsTheLongestLease) {
+TEST(Incarnation, AnAnsweredStartByThePreviousClockCountsAsTheLongestLease) {
   RestartFixture W;
   W.startAfterUnnoticedRestart();
   CHECK_EQUAL(1u, W.starts());
@@ -154,7 +155,7 @@
   W.addServer("s1");
   W.m_RestartedAt = W.m_Now;
   ++W.m_StartTimeMs;
-  W.registerServer();
+  W.registerRestart();
   W.tick();
   W.advance(300ms);
   W.answer();
@@ -170,8 +171,8 @@
 }
 
 // The new incarnation of a server stayed on probation for failures of the
-// earlier one.
-TEST(Incarnation, ANewIncarnationKeepsNothingOfTheEarlierOne) {
+// previous one.
+TEST(Incarnation, ANewIncarnationKeepsNothingOfThePreviousOne) {
   RestartFixture W;
   W.addServer("s1");
   ServerState &S = *W.m_Core->servers().find(ServerId("s1"));
@@ -181,7 +182,7 @@
   S.m_SuspendedUntil = W.m_Now + 60s;
   S.m_WasLostAbruptly = true;
   W.restart();
-  W.registerServer();
+  W.registerRestart();
   W.tick();
   W.answer();
   CHECK(!S.m_OnProbation);
@@ -199,13 +200,7 @@
 TEST(Incarnation, ALeaseOfAnEarlierLeaderOnAYoungServerCountsAsTheLongest) {
   RestartFixture W(2);
   W.m_RestartedAt = W.m_Now;
-  ServerRegistration R;
-  R.m_Id = ServerId("s1");
-  R.m_Instance = InstanceId("on-s1");
-  R.m_Pool = PoolName("desk");
-  R.m_Capacity = {4000, 64000, 0};
-  R.m_StartTimeMs = W.m_StartTimeMs;
-  W.m_Core->onServer(R, W.m_Now);
+  W.registerServer("s1");
   JobProgress Progress;
   Progress.m_State = JobState::Running;
   Progress.m_StartedSteps = {{0, 0}};
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -149,8 +149,6 @@
   /// Ready tasks that need a server of another kind, or another server that the
   /// adviser may allow. At most one for each pool and label.
   std::vector<UnschedulableTask> unschedulableTasks();
-  /// The pool in which \p Job currently runs.
-  static const PoolName &poolOf(const LiveJob &Job);
   const SchedulerCounters &counters() const { return m_Counters; }
 
 private:
@@ -218,7 +216,8 @@
                  std::int64_t ClockMs, TimePoint Now);
   /// \p S, whose clock shows \p ClockMs, has answered for the first time in
   /// this term. Notes the longest lease that an earlier leader may have given
-  /// it by the clock of an earlier incarnation, of whose end it did not know.
+  /// it by the clock of its previous incarnation, while it did not know of the
+  /// restart.
   void noteEarlierGrants(ServerState &S, std::int64_t ClockMs, TimePoint Now);
   /// Replaces what is known of the previous incarnation of a server. Its runs
   /// are kept, since the list in the answer shows which of them the new
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -28,8 +28,6 @@
 
 } // namespace
 
-const PoolName &Scheduler::poolOf(const LiveJob &Job) { return Job.pool(); }
-
 std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
   std::map<QueueName, std::uint32_t> Waiting;
   std::unordered_map<const QueuePolicy *, std::uint32_t> ByPolicy;
@@ -118,7 +116,7 @@
   const StepSpec &Step = Job.m_Spec.m_Steps[Task.m_Step];
   const StepId Id = Job.stepId(Task);
   const Resources Need = allocationFor(Step);
-  const ServersByFreeCores &Servers = m_Servers.inPool(poolOf(Job));
+  const ServersByFreeCores &Servers = m_Servers.inPool(Job.pool());
   return std::any_of(Servers.begin(), Servers.end(), [&](const ServerState *S) {
     const ServerRegistration &R = S->m_Registration;
     ++m_Counters.m_ServersSearched;
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -82,7 +82,7 @@
                                         const ReadyTask &Task, TimePoint Now) {
   if (!hasServerFor(Job, Task))
     return WaitReason::NoSuitableServer;
-  const ServersByFreeCores &Servers = m_Servers.inPool(poolOf(Job));
+  const ServersByFreeCores &Servers = m_Servers.inPool(Job.pool());
   if (std::none_of(Servers.rbegin(), Servers.rend(),
                    [&](const ServerState *S) { return isUsable(*S, Now); }))
     return WaitReason::NoUsableServer;
@@ -118,7 +118,7 @@
   const StepNeeds Needs = needsOf(Job, Task);
   std::size_t Usable = 0, WithCores = 0;
   Resources Most;
-  for (const ServerState *S : m_Servers.inPool(poolOf(Job))) {
+  for (const ServerState *S : m_Servers.inPool(Job.pool())) {
     if (!isUsable(*S, Now))
       continue;
     ++Usable;
@@ -131,7 +131,7 @@
     Most.m_Gpus = std::max(Most.m_Gpus, Free.m_Gpus);
   }
   return "none of " + std::to_string(Usable) + " usable servers of pool " +
-         poolOf(Job).m_Text + " has room for a task of step " +
+         Job.pool().m_Text + " has room for a task of step " +
          std::to_string(Task.m_Step) + ", which needs " +
          describe(Needs.m_Need) + "; " + std::to_string(WithCores) +
          " have the cores; the most that is free, memory and GPUs beside "
@@ -178,10 +178,10 @@
            " servers have crashed under it, so " + Text;
   case WaitReason::NoSuitableServer:
   case WaitReason::NoUsableServer:
-    return "no server of pool " + poolOf(Job).m_Text +
+    return "no server of pool " + Job.pool().m_Text +
            Text.substr(std::string_view("no server of its pool").size());
   case WaitReason::NoTicket:
-    return Text + "; pool " + poolOf(Job).m_Text;
+    return Text + "; pool " + Job.pool().m_Text;
   default:
     return isLackOfRoom(Reason) ? describeRoom(Job, *First, Now) + Text : Text;
   }
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -76,7 +76,7 @@
 void Scheduler::enqueueReady() {
   for (LiveJob *Job : m_Jobs.takeNewlyReady())
     if (!Job->m_Ready.empty() && !isFinal(Job->m_State))
-      (Job->m_PlacementQueue ? *Job->m_PlacementQueue : m_Queues[poolOf(*Job)])
+      (Job->m_PlacementQueue ? *Job->m_PlacementQueue : m_Queues[Job->pool()])
           .add(*Job);
 }
 
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -76,7 +76,8 @@
 
 void Scheduler::noteEarlierGrants(ServerState &S, std::int64_t ClockMs,
                                   TimePoint Now) {
-  // A leader that reads no registrations gives orders for that long at most.
+  // A leader learns of a restart from the registrations in the store. Without
+  // the store it gives orders for m_EarlierLeaderTimeout at most.
   Duration Left = m_Options.m_EarlierLeaderTimeout + m_Options.m_MaxLease -
                   std::chrono::milliseconds(ClockMs);
   if (m_Options.m_Term > 1 && Left > Duration(0))
@@ -269,8 +270,8 @@
   logEvent(Event::BackendReborn, {{"server", S.m_Registration.m_Id.m_Text},
                                   {"runs", std::to_string(S.m_Runs.size())}});
   S.beginIncarnation();
-  // Orders of which no answer has shown the clock may have been computed by
-  // that of the previous incarnation, too late for it.
+  // An order without an answer may have reached the new incarnation with a
+  // lease that was computed by the clock of the previous one.
   ServerRegistry::recordLease(S, S.m_LastGrantAt, m_Options.m_MaxLease);
 }
 
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -121,7 +121,7 @@
   const StepState &Step = *Job.step(Task.m_Occurrence, Task.m_Step);
   const CrashHistory *H = Step.m_Tasks[Task.m_Index].m_Crashes.get();
   return (!m_RecordsStarts || Step.m_StartRecorded) &&
-         Job.isPoolRecorded(poolOf(Job)) &&
+         Job.isPoolRecorded(Job.pool()) &&
          (!H || Job.m_RecordedChangeNumber >= H->m_RunsChange);
 }
 
@@ -225,9 +225,8 @@
   // best-effort task depends on what runs there by now.
   if (!Needs.m_Step->m_Gang && prefersLeastFree(*Needs.m_Step) &&
       isStartable(Job) && isStartRecorded(Job, R, Server) && IsIsolationKept &&
-      P.m_Server->m_Registration.m_Pool == poolOf(Job) &&
-      Now >= T.m_NotBefore && isUsable(*P.m_Server, Now) &&
-      !mayHaveUnknownRuns(Job, R, Now) &&
+      P.m_Server->m_Registration.m_Pool == Job.pool() && Now >= T.m_NotBefore &&
+      isUsable(*P.m_Server, Now) && !mayHaveUnknownRuns(Job, R, Now) &&
       hasRoomUnderCap(Job, *Needs.m_Step, 1, Now) &&
       canHost(*P.m_Server, Job, R, Needs, {}) &&
       (!Needs.m_NeedsTicket ||
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -396,12 +396,7 @@
 void JobSimulation::crashServer(std::size_t Index) {
   SimServer &S = *m_Servers[Index];
   S.crash();
-  const Duration Spread =
-      m_Settings.m_MaxRegistrationDelay - m_Settings.m_MinRegistrationDelay;
-  Duration Delay = m_Settings.m_MinRegistrationDelay;
-  if (Spread > Duration(0))
-    Delay += Duration(m_Random() % Spread.count());
-  m_Clock.after(Delay, [this, &S] {
+  m_Clock.after(registrationDelay(), [this, &S] {
     forEachLeader([&](Scheduler &Core) {
       Core.onServer(S.m_Registration, m_Clock.m_Now);
     });
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -43,10 +43,10 @@
   void (*m_ShapeJob)(JobSpec &) = nullptr;
   /// Organisations that the jobs belong to in turn; none: jobs belong to none.
   std::vector<OrganisationPolicy> m_Organisations;
-  /// The longest time after which the registration of a restarted server is
-  /// read, and the shortest. Until then no leader knows of the restart.
-  Duration m_MaxRegistrationDelay = std::chrono::milliseconds(300);
+  /// The shortest and the longest time after which the leaders read the
+  /// registration of a restarted server.
   Duration m_MinRegistrationDelay = std::chrono::milliseconds(300);
+  Duration m_MaxRegistrationDelay = std::chrono::milliseconds(300);
   /// Whether the queue uses a placement adviser, which allows every second
   /// server.
   bool m_HasAdviser = false;
@@ -164,6 +164,8 @@
   /// Puts makeConfig() into effect for all leaders.
   void applyConfig();
   PoolName poolName(std::size_t Index) const;
+  /// Draws a delay between the limits of the settings.
+  Duration registrationDelay();
   CommitOutcome apply(const RowTransaction &Txn);
   std::chrono::milliseconds wall() const;
   bool chance(double Share);
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -129,6 +129,15 @@
   return PoolName(Index == 0 ? "desk" : "annex" + std::to_string(Index));
 }
 
+Duration JobSimulation::registrationDelay() {
+  const Duration Spread =
+      m_Settings.m_MaxRegistrationDelay - m_Settings.m_MinRegistrationDelay;
+  if (Spread == Duration(0))
+    return m_Settings.m_MinRegistrationDelay;
+  return m_Settings.m_MinRegistrationDelay +
+         Duration(m_Random() % Spread.count());
+}
+
 void JobSimulation::moveQueue() {
   m_QueuePool = m_Random() % m_Settings.m_Pools;
   applyConfig();
