--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -11,7 +11,8 @@
 //
 // Each seed plays two scenarios, one after the other: a busy one with short
 // tasks, and a quiet one in which servers restart while they are idle, tasks
-// outlast leases, and the queue is moved between pools, removed and put back.
+// outlast leases, and the queue is moved between pools, gets other rules, is
+// removed and put back, of all of which the leaders learn late.
 //
 //===----------------------------------------------------------------------===//
 
@@ -93,22 +94,25 @@
   S.m_Faults.m_FailedRunShare = 0.04 * static_cast<double>(Random() % 3);
   S.m_MinRegistrationDelay = milliseconds(5);
   S.m_MaxRegistrationDelay = milliseconds(50 + Random() % 3000);
+  S.m_MaxConfigDelay = milliseconds(1 + Random() % 1000);
+  S.m_RowWithoutRulesShare = 0.1;
   return S;
 }
 
-/// Moves the queue, or removes it or puts it back, in a simulation of several
-/// pools.
+/// Changes the rules of the queue, moves it, or removes it or puts it back.
 void changeQueue(JobSimulation &Simulation) {
-  if (Simulation.pools() == 1)
-    return;
-  if (Simulation.random()() % 3 == 0)
+  const auto Drawn = Simulation.random()() % 3;
+  if (Drawn == 0)
     Simulation.setHasQueue(!Simulation.hasQueue());
-  else
+  else if (Drawn == 1 && Simulation.pools() > 1)
     Simulation.moveQueue();
+  else
+    Simulation.changeRules();
 }
 
 /// Injects one fault and lets up to \p MaxPause pass.
-void stepOnce(JobSimulation &Simulation, milliseconds MaxPause) {
+void stepOnce(JobSimulation &Simulation, milliseconds MaxPause,
+              bool ChangesQueue) {
   auto &Random = Simulation.random();
   std::size_t Server = Random() % Simulation.servers();
   switch (Random() % 12) {
@@ -142,10 +146,14 @@
     Simulation.releaseTerm();
     break;
   default:
-    changeQueue(Simulation);
+    if (ChangesQueue)
+      changeQueue(Simulation);
     break;
   }
   Simulation.run(milliseconds(Random() % MaxPause.count()));
+  const std::string Wrong = Simulation.findWrongRules();
+  if (!Wrong.empty())
+    throw OracleFailure(Wrong);
 }
 
 std::string runSimulation(const SimulationSettings &Settings,
@@ -154,7 +162,7 @@
   JobSimulation Simulation(Settings);
   try {
     for (Step = 0; Step < Steps; ++Step)
-      stepOnce(Simulation, MaxPause);
+      stepOnce(Simulation, MaxPause, Settings.m_MaxConfigDelay.count() > 0);
     Simulation.reconnectServers();
     Simulation.setFaults({});
     Simulation.setHasQueue(true);
--- a/src/base/JsonWriter.cpp
+++ b/src/base/JsonWriter.cpp
@@ -24,4 +24,8 @@
   return *this;
 }
 
+JsonWriter &JsonWriter::add(double Value) {
+  return addToken(nlohmann::json(Value).dump());
+}
+
 } // namespace pollenspool
--- a/src/base/JsonWriter.h
+++ b/src/base/JsonWriter.h
@@ -51,6 +51,8 @@
     const char *End = std::to_chars(Digits, Digits + MaxDigits, Value).ptr;
     return addToken({Digits, static_cast<std::size_t>(End - Digits)});
   }
+  /// \p Value must be finite. The text reads as the same value again.
+  JsonWriter &add(double Value);
 
   /// Writes the next member of an object.
   template <typename T> JsonWriter &add(std::string_view Name, const T &Value) {
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -65,6 +65,8 @@
   m_Scheduler = Scheduler::create(Options, m_Ports.m_Backend, Loop.now());
   m_Scheduler->restoreAdmission(Lead.renewal().m_Admission);
   m_ProgressWriter = ProgressWriter::create(*m_Scheduler, Lead.termCondition());
+  m_QueueRecords =
+      QueueRecords::create(m_Scheduler->queues(), Lead.termCondition());
   m_Waits = WaitMonitor::create(*m_Scheduler, *m_ProgressWriter);
   FleetPlannerOptions Fleet;
   Fleet.m_MoveTime = Settings.m_MoveTime;
@@ -84,6 +86,7 @@
   m_StatePartitionsLeft = jobPartitions().size();
   for (const std::string &Part : jobPartitions())
     readJobStates({JobStatesTable, {}, Part});
+  readQueueRules({QueueRulesTable, {}, LeaderPartition});
   followJobs();
   readStartRecords();
   readIdleServers();
@@ -137,18 +140,52 @@
       RowAddress Next = Page.m_Rows.back().m_At;
       Next.m_Key += '\0';
       readJobStates(Next);
-    } else if (--m_StatePartitionsLeft == 0) {
-      for (const StoredRow &Row : std::exchange(m_LiveRowsAtStart, {}))
-        onLiveJobRow(Row);
-      finishLoadingJobs();
+    } else {
+      --m_StatePartitionsLeft;
+      onStatesRead();
     }
   });
 }
 
+void Leader::readQueueRules(const RowAddress &From) {
+  readWithRetry(From, MaxPageRows, [this](RowPage &Page) {
+    for (const StoredRow &Row : Page.m_Rows)
+      m_QueueRecords->onRead(Row);
+    if (Page.m_HasMore && !Page.m_Rows.empty()) {
+      RowAddress Next = Page.m_Rows.back().m_At;
+      Next.m_Key += '\0';
+      return readQueueRules(Next);
+    }
+    m_QueueRulesRead = true;
+    onStatesRead();
+  });
+}
+
+void Leader::onStatesRead() {
+  if (!areStatesRead())
+    return;
+  for (const StoredRow &Row : std::exchange(m_LiveRowsAtStart, {}))
+    onLiveJobRow(Row);
+  finishLoadingJobs();
+}
+
+void Leader::recordQueueRules() {
+  if (!m_Leadership.isValid(m_Loop.now()))
+    return;
+  auto Txn = m_QueueRecords->next(m_Loop.now());
+  if (!Txn)
+    return;
+  m_Ports.m_Store.commit(
+      *Txn, PlatformCallTimeout,
+      whileLeading([this](const Result<CommitOutcome> &Outcome) {
+        m_QueueRecords->onResult(Outcome);
+      }));
+}
+
 void Leader::followJobs() {
   TableMirror::Listener RowListener;
   RowListener.m_OnRow = [this](const StoredRow &Row) {
-    if (m_StatePartitionsLeft > 0)
+    if (!areStatesRead())
       m_LiveRowsAtStart.push_back(Row);
     else
       onLiveJobRow(Row);
@@ -164,7 +201,7 @@
 }
 
 void Leader::finishLoadingJobs() {
-  if (m_JobsLoaded || m_StatePartitionsLeft > 0 || !m_LiveJobs->isSynced())
+  if (m_JobsLoaded || !areStatesRead() || !m_LiveJobs->isSynced())
     return;
   m_JobsLoaded = true;
   // Jobs with a final state had ended before this term.
@@ -286,6 +323,7 @@
     listInstances();
   planInstanceOrders();
   recordProgress();
+  recordQueueRules();
   updateIdleServers();
   m_Waits->update(Now);
   recordWaves();
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -14,6 +14,7 @@
 #include "lead/StartRecords.h"
 #include "net/EventLoop.h"
 #include "scheduling/ProgressWriter.h"
+#include "scheduling/QueueRecords.h"
 #include "scheduling/WaitMonitor.h"
 #include "store/StoreClock.h"
 #include "store/TableMirror.h"
@@ -80,6 +81,14 @@
   void readWithRetry(const RowAddress &From, std::size_t Limit,
                      std::function<void(RowPage &)> Callback);
   void readJobStates(const RowAddress &From);
+  void readQueueRules(const RowAddress &From);
+  void recordQueueRules();
+  /// Whether all that live jobs depend on has been read.
+  bool areStatesRead() const {
+    return m_StatePartitionsLeft == 0 && m_QueueRulesRead;
+  }
+  /// Adds the jobs that arrived before areStatesRead().
+  void onStatesRead();
   void followJobs();
   void finishLoadingJobs();
   void onLiveJobRow(const StoredRow &Row);
@@ -111,6 +120,7 @@
   LoadMonitor &m_Load;
   std::unique_ptr<Scheduler> m_Scheduler;
   std::unique_ptr<ProgressWriter> m_ProgressWriter;
+  std::unique_ptr<QueueRecords> m_QueueRecords;
   std::unique_ptr<WaitMonitor> m_Waits;
   std::unique_ptr<FleetPlanner> m_Planner;
   StartRecords m_StartRecords;
@@ -131,13 +141,14 @@
   DelayMonitor m_AnswerDelay;
   std::shared_ptr<TableMirror> m_LiveJobs;
   TimePoint m_StartedAt{};
-  /// Rows of live jobs that arrived before all job states have been read.
+  /// Rows of live jobs that arrived before areStatesRead().
   std::vector<StoredRow> m_LiveRowsAtStart;
   /// Job state rows as read at the start, until the live jobs have been loaded.
   std::map<std::string, StoredRow> m_StatesAtStart;
   /// Wall time at which each job ended, for the removal of its state.
   std::map<std::string, std::chrono::milliseconds> m_EndedAt;
   std::size_t m_StatePartitionsLeft = 0;
+  bool m_QueueRulesRead = false;
   bool m_ServersLoaded = false;
   bool m_JobsLoaded = false;
   bool m_Stopped = false;
--- a/src/entry/StatusPage.cpp
+++ b/src/entry/StatusPage.cpp
@@ -120,6 +120,16 @@
   return Rows;
 }
 
+Json rules(const LiveJob &Job) {
+  const BookedQueue &Queue = *Job.m_Queue;
+  return {{"queue_configured", Queue.m_IsConfigured},
+          {"config_version", Queue.m_Rules.m_ConfigVersion},
+          {"pool", Job.pool().m_Text},
+          {"attempts", Job.m_Attempts},
+          {"priority", Job.m_Priority},
+          {"advice", Queue.m_Rules.m_Advice.has_value()}};
+}
+
 } // namespace
 
 std::string renderOverview(const Entry &Service, TimePoint Now) {
@@ -143,6 +153,7 @@
   if (const LiveJob *Job = L->scheduler().jobs().find(Id)) {
     Page["queue"] = Job->m_Spec.m_Queue.m_Text;
     Page["state"] = stateName(Job->m_State);
+    Page["rules"] = rules(*Job);
     Page["steps"] = steps(*Job);
   }
   Page["waits"] = L->waits().explain(Id, Now);
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -187,6 +187,8 @@
       .add("accepted", Job.m_AcceptedAt.count());
   if (!Job.m_Organisation.empty())
     Row.add("organisation", Job.m_Organisation.m_Text);
+  if (Job.m_Rules)
+    writeQueueRules(Row.key("rules"), *Job.m_Rules);
   return Row.endObject().take();
 }
 
@@ -198,6 +200,8 @@
         Job.m_Queue = QueueName(as<std::string>(J.at("queue")));
         Job.m_Pool = PoolName(as<std::string>(J.at("pool")));
         Job.m_Organisation = OrganisationName(J.value("organisation", ""));
+        if (J.contains("rules"))
+          Job.m_Rules = queueRulesFrom(J.at("rules"));
         Job.m_Text = as<std::string>(J.at("text"));
         const auto &Steps = J.at("steps");
         Job.m_Steps.reserve(Steps.size());
--- a/src/jobs/JobSpec.h
+++ b/src/jobs/JobSpec.h
@@ -5,6 +5,7 @@
 
 #include "base/Ids.h"
 #include "base/ShortText.h"
+#include "jobs/QueueRules.h"
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
@@ -109,6 +110,8 @@
   JobId m_Id;
   QueueName m_Queue;
   PoolName m_Pool;
+  /// The rules of the queue at that time. Rows of earlier versions lack them.
+  std::optional<QueueRules> m_Rules;
   /// The organisation whose key submitted the job; empty if none was required.
   OrganisationName m_Organisation;
   /// Text that is passed to each task.
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -5,6 +5,7 @@
 
 #include "jobs/JobRows.h"
 #include "scheduling/Messages.h"
+#include "scheduling/QueueBook.h"
 #include "serving/ServingConfig.h"
 #include "store/MetadataStore.h"
 #include <algorithm>
@@ -195,9 +196,8 @@
   bool m_IsBeyondShare = false;
   /// The account of the job's organisation; null if it has none.
   OrganisationAccount *m_Account = nullptr;
-  /// The policy of the job's queue in the configuration in effect; null if the
-  /// queue does not exist any more.
-  const QueuePolicy *m_Policy = nullptr;
+  /// The job's queue, with the rules in force for it.
+  const BookedQueue *m_Queue = nullptr;
   /// Priority of the job's queue; 0 is the highest.
   std::uint32_t m_Priority = 0;
   /// \see JobProgress::m_OtherPools. m_OtherPoolsChange is the number of the
@@ -234,7 +234,8 @@
   bool hasRuns() const;
   /// The pool in which new runs of the job start.
   const PoolName &pool() const {
-    return m_Policy ? m_Policy->m_Pool : m_Spec.m_Pool;
+    return m_Queue && m_Queue->m_AreRulesKnown ? m_Queue->m_Rules.m_Pool
+                                               : m_Spec.m_Pool;
   }
   /// Whether \p Holds for any pool in which earlier leaders may have started
   /// runs: that of the queue when the job was accepted, those that the state
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -56,10 +56,15 @@
   m_Config = std::move(Config);
   m_Organisations.onConfig(*m_Config);
   m_ReservedAt.reset();
+  m_QueueBook.onConfig(m_Config);
+  applyRules();
+}
+
+void Scheduler::applyRules() {
   for (auto &[Pool, Queue] : m_Queues)
     Queue.removeIf([](const LiveJob &, std::int64_t) { return true; });
   for (auto &[Id, Job] : m_Jobs.all()) {
-    setObjective(*Job);
+    applyRules(*Job);
     if (!Job->m_Ready.empty())
       m_Jobs.markNewlyReady(*Job);
   }
@@ -77,7 +82,13 @@
   if (Job.m_Account && Accepted > m_Options.m_TermVersion)
     Job.m_IsBeyondShare = !m_Shares.onAccepted(Job.m_Spec.m_Organisation,
                                                Job.m_Account->m_Weight, Now);
-  setObjective(Job);
+  auto [Queue, IsRuleChange] =
+      m_QueueBook.addJob(Job.m_Spec.m_Queue, Job.m_Spec.m_Rules);
+  Job.m_Queue = Queue;
+  if (IsRuleChange)
+    applyRules();
+  else
+    applyRules(Job);
   if (Job.m_OccurrencesDone == Job.m_Spec.occurrences()) {
     Job.m_State = JobState::Completed;
     m_Jobs.markDirty(Job);
@@ -94,6 +105,7 @@
   if (Job->m_PlacementQueue)
     Job->m_PlacementQueue->remove(*Job);
   checkEndWaiters(*Job);
+  m_QueueBook.removeJob(Job->m_Spec.m_Queue);
   m_Jobs.remove(Id);
 }
 
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -119,6 +119,7 @@
   /// over.
   bool isSuperseded() const { return m_Superseded; }
   JobRegistry &jobs() { return m_Jobs; }
+  QueueBook &queues() { return m_QueueBook; }
   ServerRegistry &servers() { return m_Servers; }
   const OrganisationLedger &organisations() const { return m_Organisations; }
   /// Continues with the admission shares of an earlier leader.
@@ -201,6 +202,8 @@
   void orderStop(ServerState &S, const RunId &Id);
   void stopRunsOfTask(const LiveJob &Job, const TaskId &Task);
   void stopRunsOfJob(const LiveJob &Job);
+  /// \p Job has failed with \p Last, the last attempt of a task.
+  void failJob(const LiveJob &Job, const RunId &Last);
   /// Releases the occurrences of which \p Reply names runs.
   void releaseReported(const PollReply &Reply);
   /// Another server has answered at the address of \p S, which has ended.
@@ -306,7 +309,9 @@
   /// Starts a task, or plans its start if that has to be recorded first.
   void place(LiveJob &Job, const ReadyTask &Task, const StepNeeds &Needs,
              ServerState &S, std::uint32_t RunNumber, TimePoint Now);
-  void setObjective(LiveJob &Job) const;
+  /// Applies the rules in force for the job's queue to the job, or to all jobs.
+  static void applyRules(LiveJob &Job);
+  void applyRules();
   static void initRun(ActiveRun &Run, const LiveJob &Job, const StepSpec &Step);
   void start(LiveJob &Job, const ReadyTask &Task, ServerState &S,
              std::uint32_t RunNumber, TimePoint Now);
@@ -451,6 +456,7 @@
   std::map<PoolName, TimePoint> m_ShortSince;
   /// When the reservations were last computed; unset if there are none.
   std::optional<TimePoint> m_ReservedAt;
+  QueueBook m_QueueBook;
   JobRegistry m_Jobs;
   ServerRegistry m_Servers;
   AdviceCache m_Advice;
--- a/src/scheduling/SchedulerAdvice.cpp
+++ b/src/scheduling/SchedulerAdvice.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 const AdvicePolicy *Scheduler::advicePolicy(const LiveJob &Job) {
-  const QueuePolicy *Q = Job.m_Policy;
-  return Q && Q->m_Advice ? &*Q->m_Advice : nullptr;
+  const std::optional<AdvicePolicy> &Advice = Job.m_Queue->m_Rules.m_Advice;
+  return Advice ? &*Advice : nullptr;
 }
 
 void Scheduler::requestAdvice(LiveJob &Job, const PoolPass &Pass) {
--- a/src/scheduling/SchedulerDemand.cpp
+++ b/src/scheduling/SchedulerDemand.cpp
@@ -30,13 +30,12 @@
 
 std::map<QueueName, std::uint32_t> Scheduler::waitingJobs() const {
   std::map<QueueName, std::uint32_t> Waiting;
-  std::unordered_map<const QueuePolicy *, std::uint32_t> ByPolicy;
+  std::unordered_map<const BookedQueue *, std::uint32_t> ByQueue;
   for (auto &[Id, Job] : const_cast<JobRegistry &>(m_Jobs).all())
     if (!Job->m_HasBegun)
-      ++(Job->m_Policy ? ByPolicy[Job->m_Policy]
-                       : Waiting[Job->m_Spec.m_Queue]);
-  for (const auto &[Policy, Count] : ByPolicy)
-    Waiting[Policy->m_Name] += Count;
+      ++ByQueue[Job->m_Queue];
+  for (const auto &[Queue, Count] : ByQueue)
+    Waiting[Queue->m_Name] += Count;
   return Waiting;
 }
 
@@ -78,9 +77,13 @@
     return Resources{Taken, Needed.m_MemoryMb * Taken / Needed.m_MilliCores,
                      Needed.m_Gpus * Taken / Needed.m_MilliCores};
   };
+  // The jobs of a queue of which no rules are known may be in several pools.
+  auto PoolOf = [&](const LiveJob &Job) -> PoolDemand & {
+    return Job.m_Queue->m_AreRulesKnown ? Find(Job.m_Queue, Job.pool())
+                                        : Pools[Job.pool()];
+  };
   for (auto &[Id, Job] : m_Jobs.all()) {
-    PoolDemand &D = Job->m_Policy ? Find(Job->m_Policy, Job->m_Policy->m_Pool)
-                                  : Pools[Job->m_Spec.m_Pool];
+    PoolDemand &D = PoolOf(*Job);
     const JobDemand &Needs = Job->demand(m_Counters.m_DemandReads);
     D.m_Ready += TakeRoom(Job->m_Account, Needs.m_Ready);
     D.m_ServersForSpread =
@@ -90,9 +93,7 @@
   for (auto &[Id, Job] : m_Jobs.all()) {
     const Resources &Blocked = Job->demand(m_Counters.m_DemandReads).m_Blocked;
     if (!Blocked.fitsIn({}))
-      (Job->m_Policy ? Find(Job->m_Policy, Job->m_Policy->m_Pool)
-                     : Pools[Job->m_Spec.m_Pool])
-          .m_Blocked += TakeRoom(Job->m_Account, Blocked);
+      PoolOf(*Job).m_Blocked += TakeRoom(Job->m_Account, Blocked);
   }
   return Pools;
 }
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -41,22 +41,17 @@
   return std::max(T.m_LastRunNumber, Floor) + 1;
 }
 
-void Scheduler::setObjective(LiveJob &Job) const {
-  const QueuePolicy *Q =
-      m_Config ? m_Config->queue(Job.m_Spec.m_Queue) : nullptr;
-  Job.m_Policy = Q;
-  if (Q) {
-    Job.m_Attempts = Q->m_Attempts;
-    Job.m_Priority = Q->m_Priority;
-  }
+void Scheduler::applyRules(LiveJob &Job) {
+  const QueueRules &Rules = Job.m_Queue->m_Rules;
+  Job.m_Attempts = Rules.m_Attempts;
+  Job.m_Priority = Rules.m_Priority;
   Job.m_RemainingPaths = remainingPaths(Job.m_Spec);
   std::chrono::milliseconds CriticalPath{0};
   for (std::chrono::milliseconds Path : Job.m_RemainingPaths)
     CriticalPath = std::max(CriticalPath, Path);
-  Duration Allowed = std::chrono::duration_cast<Duration>(
-      CriticalPath * (Q ? Q->m_DurationFactor : 1.0));
-  if (Q)
-    Allowed += Q->m_Slack;
+  const Duration Allowed = std::chrono::duration_cast<Duration>(
+                               CriticalPath * Rules.m_DurationFactor) +
+                           Rules.m_Slack;
   Job.m_Objective = Job.m_AcceptedAt + Allowed;
   Job.m_Deadline = Job.m_AcceptedAt + Allowed * DeadlineFactor;
 }
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -222,6 +222,17 @@
             orderStop(*S, {{Job.m_Spec.m_Id, Number, N, I}, P.m_Number});
 }
 
+void Scheduler::failJob(const LiveJob &Job, const RunId &Last) {
+  const QueueRules &Rules = Job.m_Queue->m_Rules;
+  logEvent(Event::JobFailed,
+           {{"job", Job.m_Spec.m_Id.m_Text},
+            {"run", runName(Last)},
+            {"queue", Job.m_Spec.m_Queue.m_Text},
+            {"attempts", std::to_string(Job.m_Attempts)},
+            {"rules_of_version", std::to_string(Rules.m_ConfigVersion)}});
+  stopRunsOfJob(Job);
+}
+
 void Scheduler::stopRunsOfTask(const LiveJob &Job, const TaskId &Task) {
   if (const TaskState *T = const_cast<LiveJob &>(Job).task(Task))
     for (const RunLocation &P : T->m_Runs)
@@ -316,7 +327,7 @@
     } else if (End.m_Kind == EndKind::Failed && !Step.m_IsLongRunning) {
       Job->m_ChangeNumber += m_Jobs.markFailed(*Job, Task, End.m_Run.m_Number);
       if (Job->m_State == JobState::Failed)
-        stopRunsOfJob(*Job);
+        failJob(*Job, End.m_Run);
     } else if (Step.m_IsLongRunning) {
       Pause = LongRunningRestartDelay;
     }
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -16,13 +16,8 @@
 constexpr Duration LateCommitDelay = milliseconds(1500);
 constexpr Duration TickInterval = milliseconds(5);
 constexpr Duration OrderTimeout = milliseconds(500);
-/// How long after a crash the platform lists the instance as down, and how long
-/// the server is away.
 /// How long after a member of a gang the other members end.
 constexpr Duration GangEndDelay = milliseconds(5);
-constexpr Duration ListDelay = milliseconds(500);
-constexpr Duration ListInterval = std::chrono::seconds(1);
-constexpr Duration RestartTime = std::chrono::seconds(3);
 /// How long a replaced leader keeps giving orders. The value is the same as in
 /// production.
 constexpr Duration ReplacedLeaderTimeout = std::chrono::seconds(5);
@@ -44,6 +39,8 @@
     m_Core = Scheduler::create(Options, *this, Simulation.m_Clock.m_Now);
     m_Writer = ProgressWriter::create(
         *m_Core, {{"lead", TermRowKey, "lead"}, TermVersion});
+    m_QueueRecords = QueueRecords::create(
+        m_Core->queues(), {{"lead", TermRowKey, "lead"}, TermVersion});
     // The simulated leaders record all starts from the first term on.
     m_Core->setRecordsStarts(true);
     m_Core->setStartsRecordedSince(0);
@@ -51,6 +48,7 @@
 
   std::unique_ptr<Scheduler> m_Core;
   std::unique_ptr<ProgressWriter> m_Writer;
+  std::unique_ptr<QueueRecords> m_QueueRecords;
   IdleServers m_IdleServers;
   bool m_Alive = true;
   /// When the next term was requested; unset while this one is in effect.
@@ -75,6 +73,7 @@
       checkState("after a tick");
     }
     record();
+    recordQueueRules();
     recordIdleServers();
     m_Simulation.m_Clock.after(TickInterval, [this] { tick(); });
   }
@@ -246,6 +245,14 @@
       });
   }
 
+  void recordQueueRules() {
+    if (!m_Alive || m_ReplacedAt)
+      return;
+    if (auto Txn = m_QueueRecords->next(m_Simulation.m_Clock.m_Now))
+      commit(*Txn,
+             [this](const auto &Result) { m_QueueRecords->onResult(Result); });
+  }
+
   void recordIdleServers() {
     if (!m_Alive || m_ReplacedAt)
       return;
@@ -286,6 +293,8 @@
   };
   for (const OrganisationPolicy &O : Settings.m_Organisations)
     m_Oracle.onCap(O.m_Name, O.m_Cap);
+  applyConfig();
+  deliverConfig(m_Config);
   startTerm(ReplacedLeaderTimeout);
 }
 
@@ -305,10 +314,14 @@
       Callback(*L->m_Core);
 }
 
-void JobSimulation::applyConfig() {
+void JobSimulation::deliverConfig(
+    const std::shared_ptr<const ServingConfig> &Config) {
+  if (m_KnownConfig && Config->version() <= m_KnownConfig->version())
+    return;
+  m_KnownConfig = Config;
   for (auto &L : m_Leaders)
     if (L->m_Alive)
-      L->m_Core->onConfig(makeConfig());
+      L->m_Core->onConfig(Config);
 }
 
 void JobSimulation::startTerm(Duration EarlierLeaderTimeout) {
@@ -318,9 +331,12 @@
       EarlierLeaderTimeout));
   ++m_Figures.m_Terms;
   Instance &Leader = *m_Leaders.back();
-  Leader.m_IdleServers.onRead(m_IdleRow);
+  Leader.m_IdleServers.onRead(m_LeaderRows[{IdleServersTable, IdleServersKey}]);
+  for (const auto &[Where, Row] : m_LeaderRows)
+    if (Where.first == QueueRulesTable && Row.m_Version != 0)
+      Leader.m_QueueRecords->onRead(Row);
   Leader.m_Core->setServersWithoutEarlierRuns(Leader.m_IdleServers.inherited());
-  Leader.m_Core->onConfig(makeConfig());
+  Leader.m_Core->onConfig(m_KnownConfig);
   for (auto &[Id, Row] : m_LiveRows)
     Leader.m_Core->onJob(Row.m_Spec, m_StateRows[Id].m_Progress, Row.m_Version,
                          m_StateRows[Id].m_Version, m_Clock.m_Now, wall());
@@ -349,30 +365,6 @@
   });
 }
 
-void JobSimulation::scheduleCrash(SimServer &S, const RunId &Run) {
-  m_Clock.after(m_Settings.m_DeadlyDelay, [this, &S, Run] {
-    if (!S.m_IsUp || !S.hasRun(Run))
-      return;
-    ++m_Figures.m_CrashesByTasks;
-    m_Oracle.onCrashBy(Run);
-    failServer(S);
-  });
-}
-
-void JobSimulation::failServer(SimServer &S) {
-  S.crash();
-  S.m_IsUp = false;
-  for (Duration At = ListDelay; At < RestartTime; At += ListInterval)
-    m_Clock.after(At, [this] { listInstances(); });
-  m_Clock.after(RestartTime, [this, &S] {
-    S.m_IsUp = true;
-    listInstances();
-    forEachLeader([&](Scheduler &Core) {
-      Core.onServer(S.m_Registration, m_Clock.m_Now);
-    });
-  });
-}
-
 void JobSimulation::replaceLeader() {
   Instance &Old = *m_Leaders.back();
   Old.m_ReplacedAt = m_Clock.m_Now;
@@ -393,34 +385,8 @@
   startTerm(ReplacedLeaderTimeout);
 }
 
-void JobSimulation::crashServer(std::size_t Index) {
-  SimServer &S = *m_Servers[Index];
-  S.crash();
-  m_Clock.after(registrationDelay(), [this, &S] {
-    forEachLeader([&](Scheduler &Core) {
-      Core.onServer(S.m_Registration, m_Clock.m_Now);
-    });
-  });
-}
-
-void JobSimulation::slowServer(std::size_t Index, double Factor) {
-  m_Servers[Index]->setSlowness(Factor);
-}
-
-void JobSimulation::disconnectServer(std::size_t Index) {
-  m_Servers[Index]->m_UnreachableFrom.insert(
-      static_cast<int>(m_Leaders.size()) - 1);
-}
-
-void JobSimulation::isolateServer(std::size_t Index) {
-  disconnectServer(Index);
-  m_Servers[Index]->m_UnreachableFrom.insert(
-      static_cast<int>(m_Leaders.size()));
-}
-
-void JobSimulation::reconnectServers() {
-  for (auto &S : m_Servers)
-    S->m_UnreachableFrom.clear();
+bool JobSimulation::isLeaderTable(const std::string &Table) {
+  return Table == IdleServersTable || Table == QueueRulesTable;
 }
 
 CommitOutcome JobSimulation::apply(const RowTransaction &Txn) {
@@ -431,9 +397,11 @@
         Outcome.m_Conflicts.push_back({C.m_At, {}, m_TermVersion, false});
       continue;
     }
-    if (C.m_At.m_Table == IdleServersTable) {
-      if (C.m_Version != m_IdleRow.m_Version)
-        Outcome.m_Conflicts.push_back(m_IdleRow);
+    if (isLeaderTable(C.m_At.m_Table)) {
+      StoredRow &Row = m_LeaderRows[{C.m_At.m_Table, C.m_At.m_Key}];
+      Row.m_At = C.m_At;
+      if (C.m_Version != Row.m_Version)
+        Outcome.m_Conflicts.push_back(Row);
       continue;
     }
     const StateRow &Row = m_StateRows[C.m_At.m_Key];
@@ -446,8 +414,9 @@
   Outcome.m_Committed = true;
   Outcome.m_Version = ++m_Version;
   for (const RowPut &P : Txn.m_Puts) {
-    if (P.m_At.m_Table == IdleServersTable) {
-      m_IdleRow = {P.m_At, P.m_Value, m_Version, false};
+    if (isLeaderTable(P.m_At.m_Table)) {
+      m_LeaderRows[{P.m_At.m_Table, P.m_At.m_Key}] = {P.m_At, P.m_Value,
+                                                      m_Version, false};
       continue;
     }
     StateRow &Row = m_StateRows[P.m_At.m_Key];
@@ -455,6 +424,7 @@
     Row.m_Version = m_Version;
   }
   for (const RowAddress &At : Txn.m_Deletes) {
+    m_LeaderRows.erase({At.m_Table, At.m_Key});
     auto It = m_LiveRows.find(At.m_Key);
     if (It == m_LiveRows.end())
       continue;
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -9,6 +9,7 @@
 #define POLLENSPOOL_SCHEDULING_TESTING_JOBSIMULATION_H
 
 #include "scheduling/ProgressWriter.h"
+#include "scheduling/QueueRecords.h"
 #include "scheduling/testing/SimServers.h"
 
 namespace pollenspool {
@@ -50,6 +51,11 @@
   /// Whether the queue uses a placement adviser, which allows every second
   /// server.
   bool m_HasAdviser = false;
+  /// Longest time after which leaders learn of a version of the configuration.
+  Duration m_MaxConfigDelay{0};
+  /// Share of the jobs whose row holds no rules of the queue, as those that an
+  /// earlier version of the program accepted.
+  double m_RowWithoutRulesShare = 0;
   /// Whether the state of the leaders is checked with findInconsistency().
   bool m_ChecksState = false;
 };
@@ -115,8 +121,15 @@
   void setCaps(const std::vector<std::int64_t> &MilliCores);
   /// Makes the tasks of the queue run in a random pool from now on.
   void moveQueue();
-  /// Removes the queue from the configuration, or puts it back.
+  /// Gives the queue random attempts and another priority.
+  void changeRules();
+  /// Removes the queue from the configuration, or puts it back. A version that
+  /// is replaced at once may never be in force, so the time first advances
+  /// until the current one is, with the leader that there is.
   void setHasQueue(bool HasQueue);
+  /// Describes the first live job that the current leader does not schedule by
+  /// the last rules of the queue, if those have been in force for a while.
+  std::string findWrongRules();
   void setJobRate(double JobsPerSecond) { m_Settings.m_Rate = JobsPerSecond; }
   void setFaults(const SimFaults &Faults) { m_Settings.m_Faults = Faults; }
 
@@ -160,9 +173,13 @@
   void startTerm(Duration EarlierLeaderTimeout);
   /// Calls \p Callback for each leader whose term is in effect.
   void forEachLeader(const std::function<void(Scheduler &)> &Callback);
+  static bool isLeaderTable(const std::string &Table);
   std::shared_ptr<const ServingConfig> makeConfig() const;
-  /// Puts makeConfig() into effect for all leaders.
+  /// Publishes the next version. All leaders learn of it within the delay of
+  /// the settings.
   void applyConfig();
+  void deliverConfig(const std::shared_ptr<const ServingConfig> &Config);
+  QueuePolicy queuePolicy() const;
   PoolName poolName(std::size_t Index) const;
   /// Draws a delay between the limits of the settings.
   Duration registrationDelay();
@@ -182,6 +199,14 @@
   /// The pool of the queue, and whether the configuration has the queue.
   std::size_t m_QueuePool = 0;
   bool m_HasQueue = true;
+  std::uint32_t m_Priority = 0;
+  /// The newest version of the configuration, when it was published, and the
+  /// newest one that leaders know.
+  std::shared_ptr<const ServingConfig> m_Config;
+  TimePoint m_ConfigAt{};
+  std::shared_ptr<const ServingConfig> m_KnownConfig;
+  /// The rules of the queue when the configuration last had it.
+  QueueRules m_LastRules;
   VirtualClock m_Clock;
   std::mt19937_64 m_Random;
   RunOracle m_Oracle{m_Clock};
@@ -192,8 +217,8 @@
   RowVersion m_Version = 10;
   Term m_Term = 0;
   RowVersion m_TermVersion = 0;
-  /// The row of IdleServers.
-  StoredRow m_IdleRow;
+  /// The rows of IdleServers and QueueRecords, by table and key.
+  std::map<std::pair<std::string, std::string>, StoredRow> m_LeaderRows;
   bool m_HasDemand = false;
   SimulationStats m_Figures;
 };
--- a/src/scheduling/testing/SchedulerFixture.cpp
+++ b/src/scheduling/testing/SchedulerFixture.cpp
@@ -22,7 +22,17 @@
 }
 
 void SchedulerFixture::applyConfig() {
-  m_Core->onConfig(ServingConfig::create(1, m_Queues, m_Pools));
+  auto Config = ServingConfig::create(++m_ConfigVersion, m_Queues, m_Pools);
+  if (!m_Queues.empty())
+    m_AcceptedRules = Config->queues().front();
+  m_Core->onConfig(std::move(Config));
+}
+
+void SchedulerFixture::setRules(const QueueRules &Rules) {
+  m_Queues.resize(1);
+  m_Queues.front().m_Name = QueueName("asks");
+  static_cast<QueueRules &>(m_Queues.front()) = Rules;
+  applyConfig();
 }
 
 void SchedulerFixture::setAdvicePolicy(const AdvicePolicy &Policy) {
@@ -129,6 +139,7 @@
   Job.m_Id = JobId(Id);
   Job.m_Queue = QueueName("asks");
   Job.m_Pool = PoolName("desk");
+  Job.m_Rules = m_AcceptedRules;
   Job.m_Steps = std::move(Steps);
   Job.m_AcceptedAt = wall();
   m_Core->onJob(std::move(Job), std::move(Progress), Accepted, Accepted, m_Now,
--- a/src/scheduling/testing/SchedulerFixture.h
+++ b/src/scheduling/testing/SchedulerFixture.h
@@ -34,6 +34,9 @@
   std::unique_ptr<Scheduler> m_Core;
   std::unique_ptr<ProgressWriter> m_Writer;
   TimePoint m_Now{std::chrono::hours(1)};
+  /// The rules that the rows of added jobs hold: those of the queue when the
+  /// configuration last had it.
+  std::optional<QueueRules> m_AcceptedRules;
   /// Start time of the servers in registrations and answers to polls.
   std::int64_t m_StartTimeMs = 1;
 
@@ -41,11 +44,14 @@
   void tick() { m_Core->tick(m_Now, wall()); }
   std::chrono::milliseconds wall() const;
 
+  /// Puts the next version of the configuration in force, in which the queue
+  /// has these rules.
+  void setRules(const QueueRules &Rules);
   /// Makes the queue use the placement adviser from now on.
   void setAdvicePolicy(const AdvicePolicy &Policy);
   /// Makes the tasks of the queue run in \p Pool from now on.
   void moveQueue(const std::string &Pool);
-  /// Removes the queue from the configuration.
+  /// Removes the queue from the configuration, in the next version.
   void removeQueue();
   /// Registers a server of \p Pool with \p Cores cores.
   void registerServer(const std::string &Id, int Cores = 4,
@@ -82,6 +88,7 @@
 
 private:
   std::vector<QueuePolicy> m_Queues;
+  std::uint64_t m_ConfigVersion = 0;
   std::vector<PoolPolicy> m_Pools{{PoolName("desk"), false, true}};
   void applyConfig();
   RowVersion m_StoreVersion = 1000;
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -19,6 +19,8 @@
 /// How long a higher cap before still holds. Late orders are carried out up to
 /// 6 s after they were given.
 constexpr Duration CapGrace = std::chrono::seconds(7);
+/// How long earlier rules of a queue still hold, for the same reason.
+constexpr Duration RulesGrace = std::chrono::seconds(7);
 /// An organisation may exceed its cap by a tenth and one task.
 constexpr std::int64_t CapOverageDivisor = 10;
 
@@ -59,8 +61,27 @@
                                    std::string(What);
 }
 
-void RunOracle::onJob(const JobSpec &Spec, std::uint32_t Attempts) {
-  m_Jobs[Spec.m_Id] = {Spec, Attempts};
+void RunOracle::onJob(const JobSpec &Job) { m_Jobs[Job.m_Id] = Job; }
+
+void RunOracle::onRules(std::uint32_t Attempts, const PoolName &Pool) {
+  m_Rules[m_Clock.m_Now] = {Attempts, Pool};
+}
+
+std::vector<RunOracle::Rules> RunOracle::rulesSince(TimePoint From) const {
+  std::vector<Rules> Found;
+  for (auto It = m_Rules.rbegin(); It != m_Rules.rend(); ++It) {
+    Found.push_back(It->second);
+    if (It->first + RulesGrace < From)
+      break;
+  }
+  return Found;
+}
+
+void RunOracle::checkPool(const ServerRegistration &Server, const RunId &Run) {
+  for (const Rules &R : rulesSince(m_Clock.m_Now))
+    if (R.m_Pool == Server.m_Pool)
+      return;
+  failInvariant("start in a pool that the queue has left", Run);
 }
 
 void RunOracle::onCancelled(const JobId &Id, TimePoint Now) {
@@ -72,12 +93,11 @@
 }
 
 const StepSpec &RunOracle::stepOf(const RunId &Run) const {
-  return m_Jobs.at(Run.m_Task.m_Job).m_Spec.m_Steps[Run.m_Task.m_Step];
+  return m_Jobs.at(Run.m_Task.m_Job).m_Steps[Run.m_Task.m_Step];
 }
 
 void RunOracle::checkCap(const RunId &Run, TimePoint Now) {
-  auto It =
-      m_Organisations.find(m_Jobs.at(Run.m_Task.m_Job).m_Spec.m_Organisation);
+  auto It = m_Organisations.find(m_Jobs.at(Run.m_Task.m_Job).m_Organisation);
   if (It == m_Organisations.end())
     return;
   Organisation &O = It->second;
@@ -93,9 +113,9 @@
     failInvariant("start beyond the cap of its organisation", Run);
 }
 
-void RunOracle::onStart(const ServerId &Server, const RunId &Run,
+void RunOracle::onStart(const ServerRegistration &Server, const RunId &Run,
                         TimePoint Now) {
-  addToHistory(Run, Server, "started");
+  addToHistory(Run, Server.m_Id, "started");
   auto Submitted = m_Jobs.find(Run.m_Task.m_Job);
   if (Submitted == m_Jobs.end())
     failInvariant("start of a run of a job that was never submitted", Run);
@@ -106,20 +126,26 @@
   Task &T = m_Tasks[Run.m_Task];
   if (!T.m_RunningOn.empty())
     failInvariant("two runs of a task at the same time", Run);
-  const StepSpec &Step = Submitted->second.m_Spec.m_Steps[Run.m_Task.m_Step];
+  const StepSpec &Step = Submitted->second.m_Steps[Run.m_Task.m_Step];
   if (!Step.m_IsLongRunning && T.m_SuccessAcknowledged)
     failInvariant("start after the end of the done task was acknowledged", Run);
-  if (!Step.m_IsLongRunning &&
-      T.m_AcknowledgedFailures.size() >= Submitted->second.m_Attempts)
-    failInvariant("start after all attempts of the task have failed", Run);
+  // The number in force when a run fails decides.
+  if (!Step.m_IsLongRunning && !T.m_AcknowledgedFailures.empty()) {
+    std::uint32_t Most = 0;
+    for (const Rules &R : rulesSince(T.m_FailedAt))
+      Most = std::max(Most, R.m_Attempts);
+    if (T.m_AcknowledgedFailures.size() >= Most)
+      failInvariant("start after all attempts of the task have failed", Run);
+  }
+  checkPool(Server, Run);
   for (std::uint32_t Earlier : Step.m_After)
-    if (!isStepDone(Submitted->second.m_Spec, Run.m_Task.m_Occurrence, Earlier))
+    if (!isStepDone(Submitted->second, Run.m_Task.m_Occurrence, Earlier))
       failInvariant("start before a step that the task depends on was done",
                     Run);
   if (T.m_CrashesCaused >= MaxCrashes &&
       ++T.m_StartsBeyondLimit >= MaxStartsBeyond)
     failInvariant("three starts of a task that had crashed three servers", Run);
-  T.m_RunningOn.insert(Server);
+  T.m_RunningOn.insert(Server.m_Id);
   checkCap(Run, Now);
   // A member that starts after another one has ended never begins its work.
   if (m_EndedGangs.count(gangRunOf(Run)))
@@ -142,8 +168,7 @@
 void RunOracle::release(Task &T, const ServerId &Server, const RunId &Run) {
   if (T.m_RunningOn.erase(Server) == 0)
     return;
-  auto It =
-      m_Organisations.find(m_Jobs.at(Run.m_Task.m_Job).m_Spec.m_Organisation);
+  auto It = m_Organisations.find(m_Jobs.at(Run.m_Task.m_Job).m_Organisation);
   if (It != m_Organisations.end())
     It->second.m_RunningMilliCores -=
         stepOf(Run).m_RequiredResources.m_MilliCores;
@@ -159,7 +184,7 @@
 
 void RunOracle::endGang(const RunId &Run, EndKind Kind) {
   if (!m_OnGangMemberGone ||
-      !m_Jobs[Run.m_Task.m_Job].m_Spec.m_Steps[Run.m_Task.m_Step].m_Gang)
+      !m_Jobs[Run.m_Task.m_Job].m_Steps[Run.m_Task.m_Step].m_Gang)
     return;
   m_EndedGangs.insert(gangRunOf(Run));
   m_OnGangMemberGone(Run,
@@ -177,12 +202,17 @@
 }
 
 void RunOracle::onJobFailed(const JobId &Id) {
-  const std::uint32_t Attempts = m_Jobs[Id].m_Attempts;
+  auto HasFailedOften = [this](const Task &T) {
+    for (const Rules &R : rulesSince(T.m_FailedAt))
+      if (T.m_FailedRuns >= R.m_Attempts)
+        return true;
+    return false;
+  };
   auto It = m_Tasks.lower_bound({Id, 0, 0, 0});
   RunId Last;
   for (; It != m_Tasks.end() && It->first.m_Job == Id; ++It) {
     Last.m_Task = It->first;
-    if (It->second.m_FailedRuns >= Attempts ||
+    if (HasFailedOften(It->second) ||
         It->second.m_CrashesBeside >= CrashesToGiveUp)
       return;
   }
@@ -195,7 +225,10 @@
   addToHistory(Run, Server, endKindName(Kind));
   if (Kind == EndKind::Done)
     T.m_Done = true;
-  T.m_FailedRuns += Kind == EndKind::Failed;
+  if (Kind == EndKind::Failed) {
+    ++T.m_FailedRuns;
+    T.m_FailedAt = m_Clock.m_Now;
+  }
   endGang(Run, Kind);
 }
 
@@ -265,7 +298,7 @@
   Used += m_TaskResources[Order.m_Run.m_Task];
   if (!Used.fitsIn(m_Registration.m_Capacity))
     return OrderResult::NoCapacity;
-  m_Oracle.onStart(m_Registration.m_Id, Order.m_Run, m_Clock.m_Now);
+  m_Oracle.onStart(m_Registration, Order.m_Run, m_Clock.m_Now);
   m_Used = Used;
   m_Runs[Order.m_Run] = {Work, Duration(0), m_Clock.m_Now, Fails, 0};
   scheduleEnd(Order.m_Run);
--- a/src/scheduling/testing/SimServers.h
+++ b/src/scheduling/testing/SimServers.h
@@ -53,12 +53,17 @@
 /// the scheduler under test. Throws std::runtime_error at the first violation.
 class RunOracle {
 public:
-  void onJob(const JobSpec &Job, std::uint32_t Attempts);
+  void onJob(const JobSpec &Job);
   void onCancelled(const JobId &Id, TimePoint Now);
+  /// From now on the jobs of the queue have \p Attempts and run in \p Pool. The
+  /// values before hold for a while, since leaders learn of changes late. To be
+  /// called before the first job.
+  void onRules(std::uint32_t Attempts, const PoolName &Pool);
   /// From now on \p Cap limits what \p Name has running. A higher cap before
   /// holds for a while, since orders may be carried out late.
   void onCap(const OrganisationName &Name, const Resources &Cap);
-  void onStart(const ServerId &Server, const RunId &Run, TimePoint Now);
+  void onStart(const ServerRegistration &Server, const RunId &Run,
+               TimePoint Now);
   void onEnd(const ServerId &Server, const RunId &Run, EndKind Kind);
   /// The run was lost when its server crashed.
   void onLostInCrash(const ServerId &Server, const RunId &Run);
@@ -81,6 +86,8 @@
     bool m_SuccessAcknowledged = false;
     std::set<std::uint32_t> m_AcknowledgedFailures;
     std::uint32_t m_FailedRuns = 0;
+    /// When the latest failed run ended.
+    TimePoint m_FailedAt{};
     /// Servers that crashed while the task ran there, and those of them that
     /// the task itself crashed.
     std::uint32_t m_CrashesBeside = 0;
@@ -104,10 +111,15 @@
   void addToHistory(const RunId &Run, const ServerId &Server,
                     std::string_view What);
 
-  struct Job {
-    JobSpec m_Spec;
-    std::uint32_t m_Attempts = 1;
+  /// Part of the rules of the queue.
+  struct Rules {
+    std::uint32_t m_Attempts;
+    PoolName m_Pool;
   };
+  /// The rules that may have been in force at any time since \p From.
+  std::vector<Rules> rulesSince(TimePoint From) const;
+  /// Fails if the queue had other pools than that of \p Server.
+  void checkPool(const ServerRegistration &Server, const RunId &Run);
   /// What an organisation has running on all servers, and its caps by the time
   /// from which they hold.
   struct Organisation {
@@ -115,7 +127,9 @@
     std::map<TimePoint, std::int64_t> m_Caps;
   };
   std::map<OrganisationName, Organisation> m_Organisations;
-  std::map<JobId, Job> m_Jobs;
+  /// By the time from which they hold.
+  std::map<TimePoint, Rules> m_Rules;
+  std::map<JobId, JobSpec> m_Jobs;
   std::map<TaskId, Task> m_Tasks;
   std::map<JobId, TimePoint> m_Cancelled;
   std::set<GangRun> m_EndedGangs;
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -125,10 +125,6 @@
   applyConfig();
 }
 
-PoolName JobSimulation::poolName(std::size_t Index) const {
-  return PoolName(Index == 0 ? "desk" : "annex" + std::to_string(Index));
-}
-
 Duration JobSimulation::registrationDelay() {
   const Duration Spread =
       m_Settings.m_MaxRegistrationDelay - m_Settings.m_MinRegistrationDelay;
@@ -138,33 +134,6 @@
          Duration(m_Random() % Spread.count());
 }
 
-void JobSimulation::moveQueue() {
-  m_QueuePool = m_Random() % m_Settings.m_Pools;
-  applyConfig();
-}
-
-void JobSimulation::setHasQueue(bool HasQueue) {
-  m_HasQueue = HasQueue;
-  applyConfig();
-}
-
-std::shared_ptr<const ServingConfig> JobSimulation::makeConfig() const {
-  std::vector<PoolPolicy> Pools;
-  for (std::size_t N = 0; N < m_Settings.m_Pools; ++N)
-    Pools.push_back({poolName(N), false, true});
-  if (!m_HasQueue)
-    return ServingConfig::create(1, {}, Pools, m_Settings.m_Organisations);
-  QueuePolicy Queue;
-  Queue.m_Name = QueueName("asks");
-  Queue.m_Pool = poolName(m_QueuePool);
-  Queue.m_Attempts = m_Settings.m_Attempts;
-  Queue.m_DurationFactor = 1.6;
-  Queue.m_Slack = milliseconds(600);
-  if (m_Settings.m_HasAdviser)
-    Queue.m_Advice = {AdviceDelay, milliseconds(0), TicketLifetime};
-  return ServingConfig::create(1, {Queue}, Pools, m_Settings.m_Organisations);
-}
-
 void JobSimulation::cancelRandomJob() {
   if (m_LiveRows.empty())
     return;
@@ -183,6 +152,8 @@
   Job.m_Id = JobId("job" + std::to_string(++m_Figures.m_Submitted));
   Job.m_Queue = QueueName("asks");
   Job.m_Pool = poolName(m_QueuePool);
+  if (!chance(m_Settings.m_RowWithoutRulesShare))
+    Job.m_Rules = m_LastRules;
   bool IsLongRunning =
       chance(m_Settings.m_LongRunningShare) && longRunningJobs().size() < 2;
   Job.m_Steps = IsLongRunning ? makeLongRunningStep() : makeSteps();
@@ -193,7 +164,7 @@
   if (!Organisations.empty() && !IsLongRunning)
     Job.m_Organisation =
         Organisations[m_Figures.m_Submitted % Organisations.size()].m_Name;
-  m_Oracle.onJob(Job, m_Settings.m_Attempts);
+  m_Oracle.onJob(Job);
   m_Figures.m_Deadly += isDeadly({Job.m_Id, 0, 0, 0});
   LiveRow Row{
       Job, ++m_Version, m_Clock.m_Now,
--- /dev/null
+++ b/src/scheduling/testing/SimulatedServerFaults.cpp
@@ -0,0 +1,73 @@
+//===- SimulatedServerFaults.cpp - Faults of the simulated servers --------===//
+
+#include "scheduling/testing/JobSimulation.h"
+
+namespace pollenspool {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How long after a crash the platform lists the instance as down, and how long
+/// the server is away.
+constexpr Duration ListDelay = milliseconds(500);
+constexpr Duration ListInterval = std::chrono::seconds(1);
+constexpr Duration RestartTime = std::chrono::seconds(3);
+
+} // namespace
+
+void JobSimulation::scheduleCrash(SimServer &S, const RunId &Run) {
+  m_Clock.after(m_Settings.m_DeadlyDelay, [this, &S, Run] {
+    if (!S.m_IsUp || !S.hasRun(Run))
+      return;
+    ++m_Figures.m_CrashesByTasks;
+    m_Oracle.onCrashBy(Run);
+    failServer(S);
+  });
+}
+
+void JobSimulation::failServer(SimServer &S) {
+  S.crash();
+  S.m_IsUp = false;
+  for (Duration At = ListDelay; At < RestartTime; At += ListInterval)
+    m_Clock.after(At, [this] { listInstances(); });
+  m_Clock.after(RestartTime, [this, &S] {
+    S.m_IsUp = true;
+    listInstances();
+    forEachLeader([&](Scheduler &Core) {
+      Core.onServer(S.m_Registration, m_Clock.m_Now);
+    });
+  });
+}
+
+void JobSimulation::crashServer(std::size_t Index) {
+  SimServer &S = *m_Servers[Index];
+  S.crash();
+  m_Clock.after(registrationDelay(), [this, &S] {
+    forEachLeader([&](Scheduler &Core) {
+      Core.onServer(S.m_Registration, m_Clock.m_Now);
+    });
+  });
+}
+
+void JobSimulation::slowServer(std::size_t Index, double Factor) {
+  m_Servers[Index]->setSlowness(Factor);
+}
+
+void JobSimulation::disconnectServer(std::size_t Index) {
+  m_Servers[Index]->m_UnreachableFrom.insert(
+      static_cast<int>(m_Leaders.size()) - 1);
+}
+
+void JobSimulation::isolateServer(std::size_t Index) {
+  disconnectServer(Index);
+  m_Servers[Index]->m_UnreachableFrom.insert(
+      static_cast<int>(m_Leaders.size()));
+}
+
+void JobSimulation::reconnectServers() {
+  for (auto &S : m_Servers)
+    S->m_UnreachableFrom.clear();
+}
+
+} // namespace pollenspool
--- a/src/serving/ServingConfig.cpp
+++ b/src/serving/ServingConfig.cpp
@@ -22,7 +22,8 @@
   Config->m_Pools = std::move(Pools);
   Config->m_Organisations = std::move(Organisations);
   for (std::size_t I = 0; I < Config->m_Queues.size(); ++I) {
-    const QueuePolicy &Q = Config->m_Queues[I];
+    QueuePolicy &Q = Config->m_Queues[I];
+    Q.m_ConfigVersion = Version;
     Config->m_IndexByName.emplace(Q.m_Name.m_Text, I);
     Config->m_IndexByRoute.emplace(routeKey(Q.m_Host, Q.m_PathPrefix), I);
     Config->m_PrefixLengths.insert(Q.m_PathPrefix.size());
--- a/src/serving/ServingConfig.h
+++ b/src/serving/ServingConfig.h
@@ -5,40 +5,17 @@
 
 #include "jobs/JobSpec.h"
 #include <memory>
-#include <optional>
 #include <set>
 #include <string_view>
 #include <unordered_map>
 
 namespace pollenspool {
 
-/// Expected durations of a call to the placement adviser of a queue, and the
-/// lifetime of its answers.
-struct AdvicePolicy {
-  /// Duration of a call, besides m_TimePerServer.
-  std::chrono::milliseconds m_TimePerCall{0};
-  /// Additional duration for each server that the call asks about.
-  std::chrono::milliseconds m_TimePerServer{0};
-  /// How long the tickets of an answer are valid.
-  std::chrono::milliseconds m_TicketLifetime{0};
-};
-
 /// A queue: the route of its requests and the rules for scheduling its jobs.
-struct QueuePolicy {
+struct QueuePolicy : QueueRules {
   QueueName m_Name;
   std::string m_Host;
   std::string m_PathPrefix;
-  PoolName m_Pool;
-  /// 0 is the highest priority; its jobs may preempt others.
-  std::uint32_t m_Priority = 0;
-  /// Failed runs of one task after which its job fails.
-  std::uint32_t m_Attempts = 1;
-  /// The latency objective of a job is the length of its critical path times
-  /// m_DurationFactor, plus m_Slack.
-  double m_DurationFactor = 1.0;
-  std::chrono::milliseconds m_Slack{0};
-  /// Present if the placement adviser decides where the queue's tasks may run.
-  std::optional<AdvicePolicy> m_Advice;
   /// Callers need no API key. Jobs of such a queue belong to no organisation.
   bool m_IsOpen = false;
 };
@@ -72,6 +49,7 @@
 /// thousands of queues. Immutable; all members are thread safe.
 class ServingConfig {
 public:
+  /// The rules of all queues get \p Version.
   static std::shared_ptr<const ServingConfig>
   create(std::uint64_t Version, std::vector<QueuePolicy> Queues,
          std::vector<PoolPolicy> Pools,
--- a/standins/jobs/job_platform.py
+++ b/standins/jobs/job_platform.py
@@ -9,8 +9,9 @@
 
 It prints one line of JSON with its addresses and serves until it is terminated.
 On the store's port, GET /faults?store=down|ok|lost|slow|late|no-config sets the fault mode of the
-store ("no-config": the operators' table is unavailable), POST /expect declares a job before it is submitted, and GET /report returns what the
-backend servers have observed. The soak test imports this module into its own process and
+store ("no-config": the operators' table is unavailable), GET /faults?runs=ok|hang|fail-once that of
+the runs ("fail-once": the first run of each task that ends from now on fails), POST /expect declares
+a job before it is submitted, and GET /report returns what the backend servers have observed. The soak test imports this module into its own process and
 also injects faults into the backend servers.
 """
 import argparse
@@ -118,7 +119,9 @@
 
     async def handle(self, method, path, query, headers, body):
         if path == "/faults":
-            self.mode = query["store"]
+            self.mode = query.get("store", self.mode)
+            if "runs" in query:
+                self.set_run_faults(query["runs"])
             return 200, {}
         if path == "/report":
             return 200, self.report()
@@ -236,10 +239,12 @@
                 self.world.oracle.discard_unacknowledged_ends(self)
                 for run in list(self.runs):
                     await self.end_run(run, "lapsed")
-            for run in [] if self.hangs else list(self.remaining_s):
+            hangs = self.hangs or self.world.run_faults == "hang"
+            for run in [] if hangs else list(self.remaining_s):
                 self.remaining_s[run] -= tick_s
                 if self.remaining_s[run] <= 0:
-                    await self.end_run(run, "failed" if self.fails else "done")
+                    fails = self.fails or self.world.must_fail(run[0])
+                    await self.end_run(run, "failed" if fails else "done")
 
     async def end_run(self, run, outcome):
         if self.runs.pop(run, None) is None or self.dead:
@@ -358,14 +363,26 @@
         self.rng = random.Random(options.seed)
         self.store = Store(self.rng)
         self.store.report = self.report
+        self.store.set_run_faults = self.set_run_faults
         self.store.expect = lambda *job: self.oracle.on_job(*job)
         self.cloud = Http(self.handle)
         self.machines, self.spare_pool = {}, "spare"
         self.pools = options.pools.split(",")
         self.server_count, self.spare_count = options.servers, options.spare
         self.oracle, self.advice = Oracle(), Http(self.advise)
+        self.set_run_faults("ok")
         self.is_advised, self.advice_calls = options.advice, 0
 
+    def set_run_faults(self, mode):
+        self.run_faults, self.failed_once = mode, set()
+
+    def must_fail(self, task):
+        """Whether the run of the task that ends now fails."""
+        if self.run_faults != "fail-once" or task in self.failed_once:
+            return False
+        self.failed_once.add(task)
+        return True
+
     async def publish(self, address):
         """Returns the address at which clients reach the server.
 
--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -154,7 +154,7 @@
             entry.start()
         self.until("all entry instances are ready", lambda: all(map(self.is_ready, self.entries)))
 
-    def submit(self, steps=2, width=3, spec="work", long_running=False, entry=None):
+    def submit(self, steps=2, width=3, spec="work", long_running=False, entry=None, queue="asks"):
         job = f"{self.random.getrandbits(64):016x}"
         body = {"spec": spec, "steps": [
             {"count": width, "cpu": 1000, "mem-mb": 100, "estimate-ms": 300,
@@ -163,7 +163,7 @@
             for n in range(steps)]}
         entry = entry or self.random.choice(self.entries)
         self.expect(job, body)
-        status, reply = call(entry.callers, "POST", f"/asks/{job}", body)
+        status, reply = call(entry.callers, "POST", f"/{queue}/{job}", body)
         assert status == 200, (status, reply)
         return job
 
@@ -360,6 +360,35 @@
         assert call(entry.callers, "GET", "/new/")[0] == 404
         assert '"ConfigOutdated"' in entry.log.read_text()
 
+    def keeps_the_rules_of_a_removed_queue(self):
+        """A leader that never knew the queue gave a job up at its first failed run."""
+        more = {"name": "more", "host": HOST, "prefix": "/more/", "service": "desk",
+                "attempts": ATTEMPTS, "stretch": 2.0, "slo-ms": 600, "no-auth": True}
+
+        def until_all_answer(status):
+            self.until(f"all instances answer {status}", lambda: all(
+                call(e.callers, "GET", "/more/")[0] == status for e in self.entries))
+
+        self.put_config(6, [more], [])
+        until_all_answer(200)
+        call(self.platform["store"], "GET", "/faults?runs=hang")
+        job = self.submit(steps=1, width=2, queue="more")
+        self.until("its tasks run", lambda: sum(
+            task.startswith(job) for task in self.report()["running"]) == 2)
+        self.put_config(7, [], [])
+        until_all_answer(404)
+        for entry in self.entries:
+            entry.kill()
+        self.start_all()
+        call(self.platform["store"], "GET", "/faults?runs=fail-once")
+        self.until("both tasks are done", lambda: sum(
+            task.startswith(job) for task in self.report()["done"]) == 2)
+        call(self.platform["store"], "GET", "/faults?runs=ok")
+        self.put_config(8, [more], [])
+        until_all_answer(200)
+        self.until("the job is completed", lambda: call(
+            self.entries[0].callers, "GET", f"/more/{job}") == (200, {"state": "completed"}))
+
     def shows_metrics(self):
         entry = next(e for e in self.entries if e.process.poll() is None)
         connection = http.client.HTTPConnection(entry.metrics, timeout=5)
@@ -427,7 +456,8 @@
              shows_operators_the_queues,
              survives_a_killed_leader, survives_the_loss_of_all_entries,
              survives_a_store_outage, survives_lost_answers, completes_a_wave,
-             authorizes_organisations, does_not_deny_queues_while_its_configuration_is_old, stops_cleanly, answers_all_requests_before_it_stops, shows_metrics,
+             authorizes_organisations, does_not_deny_queues_while_its_configuration_is_old,
+             keeps_the_rules_of_a_removed_queue, stops_cleanly, answers_all_requests_before_it_stops, shows_metrics,
              survives_a_reload_while_it_starts, applies_changed_settings)
 
     def run(self):
--- a/tools/JobCommands.cpp
+++ b/tools/JobCommands.cpp
@@ -61,6 +61,15 @@
   std::cout << "job " << Body.value("job", "") << "  "
             << Body.value("state", "not live")
             << "  waits: " << Body.value("waits", "") << "\n";
+  if (auto Rules = Body.find("rules"); Rules != Body.end())
+    std::cout << "  rules of version " << Rules->value("config_version", 0)
+              << ": pool " << Rules->value("pool", "") << ", attempts "
+              << Rules->value("attempts", 0) << ", priority "
+              << Rules->value("priority", 0U)
+              << (Rules->value("queue_configured", true)
+                      ? ""
+                      : "; the queue was removed")
+              << "\n";
   for (const Json &S : Body.value("steps", Json::array()))
     std::cout << "  occurrence " << S.value("occurrence", 0) << " step "
               << S.value("step", 0) << "  done " << S.value("done", 0) << " of "
