Log repeated starts, the authority of lost runs, and a leader that is cut off

The record could not tell by which evidence a task had become ready again, nor whether the leader's term was confirmed when it ordered the second start.

- RunOrdered: each start whose task has had a run, or that is ordered while the term is unconfirmed, with run, server and term.
First starts of a confirmed term are not logged.
- RunsLost says the term and whether it was confirmed, StartNotTaken the term.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -317,7 +317,11 @@
   if (Allowed.m_IsTermConfirmed &&
       Now >= m_LiveJobs->currentAt() + MaxJobViewAge)
     Allowed.m_StartableVersion = 0;
-  if (Now < m_Leadership.uncontestedAt() + MaxUnconfirmedLeadTime)
+  const bool MayDecide =
+      Now < m_Leadership.uncontestedAt() + MaxUnconfirmedLeadTime;
+  if (MayDecide == m_DecisionsSuspended)
+    logDecisionsSuspended(!MayDecide);
+  if (MayDecide)
     m_Scheduler->tick(Now, wallNow(), Allowed);
   if (isListDue(Now))
     listInstances();
@@ -332,6 +336,15 @@
   m_Load.addDecisions(Timer.elapsed());
 }
 
+void Leader::logDecisionsSuspended(bool IsSuspended) {
+  m_DecisionsSuspended = IsSuspended;
+  const Duration Unconfirmed = m_Loop.now() - m_Leadership.uncontestedAt();
+  logEvent(IsSuspended ? Event::DecisionsSuspended : Event::DecisionsResumed,
+           {{"term", std::to_string(m_Leadership.term())},
+            {"unconfirmed_ms",
+             std::to_string(Unconfirmed / std::chrono::milliseconds(1))}});
+}
+
 void Leader::recordProgress() {
   while (auto Next = m_ProgressWriter->next(m_Loop.now(), wallNow()))
     m_Ports.m_Store.commit(
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -100,6 +100,7 @@
   void readIdleServers();
   void updateIdleServers();
   void runDecisions();
+  void logDecisionsSuspended(bool IsSuspended);
   void scheduleTick();
   void removeOldStates();
   void planInstanceOrders();
@@ -152,6 +153,7 @@
   bool m_ServersLoaded = false;
   bool m_JobsLoaded = false;
   bool m_Stopped = false;
+  bool m_DecisionsSuspended = false;
   bool m_TickScheduled = false;
   /// How long the latest decisions took.
   Duration m_DecisionTime{0};
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -299,6 +299,7 @@
     countSuspectStart(Job, S);
   }
   ServerRegistry::addRun(S, Order.m_Run, Run);
+  const bool IsRepeated = T.m_LastRunNumber != 0;
   T.m_Ready = false;
   T.m_LastRunNumber = RunNumber;
   Job.m_FirstPlannedAt.reset();
@@ -311,6 +312,12 @@
               {"waited_ms", std::to_string((Now - Job.m_AcceptedAt) /
                                            std::chrono::milliseconds(1))},
               {"term", std::to_string(m_Options.m_Term)}});
+  if (IsRepeated || !m_Authority.m_IsTermConfirmed)
+    logEvent(Event::RunOrdered,
+             {{"run", runName(Order.m_Run)},
+              {"server", S.m_Registration.m_Id.m_Text},
+              {"term", std::to_string(m_Options.m_Term)},
+              {"confirmed", m_Authority.m_IsTermConfirmed ? "yes" : "no"}});
   ++m_Counters.m_Starts;
   m_Orders.start(Order);
 }
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -120,6 +120,7 @@
   }
   logEvent(Event::StartNotTaken, {{"run", runName(Order.m_Run)},
                                   {"server", Order.m_Server.m_Id.m_Text},
+                                  {"term", std::to_string(Order.m_Term)},
                                   {"result", std::string(orderResultName(R))}});
   switch (R) {
   case OrderResult::Unknown:
@@ -261,10 +262,13 @@
 void Scheduler::rescheduleAllRuns(ServerState &S, RunLoss Loss,
                                   const char *Evidence, TimePoint Now) {
   if (!S.m_Runs.empty())
-    logEvent(Event::RunsLost, {{"server", S.m_Registration.m_Id.m_Text},
-                               {"runs", std::to_string(S.m_Runs.size())},
-                               {"why", std::string(runLossName(Loss))},
-                               {"evidence", Evidence}});
+    logEvent(Event::RunsLost,
+             {{"server", S.m_Registration.m_Id.m_Text},
+              {"runs", std::to_string(S.m_Runs.size())},
+              {"why", std::string(runLossName(Loss))},
+              {"evidence", Evidence},
+              {"term", std::to_string(m_Options.m_Term)},
+              {"confirmed", m_Authority.m_IsTermConfirmed ? "yes" : "no"}});
   if (Loss == RunLoss::ServerCrashed)
     countCrash(S, S.m_Runs, Evidence, Now);
   else if (Loss == RunLoss::LeaseExpired)
