Start no task again by evidence that a cut-off leader gets about its server

Cause: a leader that loses the store goes on for 5 s, since a store that is away lets nobody take over. If only its own data centre is cut off, another instance does take over, and sees the runs on the servers of the other side end, records and acknowledges the ends, and may then move the idle server or let it drain. The former leader took all runs that it last knew on such a server as over (RunLoss::ServerEnded) and started them again on servers of its own side, which know no later term. Only the expiry of leases waited for a confirmed term. Crashes did not show this: their counts have to be recorded in the store before the task starts again.

Change: a task remembers when its latest run was lost in any way but its server's own list (TaskState::m_LostAt), and is started only by a leader whose term is confirmed, or was since then (Authority::isUncontestedSince). The check is made at the start and not when the evidence arrives, so that a process that was paused cannot act on the authority that it had before. After the store has answered and no later term has begun, the task starts as before.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -311,6 +311,7 @@
   // expire.
   Authority Allowed;
   Allowed.m_IsTermConfirmed = m_Leadership.isValid(Now);
+  Allowed.m_UncontestedAt = m_Leadership.uncontestedAt();
   if (!Allowed.m_IsTermConfirmed)
     Allowed.m_StartableVersion = m_Leadership.uncontestedVersion();
   // A job that the leader does not know to be cancelled yet must not start.
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -6,6 +6,7 @@
 #include "jobs/JobRows.h"
 #include "scheduling/Messages.h"
 #include "scheduling/QueueRegistry.h"
+#include "scheduling/SchedulerTypes.h"
 #include "serving/ServingConfig.h"
 #include "store/MetadataStore.h"
 #include <algorithm>
@@ -63,6 +64,10 @@
   std::uint32_t m_Relocations = 0;
   /// The task is not started before this time.
   TimePoint m_NotBefore{};
+  /// When the latest run was found to be over because its server had ended or
+  /// its lease had expired, rather than by the server's own list. A later
+  /// leader may have recorded its end before that.
+  TimePoint m_LostAt{};
   /// Runs that exist or may exist on a server.
   std::vector<RunLocation> m_Runs;
   /// Null unless a server has crashed under the task.
@@ -70,6 +75,11 @@
 
   /// Whether the task is suspected of crashing its servers.
   bool isSuspect() const { return m_Crashes && m_Crashes->isSuspect(); }
+  /// Whether a leader with the authority \p Granted may start the task at \p
+  /// Now if it is ready.
+  bool mayStart(TimePoint Now, const Authority &Granted) const {
+    return Now >= m_NotBefore && Granted.isUncontestedSince(m_LostAt);
+  }
 };
 
 /// The state of one step of an occurrence.
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -47,6 +47,8 @@
                                   : WaitReason::StartBeingRecorded;
   if (mayHaveUnknownRuns(Job, Task, Now))
     return WaitReason::EarlierLeaderRuns;
+  if (!m_Authority.isUncontestedSince(T.m_LostAt))
+    return WaitReason::TermUnconfirmed;
   if (Now < T.m_NotBefore)
     return WaitReason::PauseAfterRun;
   if (T.isSuspect())
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -176,11 +176,12 @@
     TaskState &T = Step.m_Tasks[First->m_Index];
     if (!T.m_Ready)
       continue;
+    const bool MayStart = T.mayStart(Pass.m_Now, m_Authority);
     ServerState *S = nullptr;
-    if (T.isSuspect() && !IsForbidden && Pass.m_Now >= T.m_NotBefore) {
+    if (MayStart && T.isSuspect() && !IsForbidden) {
       if (HasRoomUnderCap())
         S = selectIsolated(Job, *First, T, Needs, {}, Pass);
-    } else if (!IsBlocked && !T.isSuspect() && Pass.m_Now >= T.m_NotBefore) {
+    } else if (MayStart && !T.isSuspect() && !IsBlocked) {
       S = HasRoomUnderCap() ? selectServer(Job, *First, Needs, {}, Pass)
                             : nullptr;
       IsBlocked = !S;
@@ -201,7 +202,7 @@
   std::uint32_t Number = 0;
   for (const TaskState &T : Step.m_Tasks) {
     // A gang starts only after every member of its last run has ended.
-    if (!T.m_Done && (!T.m_Ready || Pass.m_Now < T.m_NotBefore))
+    if (!T.m_Done && (!T.m_Ready || !T.mayStart(Pass.m_Now, m_Authority)))
       return false;
     Number = std::max(Number, nextRunNumber(T));
   }
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -250,6 +250,8 @@
     return;
   eraseLocation(*T, S.m_Registration.m_Id, Id.m_Number);
   Job->m_IdleSince = Now;
+  if (Loss != RunLoss::NotListed && Loss != RunLoss::NotStarted)
+    T->m_LostAt = Now;
   if (Loss != RunLoss::ServerCrashed)
     endSuspectStart(*Job, Id.m_Task);
   logEvent(Event::TaskAgain, {{"run", runName(Id)},
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -225,8 +225,9 @@
   // best-effort task depends on what runs there by now.
   if (!Needs.m_Step->m_Gang && prefersLeastFree(*Needs.m_Step) &&
       isStartable(Job) && isStartRecorded(Job, R, Server) && IsIsolationKept &&
-      P.m_Server->m_Registration.m_Pool == Job.pool() && Now >= T.m_NotBefore &&
-      isUsable(*P.m_Server, Now) && !mayHaveUnknownRuns(Job, R, Now) &&
+      P.m_Server->m_Registration.m_Pool == Job.pool() &&
+      T.mayStart(Now, m_Authority) && isUsable(*P.m_Server, Now) &&
+      !mayHaveUnknownRuns(Job, R, Now) &&
       hasRoomUnderCap(Job, *Needs.m_Step, 1, Now) &&
       canHost(*P.m_Server, Job, R, Needs, {}) &&
       (!Needs.m_NeedsTicket ||
--- a/src/scheduling/SchedulerTypes.h
+++ b/src/scheduling/SchedulerTypes.h
@@ -34,6 +34,15 @@
   /// Jobs accepted up to this version of the store may be started. A later
   /// leader assumes that these jobs may have been started.
   RowVersion m_StartableVersion = ~RowVersion(0);
+  /// The latest time up to which no other instance can have taken over. What
+  /// this leader has learnt of a server's runs by then, no other leader can
+  /// have learnt earlier.
+  TimePoint m_UncontestedAt = TimePoint::max();
+
+  /// Whether no other instance can have taken over before \p At.
+  bool isUncontestedSince(TimePoint At) const {
+    return m_IsTermConfirmed || At <= m_UncontestedAt;
+  }
 };
 
 /// Totals of one scheduler since its term began.
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -61,8 +61,10 @@
     TimePoint Now = m_Simulation.m_Clock.m_Now;
     Authority Allowed;
     Allowed.m_IsTermConfirmed = !m_ReplacedAt;
-    if (m_ReplacedAt)
+    if (m_ReplacedAt) {
       Allowed.m_StartableVersion = m_VersionWhenReplaced;
+      Allowed.m_UncontestedAt = *m_ReplacedAt;
+    }
     if (m_ReplacedAt && Now >= *m_ReplacedAt + ReplacedLeaderTimeout)
       m_Alive = false;
     if (m_Core->isSuperseded())
