Start nothing on a server incarnation that a cut-off leader meets first

What callers could see: a task runs twice around a change of the leader.

A new leader does not wait for a server that the platform lists as down. If that server restarts under its ID on the other side of a partition, the former leader reaches it, without the store and for up to 5 s, and starts tasks of steps that the new leader is starting elsewhere. The restarted server knows no later term.

Change: a leader whose term is not confirmed uses only incarnations that answered it first while it was (ServerIncarnation::m_AcknowledgedAt). Later incarnations are younger than the next leader's list, so that list is right about them.

--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -381,6 +381,8 @@
   bool First = !S->m_HasAcknowledgedTerm;
   m_UnacknowledgedPoolsChanged |= First;
   S->m_HasAcknowledgedTerm = true;
+  if (First)
+    S->m_AcknowledgedAt = Now;
   S->m_ClockKnown = true;
   S->m_ClockMs = Reply.m_ClockMs;
   S->m_ClockAt = Now;
--- a/src/scheduling/SchedulerSelection.cpp
+++ b/src/scheduling/SchedulerSelection.cpp
@@ -20,7 +20,8 @@
   bool Present = S.m_Registered || Now < S.m_UnregisteredAt + RegistrationGrace;
   return Present && !S.m_Registration.m_Draining && S.m_HasAcknowledgedTerm &&
          S.m_ClockKnown && S.m_Reachable && !S.m_Reserved && !S.m_IsHeld &&
-         Now >= S.m_SuspendedUntil;
+         Now >= S.m_SuspendedUntil &&
+         m_Authority.isUncontestedSince(S.m_AcknowledgedAt);
 }
 
 Resources Scheduler::allocationFor(const StepSpec &Step) {
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -108,6 +108,8 @@
   /// Whether the server has answered in this term, after which it rejects the
   /// orders of earlier terms.
   bool m_HasAcknowledgedTerm = false;
+  /// When it did so first.
+  TimePoint m_AcknowledgedAt{};
   /// When the latest start order that it has answered was issued. The runs that
   /// had begun before were still there.
   TimePoint m_AliveAt{};
--- a/src/scheduling/UnconfirmedTermTest.cpp
+++ b/src/scheduling/UnconfirmedTermTest.cpp
@@ -146,3 +146,21 @@
   W.tickUnconfirmed();
   CHECK_EQUAL(2u, W.starts());
 }
+
+// A server that is down when the next leader lists the instances is not waited
+// for. If it then restarts on the other side of a partition, the former leader
+// must not start tasks there that the next one starts as well.
+TEST(UnconfirmedTerm,
+     AnIncarnationThatFirstAnswersInAnUnconfirmedTermIsNotUsed) {
+  CutOffLeader W;
+  W.m_Core->onServerUnregistered(ServerId("s2"), W.m_Now - 10s);
+  W.addJob("k", {SchedulerFixture::step(1)});
+  W.advance(300ms);
+  W.tickUnconfirmed();
+  ++W.m_StartTimeMs;
+  W.answerPoll("s1");
+  W.tickUnconfirmed();
+  CHECK_EQUAL(1u, W.starts());
+  W.confirmAgain();
+  CHECK(W.starts() > 1);
+}
