Declare recorded starts by the newest job that the leader knows

What callers could see: a task runs twice after a change of the leader.

Cause: after a slow phase of the store, in which it starts without records, a leader declares since which version of the store it records starts (StartRecords). It took the version up to which its mirror of the live jobs is complete. While the mirror reads the table again, because the store has dropped its history, the rows of each page are reported at once and the version stays behind. Jobs from these pages may have been started without a record and are newer than what was declared, so the next leader starts their tasks without looking for runs.

Change: TableMirror::newestReported(), which no reported row is newer than.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -372,7 +372,7 @@
 
 void Leader::updateStartRecords() {
   auto Txn = m_StartRecords.next(m_ProgressWriter->latency(m_Loop.now()),
-                                 m_LiveJobs->version(), m_Loop.now());
+                                 m_LiveJobs->newestReported(), m_Loop.now());
   m_Scheduler->setRecordsStarts(m_StartRecords.mustRecord());
   if (Txn)
     m_Ports.m_Store.commit(
--- a/src/lead/StartRecords.h
+++ b/src/lead/StartRecords.h
@@ -57,7 +57,7 @@
 
   /// Returns the transaction that is due. \p WriteLatency is how long the
   /// latest write of job states took or has been pending, and \p Known a
-  /// version up to which the leader knows all accepted jobs. Requires isRead().
+  /// version that no job known to the leader is newer than. Requires isRead().
   std::optional<RowTransaction> next(Duration WriteLatency, RowVersion Known,
                                      TimePoint Now);
   void onResult(const Result<CommitOutcome> &Outcome, TimePoint Now);
--- a/src/store/TableMirror.cpp
+++ b/src/store/TableMirror.cpp
@@ -204,6 +204,7 @@
       !(Row.m_IsDeleted && Row.m_Version == Known->second))
     return;
   Known->second = Row.m_Version;
+  m_NewestRow = std::max(m_NewestRow, Row.m_Version);
   if (Row.m_IsDeleted)
     m_Versions.erase(Known);
   m_Listener.m_OnRow(Row);
--- a/src/store/TableMirror.h
+++ b/src/store/TableMirror.h
@@ -5,6 +5,7 @@
 
 #include "base/Timers.h"
 #include "store/MetadataStore.h"
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -61,6 +62,11 @@
   TimePoint lastAnswerRequestedAt() const { return m_LastAnswerRequestedAt; }
   /// Version of the store up to which all rows have been reported.
   RowVersion version() const { return m_ReportedVersion; }
+  /// A version that no reported row is newer than. It is ahead of version()
+  /// after rows of a read whose other partitions were read earlier, or not yet.
+  RowVersion newestReported() const {
+    return std::max(m_ReportedVersion, m_NewestRow);
+  }
   /// All changes up to this time have been reported. It lags behind
   /// lastAnswerRequestedAt() while a read is in progress or the feed has more
   /// changes than fit into one answer.
@@ -117,6 +123,8 @@
   /// Rows found by the read in progress; rows that it lacks have been deleted.
   std::unordered_set<std::string> m_SnapshotRows;
   RowVersion m_ReportedVersion = 0;
+  /// The newest version of all reported rows.
+  RowVersion m_NewestRow = 0;
   /// Oldest version of the pages of the read in progress.
   RowVersion m_SnapshotVersion = 0;
   std::size_t m_PartitionsLeft = 0;
--- a/src/store/TableMirrorTest.cpp
+++ b/src/store/TableMirrorTest.cpp
@@ -103,6 +103,21 @@
 
 // An outage of 3 s lasted 1.4 s longer for callers: the call that was under way
 // when the store came back waited for a change, on a dead connection.
+// A leader declared that it had recorded the starts of all jobs newer than
+// version(), while it had started newer ones from the first pages of a read.
+TEST(TableMirror, TellsTheNewestRowThatItHasReported) {
+  CHECK_EQUAL(10u, m_Mirror->newestReported());
+  m_Store.m_Follows.at(0)(makeError(ErrorCode::NotFound, "follow"));
+  RowPage Page;
+  Page.m_Version = 30;
+  Page.m_HasMore = true;
+  Page.m_Rows = {row("a", "1", 25)};
+  m_Store.m_Reads.at(1)(Page);
+  CHECK_EQUAL(1u, m_Seen.size());
+  CHECK_EQUAL(10u, m_Mirror->version());
+  CHECK_EQUAL(25u, m_Mirror->newestReported());
+}
+
 TEST(TableMirror, DoesNotWaitForAChangeUntilTheStoreAnswersAgain) {
   CHECK(m_Store.m_Waits.at(0) == 400ms);
   m_Store.m_OnFollow = [this] { m_Loop->stop(); };
