Take no start without an answer for over before it can no longer begin

The platform allows it: "A call that receives no response may have been executed. It may also be executed seconds later, after newer calls", "A minion may start again under the id that it had". An expired lease does not exclude it either, since it is computed by the clock of the previous incarnation.

Change: evidence about a server ends only runs that had begun (ActiveRun::mayStillBegin). Another start is over when the incarnation that answers has answered a stop of it, when no server has the ID any more, or 6 s after the order (LateOrderTime). This holds for the list, the expired lease, a later start time and drained servers alike. Until then the run keeps its room on the server, and a server without a registration is kept; nothing is kept after it. A stop answered by the previous incarnation is repeated. A server that has restarted and cannot be reached may have begun the run with the longest lease, which is waited for. A crash counts once for each such run.

--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -75,6 +75,15 @@
 
   /// Whether the task is suspected of crashing its servers.
   bool isSuspect() const { return m_Crashes && m_Crashes->isSuspect(); }
+  /// Forgets the run with this number on \p Server.
+  void eraseRun(const ServerId &Server, std::uint32_t Number) {
+    m_Runs.erase(std::remove_if(m_Runs.begin(), m_Runs.end(),
+                                [&](const RunLocation &P) {
+                                  return P.m_Server == Server &&
+                                         P.m_Number == Number;
+                                }),
+                 m_Runs.end());
+  }
   /// Whether a leader with the authority \p Granted may start the task at \p
   /// Now if it is ready.
   bool mayStart(TimePoint Now, const Authority &Granted) const {
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -24,13 +24,11 @@
 /// Such a server answers at once, because it lists these ends again.
 constexpr Duration UnrecordedPollSpacing = std::chrono::milliseconds(150);
 
-/// Why the runs of \p S are over, given that the platform lists the server's
-/// instance as \p L.
-RunLoss lossShownBy(const ServerState &S, const InstanceListing &L) {
-  bool IsOrdered = L.m_Condition == InstanceCondition::Moving ||
-                   L.m_Condition == InstanceCondition::Maintenance ||
-                   L.m_Pool != S.m_Registration.m_Pool;
-  return IsOrdered ? RunLoss::ServerEnded : S.lossAtEnd();
+/// Whether \p L shows that the instance of \p S was moved or shut down.
+bool isOrderedAway(const ServerState &S, const InstanceListing &L) {
+  return L.m_Condition == InstanceCondition::Moving ||
+         L.m_Condition == InstanceCondition::Maintenance ||
+         L.m_Pool != S.m_Registration.m_Pool;
 }
 
 } // namespace
@@ -146,6 +144,7 @@
   ServerState *S = m_Servers.find(Id);
   if (!S)
     return;
+  ServerRegistry::excludeLateStarts(*S);
   rescheduleAllRuns(*S, RunLoss::ServerEnded,
                     "its instance was moved or shut down", Now);
   S->m_LeasesEnd = Now;
@@ -181,12 +180,18 @@
                           L.m_Pool != S.m_Registration.m_Pool ||
                           (!L.m_Server.empty() && L.m_Server != Id)) &&
                          S.m_ClockAt < Asked && S.m_RegisteredAt <= Asked;
-    if (S.m_IsListedAsGone && !S.m_Reachable &&
-        !(S.m_Runs.empty() && S.m_LapsedRuns.empty()))
-      rescheduleAllRuns(
-          S, lossShownBy(S, L),
-          "the platform lists its instance as not up or with another server",
-          Now);
+    if (!S.m_IsListedAsGone || S.m_Reachable ||
+        (S.m_Runs.empty() && S.m_LapsedRuns.empty()))
+      continue;
+    const bool IsMoved = isOrderedAway(S, L);
+    // Another server follows, or is there already. A crashed one may be back
+    // under its ID.
+    if (IsMoved || (!L.m_Server.empty() && L.m_Server != Id))
+      ServerRegistry::excludeLateStarts(S);
+    rescheduleAllRuns(
+        S, IsMoved ? RunLoss::ServerEnded : S.lossAtEnd(),
+        "the platform lists its instance as not up or with another server",
+        Now);
   }
 }
 
@@ -287,12 +292,13 @@
     ServerRegistry::growCapacity(S, Now);
     // While the term is unconfirmed, a later leader may exist and may have
     // extended the leases.
-    if (!S.m_Runs.empty() && Now >= S.m_LeasesEnd && !S.m_Reachable &&
+    if (!S.hasOnlyLateStarts() && Now >= S.m_LeasesEnd && !S.m_Reachable &&
         m_Authority.m_IsTermConfirmed) {
       ++m_Counters.m_LeasesExpired;
       rescheduleAllRuns(S, RunLoss::LeaseExpired,
                         "the lease of every run has expired", Now);
     }
+    rescheduleLostRuns(S, Now);
     if (!S.m_Registered && S.isIdle() && !S.m_PollPending &&
         Now >= S.m_UnregisteredAt + RegistrationGrace && Now >= S.m_LeasesEnd)
       Removable.push_back(S.m_Registration.m_Id);
@@ -306,6 +312,7 @@
 }
 
 void Scheduler::onOtherIncarnation(ServerState &S, TimePoint Now) {
+  ServerRegistry::excludeLateStarts(S);
   rescheduleAllRuns(S, S.lossAtEnd(), "another server answered at its address",
                     Now);
   S.m_LeasesEnd = Now;
@@ -378,6 +385,8 @@
         std::max(S->m_LastAcknowledgedEnd, Order.m_AcknowledgedEndNumber);
   }
   S->m_Registration.m_StartTimeMs = Reply.m_StartTimeMs;
+  if (S->m_Reachable)
+    ServerRegistry::withdrawLosses(*S);
   bool First = !S->m_HasAcknowledgedTerm;
   m_UnacknowledgedPoolsChanged |= First;
   S->m_HasAcknowledgedTerm = true;
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -7,8 +7,8 @@
 // Three rules make it safe. A server that has answered in this term rejects the
 // orders of earlier terms. A task is started again only when its last run is
 // known to be over: it has ended, the server does not list it, or its lease has
-// expired. A run end is acknowledged to its server only after it has been
-// recorded in the store.
+// expired, and it cannot begin late. A run end is acknowledged to its server
+// only after it has been recorded in the store.
 //
 //===----------------------------------------------------------------------===//
 
@@ -196,9 +196,10 @@
   void adoptOrStop(ServerState &S, const RunReport &Report, TimePoint Now);
   void rescheduleRun(ServerState &S, const RunId &Id, RunLoss Loss,
                      TimePoint Now);
-  /// \p Evidence tells operators what showed the loss.
+  /// Keeps starts that may be carried out late until they cannot be any more.
   void rescheduleAllRuns(ServerState &S, RunLoss Loss, const char *Evidence,
                          TimePoint Now);
+  void rescheduleLostRuns(ServerState &S, TimePoint Now);
   void orderStop(ServerState &S, const RunId &Id);
   void stopRunsOfTask(const LiveJob &Job, const TaskId &Task);
   void stopRunsOfJob(const LiveJob &Job);
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -49,6 +49,10 @@
                            const char *Evidence, TimePoint Now) {
   LostRuns All = std::exchange(S.m_LapsedRuns, {});
   All.insert(Lost.begin(), Lost.end());
+  for (auto It = All.begin(); It != All.end();)
+    It = It->second.m_IsCrashCounted ? All.erase(It) : std::next(It);
+  for (auto &[Id, Run] : S.m_Runs)
+    Run.m_IsCrashCounted |= All.count(Id) != 0;
   if (All.empty())
     return;
   const JobId &First = All.begin()->first.m_Task.m_Job;
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -294,6 +294,7 @@
   if (T.m_Checkpoint.empty())
     Run.m_ProgressSince = Run.m_PercentChangedAt = Now;
   Run.m_OrderedAt = Now;
+  Run.m_MayBeginUntil = Now + LateOrderTime;
   if (T.isSuspect()) {
     Run.m_IsSuspect = true;
     T.m_Crashes->m_WaitsSince.reset();
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -32,16 +32,6 @@
 /// rounded. Less than the margin of ServerRegistry::recordLease().
 constexpr Duration ClockRounding = std::chrono::milliseconds(20);
 
-void eraseLocation(TaskState &T, const ServerId &Server, std::uint32_t Number) {
-  auto &Runs = T.m_Runs;
-  Runs.erase(std::remove_if(Runs.begin(), Runs.end(),
-                            [&](const RunLocation &P) {
-                              return P.m_Server == Server &&
-                                     P.m_Number == Number;
-                            }),
-             Runs.end());
-}
-
 } // namespace
 
 void Scheduler::suspectRestart(ServerState &S, TimePoint Now) {
@@ -52,6 +42,7 @@
   S.m_HasAcknowledgedTerm = false;
   S.m_NextPoll = Now;
   m_UnacknowledgedPoolsChanged = true;
+  ServerRegistry::holdLateStarts(S, m_Options.m_MaxLease);
   ServerRegistry::markChanged(S);
 }
 
@@ -241,48 +232,6 @@
         orderStop(*S, {Task, P.m_Number});
 }
 
-void Scheduler::rescheduleRun(ServerState &S, const RunId &Id, RunLoss Loss,
-                              TimePoint Now) {
-  ServerRegistry::removeRun(S, Id);
-  LiveJob *Job = m_Jobs.find(Id.m_Task.m_Job);
-  TaskState *T = Job ? Job->task(Id.m_Task) : nullptr;
-  if (!T)
-    return;
-  eraseLocation(*T, S.m_Registration.m_Id, Id.m_Number);
-  Job->m_IdleSince = Now;
-  if (Loss != RunLoss::NotListed && Loss != RunLoss::NotStarted)
-    T->m_LostAt = Now;
-  if (Loss != RunLoss::ServerCrashed)
-    endSuspectStart(*Job, Id.m_Task);
-  logEvent(Event::TaskAgain, {{"run", runName(Id)},
-                              {"server", S.m_Registration.m_Id.m_Text},
-                              {"end", std::string(runLossName(Loss))}});
-  if (!isFinal(Job->m_State))
-    m_Jobs.requeue(*Job, Id.m_Task, Now);
-}
-
-void Scheduler::rescheduleAllRuns(ServerState &S, RunLoss Loss,
-                                  const char *Evidence, TimePoint Now) {
-  if (!S.m_Runs.empty())
-    logEvent(Event::RunsLost,
-             {{"server", S.m_Registration.m_Id.m_Text},
-              {"runs", std::to_string(S.m_Runs.size())},
-              {"why", std::string(runLossName(Loss))},
-              {"evidence", Evidence},
-              {"term", std::to_string(m_Options.m_Term)},
-              {"confirmed", m_Authority.m_IsTermConfirmed ? "yes" : "no"}});
-  if (Loss == RunLoss::ServerCrashed)
-    countCrash(S, S.m_Runs, Evidence, Now);
-  else if (Loss == RunLoss::LeaseExpired)
-    S.m_LapsedRuns = S.m_Runs;
-  else
-    S.m_LapsedRuns.clear();
-  while (!S.m_Runs.empty()) {
-    RunId Id = S.m_Runs.begin()->first;
-    rescheduleRun(S, Id, Loss, Now);
-  }
-}
-
 void Scheduler::beginIncarnation(ServerState &S) {
   logEvent(Event::BackendReborn, {{"server", S.m_Registration.m_Id.m_Text},
                                   {"runs", std::to_string(S.m_Runs.size())}});
@@ -290,6 +239,12 @@
   // An order without an answer may have reached the new incarnation with a
   // lease that was computed by the clock of the previous one.
   ServerRegistry::recordLease(S, S.m_LastGrantAt, m_Options.m_MaxLease);
+  ServerRegistry::holdLateStarts(S, m_Options.m_MaxLease);
+  // A stop that the previous incarnation has answered excludes nothing in the
+  // new one.
+  for (auto &[Id, Run] : S.m_Runs)
+    if (!Run.m_HasBegun)
+      Run.m_ConfirmedAt = TimePoint::max();
 }
 
 void Scheduler::countServerFailure(ServerState &S, TimePoint Now) {
@@ -312,7 +267,7 @@
   if (T && !isFinal(Job->m_State)) {
     const TaskId &Task = End.m_Run.m_Task;
     const StepSpec &Step = Job->m_Spec.m_Steps[Task.m_Step];
-    eraseLocation(*T, S.m_Registration.m_Id, End.m_Run.m_Number);
+    T->eraseRun(S.m_Registration.m_Id, End.m_Run.m_Number);
     Job->m_IdleSince = Now;
     T->m_LastRunNumber = std::max(T->m_LastRunNumber, End.m_Run.m_Number);
     m_Jobs.endSuspectStart(*Job, *T);
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -51,8 +51,9 @@
   TimePoint At = needsPoll() ? m_NextPoll : TimePoint::max();
   if (!m_PublishedCapacity.fitsIn(m_Registration.m_Capacity))
     At = std::min(At, m_CapacityGrowsAt);
-  if (!m_Reachable && !m_Runs.empty())
-    At = std::min(At, m_LeasesEnd);
+  if (!m_Reachable)
+    for (const auto &[Id, Run] : m_Runs)
+      At = std::min(At, Run.m_LostBy ? Run.m_MayBeginUntil : m_LeasesEnd);
   if (!m_Registered && isIdle() && !m_PollPending)
     At = std::min(At,
                   std::max(m_UnregisteredAt + RegistrationGrace, m_LeasesEnd));
@@ -68,6 +69,20 @@
                      [](const auto &E) { return !E.second.m_IsLongRunning; });
 }
 
+bool ServerState::hasOnlyLateStarts() const {
+  return std::all_of(m_Runs.begin(), m_Runs.end(), [](const auto &E) {
+    return E.second.m_LostBy.has_value();
+  });
+}
+
+std::vector<RunId> ServerState::lostRuns(TimePoint Now) const {
+  std::vector<RunId> Lost;
+  for (const auto &[Id, Run] : m_Runs)
+    if (Run.m_LostBy && !Run.mayStillBegin(Now))
+      Lost.push_back(Id);
+  return Lost;
+}
+
 ServerState *ServerRegistry::find(const ServerId &Id) {
   auto It = m_ById.find(Id);
   return It == m_ById.end() ? nullptr : It->second;
@@ -164,6 +179,24 @@
   S.m_LastGrantAt = std::max(S.m_LastGrantAt, Now);
 }
 
+void ServerRegistry::holdLateStarts(ServerState &S, Duration MaxLease) {
+  const auto Longest =
+      std::chrono::duration_cast<Duration>(MaxLease / MinServerClockRate);
+  for (auto &[Id, Run] : S.m_Runs)
+    Run.m_MayBeginUntil =
+        Run.m_OrderedAt + LateOrderTime + Longest + LeaseMargin;
+}
+
+void ServerRegistry::withdrawLosses(ServerState &S) {
+  for (auto &[Id, Run] : S.m_Runs)
+    Run.m_LostBy.reset();
+}
+
+void ServerRegistry::excludeLateStarts(ServerState &S) {
+  for (auto &[Id, Run] : S.m_Runs)
+    Run.m_MayBeginUntil = {};
+}
+
 ActiveRun &ServerRegistry::addRun(ServerState &S, const RunId &Id,
                                   ActiveRun Run) {
   S.m_Used += Run.m_Allocation;
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -9,6 +9,7 @@
 #include <boost/container/flat_map.hpp>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -25,6 +26,12 @@
   Stopping,
 };
 
+/// How long after it was given an order without an answer may be carried out.
+/// The platform says that a call without a response "may also be executed
+/// seconds later, after newer calls". Long-running tasks have to run again
+/// within about as long.
+constexpr Duration LateOrderTime = std::chrono::seconds(6);
+
 /// A run that a server has, or may have now or later.
 struct ActiveRun {
   RunPhase m_Phase = RunPhase::Starting;
@@ -44,6 +51,14 @@
   TimePoint m_SeenAt{};
   /// Whether the server is known to have begun the run.
   bool m_HasBegun = false;
+  /// Until then a run that has not begun may begin, or may have begun in an
+  /// incarnation that has not answered and last there.
+  TimePoint m_MayBeginUntil{};
+  /// Why the run would be over if its start could not be carried out any more.
+  /// Unset once the server answers again.
+  std::optional<RunLoss> m_LostBy;
+  /// Whether a crash of the server was counted for the task.
+  bool m_IsCrashCounted = false;
   /// Whether the task is suspected of crashing its servers, and this run has
   /// not proved it sound yet.
   bool m_IsSuspect = false;
@@ -74,6 +89,12 @@
   std::uint32_t m_Pace = 100;
   /// When that pace was ordered.
   TimePoint m_PacedAt{};
+
+  /// Whether the start may still be carried out, whatever has become of the
+  /// server.
+  bool mayStillBegin(TimePoint Now) const {
+    return !m_HasBegun && Now < m_MayBeginUntil;
+  }
 };
 
 /// The runs of a server. Few enough to be kept in one piece of memory, in which
@@ -246,6 +267,11 @@
   }
   /// Whether the server has runs that end by themselves.
   bool hasFiniteRuns() const;
+  /// Whether all its runs are lost, or kept only since their starts may be
+  /// carried out late.
+  bool hasOnlyLateStarts() const;
+  /// The lost runs whose starts cannot be carried out any more.
+  std::vector<RunId> lostRuns(TimePoint Now) const;
   /// Whether a poll is to be sent at m_NextPoll.
   bool needsPoll() const;
   /// When the next pass has something to do for the server, unless it changes
@@ -298,6 +324,14 @@
 
   /// Records that \p S was granted a lease of \p Length at \p Now.
   static void recordLease(ServerState &S, TimePoint Now, Duration Length);
+  /// \p S has restarted, or may have, and shortens the lease of an order that
+  /// was computed by its earlier clock to \p MaxLease only. Its starts without
+  /// an answer may last for as long.
+  static void holdLateStarts(ServerState &S, Duration MaxLease);
+  /// \p S answers, so that only its lists tell which of its runs are over.
+  static void withdrawLosses(ServerState &S);
+  /// No server with the ID of \p S can carry out an order any more.
+  static void excludeLateStarts(ServerState &S);
   /// Adds a run and its allocation, and charges its organisation.
   static ActiveRun &addRun(ServerState &S, const RunId &Id, ActiveRun Run);
   /// Removes a run, its allocation and its charge. Has no effect if the run is
