Start no task of an earlier leader without the store by a wait that is over

Cause, traced: the leader of term 7 does not reach s0, where a run of an earlier leader has ended done. It loses the store at 77.6 s. The leader of term 8 reaches s0, records the end and acknowledges it at 79.1 s. The wait of the first for unknown runs is over at 79.0 s, and it starts the task on another server at 79.9 s, within its 5 s without the store. The wait tells that the runs are over, but not that nobody has recorded how. Two ways lead to the same: the next leader moves the server, so that the list takes it out of the wait; and the lease of a run expires while the term is confirmed, and the task starts only after the store is lost.

Change: without a confirmed term the wait for unknown runs ends only by answers of the servers, and by lists from before the term was last confirmed (ServerState::m_GoneSince). A task whose lease has expired starts only under a confirmed term (m_LostAt at its maximum). The first term has no earlier runs. While the store is away such tasks wait for it, for 5 s at most.

--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -64,9 +64,10 @@
   std::uint32_t m_Relocations = 0;
   /// The task is not started before this time.
   TimePoint m_NotBefore{};
-  /// When the latest run was found to be over because its server had ended or
-  /// its lease had expired, rather than by the server's own list. A later
-  /// leader may have recorded its end before that.
+  /// When the latest run was found to be over because its server had ended,
+  /// rather than by the server's own list. A later leader may have recorded its
+  /// end before that. The maximum if its lease had expired, since its end may
+  /// be recorded later, too.
   TimePoint m_LostAt{};
   /// Runs that exist or may exist on a server.
   std::vector<RunLocation> m_Runs;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -169,7 +169,7 @@
   m_ForgottenServers = std::move(Forgotten);
   for (auto &[Id, S] : m_Servers.all()) {
     auto It = ById.find(S.m_Registration.m_Instance);
-    S.m_IsListedAsGone = false;
+    const bool WasListedAsGone = std::exchange(S.m_IsListedAsGone, false);
     if (It == ById.end())
       continue;
     const InstanceListing &L = *It->second;
@@ -180,6 +180,8 @@
                           L.m_Pool != S.m_Registration.m_Pool ||
                           (!L.m_Server.empty() && L.m_Server != Id)) &&
                          S.m_ClockAt < Asked && S.m_RegisteredAt <= Asked;
+    if (S.m_IsListedAsGone && !WasListedAsGone)
+      S.m_GoneSince = Now;
     if (!S.m_IsListedAsGone || S.m_Reachable ||
         (S.m_Runs.empty() && S.m_LapsedRuns.empty()))
       continue;
@@ -275,6 +277,8 @@
 
 void Scheduler::tick(TimePoint Now, std::chrono::milliseconds Wall,
                      const Authority &Granted) {
+  m_UnacknowledgedPoolsChanged |=
+      m_Authority.m_IsTermConfirmed != Granted.m_IsTermConfirmed;
   m_Authority = Granted;
   m_Jobs.releaseDue(Wall);
   expireLeases(Now);
--- a/src/scheduling/SchedulerLostRuns.cpp
+++ b/src/scheduling/SchedulerLostRuns.cpp
@@ -27,7 +27,10 @@
     return;
   T->eraseRun(S.m_Registration.m_Id, Id.m_Number);
   Job->m_IdleSince = Now;
-  if (Loss != RunLoss::NotListed && Loss != RunLoss::NotStarted)
+  // A server that still has the end may show it to a later leader at any time.
+  if (Loss == RunLoss::LeaseExpired)
+    T->m_LostAt = TimePoint::max();
+  else if (Loss != RunLoss::NotListed && Loss != RunLoss::NotStarted)
     T->m_LostAt = Now;
   if (Loss != RunLoss::ServerCrashed)
     endSuspectStart(*Job, Id.m_Task);
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -58,7 +58,8 @@
 
 void Scheduler::placeReady(TimePoint Now) {
   ++m_Counters.m_Passes;
-  if (Now < m_UnknownRunsUntil && m_UnacknowledgedPoolsChanged)
+  if ((Now < m_UnknownRunsUntil || !m_Authority.m_IsTermConfirmed) &&
+      m_UnacknowledgedPoolsChanged)
     findUnacknowledgedPools();
   reserveUnknownRuns(Now);
   startPlanned(Now);
@@ -304,6 +305,7 @@
   const bool IsRepeated = T.m_LastRunNumber != 0;
   T.m_Ready = false;
   T.m_LastRunNumber = RunNumber;
+  T.m_LostAt = {};
   Job.m_FirstPlannedAt.reset();
   Job.m_PlansDropped = 0;
   T.m_Runs.push_back({S.m_Registration.m_Id, RunNumber});
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -39,7 +39,10 @@
       U.m_First = Server;
   };
   for (const auto &[Id, S] : m_Servers.all())
-    if (!S.m_HasAcknowledgedTerm && !S.m_IsListedAsGone &&
+    // A later leader may have recorded the ends of all its runs and moved it.
+    if (!S.m_HasAcknowledgedTerm &&
+        !(S.m_IsListedAsGone &&
+          m_Authority.isUncontestedSince(S.m_GoneSince)) &&
         !m_ServersWithoutEarlierRuns.count(Id))
       Count(S.m_Registration.m_Pool, Id);
   for (const InstanceListing &L : m_Instances) {
@@ -91,7 +94,10 @@
 
 bool Scheduler::mayHaveUnknownRuns(const LiveJob &Job, const ReadyTask &Task,
                                    TimePoint Now) const {
-  if (Now >= m_UnknownRunsUntil ||
+  // That the runs are over does not tell what became of them: a later leader
+  // may have recorded their ends.
+  if (m_Options.m_Term == 1 ||
+      (Now >= m_UnknownRunsUntil && m_Authority.m_IsTermConfirmed) ||
       Job.m_AcceptedVersion > m_Options.m_TermVersion)
     return false;
   if (Job.m_AcceptedVersion > m_StartsRecordedSince &&
@@ -104,7 +110,7 @@
 }
 
 bool Scheduler::mayAllHaveUnknownRuns(const LiveJob &Job, TimePoint Now) const {
-  if (Now >= m_UnknownRunsUntil)
+  if (Now >= m_UnknownRunsUntil && m_Authority.m_IsTermConfirmed)
     return false;
   const ReadyTask *Last = nullptr;
   for (const ReadyTask &R : Job.m_Ready) {
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -181,6 +181,8 @@
   /// Whether the latest instance list shows that the server does not run: its
   /// instance is not up, or has another server.
   bool m_IsListedAsGone = false;
+  /// When a list first showed that.
+  TimePoint m_GoneSince{};
   /// Failed polls since the last answer.
   std::uint32_t m_FailedPolls = 0;
 
