--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -64,9 +64,10 @@
   std::uint32_t m_Relocations = 0;
   /// The task is not started before this time.
   TimePoint m_NotBefore{};
-  /// When the latest run was found to be over because its server had ended or
-  /// its lease had expired, rather than by the server's own list. A later
-  /// leader may have recorded its end before that.
+  /// When the latest run was found to be over because its server had ended,
+  /// rather than by the server's own list. A later leader may have recorded its
+  /// end before that. The maximum if its lease had expired, since its end may
+  /// be recorded later, too.
   TimePoint m_LostAt{};
   /// Runs that exist or may exist on a server.
   std::vector<RunLocation> m_Runs;
@@ -75,6 +76,15 @@
 
   /// Whether the task is suspected of crashing its servers.
   bool isSuspect() const { return m_Crashes && m_Crashes->isSuspect(); }
+  /// Forgets the run with this number on \p Server.
+  void eraseRun(const ServerId &Server, std::uint32_t Number) {
+    m_Runs.erase(std::remove_if(m_Runs.begin(), m_Runs.end(),
+                                [&](const RunLocation &P) {
+                                  return P.m_Server == Server &&
+                                         P.m_Number == Number;
+                                }),
+                 m_Runs.end());
+  }
   /// Whether a leader with the authority \p Granted may start the task at \p
   /// Now if it is ready.
   bool mayStart(TimePoint Now, const Authority &Granted) const {
