Bound what one reply of a peer may take

Cause: HttpClientConnection read into a buffer without a bound until Beast's parser had a whole chunk header or all trailers; the parser's limits count neither. A reply in tiny chunks was read as long as it came, without a turn for other work of the loop.

Change: an exchange fails if more than 16 KB wait for the parser or if more than twice the body limit has arrived; a turn of reading ends after 256 KB. The body limit is a member of ConnectionLimits: 8 MB for the platform's services as before, 2 MB for backend servers.

--- a/src/entry/ConnectionBudget.cpp
+++ b/src/entry/ConnectionBudget.cpp
@@ -22,6 +22,11 @@
 /// others for orders, which are answered within milliseconds. A server accepts
 /// 64 from all entry instances together.
 constexpr std::size_t BackendConnectionsPerPeer = 6;
+/// The store's largest reply has 1 MB of rows; Base64 and JSON increase this by
+/// about half. A reply of the change feed has no stated limit.
+constexpr std::size_t PlatformReplyBytes = 8u << 20;
+/// A backend server's largest reply lists its runs and 500 ends.
+constexpr std::size_t BackendReplyBytes = 2u << 20;
 /// Descriptors of listeners, the event loop and the log.
 constexpr std::size_t OwnDescriptors = 32;
 constexpr std::size_t CallersShareDivisor = 4;
@@ -33,10 +38,12 @@
   std::size_t Limit = std::max(DescriptorLimit, MinDescriptorLimit);
   ConnectionBudget Budget;
   Budget.m_Platform = {PlatformConnectionsPerPeer,
-                       PlatformConnectionsPerPeer * PlatformPeers};
+                       PlatformConnectionsPerPeer * PlatformPeers,
+                       PlatformReplyBytes};
   Budget.m_Backends = {BackendConnectionsPerPeer,
                        Limit - Limit / CallersShareDivisor - OwnDescriptors -
-                           Budget.m_Platform.m_Total};
+                           Budget.m_Platform.m_Total,
+                       BackendReplyBytes};
   return Budget;
 }
 
--- a/src/net/ConnectionSlots.h
+++ b/src/net/ConnectionSlots.h
@@ -21,6 +21,8 @@
   std::size_t m_PerPeer = 24;
   /// To all addresses together. At least 1.
   std::size_t m_Total = 1024;
+  /// Longest body of a reply, in bytes.
+  std::size_t m_ReplyBytes = 8u << 20;
 };
 
 /// Number of a call or of a connection, unique within one client.
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -72,6 +72,15 @@
          Failed == errc::address_not_available;
 }
 
+/// Whether a reply arrived that cannot be read: it is malformed or too long.
+bool isUnreadable(const error_code &Failed) {
+  namespace http = boost::beast::http;
+  return Failed.category() ==
+             http::make_error_code(http::error::bad_value).category() &&
+         Failed != http::error::end_of_stream &&
+         Failed != http::error::partial_message;
+}
+
 } // namespace
 
 struct HttpClient::Impl : HttpClientConnection::Listener,
@@ -215,8 +224,8 @@
         asio::ip::make_address_v4(Destination ? Destination->m_Host : "", Bad);
     ++m_Counters.m_Connections;
     Exchange &E = m_Exchanges[Number];
-    E.m_Connection =
-        HttpClientConnection::create(m_Loop.context(), *this, Number);
+    E.m_Connection = HttpClientConnection::create(
+        m_Loop.context(), *this, Number, m_Slots.limits().m_ReplyBytes);
     assign(std::move(C), Number, E);
     if (Destination && !Bad)
       return E.m_Connection->open({Ip, Destination->m_Port});
@@ -276,7 +285,24 @@
 
   void onExchangeFailed(HttpClientConnection &Connection,
                         const error_code &Failed) override {
-    fail(Connection.number(), ErrorCode::ConnectionLost, Failed.message());
+    if (!isUnreadable(Failed))
+      return fail(Connection.number(), ErrorCode::ConnectionLost,
+                  Failed.message());
+    reject(Connection, Failed.message());
+  }
+
+  /// Ends the exchange on \p Connection because of its reply.
+  void reject(HttpClientConnection &Connection, const std::string &Why) {
+    const Call &C = *m_Exchanges.find(Connection.number())->second.m_Call;
+    logEvent(Event::ReplyRejected,
+             {{"client", m_Name},
+              {"peer", C.m_Peer},
+              {"target", C.m_Target},
+              {"reason", Why},
+              {"bytes", std::to_string(Connection.bytesReceived())}});
+    fail(Connection.number(), ErrorCode::InvalidMessage,
+         Why + " after " + std::to_string(Connection.bytesReceived()) +
+             " bytes of the reply");
   }
 
   void onIdleEnd(HttpClientConnection &Connection) override {
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -59,8 +59,9 @@
   /// says. Errors: InvalidArgument if \p Peer is not an address;
   /// ResourceExhausted if this process had no connection, descriptor, port or
   /// memory for the call, so that nothing was sent; ConnectFailed if \p Peer
-  /// did not accept a connection, so that nothing was sent; Timeout or
-  /// ConnectionLost if the peer may have processed the request.
+  /// did not accept a connection, so that nothing was sent; Timeout,
+  /// ConnectionLost or InvalidMessage if the peer may have processed the
+  /// request, the last if its reply was malformed or too long.
   void call(const std::string &Peer, HttpRequest Request, Duration Timeout,
             ReplyCallback Callback, CallLimit Limit = CallLimit::Timeout);
 
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -13,9 +13,13 @@
 
 namespace {
 
-/// Maximum size of a reply body in bytes. The store's largest reply has 1 MB of
-/// rows; Base64 and JSON increase this by about half.
-constexpr std::uint64_t MaxReplyBytes = 8u << 20;
+/// Longest part of a reply that the parser takes only as a whole, in bytes: a
+/// chunk's header or the trailers. The parser limits the header to 8 KB.
+constexpr std::size_t MaxUnparsedBytes = 16 * 1024;
+/// Bytes on the wire for each byte of a body that a reply may take.
+constexpr std::size_t MaxWireFactor = 2;
+/// Bytes that are read at a time before the loop serves others.
+constexpr std::size_t MaxTurnBytes = 256 * 1024;
 /// Bytes that a connection keeps for the start of a reply.
 constexpr std::size_t FirstReadBytes = 1024;
 /// Bytes of a further read of a reply that is longer.
@@ -31,9 +35,10 @@
 
 std::shared_ptr<HttpClientConnection>
 HttpClientConnection::create(asio::io_context &Context, Listener &Events,
-                             ConnectionNumber Number) {
+                             ConnectionNumber Number,
+                             std::size_t MaxReplyBytes) {
   return std::shared_ptr<HttpClientConnection>(
-      new HttpClientConnection(Context, Events, Number));
+      new HttpClientConnection(Context, Events, Number, MaxReplyBytes));
 }
 
 /// Asio's socket would turn the option of setOptions() off in its destructor,
@@ -74,7 +79,7 @@
 }
 
 void HttpClientConnection::send(std::string Request) {
-  m_Parser.emplace(MaxReplyBytes);
+  m_Parser.emplace(m_MaxReplyBytes);
   m_BytesReceived = 0;
   ErrorCode Failed;
   std::size_t Sent = m_Socket.send(asio::buffer(Request), 0, Failed);
@@ -133,12 +138,15 @@
   if (!m_Parser)
     return m_Events.onIdleEnd(*this);
   std::size_t Wanted = m_Parser->got_some() ? FurtherReadBytes : FirstReadBytes;
+  const std::size_t TurnEnd = m_BytesReceived + MaxTurnBytes;
   while (!Failed || Failed == asio::error::eof) {
     m_Input.commit(Bytes);
     m_BytesReceived += Bytes;
     if (!parse(Failed == asio::error::eof))
       return;
-    if (Bytes < Wanted)
+    if (isTooLong())
+      return fail(http::make_error_code(http::error::buffer_overflow));
+    if (Bytes < Wanted || m_BytesReceived >= TurnEnd)
       return receiveRest();
     Wanted = FurtherReadBytes;
     Bytes = m_Socket.receive(m_Input.prepare(Wanted), 0, Failed);
@@ -172,6 +180,11 @@
   return false;
 }
 
+bool HttpClientConnection::isTooLong() const {
+  return m_Input.size() > MaxUnparsedBytes ||
+         m_BytesReceived > MaxWireFactor * m_MaxReplyBytes;
+}
+
 void HttpClientConnection::finish(bool IsClosed) {
   bool IsReusable = m_Parser->keep_alive() && !IsClosed &&
                     m_Input.size() == 0 && m_Output.empty();
--- a/src/net/HttpClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -40,7 +40,8 @@
     /// another one.
     virtual void onReply(HttpClientConnection &Connection, HttpReply Reply,
                          bool IsReusable) = 0;
-    /// The exchange cannot be completed. The peer may have the request.
+    /// The exchange cannot be completed. The peer may have the request. An
+    /// error of Beast's HTTP parser says that the reply cannot be read.
     virtual void onExchangeFailed(HttpClientConnection &Connection,
                                   const boost::system::error_code &Failed) = 0;
     /// The peer closed the connection between two exchanges, or sent data that
@@ -48,10 +49,12 @@
     virtual void onIdleEnd(HttpClientConnection &Connection) = 0;
   };
 
-  /// \p Context and \p Events must outlive the connection.
+  /// \p Context and \p Events must outlive the connection. A reply whose body
+  /// has more than \p MaxReplyBytes fails, as does one whose header, chunk
+  /// headers or trailers are too long.
   static std::shared_ptr<HttpClientConnection>
   create(boost::asio::io_context &Context, Listener &Events,
-         ConnectionNumber Number);
+         ConnectionNumber Number, std::size_t MaxReplyBytes);
   ~HttpClientConnection();
   HttpClientConnection(const HttpClientConnection &) = delete;
   HttpClientConnection &operator=(const HttpClientConnection &) = delete;
@@ -77,8 +80,9 @@
   using ErrorCode = boost::system::error_code;
 
   HttpClientConnection(boost::asio::io_context &Context, Listener &Events,
-                       ConnectionNumber Number)
-      : m_Socket(Context.get_executor()), m_Events(Events), m_Number(Number) {}
+                       ConnectionNumber Number, std::size_t MaxReplyBytes)
+      : m_Socket(Context.get_executor()), m_Events(Events), m_Number(Number),
+        m_MaxReplyBytes(MaxReplyBytes) {}
 
   void setOptions();
   void receive();
@@ -88,6 +92,9 @@
   /// Parses what has been received, and the end of the stream if \p IsClosed.
   /// Returns whether the reply needs more.
   bool parse(bool IsClosed);
+  /// Whether the reply that is arriving takes more than any reply within the
+  /// limits.
+  bool isTooLong() const;
   void finish(bool IsClosed);
   void fail(const ErrorCode &Failed);
   void sendRest(std::size_t Sent);
@@ -95,6 +102,8 @@
   Socket m_Socket;
   Listener &m_Events;
   ConnectionNumber m_Number;
+  std::size_t m_MaxReplyBytes;
+  /// What the parser has not taken yet.
   boost::beast::flat_buffer m_Input;
   /// Set during an exchange.
   std::optional<ReplyParser> m_Parser;
--- a/src/store/MetadataStore.h
+++ b/src/store/MetadataStore.h
@@ -98,10 +98,10 @@
 /// while it advances, \see CallDeadline.
 ///
 /// Errors: after Unavailable, RateLimited, ConnectFailed and ResourceExhausted
-/// nothing was done. After Timeout or ConnectionLost a transaction may have
-/// been applied, or may still be applied seconds later if its conditions hold
-/// then. NotFound from follow() means that the store no longer has the changes
-/// after that version.
+/// nothing was done. After Timeout, ConnectionLost or InvalidMessage a
+/// transaction may have been applied, or may still be applied seconds later if
+/// its conditions hold then. NotFound from follow() means that the store no
+/// longer has the changes after that version.
 class MetadataStore {
 public:
   virtual ~MetadataStore() = default;
