Bound what all replies that are arriving take together

Cause: only single replies had a limit. Besides, a body without an announced length grew as one text, which takes up to three times its size and leaves gaps in the heap.

Change: ConnectionLimits has a limit on all replies that are arriving, with the lengths that they announce; beyond it the largest is given up as an invalid message (ReplyRejected), so that small replies go on. 96 MB from the platform's services: all 64 connections to the store may bring its largest reply, about 1.4 MB, at a time. 16 MB from backend servers. A reply that comes whole in one turn of reading never counts. Bodies without an announced length are collected in parts of 64 KB.

--- a/src/entry/ConnectionBudget.cpp
+++ b/src/entry/ConnectionBudget.cpp
@@ -25,8 +25,12 @@
 /// The store's largest reply has 1 MB of rows; Base64 and JSON increase this by
 /// about half. A reply of the change feed has no stated limit.
 constexpr std::size_t PlatformReplyBytes = 8u << 20;
+/// All connections to the store may bring its largest reply at the same time.
+constexpr std::size_t PlatformArrivingBytes = 96u << 20;
 /// A backend server's largest reply lists its runs and 500 ends.
 constexpr std::size_t BackendReplyBytes = 2u << 20;
+/// Usual replies of backend servers arrive at once and don't count.
+constexpr std::size_t BackendArrivingBytes = 16u << 20;
 /// Descriptors of listeners, the event loop and the log.
 constexpr std::size_t OwnDescriptors = 32;
 constexpr std::size_t CallersShareDivisor = 4;
@@ -39,11 +43,11 @@
   ConnectionBudget Budget;
   Budget.m_Platform = {PlatformConnectionsPerPeer,
                        PlatformConnectionsPerPeer * PlatformPeers,
-                       PlatformReplyBytes};
+                       PlatformReplyBytes, PlatformArrivingBytes};
   Budget.m_Backends = {BackendConnectionsPerPeer,
                        Limit - Limit / CallersShareDivisor - OwnDescriptors -
                            Budget.m_Platform.m_Total,
-                       BackendReplyBytes};
+                       BackendReplyBytes, BackendArrivingBytes};
   return Budget;
 }
 
--- a/src/net/ConnectionSlots.h
+++ b/src/net/ConnectionSlots.h
@@ -23,6 +23,9 @@
   std::size_t m_Total = 1024;
   /// Longest body of a reply, in bytes.
   std::size_t m_ReplyBytes = 8u << 20;
+  /// Bytes of all replies that are arriving, with the lengths that they
+  /// announce. The largest of them is given up when they have more.
+  std::size_t m_ArrivingBytes = 96u << 20;
 };
 
 /// Number of a call or of a connection, unique within one client.
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include "base/Log.h"
 #include "net/CallDeadline.h"
 #include "net/HttpClientConnection.h"
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -43,6 +44,8 @@
   /// 0 while the call waits for a connection.
   ConnectionNumber m_Connection = 0;
   bool m_IsSent = false;
+  /// Bytes of the reply that is arriving, as far as known.
+  std::size_t m_ArrivingBytes = 0;
 };
 
 struct EarlierDeadline {
@@ -107,6 +110,8 @@
   HttpClientCounters m_Counters;
   CallNumber m_LastCall = 0;
   TimePoint m_NextLimitLog{};
+  /// Sum over the calls.
+  std::size_t m_ArrivingBytes = 0;
 
   Impl(EventLoop &Loop, std::string Name, const ConnectionLimits &Limits)
       : m_Loop(Loop), m_Name(std::move(Name)), m_Slots(Limits),
@@ -272,6 +277,12 @@
 
   void onProgress(HttpClientConnection &Connection) override {
     Call &C = *m_Exchanges.find(Connection.number())->second.m_Call;
+    extendDeadline(C);
+    count(C, Connection.bytesExpected());
+    limitArrivingBytes();
+  }
+
+  void extendDeadline(Call &C) {
     if (!C.m_ReplyBegunAt)
       C.m_ReplyBegunAt = m_Loop.now();
     if (C.m_Limit == CallLimit::Timeout ||
@@ -283,6 +294,26 @@
     // The timer may expire earlier, which finds no call to end.
   }
 
+  void count(Call &C, std::size_t ArrivingBytes) {
+    m_ArrivingBytes += ArrivingBytes - C.m_ArrivingBytes;
+    C.m_ArrivingBytes = ArrivingBytes;
+  }
+
+  /// Gives up the largest replies while all together are beyond the limit.
+  void limitArrivingBytes() {
+    auto IsSmaller = [](const auto &Left, const auto &Right) {
+      auto Bytes = [](const Exchange &E) {
+        return E.m_Call ? E.m_Call->m_ArrivingBytes : 0;
+      };
+      return Bytes(Left.second) < Bytes(Right.second);
+    };
+    while (m_ArrivingBytes > m_Slots.limits().m_ArrivingBytes)
+      reject(
+          *std::max_element(m_Exchanges.begin(), m_Exchanges.end(), IsSmaller)
+               ->second.m_Connection,
+          "all replies together are too long");
+  }
+
   void onExchangeFailed(HttpClientConnection &Connection,
                         const error_code &Failed) override {
     if (!isUnreadable(Failed))
@@ -331,6 +362,7 @@
 
   void end(Call &C, Result<HttpReply> Reply) {
     C.unlink();
+    count(C, 0);
     C.m_Callback(std::move(Reply));
     releaseTimer();
   }
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "net/HttpClientConnection.h"
 #include "base/Log.h"
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
@@ -185,6 +186,14 @@
          m_BytesReceived > MaxWireFactor * m_MaxReplyBytes;
 }
 
+std::size_t HttpClientConnection::bytesExpected() const {
+  if (!m_Parser)
+    return 0;
+  auto Announced =
+      m_Parser->is_header_done() ? m_Parser->content_length() : boost::none;
+  return std::max<std::size_t>(m_BytesReceived, Announced.value_or(0));
+}
+
 void HttpClientConnection::finish(bool IsClosed) {
   bool IsReusable = m_Parser->keep_alive() && !IsClosed &&
                     m_Input.size() == 0 && m_Output.empty();
--- a/src/net/HttpClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -34,7 +34,7 @@
     /// The peer did not accept the connection.
     virtual void onConnectFailed(HttpClientConnection &Connection,
                                  const boost::system::error_code &Failed) = 0;
-    /// A part of the reply has arrived.
+    /// A part of the reply has arrived. The connection may be destroyed.
     virtual void onProgress(HttpClientConnection &Connection) = 0;
     /// The exchange is complete. \p IsReusable: the connection may carry
     /// another one.
@@ -67,6 +67,9 @@
   void send(std::string Request);
   /// Bytes of the current or last exchange's reply that have arrived.
   std::size_t bytesReceived() const { return m_BytesReceived; }
+  /// Bytes that the current exchange's reply has at least, as far as known:
+  /// those that have arrived, or its announced length. 0 without an exchange.
+  std::size_t bytesExpected() const;
   /// Notes that the exchange has ended at \p Now.
   void setIdleSince(TimePoint Now) { m_IdleSince = Now; }
   /// Returns whether the peer has closed the idle connection or sent
--- a/src/net/HttpReplyLimitsTest.cpp
+++ b/src/net/HttpReplyLimitsTest.cpp
@@ -108,3 +108,76 @@
   }
   STRCMP_EQUAL("", Faults.c_str());
 }
+
+// Guards against a body whose parts are lost or change their order because its
+// length was not announced.
+TEST(HttpReplyLimits, ReadsALargeBodyInChunks) {
+  std::string Body;
+  for (int N = 0; Body.size() < 200 * 1024; ++N)
+    Body += std::to_string(N) + ' ';
+  std::string Sent = Chunked;
+  constexpr std::size_t ChunkSize = 0x5ffb;
+  for (std::size_t At = 0; At < Body.size(); At += ChunkSize) {
+    std::string Chunk = Body.substr(At, ChunkSize);
+    std::array<char, 16> Size{};
+    std::snprintf(Size.data(), Size.size(), "%zx\r\n", Chunk.size());
+    Sent += Size.data() + Chunk + "\r\n";
+  }
+  Sent += "0\r\nX-Trailer: 1\r\n\r\n";
+  auto Loop = EventLoop::create();
+  std::unique_ptr<Flood> Sender;
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int) {
+    Sender = std::make_unique<Flood>(S, Sent.substr(0, 1), Sent.substr(1), 1);
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer Given;
+  Client->call(Server.address(), Order, 5s, storeTo(Given));
+  runUntil(*Loop, [&] { return Given.m_Callbacks > 0; });
+  CHECK(Given.m_Body == Body);
+  CHECK_EQUAL(1u, Client->openConnections());
+}
+
+// Guards against many large replies that together take the memory of the
+// process though none is too long, against a small reply that is given up
+// because of them, and against a count that keeps what has ended.
+TEST(HttpReplyLimits, TheRepliesThatArriveHaveALimitTogether) {
+  constexpr std::size_t Part = 64 * 1024;
+  constexpr int LargeReplies = 8;
+  constexpr int Allowed = 3;
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int Number) {
+    if (Number == LargeReplies + 1)
+      return reply(S, "small");
+    // Its last byte never comes.
+    asio::write(S, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                std::to_string(Part + 1) + "\r\n\r\n" +
+                                std::string(Part, 'x')));
+  });
+  ConnectionLimits Limits{LargeReplies + 1, LargeReplies + 1};
+  Limits.m_ArrivingBytes = Allowed * Part + Part / 2;
+  auto Client = HttpClient::create(*Loop, "test", Limits);
+  int Rejected = 0;
+  int TimedOut = 0;
+  Answer Small;
+  auto CallLarge = [&](const std::function<void()> &Then) {
+    Client->call(
+        Server.address(), Order, 1s, [&, Then](const Result<HttpReply> &Reply) {
+          Rejected += Reply.error().m_Code == ErrorCode::InvalidMessage;
+          TimedOut += Reply.error().m_Code == ErrorCode::Timeout;
+          Then();
+        });
+  };
+  auto OnFirstEnd = [&] {
+    if (Rejected == LargeReplies - Allowed && Small.m_Callbacks == 0)
+      Client->call(Server.address(), Order, 1s, storeTo(Small));
+    if (TimedOut == Allowed)
+      for (int N = 0; N < Allowed; ++N)
+        CallLarge([] {});
+  };
+  for (int N = 0; N < LargeReplies; ++N)
+    CallLarge(OnFirstEnd);
+  runUntil(*Loop, [&] { return TimedOut == 2 * Allowed; });
+  CHECK_EQUAL(LargeReplies - Allowed, Rejected);
+  CHECK_EQUAL(2 * Allowed, TimedOut);
+  STRCMP_EQUAL("small", Small.m_Body.c_str());
+}
--- a/src/net/ReplyParser.h
+++ b/src/net/ReplyParser.h
@@ -4,6 +4,7 @@
 #define POLLENSPOOL_NET_REPLYPARSER_H
 
 #include "net/HttpMessage.h"
+#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -19,7 +20,16 @@
   }
 
   /// The reply. Precondition: is_done().
-  HttpReply take() { return std::move(m_Reply); }
+  HttpReply take() {
+    std::size_t Size = m_Reply.m_Body.size();
+    for (const std::string &Part : m_FurtherParts)
+      Size += Part.size();
+    m_Reply.m_Body.reserve(Size);
+    for (const std::string &Part : m_FurtherParts)
+      m_Reply.m_Body += Part;
+    m_FurtherParts.clear();
+    return std::move(m_Reply);
+  }
 
 private:
   using ErrorCodeRef = boost::system::error_code &;
@@ -27,6 +37,9 @@
   using Field = boost::beast::http::field;
   /// Headers that a reply usually has.
   static constexpr std::size_t UsualHeaders = 6;
+  /// Size of the parts of a body without an announced length. A text that grows
+  /// by copies takes up to three times its size, and leaves gaps.
+  static constexpr std::size_t PartBytes = 64 * 1024;
 
   void on_request_impl(boost::beast::http::verb, Text, Text, int,
                        ErrorCodeRef) override {}
@@ -49,7 +62,13 @@
       m_Reply.m_Body.reserve(static_cast<std::size_t>(*Length));
   }
   std::size_t on_body_impl(Text Part, ErrorCodeRef) override {
-    m_Reply.m_Body.append(Part.data(), Part.size());
+    std::string *Last =
+        m_FurtherParts.empty() ? &m_Reply.m_Body : &m_FurtherParts.back();
+    if (Last->size() + Part.size() > std::max(Last->capacity(), PartBytes)) {
+      Last = &m_FurtherParts.emplace_back();
+      Last->reserve(PartBytes);
+    }
+    Last->append(Part.data(), Part.size());
     return Part.size();
   }
   void on_chunk_header_impl(std::uint64_t, Text, ErrorCodeRef) override {}
@@ -60,6 +79,8 @@
   void on_finish_impl(ErrorCodeRef) override {}
 
   HttpReply m_Reply;
+  /// What follows the body of m_Reply.
+  std::vector<std::string> m_FurtherParts;
 };
 
 } // namespace pollenspool
--- a/tests/hostile_reply_check.py
+++ b/tests/hostile_reply_check.py
@@ -42,6 +42,14 @@
     "tiny-chunks": (CHUNKED, b"1\r\n \r\n" * 10000),
 }
 
+# Bodies just within the limit that are never complete: start, part, number of parts.
+LARGE = {
+    "large": (b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % (LARGE_BODY_BYTES + 1),
+              b"x" * 65536, LARGE_BODY_BYTES // 65536),
+    "large-chunked": (CHUNKED, b"10000\r\n" + b"x" * 65536 + b"\r\n",
+                      LARGE_BODY_BYTES // 65536),
+}
+
 
 class HostileHttp(job_platform.Http):
     """Answers as the hostile mode of its kind of peer says; as the stand-in if there is none."""
@@ -59,7 +67,7 @@
             kind = type(handler.__self__).__name__
             if kind != HostileHttp.hostile_peer or path in ("/report", "/expect"):
                 return await handler(method, path, query, headers, body)
-            if HostileHttp.open_floods >= MAX_FLOODS and HostileHttp.mode != "large":
+            if HostileHttp.open_floods >= MAX_FLOODS and HostileHttp.mode in ENDLESS:
                 return 503, {}
             HostileHttp.open_floods += 1
             try:
@@ -72,12 +80,12 @@
 
     @staticmethod
     async def answer_hostile(writer):
-        if HostileHttp.mode == "large":
-            # The last byte never comes.
-            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % (LARGE_BODY_BYTES + 1))
-            writer.write(b"x" * LARGE_BODY_BYTES)
+        if HostileHttp.mode in LARGE:
+            start, part, count = LARGE[HostileHttp.mode]
+            writer.write(start + part * count)
             await writer.drain()
-            while not writer.transport.is_closing() and HostileHttp.mode == "large":
+            # The rest never comes.
+            while not writer.transport.is_closing() and HostileHttp.mode in LARGE:
                 await asyncio.sleep(0.05)
             return
         start, part = ENDLESS[HostileHttp.mode]
@@ -209,7 +217,7 @@
     def run(self, only):
         failures = 0
         for peer in ("BackendServer", "Store"):
-            for mode in ENDLESS:  # LARGE
+            for mode in (*ENDLESS, *LARGE):
                 if only and f"{peer}.{mode}" not in only:
                     continue
                 try:
