Send no call after its deadline

An entry process that was stopped, or whose machine was suspended, while a call connected or waited for a connection sent it when it went on, however late: the event loop handles sockets before timers.

Change: the deadline is checked where the request is handed to the socket. A call that has connected too late fails as not sent; one that waits for a connection gets none and is ended by its timer.

Tests: HttpClient.ACallIsNotSentAfterItsDeadline and AQueuedCallIsNotSentAfterItsDeadline let the deadline pass while the loop is blocked; both failed before (the requests were sent).

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -185,6 +185,10 @@
         continue;
       }
       auto Waiting = m_Waiting.find(Next->m_Call);
+      if (isLate(*Waiting->second)) {
+        returnConnection(*Next);
+        continue;
+      }
       if (Next->m_Kind == ConnectionAction::Kind::Reuse) {
         auto Idle = m_Exchanges.find(Next->m_Connection);
         if (Idle->second.m_Connection->isStale(m_Loop.now())) {
@@ -203,6 +207,17 @@
     logLimit();
   }
 
+  /// Whether \p C must not be sent any more. The timer, which may be late too,
+  /// ends it.
+  bool isLate(const Call &C) const { return m_Loop.now() >= C.m_Deadline.at(); }
+
+  void returnConnection(const ConnectionAction &Unused) {
+    if (Unused.m_Kind == ConnectionAction::Kind::Reuse)
+      m_Slots.release(Unused.m_Connection);
+    else
+      m_Slots.close(Unused.m_Connection);
+  }
+
   void logLimit() {
     if (!m_Slots.isTotalLimitBinding())
       return;
@@ -247,7 +262,11 @@
   }
 
   void onConnected(HttpClientConnection &Connection) override {
-    send(m_Exchanges.find(Connection.number())->second);
+    Exchange &E = m_Exchanges.find(Connection.number())->second;
+    if (isLate(*E.m_Call))
+      return fail(Connection.number(), ErrorCode::ConnectFailed,
+                  "the deadline has passed");
+    send(E);
   }
 
   void onConnectFailed(HttpClientConnection &Connection,
--- a/src/net/HttpClientTest.cpp
+++ b/src/net/HttpClientTest.cpp
@@ -56,6 +56,12 @@
   std::optional<error_code> m_End;
 };
 
+/// Lets \p Time pass in which \p Loop handles nothing.
+void passTime(const EventLoop &Loop, Duration Time) {
+  for (TimePoint End = Loop.now() + Time; Loop.now() < End;)
+    continue;
+}
+
 } // namespace
 
 TEST_GROUP(HttpClient){};
@@ -359,6 +365,54 @@
   CHECK(Given.m_Failure == ErrorCode::Timeout);
 }
 
+// A stopped process or a suspended machine goes on after the deadline of a call
+// that connects; its socket is handled before its timer. Guards against an
+// order that is sent then, seconds after it was decided.
+TEST(HttpClient, ACallIsNotSentAfterItsDeadline) {
+  auto Loop = EventLoop::create();
+  int Requests = 0;
+  ScriptedServer Server(*Loop,
+                        [&](ScriptedServer::Socket &, int) { ++Requests; });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer Given;
+  Client->call(Server.address(), Order, 30ms, storeTo(Given));
+  passTime(*Loop, 50ms);
+  bool IsOver = false;
+  runUntil(*Loop, [&] {
+    if (Given.m_Callbacks > 0)
+      Loop->after(20ms, [&] { IsOver = true; });
+    return IsOver;
+  });
+  CHECK(Given.m_Failure == ErrorCode::ConnectFailed);
+  CHECK_EQUAL(0, Requests);
+}
+
+// The same for a call that waits for a connection, and for the calls after it.
+TEST(HttpClient, AQueuedCallIsNotSentAfterItsDeadline) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int Number) {
+    error_code Ignored;
+    asio::write(S,
+                asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+                             std::to_string(Number)),
+                Ignored);
+    if (Number == 1)
+      passTime(*Loop, 200ms);
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  std::array<Answer, 3> Given;
+  Client->call(Server.address(), Order, 5s, storeTo(Given[0]));
+  Client->call(Server.address(), Order, 150ms, storeTo(Given[1]));
+  Client->call(Server.address(), Order, 5s, storeTo(Given[2]));
+  runUntil(*Loop, [&] {
+    return Given[1].m_Callbacks > 0 && Given[2].m_Callbacks > 0;
+  });
+  STRCMP_EQUAL("1", Given[0].m_Body.c_str());
+  CHECK(Given[1].m_Failure == ErrorCode::ResourceExhausted);
+  STRCMP_EQUAL("2", Given[2].m_Body.c_str());
+  CHECK_EQUAL(1, Given[1].m_Callbacks);
+}
+
 TEST_GROUP(CallDeadline){};
 
 // Guards against a peer that holds a connection forever by sending a byte now
