Answer texts that are not UTF-8 instead of ending the process

Cause: refusals and pages quote texts from outside, nlohmann's dump() throws for bytes that are not UTF-8, and nothing below the event loop catches it.

Change: jsonText() writes all JSON of the entry process and replaces such bytes; log lines and JsonWriter, which did so already, use it too.

--- a/src/base/JsonWriter.cpp
+++ b/src/base/JsonWriter.cpp
@@ -1,6 +1,7 @@
 //===- JsonWriter.cpp - Writes JSON texts ---------------------------------===//
 
 #include "base/JsonWriter.h"
+#include "base/JsonText.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -15,8 +16,7 @@
 
 JsonWriter &JsonWriter::add(std::string_view Value) {
   if (!std::all_of(Value.begin(), Value.end(), isPlain))
-    return addToken(nlohmann::json(Value).dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace));
+    return addToken(jsonText(nlohmann::json(Value)));
   separate();
   m_Text += '"';
   m_Text += Value;
@@ -25,7 +25,7 @@
 }
 
 JsonWriter &JsonWriter::add(double Value) {
-  return addToken(nlohmann::json(Value).dump());
+  return addToken(jsonText(nlohmann::json(Value)));
 }
 
 } // namespace pollenspool
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "base/BoundedWriter.h"
+#include "base/JsonText.h"
 #include <algorithm>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -142,8 +143,7 @@
   for (const Field &F : Fields)
     Line[std::string(F.m_Key)] = F.m_Value;
   static logging::sources::severity_logger_mt<Severity> Logger;
-  BOOST_LOG_SEV(Logger, Info.m_Severity) << Line.dump(
-      -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  BOOST_LOG_SEV(Logger, Info.m_Severity) << jsonText(Line);
 }
 
 } // namespace pollenspool
--- a/src/entry/StatusPage.cpp
+++ b/src/entry/StatusPage.cpp
@@ -1,6 +1,7 @@
 //===- StatusPage.cpp - The operators' status page ------------------------===//
 
 #include "entry/StatusPage.h"
+#include "base/JsonText.h"
 #include "entry/OrganisationView.h"
 #include <nlohmann/json.hpp>
 
@@ -142,7 +143,7 @@
     Page["waves"] = waves(L->planner());
     Page["term_certain"] = Service.leadership().isValid(Now);
   }
-  return Page.dump();
+  return jsonText(Page);
 }
 
 std::string renderJob(const Entry &Service, const JobId &Id, TimePoint Now) {
@@ -157,7 +158,7 @@
     Page["steps"] = steps(*Job);
   }
   Page["waits"] = L->waits().explain(Id, Now);
-  return Page.dump();
+  return jsonText(Page);
 }
 
 } // namespace pollenspool
--- a/src/instances/RecentOrders.cpp
+++ b/src/instances/RecentOrders.cpp
@@ -1,6 +1,7 @@
 //===- RecentOrders.cpp - Orders announced to the next leader -------------===//
 
 #include "instances/RecentOrders.h"
+#include "base/JsonText.h"
 #include "base/ReadJson.h"
 #include <algorithm>
 
@@ -51,7 +52,7 @@
   Json All = Json::object();
   for (const auto &[Id, E] : m_Announcements)
     All[Id.m_Text] = {E.m_At.count(), E.m_Leader};
-  return All.dump();
+  return jsonText(All);
 }
 
 Result<RecentOrders> RecentOrders::decode(const std::string &Text) {
--- a/src/instances/WaveRows.cpp
+++ b/src/instances/WaveRows.cpp
@@ -1,6 +1,7 @@
 //===- WaveRows.cpp - Serialization of wave progress ----------------------===//
 
 #include "instances/WaveRows.h"
+#include "base/JsonText.h"
 #include "base/ReadJson.h"
 
 namespace pollenspool {
@@ -11,10 +12,9 @@
   Json Done = Json::array();
   for (const InstanceId &Id : Progress.m_Done)
     Done.push_back(Id.m_Text);
-  return Json{{"seen", Progress.m_SeenAt.count()},
-              {"done", Done},
-              {"complete", Progress.m_Complete}}
-      .dump();
+  return jsonText(Json{{"seen", Progress.m_SeenAt.count()},
+                       {"done", Done},
+                       {"complete", Progress.m_Complete}});
 }
 
 Result<WaveProgress> decodeWaveProgress(const std::string &Text) {
--- a/src/lead/IdleServers.cpp
+++ b/src/lead/IdleServers.cpp
@@ -1,6 +1,7 @@
 //===- IdleServers.cpp - Unreachable servers without runs -----------------===//
 
 #include "lead/IdleServers.h"
+#include "base/JsonText.h"
 #include "base/Log.h"
 #include "base/ReadJson.h"
 
@@ -19,7 +20,7 @@
   Json Servers = Json::array();
   for (const ServerId &Id : Row.m_Servers)
     Servers.push_back(Id.m_Text);
-  return Json{{"term", Row.m_Term}, {"servers", Servers}}.dump();
+  return jsonText(Json{{"term", Row.m_Term}, {"servers", Servers}});
 }
 
 Result<IdleServersRow> decodeIdleServers(const std::string &Text) {
--- a/src/lead/Leadership.cpp
+++ b/src/lead/Leadership.cpp
@@ -1,6 +1,7 @@
 //===- Leadership.cpp - Election of the leading entry instance ------------===//
 
 #include "lead/Leadership.h"
+#include "base/JsonText.h"
 #include "base/ReadJson.h"
 #include <algorithm>
 
@@ -28,10 +29,9 @@
 } // namespace
 
 std::string encodeTerm(const TermRow &Row) {
-  return Json{{"term", Row.m_Term},
-              {"leader", Row.m_Leader},
-              {"released", Row.m_Released}}
-      .dump();
+  return jsonText(Json{{"term", Row.m_Term},
+                       {"leader", Row.m_Leader},
+                       {"released", Row.m_Released}});
 }
 
 Result<TermRow> decodeTerm(const std::string &Text) {
@@ -55,7 +55,7 @@
     J["admit"][Name.m_Text] = Fraction;
   for (const PoolName &Pool : Row.m_Admission.m_FullPools)
     J["full_pools"].push_back(Pool.m_Text);
-  return J.dump();
+  return jsonText(J);
 }
 
 Result<RenewalRow> decodeRenewal(const std::string &Text) {
@@ -83,7 +83,7 @@
 }
 
 std::string encodeHandoverOffer(const HandoverOfferRow &Row) {
-  return Json{{"term", Row.m_Term}, {"from", Row.m_Candidate}}.dump();
+  return jsonText(Json{{"term", Row.m_Term}, {"from", Row.m_Candidate}});
 }
 
 Result<HandoverOfferRow> decodeHandoverOffer(const std::string &Text) {
--- a/src/lead/StartRecords.cpp
+++ b/src/lead/StartRecords.cpp
@@ -1,6 +1,7 @@
 //===- StartRecords.cpp - Whether starts are recorded first ---------------===//
 
 #include "lead/StartRecords.h"
+#include "base/JsonText.h"
 #include "base/Log.h"
 #include "base/ReadJson.h"
 
@@ -22,9 +23,9 @@
 } // namespace
 
 std::string encodeStartRecords(const StartRecordsRow &Row) {
-  return Json{
-      {"term", Row.m_Term}, {"records", Row.m_Records}, {"since", Row.m_Since}}
-      .dump();
+  return jsonText(Json{{"term", Row.m_Term},
+                       {"records", Row.m_Records},
+                       {"since", Row.m_Since}});
 }
 
 Result<StartRecordsRow> decodeStartRecords(const std::string &Text) {
--- a/tests/hostile_reply_check.py
+++ b/tests/hostile_reply_check.py
@@ -171,9 +171,13 @@
         assert self.entry.is_up(), f"the process ended with {self.entry.process.returncode}"
         return True
 
-    def is_completed(self, job):
-        return self.is_alive() and call(self.entry.callers, "GET", f"/asks/{job}") == (
-            200, {"state": "completed"})
+    def until_ready(self):
+        until("it is ready",
+              lambda: self.is_alive() and call(self.entry.ready, "GET", "/")[0] == 200)
+
+    def wait_completed(self, job):
+        until(f"job {job} is completed", lambda: self.is_alive() and call(
+            self.entry.callers, "GET", f"/asks/{job}") == (200, {"state": "completed"}))
 
     def ask_without_end(self, stopped):
         """Many callers at once, whose requests the store answers."""
@@ -188,7 +192,7 @@
     def play(self, peer, mode, replies):
         """Lets the peer send that many hostile replies. Returns (peak RSS in KB, descriptors)."""
         self.entry.start()
-        until("it is ready", lambda: self.is_alive() and call(self.entry.ready, "GET", "/")[0] == 200)
+        self.until_ready()
         job = self.submit(width=24)
         stopped, descriptors = threading.Event(), []
         HostileHttp.ended_floods = 0
@@ -206,9 +210,8 @@
             stopped.set()
             for caller in callers:
                 caller.join()
-        until("an earlier job is completed", lambda: self.is_completed(job))
-        later = self.submit(width=1)
-        until("a later job is completed", lambda: self.is_completed(later))
+        self.wait_completed(job)
+        self.wait_completed(self.submit(width=1))
         assert not self.platform.world.oracle.breaches, self.platform.world.oracle.breaches
         peak = self.entry.peak_kb()
         self.entry.kill()
