--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include "base/Log.h"
 #include "net/CallDeadline.h"
 #include "net/HttpClientConnection.h"
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -43,6 +44,8 @@
   /// 0 while the call waits for a connection.
   ConnectionNumber m_Connection = 0;
   bool m_IsSent = false;
+  /// Bytes of the reply that is arriving, as far as known.
+  std::size_t m_ArrivingBytes = 0;
 };
 
 struct EarlierDeadline {
@@ -72,6 +75,15 @@
          Failed == errc::address_not_available;
 }
 
+/// Whether a reply arrived that cannot be read: it is malformed or too long.
+bool isUnreadable(const error_code &Failed) {
+  namespace http = boost::beast::http;
+  return Failed.category() ==
+             http::make_error_code(http::error::bad_value).category() &&
+         Failed != http::error::end_of_stream &&
+         Failed != http::error::partial_message;
+}
+
 } // namespace
 
 struct HttpClient::Impl : HttpClientConnection::Listener,
@@ -98,6 +110,8 @@
   HttpClientCounters m_Counters;
   CallNumber m_LastCall = 0;
   TimePoint m_NextLimitLog{};
+  /// Sum over the calls.
+  std::size_t m_ArrivingBytes = 0;
 
   Impl(EventLoop &Loop, std::string Name, const ConnectionLimits &Limits)
       : m_Loop(Loop), m_Name(std::move(Name)), m_Slots(Limits),
@@ -171,6 +185,10 @@
         continue;
       }
       auto Waiting = m_Waiting.find(Next->m_Call);
+      if (isLate(*Waiting->second)) {
+        returnConnection(*Next);
+        continue;
+      }
       if (Next->m_Kind == ConnectionAction::Kind::Reuse) {
         auto Idle = m_Exchanges.find(Next->m_Connection);
         if (Idle->second.m_Connection->isStale(m_Loop.now())) {
@@ -189,6 +207,17 @@
     logLimit();
   }
 
+  /// Whether \p C must not be sent any more. The timer, which may be late too,
+  /// ends it.
+  bool isLate(const Call &C) const { return m_Loop.now() >= C.m_Deadline.at(); }
+
+  void returnConnection(const ConnectionAction &Unused) {
+    if (Unused.m_Kind == ConnectionAction::Kind::Reuse)
+      m_Slots.release(Unused.m_Connection);
+    else
+      m_Slots.close(Unused.m_Connection);
+  }
+
   void logLimit() {
     if (!m_Slots.isTotalLimitBinding())
       return;
@@ -215,8 +244,8 @@
         asio::ip::make_address_v4(Destination ? Destination->m_Host : "", Bad);
     ++m_Counters.m_Connections;
     Exchange &E = m_Exchanges[Number];
-    E.m_Connection =
-        HttpClientConnection::create(m_Loop.context(), *this, Number);
+    E.m_Connection = HttpClientConnection::create(
+        m_Loop.context(), *this, Number, m_Slots.limits().m_ReplyBytes);
     assign(std::move(C), Number, E);
     if (Destination && !Bad)
       return E.m_Connection->open({Ip, Destination->m_Port});
@@ -233,7 +262,11 @@
   }
 
   void onConnected(HttpClientConnection &Connection) override {
-    send(m_Exchanges.find(Connection.number())->second);
+    Exchange &E = m_Exchanges.find(Connection.number())->second;
+    if (isLate(*E.m_Call))
+      return fail(Connection.number(), ErrorCode::ConnectFailed,
+                  "the deadline has passed");
+    send(E);
   }
 
   void onConnectFailed(HttpClientConnection &Connection,
@@ -263,6 +296,12 @@
 
   void onProgress(HttpClientConnection &Connection) override {
     Call &C = *m_Exchanges.find(Connection.number())->second.m_Call;
+    extendDeadline(C);
+    count(C, Connection.bytesExpected());
+    limitArrivingBytes();
+  }
+
+  void extendDeadline(Call &C) {
     if (!C.m_ReplyBegunAt)
       C.m_ReplyBegunAt = m_Loop.now();
     if (C.m_Limit == CallLimit::Timeout ||
@@ -274,9 +313,46 @@
     // The timer may expire earlier, which finds no call to end.
   }
 
+  void count(Call &C, std::size_t ArrivingBytes) {
+    m_ArrivingBytes += ArrivingBytes - C.m_ArrivingBytes;
+    C.m_ArrivingBytes = ArrivingBytes;
+  }
+
+  /// Gives up the largest replies while all together are beyond the limit.
+  void limitArrivingBytes() {
+    auto IsSmaller = [](const auto &Left, const auto &Right) {
+      auto Bytes = [](const Exchange &E) {
+        return E.m_Call ? E.m_Call->m_ArrivingBytes : 0;
+      };
+      return Bytes(Left.second) < Bytes(Right.second);
+    };
+    while (m_ArrivingBytes > m_Slots.limits().m_ArrivingBytes)
+      reject(
+          *std::max_element(m_Exchanges.begin(), m_Exchanges.end(), IsSmaller)
+               ->second.m_Connection,
+          "all replies together are too long");
+  }
+
   void onExchangeFailed(HttpClientConnection &Connection,
                         const error_code &Failed) override {
-    fail(Connection.number(), ErrorCode::ConnectionLost, Failed.message());
+    if (!isUnreadable(Failed))
+      return fail(Connection.number(), ErrorCode::ConnectionLost,
+                  Failed.message());
+    reject(Connection, Failed.message());
+  }
+
+  /// Ends the exchange on \p Connection because of its reply.
+  void reject(HttpClientConnection &Connection, const std::string &Why) {
+    const Call &C = *m_Exchanges.find(Connection.number())->second.m_Call;
+    logEvent(Event::ReplyRejected,
+             {{"client", m_Name},
+              {"peer", C.m_Peer},
+              {"target", C.m_Target},
+              {"reason", Why},
+              {"bytes", std::to_string(Connection.bytesReceived())}});
+    fail(Connection.number(), ErrorCode::InvalidMessage,
+         Why + " after " + std::to_string(Connection.bytesReceived()) +
+             " bytes of the reply");
   }
 
   void onIdleEnd(HttpClientConnection &Connection) override {
@@ -305,6 +381,7 @@
 
   void end(Call &C, Result<HttpReply> Reply) {
     C.unlink();
+    count(C, 0);
     C.m_Callback(std::move(Reply));
     releaseTimer();
   }
--- a/src/net/HttpClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -34,13 +34,14 @@
     /// The peer did not accept the connection.
     virtual void onConnectFailed(HttpClientConnection &Connection,
                                  const boost::system::error_code &Failed) = 0;
-    /// A part of the reply has arrived.
+    /// A part of the reply has arrived. The connection may be destroyed.
     virtual void onProgress(HttpClientConnection &Connection) = 0;
     /// The exchange is complete. \p IsReusable: the connection may carry
     /// another one.
     virtual void onReply(HttpClientConnection &Connection, HttpReply Reply,
                          bool IsReusable) = 0;
-    /// The exchange cannot be completed. The peer may have the request.
+    /// The exchange cannot be completed. The peer may have the request. An
+    /// error of Beast's HTTP parser says that the reply cannot be read.
     virtual void onExchangeFailed(HttpClientConnection &Connection,
                                   const boost::system::error_code &Failed) = 0;
     /// The peer closed the connection between two exchanges, or sent data that
@@ -48,10 +49,12 @@
     virtual void onIdleEnd(HttpClientConnection &Connection) = 0;
   };
 
-  /// \p Context and \p Events must outlive the connection.
+  /// \p Context and \p Events must outlive the connection. A reply whose body
+  /// has more than \p MaxReplyBytes fails, as does one whose header, chunk
+  /// headers or trailers are too long.
   static std::shared_ptr<HttpClientConnection>
   create(boost::asio::io_context &Context, Listener &Events,
-         ConnectionNumber Number);
+         ConnectionNumber Number, std::size_t MaxReplyBytes);
   ~HttpClientConnection();
   HttpClientConnection(const HttpClientConnection &) = delete;
   HttpClientConnection &operator=(const HttpClientConnection &) = delete;
@@ -64,6 +67,9 @@
   void send(std::string Request);
   /// Bytes of the current or last exchange's reply that have arrived.
   std::size_t bytesReceived() const { return m_BytesReceived; }
+  /// Bytes that the current exchange's reply has at least, as far as known:
+  /// those that have arrived, or its announced length. 0 without an exchange.
+  std::size_t bytesExpected() const;
   /// Notes that the exchange has ended at \p Now.
   void setIdleSince(TimePoint Now) { m_IdleSince = Now; }
   /// Returns whether the peer has closed the idle connection or sent
@@ -77,8 +83,9 @@
   using ErrorCode = boost::system::error_code;
 
   HttpClientConnection(boost::asio::io_context &Context, Listener &Events,
-                       ConnectionNumber Number)
-      : m_Socket(Context.get_executor()), m_Events(Events), m_Number(Number) {}
+                       ConnectionNumber Number, std::size_t MaxReplyBytes)
+      : m_Socket(Context.get_executor()), m_Events(Events), m_Number(Number),
+        m_MaxReplyBytes(MaxReplyBytes) {}
 
   void setOptions();
   void receive();
@@ -88,6 +95,9 @@
   /// Parses what has been received, and the end of the stream if \p IsClosed.
   /// Returns whether the reply needs more.
   bool parse(bool IsClosed);
+  /// Whether the reply that is arriving takes more than any reply within the
+  /// limits.
+  bool isTooLong() const;
   void finish(bool IsClosed);
   void fail(const ErrorCode &Failed);
   void sendRest(std::size_t Sent);
@@ -95,6 +105,8 @@
   Socket m_Socket;
   Listener &m_Events;
   ConnectionNumber m_Number;
+  std::size_t m_MaxReplyBytes;
+  /// What the parser has not taken yet.
   boost::beast::flat_buffer m_Input;
   /// Set during an exchange.
   std::optional<ReplyParser> m_Parser;
--- a/src/net/HttpClientTest.cpp
+++ b/src/net/HttpClientTest.cpp
@@ -1,20 +1,15 @@
 //===- HttpClientTest.cpp - Tests of HttpClient ---------------------------===//
 
-#include "net/HttpClient.h"
 #include "net/CallDeadline.h"
-#include "net/EventLoop.h"
+#include "net/testing/ScriptedServer.h"
 #include <CppUTest/TestHarness.h>
 #include <array>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
-#include <list>
-#include <optional>
 #include <vector>
 
 using namespace pollenspool;
 using namespace std::chrono_literals;
+using namespace pollenspool::testing;
 namespace asio = boost::asio;
 using boost::system::error_code;
 
@@ -61,86 +56,10 @@
   std::optional<error_code> m_End;
 };
 
-/// A server that answers each request with what its script does to the socket.
-class ScriptedServer {
-public:
-  using Socket = asio::ip::tcp::socket;
-  /// Receives the socket and the number of requests so far, this one included.
-  using Script = std::function<void(Socket &, int)>;
-
-  ScriptedServer(EventLoop &Loop, Script OnRequest)
-      : m_Loop(Loop), m_OnRequest(std::move(OnRequest)),
-        m_Acceptor(Loop.context(), {asio::ip::address_v4::loopback(), 0}) {
-    accept();
-  }
-
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
-  }
-
-private:
-  void accept() {
-    m_Sockets.emplace_back(m_Loop.context());
-    m_Acceptor.async_accept(m_Sockets.back(), [this](const error_code &Failed) {
-      if (Failed)
-        return;
-      read(m_Sockets.back());
-      accept();
-    });
-  }
-
-  void read(Socket &S) {
-    S.async_read_some(asio::buffer(m_Buffer),
-                      [this, &S](const error_code &Failed, std::size_t) {
-                        if (Failed)
-                          return;
-                        m_OnRequest(S, ++m_Requests);
-                        if (S.is_open())
-                          read(S);
-                      });
-  }
-
-  EventLoop &m_Loop;
-  Script m_OnRequest;
-  asio::ip::tcp::acceptor m_Acceptor;
-  /// The last one waits for a connection.
-  std::list<Socket> m_Sockets;
-  std::array<char, 4096> m_Buffer{};
-  int m_Requests = 0;
-};
-
-void reply(asio::ip::tcp::socket &S, const std::string &Body) {
-  asio::write(S, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
-                              std::to_string(Body.size()) + "\r\n\r\n" + Body));
-}
-
-/// What a call gave: the body of its reply, or a failure.
-struct Answer {
-  std::string m_Body;
-  std::optional<ErrorCode> m_Failure;
-  int m_Callbacks = 0;
-};
-
-const HttpRequest Order{"POST", "/order", {}, "{}"};
-
-HttpClient::ReplyCallback storeTo(Answer &A) {
-  return [&A](Result<HttpReply> Reply) {
-    ++A.m_Callbacks;
-    if (Reply)
-      A.m_Body = Reply.value().m_Body;
-    else
-      A.m_Failure = Reply.error().m_Code;
-  };
-}
-
-/// Runs the loop until \p IsDone, at most for some seconds.
-void runUntil(EventLoop &Loop, const std::function<bool()> &IsDone) {
-  Loop.after(10s, [&Loop] { Loop.stop(); });
-  Loop.every(1ms, [&Loop, IsDone] {
-    if (IsDone())
-      Loop.stop();
-  });
-  Loop.run();
+/// Lets \p Time pass in which \p Loop handles nothing.
+void passTime(const EventLoop &Loop, Duration Time) {
+  for (TimePoint End = Loop.now() + Time; Loop.now() < End;)
+    continue;
 }
 
 } // namespace
@@ -446,6 +365,54 @@
   CHECK(Given.m_Failure == ErrorCode::Timeout);
 }
 
+// A stopped process or a suspended machine goes on after the deadline of a call
+// that connects; its socket is handled before its timer. Guards against an
+// order that is sent then, seconds after it was decided.
+TEST(HttpClient, ACallIsNotSentAfterItsDeadline) {
+  auto Loop = EventLoop::create();
+  int Requests = 0;
+  ScriptedServer Server(*Loop,
+                        [&](ScriptedServer::Socket &, int) { ++Requests; });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  Answer Given;
+  Client->call(Server.address(), Order, 30ms, storeTo(Given));
+  passTime(*Loop, 50ms);
+  bool IsOver = false;
+  runUntil(*Loop, [&] {
+    if (Given.m_Callbacks > 0)
+      Loop->after(20ms, [&] { IsOver = true; });
+    return IsOver;
+  });
+  CHECK(Given.m_Failure == ErrorCode::ConnectFailed);
+  CHECK_EQUAL(0, Requests);
+}
+
+// The same for a call that waits for a connection, and for the calls after it.
+TEST(HttpClient, AQueuedCallIsNotSentAfterItsDeadline) {
+  auto Loop = EventLoop::create();
+  ScriptedServer Server(*Loop, [&](ScriptedServer::Socket &S, int Number) {
+    error_code Ignored;
+    asio::write(S,
+                asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+                             std::to_string(Number)),
+                Ignored);
+    if (Number == 1)
+      passTime(*Loop, 200ms);
+  });
+  auto Client = HttpClient::create(*Loop, "test", {1, 1});
+  std::array<Answer, 3> Given;
+  Client->call(Server.address(), Order, 5s, storeTo(Given[0]));
+  Client->call(Server.address(), Order, 150ms, storeTo(Given[1]));
+  Client->call(Server.address(), Order, 5s, storeTo(Given[2]));
+  runUntil(*Loop, [&] {
+    return Given[1].m_Callbacks > 0 && Given[2].m_Callbacks > 0;
+  });
+  STRCMP_EQUAL("1", Given[0].m_Body.c_str());
+  CHECK(Given[1].m_Failure == ErrorCode::ResourceExhausted);
+  STRCMP_EQUAL("2", Given[2].m_Body.c_str());
+  CHECK_EQUAL(1, Given[1].m_Callbacks);
+}
+
 TEST_GROUP(CallDeadline){};
 
 // Guards against a peer that holds a connection forever by sending a byte now
