Bound the bytes that a connection holds before they are parsed

What callers saw: an entry process ended out of memory when clients sent trailers without end behind a chunked body, or an extension of a chunk without end. Ordinary callers lost their instance.

Cause: a session read into a buffer without a limit. The limits of header and body count neither trailers nor the header of a chunk, which are parsed only when they are complete.

Change: the buffer of a connection holds 32 KB at most.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -35,7 +35,8 @@
 class Session : public std::enable_shared_from_this<Session> {
 public:
   Session(asio::ip::tcp::socket Socket, std::shared_ptr<ServerState> S)
-      : m_Stream(std::move(Socket)), m_State(std::move(S)) {}
+      : m_Stream(std::move(Socket)), m_State(std::move(S)),
+        m_Buffer(m_State->m_Limits.m_MaxBufferBytes) {}
 
   void readNext() {
     m_Parser.emplace();
@@ -104,6 +105,8 @@
       return write({413, {}, "the request body is too large\n"});
     if (Failed == http::error::header_limit)
       return write({431, {}, "the request header is too large\n"});
+    if (Failed == http::error::buffer_overflow)
+      return write({431, {}, "the trailers or a chunk header are too large\n"});
     if (Failed.category() ==
             http::make_error_code(http::error::bad_method).category() &&
         Failed != http::error::end_of_stream &&
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -16,6 +16,10 @@
 struct HttpServerLimits {
   std::size_t m_MaxBodyBytes = 256 * 1024;
   std::size_t m_MaxHeaderBytes = 16 * 1024;
+  /// Received bytes that a connection holds before they are parsed. The
+  /// trailers of a request and the header of a chunk have to fit in. At least 1
+  /// KB more than m_MaxHeaderBytes.
+  std::size_t m_MaxBufferBytes = 32 * 1024;
   /// Time limit for receiving the next request on a connection, which includes
   /// the time without any request, and for sending a reply.
   Duration m_IdleTimeout = std::chrono::seconds(15);
