Bound the memory and the number of accepted connections

What callers saw: clients that each left a body unfinished, or connections idle, took the memory and the descriptors of an instance, and its ordinary callers lost it.

Cause: each connection had limits, all together had none. The quarter of the descriptors that is for callers was enforced by nothing, and limits.memory-mb and max-fds of the settings were not read.

Change: ConnectionLedger keeps a server's connections within a number and what their requests and unread replies hold within a memory. The connection that has been idle, unfinished or unread for longest gives way, never one whose request has been passed on; an unfinished request gets 503 with Retry-After. 16 KB of each connection never count, so that a request of 4 KB is always served. Servers for readiness and operators have 16 connections each. ConnectionBudget no longer underflows below 299 descriptors, where its test passed by a wrap of unsigned numbers; the test's checks are as they were.

--- a/src/entry/ConnectionBudget.cpp
+++ b/src/entry/ConnectionBudget.cpp
@@ -25,6 +25,10 @@
 /// Descriptors of listeners, the event loop and the log.
 constexpr std::size_t OwnDescriptors = 32;
 constexpr std::size_t CallersShareDivisor = 4;
+/// The part of a small limit that calls to the platform have at most.
+constexpr std::size_t PlatformShareDivisor = 4;
+/// Connections of the readiness checks, and of operators.
+constexpr std::size_t ProbeConnections = 16;
 constexpr std::size_t MinDescriptorLimit = 256;
 
 } // namespace
@@ -33,10 +37,14 @@
   std::size_t Limit = std::max(DescriptorLimit, MinDescriptorLimit);
   ConnectionBudget Budget;
   Budget.m_Platform = {PlatformConnectionsPerPeer,
-                       PlatformConnectionsPerPeer * PlatformPeers};
-  Budget.m_Backends = {BackendConnectionsPerPeer,
-                       Limit - Limit / CallersShareDivisor - OwnDescriptors -
-                           Budget.m_Platform.m_Total};
+                       std::min(PlatformConnectionsPerPeer * PlatformPeers,
+                                Limit / PlatformShareDivisor)};
+  Budget.m_Callers = Limit / CallersShareDivisor;
+  Budget.m_Readiness = Budget.m_Operators = ProbeConnections;
+  const std::size_t Taken = Budget.m_Callers + Budget.m_Readiness +
+                            Budget.m_Operators + OwnDescriptors +
+                            Budget.m_Platform.m_Total;
+  Budget.m_Backends = {BackendConnectionsPerPeer, Limit - Taken};
   return Budget;
 }
 
--- a/src/entry/ConnectionBudget.h
+++ b/src/entry/ConnectionBudget.h
@@ -13,9 +13,14 @@
 struct ConnectionBudget {
   ConnectionLimits m_Platform;
   ConnectionLimits m_Backends;
+  /// Connections that the servers for callers, readiness checks and operators
+  /// accept.
+  std::size_t m_Callers = 0;
+  std::size_t m_Readiness = 0;
+  std::size_t m_Operators = 0;
 };
 
-/// Divides \p DescriptorLimit descriptors. A quarter stays for callers. Thread
+/// Divides \p DescriptorLimit descriptors. A quarter is for callers. Thread
 /// safe.
 ConnectionBudget divideDescriptors(std::size_t DescriptorLimit);
 
--- a/src/entry/ConnectionBudgetTest.cpp
+++ b/src/entry/ConnectionBudgetTest.cpp
@@ -17,6 +17,23 @@
   }
 }
 
+// At the smallest limits the subtraction gave more connections than there can
+// be descriptors.
+TEST(ConnectionBudget, KeepsTheSumOfAllSharesWithinTheLimit) {
+  for (std::size_t Limit : {256u, 400u, 1024u, 4100u, 1048576u}) {
+    ConnectionBudget B = divideDescriptors(Limit);
+    CHECK(B.m_Platform.m_Total + B.m_Backends.m_Total + B.m_Callers +
+              B.m_Readiness + B.m_Operators <=
+          Limit);
+  }
+}
+
+// A client that opens connections and sends nothing took the descriptors of
+// others; hundreds of callers still have to have one each.
+TEST(ConnectionBudget, CallersHaveAQuarter) {
+  CHECK_EQUAL(1025u, divideDescriptors(4100).m_Callers);
+}
+
 // Each server has a poll that it holds, so that all of them need a connection
 // at the same time.
 TEST(ConnectionBudget, AWeakInstanceCanPollElevenHundredServers) {
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -263,6 +263,56 @@
   return Label;
 }
 
+/// A number of a server, by what it counts.
+struct ServerSample {
+  const char *m_Why;
+  double (*m_GetValue)(const HttpServer &);
+};
+
+constexpr ServerSample ClosedSamples[] = {
+    {"connections",
+     [](const HttpServer &S) { return number(S.counters().m_ForConnections); }},
+    {"memory",
+     [](const HttpServer &S) { return number(S.counters().m_ForMemory); }},
+    {"bad_request",
+     [](const HttpServer &S) { return number(S.counters().m_BadRequests); }},
+};
+
+MetricFamily
+closedConnectionsFamily(const std::vector<const HttpServer *> &Servers) {
+  MetricFamily Family;
+  Family.name = "pollenspool_connections_closed_total";
+  Family.help = "Accepted connections closed because of a limit, by server and "
+                "limit.";
+  Family.type = MetricType::Counter;
+  for (const HttpServer *Server : Servers)
+    for (const ServerSample &S : ClosedSamples) {
+      ClientMetric Metric;
+      Metric.counter.value = S.m_GetValue(*Server);
+      Metric.label.push_back({"server", Server->name()});
+      Metric.label.push_back({"limit", S.m_Why});
+      Family.metric.push_back(Metric);
+    }
+  return Family;
+}
+
+/// A family of gauges with one sample per server.
+MetricFamily serverFamily(const std::vector<const HttpServer *> &Servers,
+                          const char *Name, const char *Help,
+                          std::size_t (HttpServer::*GetValue)() const) {
+  MetricFamily Family;
+  Family.name = Name;
+  Family.help = Help;
+  Family.type = MetricType::Gauge;
+  for (const HttpServer *Server : Servers) {
+    ClientMetric Metric;
+    Metric.gauge.value = number((Server->*GetValue)());
+    Metric.label.push_back({"server", Server->name()});
+    Family.metric.push_back(Metric);
+  }
+  return Family;
+}
+
 MetricFamily tableFailureFamily(const StoreTraffic &Traffic) {
   MetricFamily Family;
   Family.name = "pollenspool_table_read_failures_total";
@@ -373,6 +423,15 @@
                   "Bytes of the replies to these calls.",
                   [](const TableTraffic &T) { return T.m_Bytes; }));
   Families.push_back(tableFailureFamily(Clients.m_Store));
+  Families.push_back(closedConnectionsFamily(Clients.m_Servers));
+  Families.push_back(
+      serverFamily(Clients.m_Servers, "pollenspool_accepted_connections",
+                   "Open connections that a server has accepted.",
+                   &HttpServer::connections));
+  Families.push_back(
+      serverFamily(Clients.m_Servers, "pollenspool_accepted_bytes",
+                   "Memory of requests and replies that counts for the limit.",
+                   &HttpServer::chargedBytes));
   if (Service.leader())
     Families.push_back(waitFamily(Service.leader()->waits().report()));
   if (Service.leader())
--- a/src/entry/EntryMetrics.h
+++ b/src/entry/EntryMetrics.h
@@ -6,20 +6,24 @@
 #include "base/Time.h"
 #include "entry/Entry.h"
 #include "net/HttpClient.h"
+#include "net/HttpServer.h"
 #include "store/StoreTraffic.h"
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pollenspool {
 
 /// Caller requests whose latency is measured.
 enum class CallerCall : std::uint8_t { Submit, State, Cancel, Waiting };
 
-/// The HTTP clients of an entry instance, and what was read from the store.
+/// The HTTP clients and servers of an entry instance, and what was read from
+/// the store.
 struct HttpClients {
   const HttpClient &m_Platform;
   const HttpClient &m_Backends;
   const StoreTraffic &m_Store;
+  const std::vector<const HttpServer *> &m_Servers;
 };
 
 /// Request latencies and refusal counters, and the page with all metrics of the
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -29,6 +29,10 @@
   double m_CpuShare = 0.25;
   /// Bandwidth of its network link in Mbit/s.
   double m_LinkMbps = 1000;
+  /// Memory available to this instance.
+  unsigned m_MemoryMb = 160;
+  /// Number of descriptors it may have open; 0 if only the system limits it.
+  unsigned m_MaxDescriptors = 0;
 
   /// How callers' API keys are checked.
   AuthorizationPolicy m_Authorization{};
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -4,15 +4,17 @@
 #define POLLENSPOOL_NET_HTTPSERVER_H
 
 #include "base/Error.h"
+#include "net/ConnectionLedger.h"
 #include "net/EventLoop.h"
 #include "net/HttpMessage.h"
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 namespace pollenspool {
 
-/// Limits that apply to each connection of a server.
+/// Limits of a server: of each connection, and of all together.
 struct HttpServerLimits {
   std::size_t m_MaxBodyBytes = 256 * 1024;
   std::size_t m_MaxHeaderBytes = 16 * 1024;
@@ -23,6 +25,22 @@
   /// Time limit for receiving the next request on a connection, which includes
   /// the time without any request, and for sending a reply.
   Duration m_IdleTimeout = std::chrono::seconds(15);
+  ConnectionLedgerLimits m_Connections{};
+  /// The reply to a request that gives way to others. It has not been passed
+  /// on.
+  HttpReply m_Overload{503, {{"Retry-After", "1"}}, {}, {}};
+  /// Names the server in log lines.
+  std::string m_Name = "http";
+};
+
+/// Connections that a server has closed because of its limits.
+struct HttpServerCounters {
+  /// For a newer connection.
+  std::uint64_t m_ForConnections = 0;
+  /// For the memory of others.
+  std::uint64_t m_ForMemory = 0;
+  /// After a request that was too large or not one of HTTP.
+  std::uint64_t m_BadRequests = 0;
 };
 
 /// A listening socket and its connections. The requests of one connection are
@@ -51,6 +69,12 @@
   unsigned port() const;
   /// Number of requests that have been read and not yet answered.
   std::size_t inFlight() const;
+  /// The name in the limits.
+  const std::string &name() const;
+  const HttpServerCounters &counters() const;
+  /// Number of open connections, and the memory that counts for their limit.
+  std::size_t connections() const;
+  std::size_t chargedBytes() const;
 
 private:
   struct Impl;
--- a/src/net/HttpServerTest.cpp
+++ b/src/net/HttpServerTest.cpp
@@ -142,3 +142,71 @@
   STRCMP_EQUAL("ab", m_Requests[0].m_Body.c_str());
   CHECK_EQUAL(262144u, m_Requests[2].m_Body.size());
 }
+
+// Idle connections took all descriptors. The one that is served stays, and the
+// newest is served.
+TEST(HttpServer, TheLongestIdleConnectionGivesWay) {
+  HttpServerLimits Limits;
+  Limits.m_Connections.m_MaxConnections = 2;
+  serve(Limits);
+  m_IsSlow = true;
+  RawClient &Served = connect();
+  Served.send("GET /served HTTP/1.1\r\n\r\n");
+  runUntil([&] { return m_Waiting.size() == 1; });
+  RawClient &Idle = connect();
+  runUntil([&] { return m_Server->connections() == 2; });
+  RawClient &New = connect();
+  New.send("GET /new HTTP/1.1\r\n\r\n");
+  runUntil([&] { return m_Waiting.size() == 2 && Idle.isClosed(); });
+  for (auto &Respond : m_Waiting)
+    Respond({200, {}, {}, {}});
+  runUntil([&] { return Served.replies(200) + New.replies(200) == 2; });
+  CHECK_EQUAL(1u, m_Server->counters().m_ForConnections);
+}
+
+// Unfinished bodies of many clients took all memory. The oldest is told that it
+// was not passed on; an ordinary request is served beside them.
+TEST(HttpServer, AnUnfinishedBodyGivesWayToOthers) {
+  HttpServerLimits Limits;
+  Limits.m_Connections.m_MaxBytes = 200000;
+  serve(Limits);
+  const std::string Unfinished =
+      "POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" +
+      std::string(120000, 'a');
+  RawClient &First = connect();
+  First.send(Unfinished);
+  runUntil([&] { return m_Server->chargedBytes() > 120000; });
+  RawClient &Second = connect();
+  Second.send(Unfinished);
+  runUntil([&] { return First.isClosed(); });
+  RawClient &Ordinary = connect();
+  Ordinary.send("GET / HTTP/1.1\r\n\r\n");
+  runUntil([&] { return Ordinary.replies(200) == 1; });
+  CHECK_EQUAL(1u, m_Requests.size());
+  CHECK_FALSE(Second.isClosed());
+  CHECK(First.replies(503) == 1 || First.received().empty());
+}
+
+// Requests that wait for the store hold memory, too. A large one that finds
+// none is refused before it is passed on, so that "not accepted" is true.
+TEST(HttpServer, ARefusedRequestIsNotPassedOn) {
+  HttpServerLimits Limits;
+  Limits.m_Connections.m_MaxBytes = 80000;
+  serve(Limits);
+  m_IsSlow = true;
+  const std::string Large = "POST / HTTP/1.1\r\nContent-Length: 25000\r\n\r\n" +
+                            std::string(25000, 'a');
+  connect().send(Large);
+  runUntil([&] { return m_Waiting.size() == 1; });
+  RawClient &Refused = connect();
+  Refused.send(Large);
+  runUntil([&] { return Refused.isClosed(); });
+  CHECK_EQUAL(1u, m_Waiting.size());
+  CHECK_EQUAL(1u, Refused.replies(503));
+  CHECK(Refused.received().find("Retry-After: 1\r\n") != std::string::npos);
+  CHECK(Refused.received().find("Connection: close\r\n") != std::string::npos);
+  // An ordinary request needs none of that memory.
+  connect().send("POST / HTTP/1.1\r\nContent-Length: 4000\r\n\r\n" +
+                 std::string(4000, 'a'));
+  runUntil([&] { return m_Waiting.size() == 2; });
+}
