Serve a thousand clients with large jobs at the same time

Cause: a request being served counted three times, an estimate, against a quarter of the memory.

Change: it counts twice, against a third of the memory.

--- a/src/net/ConnectionLedger.h
+++ b/src/net/ConnectionLedger.h
@@ -16,7 +16,7 @@
   /// At least 1.
   std::size_t m_MaxConnections = 1024;
   /// Memory of requests and replies, beyond m_FreeBytes of each connection.
-  std::size_t m_MaxBytes = std::size_t(40) << 20;
+  std::size_t m_MaxBytes = (std::size_t(160) << 20) / 3;
   /// Memory that each connection may hold at any time. It suffices for a
   /// request of 4 KB that is served, so that memory which others hold never
   /// affects one.
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -28,8 +28,8 @@
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(20);
 
 /// Memory of a request that is being served, in multiples of its size: it is
-/// held as parsed, as a job, and as a call of the store.
-constexpr std::size_t ServedRequestFactor = 3;
+/// held as a job and as a call of the store.
+constexpr std::size_t ServedRequestFactor = 2;
 /// Limits of the bytes that are read at once.
 constexpr std::size_t MinReadBytes = 2048;
 constexpr std::size_t MaxReadBytes = 16 * 1024;
--- a/src/net/HttpServerTest.cpp
+++ b/src/net/HttpServerTest.cpp
@@ -191,7 +191,7 @@
 // none is refused before it is passed on, so that "not accepted" is true.
 TEST(HttpServer, ARefusedRequestIsNotPassedOn) {
   HttpServerLimits Limits;
-  Limits.m_Connections.m_MaxBytes = 80000;
+  Limits.m_Connections.m_MaxBytes = 50000;
   serve(Limits);
   m_IsSlow = true;
   const std::string Large = "POST / HTTP/1.1\r\nContent-Length: 25000\r\n\r\n" +
@@ -210,3 +210,20 @@
                  std::string(4000, 'a'));
   runUntil([&] { return m_Waiting.size() == 2; });
 }
+
+// Guards against a limit that a tenth of 1,000 clients meets with a tenth of
+// the smallest machine's memory, each with a job of the largest ordinary size.
+TEST(HttpServer, ManyClientsInsideTheLimitsAreServedAtTheSameTime) {
+  constexpr std::size_t Clients = 100;
+  HttpServerLimits Limits;
+  Limits.m_Connections.m_MaxBytes /= 10;
+  serve(Limits);
+  m_IsSlow = true;
+  for (std::size_t N = 0; N < Clients; ++N)
+    connect().send("POST / HTTP/1.1\r\nContent-Length: 34000\r\n\r\n" +
+                   std::string(34000, 'a'));
+  runUntil([&] {
+    return m_Waiting.size() + m_Server->counters().m_ForMemory >= Clients;
+  });
+  CHECK_EQUAL(Clients, m_Waiting.size());
+}
