Let the fuzzer cut leaders off and let servers leave

A leader that was replaced got neither lists nor registrations in the simulation, and no simulated server was ever moved or drained.

Change: SchedulerFuzz plays a third scenario after the two others, which stay as they are. Leaders lose the store for good, and each server is out of reach of either that leader or the next one for 10 s to 14 s. The platform's lists reach both. Servers that are idle for the next leader are moved to another pool, or come back to their own as new servers; others drain and leave; and servers crash, leaders are killed and jobs cancelled.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -9,10 +9,12 @@
 // checks every start, and the state of each leader must be consistent. After
 // the faults have ended, every job must end.
 //
-// Each seed plays two scenarios, one after the other: a busy one with short
-// tasks, and a quiet one in which servers restart while they are idle, tasks
+// Each seed plays three scenarios, one after the other: a busy one with short
+// tasks; a quiet one in which servers restart while they are idle, tasks
 // outlast leases, and the queue is moved between pools, gets other rules, is
-// removed and put back, of all of which the leaders learn late.
+// removed and put back, of all of which the leaders learn late; and one in
+// which leaders are cut off from the store and from a part of the servers, and
+// servers are moved or drain.
 //
 //===----------------------------------------------------------------------===//
 
@@ -99,6 +101,24 @@
   return S;
 }
 
+SimulationSettings cutSettingsFor(std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed * 9001);
+  SimulationSettings S;
+  S.m_Seed = Seed;
+  S.m_ChecksState = true;
+  S.m_LongRunningShare = 0.1;
+  S.m_Servers = 4 + Random() % 5;
+  S.m_Pools = 1 + Random() % 2;
+  S.m_CoresPerServer = 6 + static_cast<std::int64_t>(Random() % 7);
+  S.m_Rate = 0.5 + 0.25 * static_cast<double>(Random() % 4);
+  S.m_MaxSteps = 2;
+  S.m_MaxTasksPerStep = 6;
+  S.m_MedianWork = milliseconds(600 + Random() % 1500);
+  S.m_Faults.m_LostReplyShare = 0.03 * static_cast<double>(Random() % 3);
+  S.m_Faults.m_DelayedOrderShare = 0.03 * static_cast<double>(Random() % 3);
+  return S;
+}
+
 /// Changes the rules of the queue, moves it, or removes it or puts it back.
 void changeQueue(JobSimulation &Simulation) {
   const auto Drawn = Simulation.random()() % 3;
@@ -156,13 +176,46 @@
     throw OracleFailure(Wrong);
 }
 
+/// Injects one fault of the scenario with cuts and lets some time pass.
+void stepWithCuts(JobSimulation &Simulation, milliseconds MaxPause, bool) {
+  auto &Random = Simulation.random();
+  std::size_t Server = Random() % Simulation.servers();
+  switch (Random() % 8) {
+  case 0:
+  case 1:
+  case 2:
+    Simulation.cutOffLeader();
+    break;
+  case 3:
+    Simulation.moveIdleServer();
+    break;
+  case 4:
+    Simulation.drainServer(Server);
+    break;
+  case 5:
+    Simulation.crashServer(Server);
+    break;
+  case 6:
+    if (!Simulation.hasCut())
+      Simulation.killLeader();
+    break;
+  default:
+    Simulation.cancelRandomJob();
+    break;
+  }
+  Simulation.run(milliseconds(Random() % MaxPause.count()));
+}
+
+using StepFn = void (*)(JobSimulation &, milliseconds MaxPause,
+                        bool ChangesQueue);
+
 std::string runSimulation(const SimulationSettings &Settings,
                           milliseconds MaxPause, std::uint64_t Steps,
-                          std::uint64_t &Step) {
+                          std::uint64_t &Step, StepFn StepOnce = stepOnce) {
   JobSimulation Simulation(Settings);
   try {
     for (Step = 0; Step < Steps; ++Step)
-      stepOnce(Simulation, MaxPause, Settings.m_MaxConfigDelay.count() > 0);
+      StepOnce(Simulation, MaxPause, Settings.m_MaxConfigDelay.count() > 0);
     Simulation.reconnectServers();
     Simulation.setFaults({});
     Simulation.setHasQueue(true);
@@ -183,25 +236,39 @@
   const SimulationStats &F = Simulation.stats();
   return std::to_string(F.m_Completed) + " of " +
          std::to_string(F.m_Submitted) + " jobs completed, " +
-         std::to_string(F.m_Terms) + " terms";
+         std::to_string(F.m_Terms) + " terms" +
+         (F.m_Cuts == 0
+              ? ""
+              : ", " + std::to_string(F.m_Cuts) + " cuts, " +
+                    std::to_string(F.m_ServersLeft) + " servers have left");
 }
 
-std::string runBothScenarios(const FuzzArguments &Arguments,
-                             std::uint64_t &Step) {
-  std::string Busy = runSimulation(settingsFor(Arguments.m_Seed), BusyPause,
-                                   Arguments.m_Steps, Step);
-  try {
-    return Busy + "; quiet scenario: " +
-           runSimulation(quietSettingsFor(Arguments.m_Seed), QuietPause,
-                         Arguments.m_Steps, Step);
-  } catch (const OracleFailure &Failure) {
-    throw OracleFailure(std::string("quiet scenario: ") + Failure.what());
+std::string runScenarios(const FuzzArguments &Arguments, std::uint64_t &Step) {
+  std::string Summary = runSimulation(settingsFor(Arguments.m_Seed), BusyPause,
+                                      Arguments.m_Steps, Step);
+  const struct {
+    const char *m_Name;
+    SimulationSettings (*m_SettingsFor)(std::uint64_t Seed);
+    StepFn m_StepOnce;
+  } Others[] = {{"quiet", quietSettingsFor, stepOnce},
+                {"cut", cutSettingsFor, stepWithCuts}};
+  for (const auto &Other : Others) {
+    const std::string Name = std::string(Other.m_Name) + " scenario: ";
+    try {
+      Summary +=
+          "; " + Name +
+          runSimulation(Other.m_SettingsFor(Arguments.m_Seed), QuietPause,
+                        Arguments.m_Steps, Step, Other.m_StepOnce);
+    } catch (const OracleFailure &Failure) {
+      throw OracleFailure(Name + Failure.what());
+    }
   }
+  return Summary;
 }
 
 } // namespace
 
 int main(int Argc, char **Argv) {
   setUpLog(Severity::Error, "fuzz");
-  return runFuzz(Argc, Argv, 60, runBothScenarios);
+  return runFuzz(Argc, Argv, 60, runScenarios);
 }
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -54,6 +54,8 @@
   /// When the next term was requested; unset while this one is in effect.
   std::optional<TimePoint> m_ReplacedAt;
   RowVersion m_VersionWhenReplaced = 0;
+  /// Whether no call to the store is answered or carried out any more.
+  bool m_HasLostStore = false;
 
   void tick() {
     if (!m_Alive)
@@ -226,11 +228,13 @@
     bool Lost = m_Simulation.chance(Faults.m_LostReplyShare);
     bool Late = m_Simulation.chance(Faults.m_DelayedOrderShare);
     m_Simulation.m_Clock.after(Late ? LateCommitDelay : CommitDelay, [=] {
+      if (m_HasLostStore)
+        return;
       CommitOutcome Outcome = m_Simulation.apply(Txn);
       if (!Lost && !Late && m_Alive)
         OnResult(Outcome);
     });
-    if (Lost || Late)
+    if (Lost || Late || m_HasLostStore)
       m_Simulation.m_Clock.after(OrderTimeout, [this, OnResult] {
         if (m_Alive)
           OnResult(makeError(ErrorCode::Timeout, "commit"));
@@ -346,7 +350,8 @@
     if (isFinal(Row.m_Progress.m_State))
       Leader.m_Core->onEarlierEnd(JobId(Id), Row.m_Progress.m_Organisation);
   for (auto &S : m_Servers)
-    Leader.m_Core->onServer(S->m_Registration, m_Clock.m_Now);
+    if (!S->m_HasLeft)
+      Leader.m_Core->onServer(S->m_Registration, m_Clock.m_Now);
   listInstances();
   Leader.tick();
 }
@@ -354,25 +359,34 @@
 void JobSimulation::listInstances() {
   std::vector<InstanceListing> List;
   for (auto &S : m_Servers) {
+    if (S->m_IsReplaced)
+      continue;
     InstanceListing L;
     L.m_Id = S->m_Registration.m_Instance;
     L.m_Pool = S->m_Registration.m_Pool;
-    L.m_Server = S->m_Registration.m_Id;
+    if (!S->m_HasLeft)
+      L.m_Server = S->m_Registration.m_Id;
     if (!S->m_IsUp)
-      L.m_Condition = InstanceCondition::Down;
+      L.m_Condition = S->m_ConditionIfNotUp;
     List.push_back(L);
   }
-  forEachLeader([&](Scheduler &Core) {
-    Core.onInstances(List, m_Clock.m_Now, m_Clock.m_Now);
-  });
+  // The list comes from the platform, so a leader without the store gets it.
+  for (auto &L : m_Leaders)
+    if (L->m_Alive && (!L->m_ReplacedAt || L->m_HasLostStore))
+      L->m_Core->onInstances(List, m_Clock.m_Now, m_Clock.m_Now);
 }
 
 void JobSimulation::replaceLeader() {
+  beginTermBeside(true, milliseconds(300));
+}
+
+void JobSimulation::beginTermBeside(bool HasStore, Duration Delay) {
   Instance &Old = *m_Leaders.back();
   Old.m_ReplacedAt = m_Clock.m_Now;
   Old.m_VersionWhenReplaced = m_Version;
+  Old.m_HasLostStore = !HasStore;
   // The next term begins only after the earlier one has certainly expired.
-  m_Clock.runUntil(m_Clock.m_Now + milliseconds(300));
+  m_Clock.runUntil(m_Clock.m_Now + Delay);
   startTerm(ReplacedLeaderTimeout);
 }
 
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -75,6 +75,9 @@
   /// Times that a task crashed its server.
   std::uint64_t m_CrashesByTasks = 0;
   std::uint64_t m_Terms = 0;
+  std::uint64_t m_Cuts = 0;
+  /// Servers that have left as planned.
+  std::uint64_t m_ServersLeft = 0;
 };
 
 /// One queue, its pools, and the leaders of all terms so far. Not thread
@@ -91,6 +94,18 @@
   /// Begins the next term after 0.3 s. The earlier leader keeps giving orders
   /// until a server rejects them or 5 s have passed.
   void replaceLeader();
+  /// Cuts the leader off from the store and from some servers, which the next
+  /// leader does not reach either, for 10 s to 14 s. The next term begins after
+  /// 1.5 s. Both leaders get the platform's lists, and servers that are idle
+  /// for the next leader are moved. Has no effect during a cut.
+  void cutOffLeader();
+  bool hasCut() const { return m_Clock.m_Now < m_CutUntil; }
+  /// Moves a server that is idle for the leader to another pool, or back to its
+  /// own as a new server.
+  void moveIdleServer();
+  /// The server reports that it drains, leaves after 2 s to 4 s, and another
+  /// one follows on its instance.
+  void drainServer(std::size_t Index);
   /// Stops the leader at once and begins the next term after 1.5 s.
   void killLeader();
   /// Stops the leader and begins the next term at once. Orders that are under
@@ -169,6 +184,18 @@
   std::vector<JobId> longRunningJobs() const;
   void cancel(const JobId &Id);
   void scheduleSubmit();
+  /// Begins the next term after \p Delay. The earlier leader keeps giving
+  /// orders, and reaches the store if \p HasStore is set.
+  void beginTermBeside(bool HasStore, Duration Delay);
+  /// Lists the instances and may move a server, again and again until the cut
+  /// is healed.
+  void continueCut();
+  /// Whether \p S may leave: its pool keeps two other servers.
+  bool mayLeave(const SimServer &S) const;
+  void leaveWhenUp(SimServer &S);
+  /// \p S leaves, and another server follows in \p Pool on its instance.
+  void leave(SimServer &S, InstanceCondition Condition, const PoolName &Pool);
+  void follow(SimServer &S, const PoolName &Pool);
   /// \p EarlierLeaderTimeout: \see SchedulerOptions.
   void startTerm(Duration EarlierLeaderTimeout);
   /// Calls \p Callback for each leader whose term is in effect.
@@ -221,6 +248,7 @@
   /// The rows of IdleServers and QueueRecords, by table and key.
   std::map<std::pair<std::string, std::string>, StoredRow> m_LeaderRows;
   bool m_HasDemand = false;
+  TimePoint m_CutUntil{};
   SimulationStats m_Figures;
 };
 
--- a/src/scheduling/testing/SimServers.h
+++ b/src/scheduling/testing/SimServers.h
@@ -145,6 +145,13 @@
 
   ServerRegistration m_Registration;
   bool m_IsUp = true;
+  /// The condition in which the platform lists the instance while the server
+  /// is not up.
+  InstanceCondition m_ConditionIfNotUp = InstanceCondition::Down;
+  /// The server has left for good, and whether another one has followed on its
+  /// instance.
+  bool m_HasLeft = false;
+  bool m_IsReplaced = false;
   /// Numbers of the leaders whose orders do not reach the server.
   std::set<int> m_UnreachableFrom;
 
--- a/src/scheduling/testing/SimulatedServerFaults.cpp
+++ b/src/scheduling/testing/SimulatedServerFaults.cpp
@@ -42,11 +42,14 @@
 
 void JobSimulation::crashServer(std::size_t Index) {
   SimServer &S = *m_Servers[Index];
+  if (S.m_HasLeft)
+    return;
   S.crash();
   m_Clock.after(registrationDelay(), [this, &S] {
-    forEachLeader([&](Scheduler &Core) {
-      Core.onServer(S.m_Registration, m_Clock.m_Now);
-    });
+    if (!S.m_HasLeft)
+      forEachLeader([&](Scheduler &Core) {
+        Core.onServer(S.m_Registration, m_Clock.m_Now);
+      });
   });
 }
 
