Take no start that the next leader has recorded for one's own

Cause, traced: the leader of term 18 records the start of a step at 52.314 s and orders it on s0. The replaced leader of term 17 wants to start the same step. Its write fails at 52.376 s, since the term row and the job's row have changed. It takes over the job's row, which says that the step may be started, and starts it on s1 at 52.379 s, which the next leader does not reach yet.

Change: if the term row is among the conflicts of a write, the writer merges none of the other rows, so that its next writes conflict, too, and overwrite nothing. Ended jobs are still noticed. A conflict of a write that depends on no term still merges the record: that is not mended here.

--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -245,6 +245,10 @@
 
 void ProgressWriter::onConflicts(const std::vector<StoredRow> &Rows,
                                  TimePoint Now) {
+  const bool IsReplaced =
+      std::any_of(Rows.begin(), Rows.end(), [this](const StoredRow &Row) {
+        return Row.m_At == m_TermCondition.m_At;
+      });
   for (const StoredRow &Row : Rows) {
     JobId Id(Row.m_At.m_Key);
     LiveJob *Job = m_Core.jobs().find(Id);
@@ -263,6 +267,10 @@
       m_Core.onJobEnded(Id);
       continue;
     }
+    // A start that the next leader has recorded is not this leader's to order,
+    // and its rows are not to be overwritten.
+    if (IsReplaced)
+      continue;
     // The row was written by an earlier leader, or by this one with the answer
     // lost. Servers may have forgotten the run ends that it contains.
     Job->m_StateVersion = Row.m_Version;
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -95,6 +95,30 @@
   CHECK_EQUAL(0u, W.m_Core->jobs().all().size());
 }
 
+// A leader that was replaced took the record of a start by the next leader for
+// its own, and started the task beside that leader's run.
+TEST(ProgressWriter, TheRecordOfALaterLeaderPermitsNoStart) {
+  for (bool IsReplaced : {true, false}) {
+    SchedulerFixture W;
+    W.m_Core->setRecordsStarts(true);
+    W.addServer("s1");
+    W.addJob("j", {W.step(1)});
+    W.tick();
+    auto Next = W.m_Writer->next(W.m_Now, W.wall());
+    JobProgress Stored;
+    Stored.m_State = JobState::Running;
+    Stored.m_StartedSteps = {{0, 0}};
+    CommitOutcome Conflict;
+    if (IsReplaced)
+      Conflict.m_Conflicts.push_back({W.termCondition().m_At, {}, 101, false});
+    Conflict.m_Conflicts.push_back(
+        {jobStateAddress(JobId("j")), encodeProgress(Stored), 77, false});
+    W.m_Writer->onResult(Next->m_Number, Conflict, W.m_Now);
+    W.tick();
+    CHECK_EQUAL(IsReplaced ? 0u : 1u, W.m_Orders.m_Starts.size());
+  }
+}
+
 // Guards against a job that the leader forgets although it has not ended,
 // because the row in the store's answer was damaged.
 TEST(ProgressWriter, ConflictWithAnUnreadableRowKeepsTheJob) {
