Merge recorded progress again after a write that conflicts in the own term

After a write whose answer was lost, each further write of the partition conflicted for good. The simulation returned only the rows that had changed, so that no unit test or fuzzer showed it.

Change: a term row of another version shows a later term, an unchanged one does not. The simulated store returns the rows of all conditions, as the platform does.

--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -245,9 +245,11 @@
 
 void ProgressWriter::onConflicts(const std::vector<StoredRow> &Rows,
                                  TimePoint Now) {
+  // The store returns the rows of all conditions, also of those that hold.
   const bool IsReplaced =
       std::any_of(Rows.begin(), Rows.end(), [this](const StoredRow &Row) {
-        return Row.m_At == m_TermCondition.m_At;
+        return Row.m_At == m_TermCondition.m_At &&
+               Row.m_Version != m_TermCondition.m_Version;
       });
   for (const StoredRow &Row : Rows) {
     JobId Id(Row.m_At.m_Key);
--- a/src/scheduling/ProgressWriterTest.cpp
+++ b/src/scheduling/ProgressWriterTest.cpp
@@ -119,6 +119,29 @@
   }
 }
 
+// The store returns the rows of all conditions of a rejected write, the term
+// row among them. A leader that took that for a later term merged nothing, so
+// that its jobs never ended once the answer to a write was lost.
+TEST(ProgressWriter, AnUnchangedTermRowAmongTheConflictsEndsNoTerm) {
+  SchedulerFixture W;
+  W.m_Core->setRecordsStarts(true);
+  W.addServer("s1");
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  auto Next = W.m_Writer->next(W.m_Now, W.wall());
+  JobProgress Stored;
+  Stored.m_State = JobState::Running;
+  Stored.m_StartedSteps = {{0, 0}};
+  CommitOutcome Conflict;
+  const RowCondition Term = W.termCondition();
+  Conflict.m_Conflicts.push_back({Term.m_At, {}, Term.m_Version, false});
+  Conflict.m_Conflicts.push_back(
+      {jobStateAddress(JobId("j")), encodeProgress(Stored), 77, false});
+  W.m_Writer->onResult(Next->m_Number, Conflict, W.m_Now);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Starts.size());
+}
+
 // Guards against a job that the leader forgets although it has not ended,
 // because the row in the store's answer was damaged.
 TEST(ProgressWriter, ConflictWithAnUnreadableRowKeepsTheJob) {
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -405,28 +405,29 @@
   return Table == IdleServersTable || Table == QueueRulesTable;
 }
 
+StoredRow JobSimulation::currentRow(const RowAddress &At) {
+  if (At.m_Key == TermRowKey)
+    return {At, {}, m_TermVersion, false};
+  if (isLeaderTable(At.m_Table)) {
+    StoredRow &Row = m_LeaderRows[{At.m_Table, At.m_Key}];
+    Row.m_At = At;
+    return Row;
+  }
+  const StateRow &Row = m_StateRows[At.m_Key];
+  return {At, encodeProgress(Row.m_Progress), Row.m_Version, false};
+}
+
 CommitOutcome JobSimulation::apply(const RowTransaction &Txn) {
   CommitOutcome Outcome;
+  bool Holds = true;
+  // A rejected transaction returns the rows of all its conditions.
   for (const RowCondition &C : Txn.m_Conditions) {
-    if (C.m_At.m_Key == TermRowKey) {
-      if (C.m_Version != m_TermVersion)
-        Outcome.m_Conflicts.push_back({C.m_At, {}, m_TermVersion, false});
-      continue;
-    }
-    if (isLeaderTable(C.m_At.m_Table)) {
-      StoredRow &Row = m_LeaderRows[{C.m_At.m_Table, C.m_At.m_Key}];
-      Row.m_At = C.m_At;
-      if (C.m_Version != Row.m_Version)
-        Outcome.m_Conflicts.push_back(Row);
-      continue;
-    }
-    const StateRow &Row = m_StateRows[C.m_At.m_Key];
-    if (Row.m_Version != C.m_Version)
-      Outcome.m_Conflicts.push_back(
-          {C.m_At, encodeProgress(Row.m_Progress), Row.m_Version, false});
+    Outcome.m_Conflicts.push_back(currentRow(C.m_At));
+    Holds &= Outcome.m_Conflicts.back().m_Version == C.m_Version;
   }
-  if (!Outcome.m_Conflicts.empty())
+  if (!Holds)
     return Outcome;
+  Outcome.m_Conflicts.clear();
   Outcome.m_Committed = true;
   Outcome.m_Version = ++m_Version;
   for (const RowPut &P : Txn.m_Puts) {
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -211,6 +211,8 @@
   /// Draws a delay between the limits of the settings.
   Duration registrationDelay();
   CommitOutcome apply(const RowTransaction &Txn);
+  /// The row at \p At; one of version 0 if there is none.
+  StoredRow currentRow(const RowAddress &At);
   std::chrono::milliseconds wall() const;
   bool chance(double Share);
   Duration workOf(const TaskId &Task);
