Review cases 9 and 10: a cancelled job that is stored late, and advice

Case 9, cause: a DELETE answered 410 leaves nothing that stops a late write of the job's acceptance. A script loses the answers of two writes. Case 10, cause: advice is asked only for the first ready step of a job. A script loses the only minion of a label for good, of eight.

--- a/review/world_2.py
+++ b/review/world_2.py
@@ -112,6 +112,7 @@
         self.changed, self.parts = asyncio.Condition(), {}
         self.began = time.monotonic()
         self.is_busy = False  # answers all calls of the entry instances with 503
+        self.loses = None  # whether the answer of a transaction is lost
         self.http = Http(self.handle)
 
     def now_ms(self):
@@ -183,6 +184,24 @@
             if size > ROW_BYTES:
                 self.world.on_large_row(where(e), size)
                 return 400, self.answer()
+        if self.loses and self.loses(tx):
+            await asyncio.sleep(30)  # the connection delivers nothing further
+            return None
+        return await self.apply(tx, where, parts)
+
+    def apply_late(self, tx, delay_s):
+        """Carries a transaction without an answer out some seconds later, if its condition holds."""
+        where = lambda e: (e["table"], e.get("part", ""), e["key"])  # noqa: E731
+        parts = sorted({e.get("part", "") for kind in ("precondition", "puts", "remove")
+                        for e in tx.get(kind, [])})
+
+        async def later():
+            await asyncio.sleep(delay_s)
+            status, _ = await self.apply(tx, where, parts)
+            self.world.record.add(f"store: a transaction whose answer was lost is carried out late: {status}")
+        asyncio.ensure_future(later())
+
+    async def apply(self, tx, where, parts):
         locks = [self.parts.setdefault(p, asyncio.Lock()) for p in parts]
         for lock in locks:
             await lock.acquire()
@@ -340,6 +359,10 @@
             return refuse("old")
         if call["deadline-ms"] <= self.clock():
             return refuse("late")
+        step = call["task"].rsplit(".", 1)[0]
+        valid_until = self.world.tickets.get((step, self.id, call.get("ticket")), 0)
+        if self.world.advice and time.monotonic() > valid_until:
+            return refuse("ticket")
         needs = self.world.needs(call["task"])
         if any(self.used[k] + needs.get(k, 0) > self.machine.capacity[k] for k in self.used):
             return refuse("room")
@@ -404,7 +427,7 @@
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform",
                           "advice", "upkeep", "sharing"],
             "fault-tolerance": {"machines": 2, "zones": 1, "regions": 0}, "bounds": BOUNDS,
-            "control-mode": "invoke", "advice": "127.0.0.1:9",
+            "control-mode": "invoke", "advice": world.adviser.address,
             "platform": {"addr": world.store.http.address, "form": "table", "writes-per-s": 800,
                          "reads-per-s": 2000, "tx-ms": 3.0, "part-writes-s": 300,
                          "row-bytes": ROW_BYTES, "across": True, "history-s": 20},
@@ -449,8 +472,10 @@
     def __init__(self, folder, record, pools, capacity, spare=0, entries=3):
         self.folder, self.record = folder, record
         self.store, self.cloud = Store(self), Http(self.handle_cloud)
+        self.adviser, self.tickets, self.advised = Http(self.advise), {}, asyncio.Lock()
         self.machines, self.pools, self.jobs = {}, pools, {}
         self.has_spare = spare > 0
+        self.advice = None  # as in the route of a queue with advice
         for pool, count in [*pools.items(), ("spare", spare)]:
             for _ in range(count):
                 name = f"m-{len(self.machines):04x}"
@@ -490,6 +515,7 @@
     async def start(self, routes):
         await self.store.http.start()
         await self.cloud.start()
+        await self.adviser.start()
         self.store.put_now("op", "config", {
             "version": 7, "routes": routes,
             "services": [*({"name": p, "rejects-overload": True} for p in self.pools),
@@ -513,8 +539,8 @@
             await machine.minion.start()
 
     def crash(self, machine, for_s):
-        """The minion crashes; the machine has another one after `for_s`. Its entry in the store
-        is removed after three heartbeat intervals of silence."""
+        """The minion crashes; the machine has another one after `for_s`, or stays down if that is
+        None. Its entry in the store is removed after three heartbeat intervals of silence."""
         minion = machine.minion
         self.record.add(f"minion {minion.id} of {machine.name} crashes with {len(minion.runs)} runs")
         minion.kill()
@@ -522,7 +548,8 @@
         async def back():
             await asyncio.sleep(for_s)
             await self.begin_life(machine)
-        asyncio.ensure_future(back())
+        if for_s is not None:
+            asyncio.ensure_future(back())
         self.forget_later(minion)
 
     def forget_later(self, minion, delay=3 * HEARTBEAT_S):
@@ -561,6 +588,27 @@
         asyncio.ensure_future(arrive())
         return 200, {}
 
+    async def advise(self, method, path, query, headers, body):
+        """One call at a time for each calling machine; here for all of them together."""
+        call = json.loads(body)
+        async with self.advised:
+            await asyncio.sleep((self.advice["decide-ms"] +
+                                 self.advice["each-ms"] * len(call["workers"])) / 1000)
+        alive = {m.minion.id: m for m in self.machines.values() if m.minion}
+        good = []
+        for worker in call["workers"]:
+            if worker in alive and self.may_run(call["step"], alive[worker]):
+                ticket = f"{len(self.tickets):08x}"
+                self.tickets[call["step"], worker, ticket] = (
+                    time.monotonic() + self.advice["valid-ms"] / 1000)
+                good.append([worker, ticket])
+        self.record.add(f"adviser: {call['step']} {call['workers']}: {[g[0] for g in good]} may run it")
+        return 200, {"good": good, "valid-ms": self.advice["valid-ms"]}
+
+    def may_run(self, step, machine):
+        """The policy of the queue."""
+        return True
+
     # Clients.
 
     async def call(self, entry, method, path, body=None, timeout=3.0):
@@ -696,8 +744,9 @@
     """The case could not run: no statement about the rule."""
 
 
-def route(name, service, prefix, attempts=4):
-    return {"name": name, "host": HOST, "prefix": prefix, "kind": "non_idempotent",
+def route(name, service, prefix, attempts=4, advice=None):
+    return {**({"advice": advice} if advice else {}),
+            "name": name, "host": HOST, "prefix": prefix, "kind": "non_idempotent",
             "timeout-ms": 3000, "slo-ms": 600, "priority": 0, "service": service,
             "attempts": attempts, "stretch": 1.6}
 
