Review case 7: leases that a new leader has just found count as expired

Cause: a leader does not note the lease of a run that it adopts, so that a minion which is unreachable before the first renewal has none. What was done: a script kills the leader and loses five answers to stops.

--- a/review/world_2.py
+++ b/review/world_2.py
@@ -264,7 +264,8 @@
         self.fence = self.deadline = 0
         self.runs, self.ends, self.next_end, self.highest = {}, [], 1, {}
         self.used = {"cpu": 0, "mem-mb": 0}
-        self.sequence, self.is_dead = 0, False
+        self.sequence, self.is_dead, self.requests = 0, False, 0
+        self.loses = None  # whether the answer to an order that was carried out is lost
         self.ended = asyncio.Condition()
         self.http = Http(self.handle)
 
@@ -332,6 +333,7 @@
         if headers.get("x-expected-instance", self.id) != self.id:
             return 421, {}
         call = json.loads(body)
+        self.requests += 1
         if call.get("fence", 0) < self.fence:
             return 409, {"clock-ms": self.clock(), "reason": "fence"}
         self.fence = call.get("fence", 0)
@@ -345,6 +347,8 @@
             if run in self.runs and not self.runs[run]["stop_at"]:
                 self.runs[run]["stop_at"] = time.monotonic() + STOP_S
                 self.world.on_stop(self, *run)
+            if self.loses and self.loses(path, call):
+                return None
             return 200, {"clock-ms": self.clock()}
         if path == "/hold":
             return await self.hold(call)
