Conclude nothing from a list of ends that may be incomplete

Cause: a server lists at most 500 ends in one answer. The scheduler took each answer as complete, so that a run which was neither running nor listed was over, a server that had answered once had no run of an earlier leader, and after 10.6 s none had.

Change: an answer with as many ends as a list may hold is incomplete. From it nothing follows for runs that it lacks: they are not lost, crashed or stalled, keep their room, and tasks of earlier leaders wait until their server has sent a complete list, for as long as this leader extends its lease. That a server rejects earlier terms is still known from its first answer. EndsHeldBack and two metrics show it.

The stand-ins list 500 ends at most, and the fuzzer has a scenario in which a list holds one to five.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -9,12 +9,13 @@
 // checks every start, and the state of each leader must be consistent. After
 // the faults have ended, every job must end.
 //
-// Each seed plays three scenarios, one after the other: a busy one with short
+// Each seed plays four scenarios, one after the other: a busy one with short
 // tasks; a quiet one in which servers restart while they are idle, tasks
 // outlast leases, and the queue is moved between pools, gets other rules, is
-// removed and put back, of all of which the leaders learn late; and one in
-// which leaders are cut off from the store and from a part of the servers, and
-// servers are moved or drain.
+// removed and put back, of all of which the leaders learn late; one in which
+// leaders are cut off from the store and from a part of the servers, and
+// servers are moved or drain; and one with many short tasks in which the limits
+// of the platform are so small that they are met all the time.
 //
 //===----------------------------------------------------------------------===//
 
@@ -119,6 +120,24 @@
   return S;
 }
 
+SimulationSettings limitSettingsFor(std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed * 10007);
+  SimulationSettings S;
+  S.m_Seed = Seed;
+  S.m_ChecksState = true;
+  S.m_Servers = 2 + Random() % 4;
+  S.m_Rate = 1.0 + static_cast<double>(Random() % 3);
+  S.m_MaxSteps = 2;
+  S.m_MaxTasksPerStep = 20;
+  S.m_MedianWork = milliseconds(100 + Random() % 400);
+  S.m_MeanMilliCores = 400;
+  S.m_Faults.m_LostReplyShare = 0.03 * static_cast<double>(Random() % 3);
+  S.m_Faults.m_DelayedOrderShare = 0.03 * static_cast<double>(Random() % 3);
+  S.m_Faults.m_FailedRunShare = 0.02 * static_cast<double>(Random() % 3);
+  S.m_MaxListedEnds = 1 + Random() % 5;
+  return S;
+}
+
 /// Changes the rules of the queue, moves it, or removes it or puts it back.
 void changeQueue(JobSimulation &Simulation) {
   const auto Drawn = Simulation.random()() % 3;
@@ -251,7 +270,8 @@
     SimulationSettings (*m_SettingsFor)(std::uint64_t Seed);
     StepFn m_StepOnce;
   } Others[] = {{"quiet", quietSettingsFor, stepOnce},
-                {"cut", cutSettingsFor, stepWithCuts}};
+                {"cut", cutSettingsFor, stepWithCuts},
+                {"limit", limitSettingsFor, stepOnce}};
   for (const auto &Other : Others) {
     const std::string Name = std::string(Other.m_Name) + " scenario: ";
     try {
--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -142,7 +142,7 @@
 }
 
 bool FleetPlanner::hasKnownRuns(const ServerState &S) {
-  return S.m_HasAcknowledgedTerm && S.m_Reachable;
+  return S.m_HasListedAllRuns && S.m_Reachable;
 }
 
 FleetPlanner::Pools FleetPlanner::collectPools() {
--- a/src/scheduling/Messages.h
+++ b/src/scheduling/Messages.h
@@ -257,6 +257,11 @@
   std::int64_t m_StartTimeMs = 0;
   std::vector<RunReport> m_Running;
   std::vector<EndReport> m_Ended;
+  /// Whether the server may have more ends to report than it has listed, since
+  /// one list holds a limited number of them. It lists the next ones once it
+  /// has been told to forget these. A run that is missing from an incomplete
+  /// list may have ended in any way.
+  bool m_HasMoreEnds = false;
 };
 
 /// Sends the scheduler's orders. Results are reported through the scheduler's
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -269,8 +269,9 @@
     ServerRegistry::markChanged(*S);
     if (removeRecordedEnds(*S))
       S->m_NextPoll =
-          std::min(S->m_NextPoll,
-                   Now + (S->m_Runs.empty() ? AcknowledgeDelay : Duration(0)));
+          std::min(S->m_NextPoll, Now + (S->m_Runs.empty() && !S->m_HasMoreEnds
+                                             ? AcknowledgeDelay
+                                             : Duration(0)));
     awaitRecord(*S);
   }
 }
@@ -303,6 +304,12 @@
                         "the lease of every run has expired", Now);
     }
     rescheduleLostRuns(S, Now);
+    // An end does not count any more once its server's lease has expired.
+    if (S.m_HasAcknowledgedTerm && !S.m_HasListedAllRuns && !S.m_Reachable &&
+        Now >= S.m_LeasesEnd) {
+      S.forgetAcknowledgement();
+      m_UnacknowledgedPoolsChanged = true;
+    }
     if (!S.m_Registered && S.isIdle() && !S.m_PollPending &&
         Now >= S.m_UnregisteredAt + RegistrationGrace && Now >= S.m_LeasesEnd)
       Removable.push_back(S.m_Registration.m_Id);
@@ -407,6 +414,10 @@
       endRun(*S, End, Now);
   reconcileRuns(*S, Reply,
                 IsNewIncarnation ? S->lossAtEnd() : RunLoss::NotListed, Now);
+  S->m_HasMoreEnds = Reply.m_HasMoreEnds;
+  m_UnacknowledgedPoolsChanged |= !S->m_HasListedAllRuns;
+  S->m_HasListedAllRuns |= !Reply.m_HasMoreEnds;
+  m_ServersHoldEnds |= !S->m_HasListedAllRuns;
   relocateStalledRuns(*S, Now);
   for (const PaceOrder &Pace : adjustPaces(*S, m_Options.m_Term, Now)) {
     ++m_Counters.m_Paces;
@@ -414,9 +425,11 @@
   }
   // The answered poll granted no lease, and the runs that it listed need one at
   // once.
-  if (!S->m_Reachable || ((First || WasUnreachable) && !S->m_Runs.empty()))
+  if (!S->m_Reachable || ((First || WasUnreachable) && !S->m_Runs.empty()) ||
+      (S->m_HasMoreEnds && m_Authority.m_IsTermConfirmed &&
+       S->m_LastRecordedEnd > S->m_LastAcknowledgedEnd))
     S->m_NextPoll = Now;
-  else if (!S->m_UnrecordedEnds.empty())
+  else if (!S->m_UnrecordedEnds.empty() || S->m_HasMoreEnds)
     S->m_NextPoll = Now + UnrecordedPollSpacing;
   else
     S->m_NextPoll =
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -194,6 +194,10 @@
   void reconcileRuns(ServerState &S, const PollReply &Reply, RunLoss Loss,
                      TimePoint Now);
   void adoptOrStop(ServerState &S, const RunReport &Report, TimePoint Now);
+  /// Decides what became of the runs that \p Reply does not name. Nothing
+  /// follows from an incomplete list: the ends that it leaves out come later.
+  void resolveUnlistedRuns(ServerState &S, const PollReply &Reply, RunLoss Loss,
+                           TimePoint Now);
   void rescheduleRun(ServerState &S, const RunId &Id, RunLoss Loss,
                      TimePoint Now);
   /// Keeps starts that may be carried out late until they cannot be any more.
@@ -398,10 +402,10 @@
   void cancelPlannedStarts(LiveJob &Job);
   /// Frees what is kept on the server of \p P, a planned start of \p Job.
   static void cancelPlannedStart(const LiveJob &Job, const PlannedStart &P);
-  bool hasPoolAcknowledgedTerm(const PoolName &Pool) const {
-    return m_InstancesKnown && !m_UnacknowledgedPools.count(Pool);
-  }
-  /// Finds the pools with servers that have not answered in this term.
+  /// Whether no server can have a run of an earlier leader that it has not
+  /// named.
+  bool areEarlierRunsOver(TimePoint Now) const;
+  /// Finds the pools with servers that have not named all their runs.
   void findUnacknowledgedPools();
 
   // Reasons why jobs wait (SchedulerExplain.cpp).
@@ -468,20 +472,16 @@
   TimePoint m_LastAbruptSilence{};
   TimePoint m_TermBegunAt{};
   TimePoint m_UnknownRunsUntil{};
-  /// The servers of a pool that have not answered in this term.
-  struct UnacknowledgedServers {
-    std::size_t m_Count = 0;
-    ServerId m_First;
-  };
   std::map<PoolName, UnacknowledgedServers> m_UnacknowledgedPools;
   /// \see setServersWithoutEarlierRuns(), holdServers().
   std::set<ServerId> m_ServersWithoutEarlierRuns;
   std::set<ServerId> m_HeldServers;
-  /// Servers that were unreachable when they were forgotten. The platform may
-  /// still list them.
+  /// Servers, unreachable when forgotten, that the platform may still list.
   std::set<ServerId> m_ForgottenServers;
   /// Whether m_UnacknowledgedPools is out of date.
   bool m_UnacknowledgedPoolsChanged = true;
+  /// \see UnacknowledgedServers::m_HoldsEnds, of any pool.
+  bool m_ServersHoldEnds = false;
   bool m_Superseded = false;
   RowVersion m_StartsRecordedSince = ~RowVersion(0);
   bool m_RecordsStarts = false;
--- a/src/scheduling/SchedulerCaps.cpp
+++ b/src/scheduling/SchedulerCaps.cpp
@@ -33,7 +33,7 @@
   if (!m_Organisations.hasCaps() ||
       (m_ReservedAt && Now < *m_ReservedAt + ReservationLifetime))
     return;
-  if (Now >= m_UnknownRunsUntil) {
+  if (areEarlierRunsOver(Now)) {
     if (m_ReservedAt)
       m_Organisations.clearReservations();
     m_ReservedAt.reset();
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -137,10 +137,14 @@
     Lost.erase(Report.m_Run);
   for (const EndReport &End : Reply.m_Ended)
     Lost.erase(End.m_Run);
-  // An order that is not answered yet may still reach the new incarnation.
+  // An order that is not answered yet may still reach the new incarnation, and
+  // one that was carried out there late may have ended since then.
+  auto MayHaveBegunSince = [&](const ActiveRun &Run) {
+    return Run.m_Phase == RunPhase::Starting ||
+           (Reply.m_HasMoreEnds && !Run.m_HasBegun);
+  };
   for (auto It = Lost.begin(); It != Lost.end();)
-    It = It->second.m_Phase == RunPhase::Starting ? Lost.erase(It)
-                                                  : std::next(It);
+    It = MayHaveBegunSince(It->second) ? Lost.erase(It) : std::next(It);
   countCrash(S, Lost, "it answers with a later start time", Now);
 }
 
--- a/src/scheduling/SchedulerExplain.cpp
+++ b/src/scheduling/SchedulerExplain.cpp
@@ -152,10 +152,12 @@
                             ? "the instances are not listed yet"
                             : "pool " + It->first.m_Text + ": " +
                                   std::to_string(It->second.m_Count) +
-                                  " servers have not answered, the first is " +
+                                  " servers have not listed all their runs, "
+                                  "the first is " +
                                   It->second.m_First.m_Text;
   return "; " + Servers + "; for at most " +
-         milliseconds(m_UnknownRunsUntil - Now) + " more";
+         milliseconds(std::max(Duration(0), m_UnknownRunsUntil - Now)) +
+         " more, but for servers that hold ends back";
 }
 
 std::string Scheduler::describeWait(const LiveJob &Job, WaitReason Reason,
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -58,8 +58,7 @@
 
 void Scheduler::placeReady(TimePoint Now) {
   ++m_Counters.m_Passes;
-  if ((Now < m_UnknownRunsUntil || !m_Authority.m_IsTermConfirmed) &&
-      m_UnacknowledgedPoolsChanged)
+  if (!areEarlierRunsOver(Now) && m_UnacknowledgedPoolsChanged)
     findUnacknowledgedPools();
   reserveUnknownRuns(Now);
   startPlanned(Now);
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -32,6 +32,19 @@
 /// rounded. Less than the margin of ServerRegistry::recordLease().
 constexpr Duration ClockRounding = std::chrono::milliseconds(20);
 
+/// Logs that \p S has more ends than \p Reply lists, which leaves it open what
+/// became of \p Unlisted runs.
+void logEndsHeldBack(const ServerState &S, const PollReply &Reply,
+                     std::size_t Unlisted) {
+  logEvent(Event::EndsHeldBack,
+           {{"server", S.m_Registration.m_Id.m_Text},
+            {"first_end", std::to_string(Reply.m_Ended.front().m_Number)},
+            {"last_end", std::to_string(Reply.m_Ended.back().m_Number)},
+            {"recorded_end", std::to_string(S.m_LastRecordedEnd)},
+            {"runs", std::to_string(S.m_Runs.size())},
+            {"unlisted_runs", std::to_string(Unlisted)}});
+}
+
 } // namespace
 
 void Scheduler::suspectRestart(ServerState &S, TimePoint Now) {
@@ -39,7 +52,7 @@
   S.m_SuspectedAt = Now;
   S.m_ClockKnown = false;
   // A server that has restarted takes orders of earlier terms again.
-  S.m_HasAcknowledgedTerm = false;
+  S.forgetAcknowledgement();
   S.m_NextPoll = Now;
   m_UnacknowledgedPoolsChanged = true;
   ServerRegistry::holdLateStarts(S, m_Options.m_MaxLease);
@@ -138,7 +151,7 @@
     break;
   case OrderResult::LeaseExpiredOnArrival:
     // The calculated server clock is wrong; the next poll corrects it.
-    S->m_HasAcknowledgedTerm = false;
+    S->forgetAcknowledgement();
     S->m_NextPoll = Now;
     m_UnacknowledgedPoolsChanged = true;
     break;
@@ -330,6 +343,7 @@
         Job->m_HasBegun = true;
     Run.m_IsListed = Run.m_HasBegun = true;
     Run.m_LastListedIn = S.m_PollsAnswered;
+    Run.m_LossIfUnlisted.reset();
     Run.m_SeenAt = Now;
     if (Run.m_IsSuspect)
       onListedSuspect(S, Report.m_Run, Run);
@@ -349,19 +363,39 @@
         Run.m_ConfirmedAt == TimePoint::max())
       orderStop(S, Report.m_Run);
   }
+  resolveUnlistedRuns(S, Reply, Loss, Now);
+}
+
+void Scheduler::resolveUnlistedRuns(ServerState &S, const PollReply &Reply,
+                                    RunLoss Loss, TimePoint Now) {
   std::vector<RunId> Absent, Unlisted;
-  for (const auto &[Id, Run] : S.m_Runs) {
+  std::size_t HeldBack = 0;
+  for (auto &[Id, Run] : S.m_Runs) {
     if (Run.m_LastListedIn == S.m_PollsAnswered)
       continue;
-    if (Run.m_ConfirmedAt < S.m_PollSentAt)
-      Absent.push_back(Id);
-    else if ((Run.m_Phase == RunPhase::Unconfirmed ||
-              Run.m_Phase == RunPhase::Stopping) &&
-             !Run.m_StopPending && Run.m_ConfirmedAt == TimePoint::max())
+    if (Run.m_ConfirmedAt < S.m_PollSentAt) {
+      if (!Reply.m_HasMoreEnds) {
+        Absent.push_back(Id);
+        continue;
+      }
+      // The run may have ended in any way. A later list tells.
+      ++HeldBack;
+      if (Loss != RunLoss::NotListed)
+        Run.m_LossIfUnlisted = Loss;
+    } else if ((Run.m_Phase == RunPhase::Unconfirmed ||
+                Run.m_Phase == RunPhase::Stopping) &&
+               !Run.m_StopPending && Run.m_ConfirmedAt == TimePoint::max()) {
       Unlisted.push_back(Id);
+    }
+  }
+  if (Reply.m_HasMoreEnds) {
+    ++m_Counters.m_IncompleteLists;
+    m_Counters.m_UnresolvedRuns += HeldBack;
+    if (!S.m_HasMoreEnds)
+      logEndsHeldBack(S, Reply, HeldBack);
   }
   for (const RunId &Id : Absent)
-    rescheduleRun(S, Id, Loss, Now);
+    rescheduleRun(S, Id, S.m_Runs.at(Id).m_LossIfUnlisted.value_or(Loss), Now);
   for (const RunId &Id : Unlisted)
     orderStop(S, Id);
 }
--- a/src/scheduling/SchedulerStartRecords.cpp
+++ b/src/scheduling/SchedulerStartRecords.cpp
@@ -33,15 +33,19 @@
 void Scheduler::findUnacknowledgedPools() {
   m_UnacknowledgedPoolsChanged = false;
   m_UnacknowledgedPools.clear();
+  m_ServersHoldEnds = false;
   auto Count = [this](const PoolName &Pool, const ServerId &Server) {
     UnacknowledgedServers &U = m_UnacknowledgedPools[Pool];
     if (++U.m_Count == 1)
       U.m_First = Server;
+    const ServerState *S = m_Servers.find(Server);
+    U.m_HoldsEnds |= S && S->m_HasAcknowledgedTerm && !S->m_HasListedAllRuns;
+    m_ServersHoldEnds |= U.m_HoldsEnds;
   };
   // A later leader may have recorded the ends of all runs of the incarnation
   // before.
   auto HasAnswered = [this](const ServerState &S) {
-    return S.m_HasAcknowledgedTerm &&
+    return S.m_HasListedAllRuns &&
            (S.m_Incarnation == 0 ||
             m_Authority.isUncontestedSince(S.m_AcknowledgedAt));
   };
@@ -98,12 +102,16 @@
     S.m_IsHeld = m_HeldServers.count(Id) != 0;
 }
 
+bool Scheduler::areEarlierRunsOver(TimePoint Now) const {
+  return Now >= m_UnknownRunsUntil && m_Authority.m_IsTermConfirmed &&
+         !m_ServersHoldEnds;
+}
+
 bool Scheduler::mayHaveUnknownRuns(const LiveJob &Job, const ReadyTask &Task,
                                    TimePoint Now) const {
   // That the runs are over does not tell what became of them: a later leader
   // may have recorded their ends.
-  if (m_Options.m_Term == 1 ||
-      (Now >= m_UnknownRunsUntil && m_Authority.m_IsTermConfirmed) ||
+  if (m_Options.m_Term == 1 || areEarlierRunsOver(Now) ||
       Job.m_AcceptedVersion > m_Options.m_TermVersion)
     return false;
   if (Job.m_AcceptedVersion > m_StartsRecordedSince &&
@@ -111,12 +119,20 @@
            .m_Steps[Task.m_Step]
            .m_MayHaveEarlierRuns)
     return false;
-  return Job.anyPoolOfEarlierRuns(
-      [this](const PoolName &Pool) { return !hasPoolAcknowledgedTerm(Pool); });
+  // The leases of earlier leaders have expired by then, but not those of
+  // servers that this leader polls.
+  const bool OnlyHeldEnds =
+      Now >= m_UnknownRunsUntil && m_Authority.m_IsTermConfirmed;
+  return Job.anyPoolOfEarlierRuns([&](const PoolName &Pool) {
+    auto It = m_UnacknowledgedPools.find(Pool);
+    const bool IsListed = It != m_UnacknowledgedPools.end();
+    return OnlyHeldEnds ? IsListed && It->second.m_HoldsEnds
+                        : !m_InstancesKnown || IsListed;
+  });
 }
 
 bool Scheduler::mayAllHaveUnknownRuns(const LiveJob &Job, TimePoint Now) const {
-  if (Now >= m_UnknownRunsUntil && m_Authority.m_IsTermConfirmed)
+  if (areEarlierRunsOver(Now))
     return false;
   const ReadyTask *Last = nullptr;
   for (const ReadyTask &R : Job.m_Ready) {
--- a/src/scheduling/SchedulerTypes.h
+++ b/src/scheduling/SchedulerTypes.h
@@ -78,6 +78,9 @@
   std::uint64_t m_ServerCrashes = 0;
   /// Runs lost in such crashes whose tasks became suspects.
   std::uint64_t m_SuspectedRuns = 0;
+  /// Lists that left run ends out, and runs that they left undecided.
+  std::uint64_t m_IncompleteLists = 0;
+  std::uint64_t m_UnresolvedRuns = 0;
   /// Starts of suspected tasks.
   std::uint64_t m_SuspectStarts = 0;
   /// Those of them beside tasks of other jobs, since no server became free.
@@ -90,6 +93,15 @@
   std::uint64_t m_ServersSearched = 0;
 };
 
+/// The servers of a pool that have not named all their runs in this term.
+struct UnacknowledgedServers {
+  std::size_t m_Count = 0;
+  ServerId m_First;
+  /// Whether one of them has answered and holds ends back. These count for as
+  /// long as this leader extends its leases.
+  bool m_HoldsEnds = false;
+};
+
 /// Demand on a pool, for sizing the pool and for admission control.
 /// Best-effort tasks occupy no cores.
 struct PoolDemand {
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -57,6 +57,9 @@
   /// Why the run would be over if its start could not be carried out any more.
   /// Unset once the server answers again.
   std::optional<RunLoss> m_LostBy;
+  /// Why the run is over if the next complete list lacks it; unset: because the
+  /// list does.
+  std::optional<RunLoss> m_LossIfUnlisted;
   /// Whether a crash of the server was counted for the task.
   bool m_IsCrashCounted = false;
   /// Whether the task is suspected of crashing its servers, and this run has
@@ -131,6 +134,11 @@
   bool m_HasAcknowledgedTerm = false;
   /// When it did so first.
   TimePoint m_AcknowledgedAt{};
+  /// Whether the server has named all its runs in one answer of this term: no
+  /// end was held back. Runs of earlier terms that it did not name are over.
+  bool m_HasListedAllRuns = false;
+  /// \see PollReply::m_HasMoreEnds, of the latest answer.
+  bool m_HasMoreEnds = false;
   /// When the latest start order that it has answered was issued. The runs that
   /// had begun before were still there.
   TimePoint m_AliveAt{};
@@ -161,6 +169,13 @@
   /// Runs of the server have stalled or failed. It gets one task at a time
   /// until a task has completed.
   bool m_OnProbation = false;
+
+  /// The server may take orders of earlier terms, and may have runs that it has
+  /// not named.
+  void forgetAcknowledgement() {
+    m_HasAcknowledgedTerm = false;
+    m_HasListedAllRuns = false;
+  }
 };
 
 /// A backend server under its ID, as known in this term. The members of its own
--- a/src/scheduling/StallDetection.cpp
+++ b/src/scheduling/StallDetection.cpp
@@ -52,6 +52,9 @@
 bool isStalled(const ServerState &S, TimePoint Now) {
   int Finite = 0, Stalled = 0;
   for (const auto &[Id, Run] : S.m_Runs) {
+    // A run that the latest list lacks may have ended.
+    if (S.m_HasMoreEnds && Run.m_LastListedIn != S.m_PollsAnswered)
+      continue;
     Finite += !Run.m_IsLongRunning;
     Stalled += isStalled(Run, Now);
   }
--- a/src/scheduling/WaitMonitorTest.cpp
+++ b/src/scheduling/WaitMonitorTest.cpp
@@ -212,7 +212,8 @@
   W.addJob("j", {W.step(1)}, Recorded);
   STRCMP_EQUAL("earlier_leader_runs", W.reason().c_str());
   STRCMP_CONTAINS(
-      "pool desk: 1 servers have not answered, the first is dark; for at most ",
+      "pool desk: 1 servers have not listed all their runs, the first is dark; "
+      "for at most ",
       W.description().c_str());
 }
 
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -290,6 +290,7 @@
     R.m_StartTimeMs = 1;
     m_Servers.push_back(
         std::make_unique<SimServer>(m_Clock, m_Random, m_Oracle, R));
+    m_Servers.back()->m_MaxListedEnds = Settings.m_MaxListedEnds;
   }
   m_Oracle.m_OnGangMemberGone = [this](const RunId &Member, EndKind Kind) {
     m_Clock.after(GangEndDelay, [this, Member, Kind] {
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -56,6 +56,8 @@
   /// Share of the jobs whose row holds no rules of the queue, as those that an
   /// earlier version of the program accepted.
   double m_RowWithoutRulesShare = 0;
+  /// Ends that a server lists at most in one answer.
+  std::size_t m_MaxListedEnds = 500;
   /// Whether the state of the leaders is checked with findInconsistency().
   bool m_ChecksState = false;
 };
--- a/src/scheduling/testing/SchedulerFixture.cpp
+++ b/src/scheduling/testing/SchedulerFixture.cpp
@@ -84,12 +84,14 @@
 
 void SchedulerFixture::answerPoll(const std::string &Id,
                                   std::vector<RunReport> Running,
-                                  std::vector<EndReport> Ended) {
+                                  std::vector<EndReport> Ended,
+                                  bool HasMoreEnds) {
   PollReply Reply;
   Reply.m_ClockMs = wall().count();
   Reply.m_StartTimeMs = m_StartTimeMs;
   Reply.m_Running = std::move(Running);
   Reply.m_Ended = std::move(Ended);
+  Reply.m_HasMoreEnds = HasMoreEnds;
   PollOrder Order = lastPoll(Id);
   advance(std::chrono::milliseconds(1));
   m_Core->onPollReply(Order, Reply, m_Now);
--- a/src/scheduling/testing/SchedulerFixture.h
+++ b/src/scheduling/testing/SchedulerFixture.h
@@ -59,10 +59,11 @@
   /// The same, and the server answers its first poll.
   void addServer(const std::string &Id, int Cores = 4,
                  const std::string &Pool = "desk");
-  /// Answers the latest poll of the server \p Id with these lists. Aborts if
-  /// there is none.
+  /// Answers the latest poll of the server \p Id with these lists, of which
+  /// that of ends is incomplete if \p HasMoreEnds is set. Aborts if there is
+  /// none.
   void answerPoll(const std::string &Id, std::vector<RunReport> Running = {},
-                  std::vector<EndReport> Ended = {});
+                  std::vector<EndReport> Ended = {}, bool HasMoreEnds = false);
   /// Makes the latest poll of the server \p Id fail. Aborts if there is none.
   void failPoll(const std::string &Id, OrderResult R = OrderResult::Unknown);
   /// Answers the start order at \p Index of m_Orders.m_Starts.
--- a/src/scheduling/testing/SimServers.cpp
+++ b/src/scheduling/testing/SimServers.cpp
@@ -412,7 +412,10 @@
     auto Percent = workDone(R) * 100 / std::max(Duration(1), R.m_Work);
     Reply.m_Running.push_back({Id, "", static_cast<int>(Percent), 0});
   }
-  Reply.m_Ended = m_Ends;
+  const std::size_t Listed = std::min(m_Ends.size(), m_MaxListedEnds);
+  Reply.m_Ended.assign(m_Ends.begin(),
+                       m_Ends.begin() + static_cast<std::ptrdiff_t>(Listed));
+  Reply.m_HasMoreEnds = Listed == m_MaxListedEnds;
   return Reply;
 }
 
--- a/src/scheduling/testing/SimServers.h
+++ b/src/scheduling/testing/SimServers.h
@@ -154,6 +154,8 @@
   bool m_IsReplaced = false;
   /// Numbers of the leaders whose orders do not reach the server.
   std::set<int> m_UnreachableFrom;
+  /// Ends that one list holds at most.
+  std::size_t m_MaxListedEnds = 500;
 
   /// Starts a run that takes \p Work at normal speed.
   OrderResult start(const StartOrder &Order, Duration Work, bool Fails);
--- a/src/scheduling/testing/SimulatedCuts.cpp
+++ b/src/scheduling/testing/SimulatedCuts.cpp
@@ -67,7 +67,7 @@
   std::vector<SimServer *> Idle;
   for (auto &S : m_Servers) {
     const ServerState *Known = core().servers().find(S->m_Registration.m_Id);
-    if (mayLeave(*S) && Known && Known->m_HasAcknowledgedTerm &&
+    if (mayLeave(*S) && Known && Known->m_HasListedAllRuns &&
         Known->m_Reachable && Known->isIdle())
       Idle.push_back(S.get());
   }
@@ -121,6 +121,7 @@
   R.m_StartTimeMs = 1;
   m_Servers.push_back(
       std::make_unique<SimServer>(m_Clock, m_Random, m_Oracle, R));
+  m_Servers.back()->m_MaxListedEnds = m_Settings.m_MaxListedEnds;
   m_Servers.back()->m_UnreachableFrom = S.m_UnreachableFrom;
   forEachLeader([&](Scheduler &Core) { Core.onServer(R, m_Clock.m_Now); });
   listInstances();
--- a/standins/jobs/job_platform.py
+++ b/standins/jobs/job_platform.py
@@ -28,6 +28,8 @@
 from oracle import Oracle  # noqa: E402
 
 ROW_LIMIT = 500
+# Run ends in one list.
+END_LIMIT = 500
 MAX_FEED_CHANGES = 20000
 MACHINE_OFFLINE_S = 0.3
 SLOW_STORE_S = 0.25
@@ -340,7 +342,8 @@
                     pass
         if self.dead:
             return None
-        return 200, {"clock-ms": self.clock(), "born": self.born, "ended": self.unacknowledged_ends,
+        return 200, {"clock-ms": self.clock(), "born": self.born,
+                     "ended": self.unacknowledged_ends[:END_LIMIT],
                      "running": [[t, n, "", self.percent((t, n)), 0] for t, n in self.runs]}
 
     def terminate(self, unregister=True):
--- /dev/null
+++ b/tests/platform_limits_check.py
@@ -0,0 +1,74 @@
+#!/usr/bin/env python3
+"""Runs jobs on real entry instances that meet the limits of the platform.
+
+  platform_limits_check.py BUILD_DIR [--seed N]
+
+Checks with the stand-in of the platform: more ends than one list holds, while the leader
+changes.
+"""
+import pathlib
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from jobs_check import Check, call  # noqa: E402
+
+LIST_JOB_TASKS = 1500
+TASK = {"cpu": 3, "mem-mb": 4, "estimate-ms": 300}
+
+
+class LimitsCheck(Check):
+    def submit_wide(self, tasks):
+        """Submits a job of one step whose tasks all run on one server."""
+        job = f"{self.random.getrandbits(64):016x}"
+        body = {"spec": "work", "steps": [{"count": tasks, **TASK}]}
+        self.expect(job, body)
+        status, reply = call(self.entries[0].callers, "POST", f"/asks/{job}", body)
+        assert status == 200, (status, reply)
+        return job
+
+    def run_all(self, tasks):
+        """Lets tasks stand still and returns a job of which all tasks run."""
+        call(self.platform["store"], "GET", "/faults?runs=hang")
+        job = self.submit_wide(tasks)
+        self.until("all tasks run", lambda: sum(
+            t.startswith(job) for t in self.report()["running"]) == tasks)
+        return job
+
+    # A list holds 500 ends. The next leader took the runs that it left out for lost.
+    def starts_no_task_again_whose_end_is_held_back(self):
+        job = self.run_all(LIST_JOB_TASKS)
+        leader = self.leader()
+        leader.kill()
+        call(self.platform["store"], "GET", "/faults?runs=ok")
+        self.until("all tasks have ended", lambda: not self.report()["running"])
+        leader.start()
+        self.wait_for(job, "completed")
+        starts = self.report()["starts"]
+        again = [t for t, count in starts.items() if t.startswith(job) and count > 1]
+        assert not again, (len(again), again[:5])
+
+    STEPS = (starts_no_task_again_whose_end_is_held_back,)
+
+
+def main():
+    build = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else "build").resolve()
+    seed = int(sys.argv[sys.argv.index("--seed") + 1]) if "--seed" in sys.argv else 1
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        check = LimitsCheck(build, seed, pathlib.Path(folder))
+        try:
+            check.run()
+        except BaseException:
+            for entry in check.entries:
+                if entry.log.exists():
+                    print(f"--- {entry.name}\n{entry.log.read_text()[-3000:]}")
+            raise
+        finally:
+            check.close()
+    print(f"platform_limits_check: ok ({time.monotonic() - began:.0f} s)")
+
+
+if __name__ == "__main__":
+    main()
