Record many waves in parts, and read all recorded ones

What operators saw, by reading: with more than 49 waves whose progress changed at once, none of them was recorded, since one transaction held all of them and had more than the 100 entries that the store accepts. It was sent again and again. A new leader read the first 500 recorded waves only.

Change: FleetPlanner::takeChangedWaves() takes a limit, and recorded waves are read page by page. StoreLimits names what the store accepts.

Evidence: WavePlanning.ChangedWavesAreTakenInParts; without the limit 120 waves come at once.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/Leader.h"
 #include "base/Log.h"
+#include "instances/WaveRows.h"
 #include "jobs/JobRows.h"
 #include "net/ProcessorTime.h"
 
@@ -9,8 +10,6 @@
 
 namespace {
 
-/// Rows per page: the store's limit.
-constexpr std::size_t MaxPageRows = 500;
 /// Delay before a failed read is repeated.
 constexpr Duration RetryPause = std::chrono::milliseconds(100);
 /// How long one call of the live jobs' change feed may wait.
@@ -90,7 +89,7 @@
   followJobs();
   readStartRecords();
   readIdleServers();
-  readWaves();
+  readWaves({WavesTable, {}, LeaderPartition});
   readRecentOrders();
   listInstances();
   FleetListener Callbacks;
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -77,6 +77,8 @@
 
   Leader(EventLoop &Loop, EntryPorts Ports, const EntrySettings &Settings,
          Leadership &Lead, LoadMonitor &Load);
+  /// Rows per page: the store's limit.
+  static constexpr std::size_t MaxPageRows = 500;
   /// Reads a page of rows; repeats a failed read until it succeeds.
   void readWithRetry(const RowAddress &From, std::size_t Limit,
                      std::function<void(RowPage &)> Callback);
@@ -110,7 +112,7 @@
   void readRecentOrders();
   void applyRecentOrders(const StoredRow &Row,
                          std::chrono::milliseconds StoreTime);
-  void readWaves();
+  void readWaves(const RowAddress &From);
   void addWave(const WaveRequest &Wave);
   void recordWaves();
 
--- a/src/entry/LeaderInstances.cpp
+++ b/src/entry/LeaderInstances.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-/// Maximum number of recorded waves that are read. A wave takes place about
-/// every three weeks.
-constexpr std::size_t MaxWaves = 500;
+/// Waves of which one transaction records the progress. Each takes two entries,
+/// and the condition on the term one.
+constexpr std::size_t MaxWavesPerTransaction =
+    (StoreLimits().m_TransactionEntries - 1) / 2;
 /// Interval between two plans. Planning more often gains little, because an
 /// order takes seconds to have an effect.
 constexpr Duration PlanInterval = std::chrono::milliseconds(100);
@@ -27,21 +28,24 @@
 
 } // namespace
 
-void Leader::readWaves() {
-  readWithRetry({WavesTable, {}, LeaderPartition}, MaxWaves,
-                [this](RowPage &Page) {
-                  for (const StoredRow &Row : Page.m_Rows)
-                    if (auto P = decodeWaveProgress(Row.m_Value))
-                      m_RecordedWaves[WaveId(Row.m_At.m_Key)] = P.value();
-                    else
-                      logEvent(Event::RecordUnreadable,
-                               {{"row", Row.m_At.m_Key},
-                                {"error", P.error().describe()}});
-                  m_WavesLoaded = true;
-                  for (const WaveRequest &Wave : m_DeferredWaves)
-                    addWave(Wave);
-                  m_DeferredWaves.clear();
-                });
+void Leader::readWaves(const RowAddress &From) {
+  readWithRetry(From, MaxPageRows, [this](RowPage &Page) {
+    for (const StoredRow &Row : Page.m_Rows)
+      if (auto P = decodeWaveProgress(Row.m_Value))
+        m_RecordedWaves[WaveId(Row.m_At.m_Key)] = P.value();
+      else
+        logEvent(Event::RecordUnreadable,
+                 {{"row", Row.m_At.m_Key}, {"error", P.error().describe()}});
+    if (Page.m_HasMore && !Page.m_Rows.empty()) {
+      RowAddress Next = Page.m_Rows.back().m_At;
+      Next.m_Key += '\0';
+      return readWaves(Next);
+    }
+    m_WavesLoaded = true;
+    for (const WaveRequest &Wave : m_DeferredWaves)
+      addWave(Wave);
+    m_DeferredWaves.clear();
+  });
 }
 
 void Leader::onWave(const WaveRequest &Wave) {
@@ -166,7 +170,8 @@
 void Leader::recordWaves() {
   if (m_WaveRecordPending || !m_WavesLoaded)
     return;
-  std::vector<WaveId> Changed = m_Planner->takeChangedWaves();
+  std::vector<WaveId> Changed =
+      m_Planner->takeChangedWaves(MaxWavesPerTransaction);
   if (Changed.empty())
     return;
   RowTransaction Txn;
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -95,8 +95,9 @@
                                   std::size_t MaxOrders);
   void onOrderResult(const InstanceOrder &Order, InstanceOrderResult R,
                      TimePoint Now);
-  /// Returns the waves whose progress has changed since the last call.
-  std::vector<WaveId> takeChangedWaves();
+  /// Returns at most \p Max of the waves whose progress has changed since they
+  /// were last returned.
+  std::vector<WaveId> takeChangedWaves(std::size_t Max);
   /// Returns \p Id from the next takeChangedWaves() again, because its progress
   /// could not be stored.
   void markChanged(const WaveId &Id) { m_ChangedWaves.insert(Id); }
--- a/src/instances/WavePlanning.cpp
+++ b/src/instances/WavePlanning.cpp
@@ -59,9 +59,11 @@
   m_ChangedWaves.insert(W.m_Request.m_Id);
 }
 
-std::vector<WaveId> FleetPlanner::takeChangedWaves() {
-  std::vector<WaveId> Out(m_ChangedWaves.begin(), m_ChangedWaves.end());
-  m_ChangedWaves.clear();
+std::vector<WaveId> FleetPlanner::takeChangedWaves(std::size_t Max) {
+  std::vector<WaveId> Out;
+  while (Out.size() < Max && !m_ChangedWaves.empty())
+    Out.push_back(
+        std::move(m_ChangedWaves.extract(m_ChangedWaves.begin()).value()));
   return Out;
 }
 
--- a/src/instances/WavePlanningTest.cpp
+++ b/src/instances/WavePlanningTest.cpp
@@ -210,11 +210,11 @@
                                W.m_World.m_Now);
   W.plan();
   CHECK(W.m_Planner->progress(WaveId("1")).m_Complete);
-  W.m_Planner->takeChangedWaves();
+  W.m_Planner->takeChangedWaves(9);
   W.m_Planner->onWaveRewritten(
       {WaveId("1"), {InstanceId("on-s1"), InstanceId("on-s2")}, 60s, 1});
   CHECK_FALSE(W.m_Planner->progress(WaveId("1")).m_Complete);
-  CHECK_EQUAL(1u, W.m_Planner->takeChangedWaves().size());
+  CHECK_EQUAL(1u, W.m_Planner->takeChangedWaves(9).size());
 }
 
 // As above, while the leader changed: the next one took the recorded end of the
@@ -334,3 +334,18 @@
   W.m_World.advance(2s);
   CHECK_EQUAL(0u, W.plan().size());
 }
+
+// More than 49 waves changed at once, and the transaction with all of them had
+// more entries than the store accepts, again and again.
+TEST(WavePlanning, ChangedWavesAreTakenInParts) {
+  PlannerFixture W;
+  for (int N = 0; N < 120; ++N)
+    W.m_Planner->markChanged(WaveId(std::to_string(N)));
+  std::set<WaveId> Taken;
+  for (std::size_t Expected : {49u, 49u, 22u, 0u}) {
+    const std::vector<WaveId> Part = W.m_Planner->takeChangedWaves(49);
+    CHECK_EQUAL(Expected, Part.size());
+    Taken.insert(Part.begin(), Part.end());
+  }
+  CHECK_EQUAL(120u, Taken.size());
+}
--- a/src/store/MetadataStore.h
+++ b/src/store/MetadataStore.h
@@ -67,6 +67,17 @@
   }
 };
 
+/// What the store accepts.
+struct StoreLimits {
+  /// Bytes of one value.
+  std::size_t m_RowBytes = 65536;
+  /// Conditions, writes and deletions of one transaction.
+  std::size_t m_TransactionEntries = 100;
+  /// Bytes of the values in one transaction. Its call has 1 MB at most, and
+  /// values take a third more there.
+  std::size_t m_ValueBytes = 500'000;
+};
+
 /// The store's decision on a transaction.
 struct CommitOutcome {
   bool m_Committed = false;
