Divide a transaction of job states that the store refuses

Cause: ProgressWriter took a refusal (400) for a call without an answer, and sent the same transaction again and again. All jobs of the partition waited for it. Nothing limited the bytes of a transaction either: 33 rows of 45 KB were refused although each was within its limit.

Change: the jobs of a refused transaction get one each, and only a job whose own transaction is refused waits. A transaction holds 500 KB of values at most. RecordRefused and JobUnrecordable name the job, and two metrics count. The stand-in has the store's limits.

--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -40,6 +40,10 @@
     return m_Service.leader() ? m_Service.leader()->counters()
                               : SchedulerCounters{};
   }
+  ProgressWriter::Counters records() const {
+    return m_Service.leader() ? m_Service.leader()->recordCounters()
+                              : ProgressWriter::Counters{};
+  }
   const JobStoreCounters &jobStore() const {
     return m_Service.jobStoreCounters();
   }
@@ -161,6 +165,12 @@
      [](const Sources &S) {
        return number(S.scheduler().m_CrashingTasksGivenUp);
      }},
+    {"pollenspool_records_refused_total", MetricType::Counter,
+     "Transactions with the progress of jobs that the store refused for good.",
+     [](const Sources &S) { return number(S.records().m_Refused); }},
+    {"pollenspool_jobs_unrecordable_total", MetricType::Counter,
+     "Jobs failed in this term because the store refused their progress.",
+     [](const Sources &S) { return number(S.records().m_JobsGivenUp); }},
     {"pollenspool_paces_total", MetricType::Counter,
      "Changes of the pace of filling runs in this term.",
      [](const Sources &S) { return number(S.scheduler().m_Paces); }},
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -51,6 +51,9 @@
   /// The queue loads that the next renewal publishes.
   RenewalRow renewal();
   const SchedulerCounters &counters() const { return m_Scheduler->counters(); }
+  const ProgressWriter::Counters &recordCounters() const {
+    return m_ProgressWriter->counters();
+  }
   /// For the operators' status page.
   Scheduler &scheduler() { return *m_Scheduler; }
   const FleetPlanner &planner() const { return *m_Planner; }
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -222,6 +222,8 @@
       .add("changed", Progress.m_ChangedAt.count());
   if (Progress.m_HasCrashedServers)
     Row.add("crashed_servers", true);
+  if (Progress.m_IsUnrecordable)
+    Row.add("unrecordable", true);
   if (!Progress.m_Organisation.empty())
     Row.add("organisation", Progress.m_Organisation.m_Text);
   writeRows(Row, "done", Progress.m_Done,
@@ -298,6 +300,7 @@
         P.m_State = static_cast<JobState>(State);
         P.m_ChangedAt = millisecondsFrom(J.at("changed"));
         P.m_HasCrashedServers = J.value("crashed_servers", false);
+        P.m_IsUnrecordable = J.value("unrecordable", false);
         P.m_Organisation = OrganisationName(J.value("organisation", ""));
         readSteps(J, P);
         return P;
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -65,6 +65,8 @@
   /// Whether a failed job was given up because one of its tasks crashed the
   /// servers that started it.
   bool m_HasCrashedServers = false;
+  /// Whether a failed job was given up because the store refused its progress.
+  bool m_IsUnrecordable = false;
   /// \see JobSpec::m_Organisation.
   OrganisationName m_Organisation;
   /// By occurrence and step: whether each task is done, by task index.
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -171,7 +171,8 @@
         }
         JobStatus Status{Progress.value().m_State,
                          Progress.value().m_HasCrashedServers,
-                         Progress.value().m_Organisation};
+                         Progress.value().m_Organisation,
+                         Progress.value().m_IsUnrecordable};
         Self->cacheFinalStatus(Id, Status);
         Callback(std::optional<JobStatus>(Status));
       });
@@ -265,7 +266,7 @@
                             CancelResult R) {
   if (R == CancelResult::Cancelled) {
     ++m_Counters.m_Cancelled;
-    cacheFinalStatus(C->m_Id, {JobState::Cancelled, false, C->m_Owner});
+    cacheFinalStatus(C->m_Id, {JobState::Cancelled, false, C->m_Owner, false});
   }
   C->m_Callback(R);
 }
--- a/src/jobs/JobStore.h
+++ b/src/jobs/JobStore.h
@@ -54,6 +54,8 @@
   bool m_HasCrashedServers = false;
   /// \see JobSpec::m_Organisation.
   OrganisationName m_Organisation{};
+  /// \see JobProgress::m_IsUnrecordable.
+  bool m_IsUnrecordable = false;
 };
 
 /// Submits and cancels jobs, and looks up their state. It only uses the
--- a/src/jobs/SubmissionBatcher.cpp
+++ b/src/jobs/SubmissionBatcher.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-/// Each submission takes three entries of a transaction; the store accepts 100.
-constexpr std::size_t MaxSubmissionsPerBatch = 33;
-/// The store accepts calls of 1 MB, and values take a third more when encoded.
-constexpr std::size_t MaxBatchBytes = 500'000;
+/// Each submission takes three entries of a transaction.
+constexpr std::size_t MaxSubmissionsPerBatch =
+    StoreLimits().m_TransactionEntries / 3;
+constexpr std::size_t MaxBatchBytes = StoreLimits().m_ValueBytes;
 
 /// Whether the store guarantees that a commit with this error was not applied.
 bool isCertainlyNotApplied(ErrorCode Code) {
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -382,6 +382,7 @@
   P.m_State = Job.m_State;
   P.m_ChangedAt = Wall;
   P.m_HasCrashedServers = Job.m_HasCrashedServers;
+  P.m_IsUnrecordable = Job.m_IsUnrecordable;
   P.m_Organisation = Job.m_Spec.m_Organisation;
   if (isFinal(Job.m_State))
     return P;
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -235,6 +235,14 @@
   std::uint64_t m_ChangeNumber = 0;
   std::uint64_t m_RecordedChangeNumber = 0;
   std::vector<EndWaiter> m_EndWaiters;
+  /// The store has refused a transaction with the job's row, which is written
+  /// in one of its own now: how often it has refused that one in a row, and
+  /// when it is tried again.
+  bool m_IsRecordedAlone = false;
+  std::uint32_t m_RecordRefusals = 0;
+  TimePoint m_RecordRetryAt{};
+  /// \see JobProgress::m_IsUnrecordable.
+  bool m_IsUnrecordable = false;
 
   StepId stepId(const ReadyTask &Task) const {
     return {m_Spec.m_Id, Task.m_Occurrence, Task.m_Step};
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// Each job takes up to three entries of a transaction and the condition on the
-/// term one; the store accepts 100.
-constexpr std::size_t MaxJobsPerTransaction = 33;
+/// Each job takes up to three entries of a transaction, and the condition on
+/// the term one.
+constexpr std::size_t EntriesPerJob = 3;
 /// Changes that end no job are delayed by this time, so that several share a
 /// transaction. Each call to the store has a price, and a late record only
 /// delays the acknowledgement of a run end.
@@ -30,13 +30,19 @@
 /// Timeout of a transaction, and its limit while the store is slow.
 constexpr Duration CommitTimeout = std::chrono::milliseconds(800);
 constexpr Duration MaxCommitTimeout = std::chrono::milliseconds(2500);
+/// Delay before a transaction of one job is sent again that the store has
+/// refused. It grows linearly with the number of refusals.
+constexpr Duration RefusedRetryDelay = std::chrono::milliseconds(250);
+/// Refusals in a row of such a transaction after which the job fails.
+constexpr std::uint32_t RefusalsToGiveUp = 8;
 
 } // namespace
 
 std::unique_ptr<ProgressWriter>
-ProgressWriter::create(Scheduler &Core, RowCondition TermCondition) {
+ProgressWriter::create(Scheduler &Core, RowCondition TermCondition,
+                       const StoreLimits &Limits) {
   return std::unique_ptr<ProgressWriter>(
-      new ProgressWriter(Core, std::move(TermCondition)));
+      new ProgressWriter(Core, std::move(TermCondition), Limits));
 }
 
 Duration ProgressWriter::pendingFor(TimePoint Now) const {
@@ -58,6 +64,9 @@
 std::string ProgressWriter::describeWait(const LiveJob &Job,
                                          TimePoint Now) const {
   std::string Text = "partition " + *Job.m_Partition + " ";
+  if (Job.m_RecordRefusals > 0)
+    Text = "the store has refused its record " +
+           std::to_string(Job.m_RecordRefusals) + " times; " + Text;
   auto It = m_Backoffs.find(Job.m_Partition);
   if (m_PendingPartitions.count(Job.m_Partition) != 0)
     Text += "has a pending write";
@@ -92,15 +101,20 @@
   std::vector<LiveJob *> Taken, Remaining;
   Partition OnlyPartition = nullptr;
   auto It = Dirty.begin();
-  for (; It != Dirty.end() && Taken.size() < MaxJobsPerTransaction; ++It) {
+  const std::size_t MaxJobs =
+      (m_Limits.m_TransactionEntries - 1) / EntriesPerJob;
+  bool IsAlone = false;
+  for (; It != Dirty.end() && Taken.size() < MaxJobs && !IsAlone; ++It) {
     const LiveJob &Job = **It;
-    bool Waits =
-        mustWait(Job.m_Partition, Now) || (IsSlow && onlyWantsStart(Job));
+    bool Waits = mustWait(Job.m_Partition, Now) || Now < Job.m_RecordRetryAt ||
+                 (IsSlow && onlyWantsStart(Job)) ||
+                 (Job.m_IsRecordedAlone && !Taken.empty());
     if (!Waits && IsSplit) {
       if (!OnlyPartition)
         OnlyPartition = Job.m_Partition;
       Waits = Job.m_Partition != OnlyPartition;
     }
+    IsAlone = !Waits && Job.m_IsRecordedAlone;
     (Waits ? Remaining : Taken).push_back(*It);
   }
   Remaining.insert(Remaining.end(), It, Dirty.end());
@@ -109,30 +123,36 @@
 }
 
 bool ProgressWriter::addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
-                                JobRegistry::StartedSteps Steps,
-                                RowTransaction &Txn, Batch &Jobs) {
+                                Draft &Out) {
   const JobId &Id = Job.m_Spec.m_Id;
-  RowAddress State = jobStateAddress(Id);
-  JobProgress Progress = m_Core.jobs().progressOf(Job, Wall, Steps);
+  const bool IsFinal = isFinal(Job.m_State);
+  JobProgress Progress = m_Core.jobs().progressOf(Job, Wall, Out.m_Steps);
+  std::string Row = encodeProgress(Progress);
+  const bool IsAlone = Job.m_IsRecordedAlone;
+  if (!Out.m_Jobs.empty() &&
+      (IsAlone || Out.m_ValueBytes + Row.size() > m_Limits.m_ValueBytes))
+    return false;
   Job.m_Dirty = false;
   // A start that the row does not show is left for a later transaction.
-  Job.m_WantsStart &= Steps == JobRegistry::StartedSteps::Recorded;
+  Job.m_WantsStart &= Out.m_Steps == JobRegistry::StartedSteps::Recorded;
   if (Job.m_WantsStart)
     m_Core.jobs().markDirty(Job);
-  Txn.m_Conditions.push_back({State, Job.m_StateVersion});
-  Txn.m_Puts.push_back({State, encodeProgress(Progress)});
-  if (isFinal(Job.m_State))
-    Txn.m_Deletes.push_back(liveJobAddress(Id));
-  bool RecordsStart = !Progress.m_SuspectStarts.empty() ||
-                      Job.m_OtherPoolsChange > Job.m_RecordedChangeNumber;
+  RowAddress State = jobStateAddress(Id);
+  Out.m_Txn.m_Conditions.push_back({State, Job.m_StateVersion});
+  Out.m_ValueBytes += Row.size();
+  Out.m_Txn.m_Puts.push_back({State, std::move(Row)});
+  if (IsFinal)
+    Out.m_Txn.m_Deletes.push_back(liveJobAddress(Id));
+  Out.m_DependsOnTerm |= !Progress.m_SuspectStarts.empty() ||
+                         Job.m_OtherPoolsChange > Job.m_RecordedChangeNumber;
   for (const auto &[Number, Step] : Progress.m_StartedSteps)
-    RecordsStart |= !Job.step(Number, Step)->m_StartRecorded;
-  Jobs.push_back(
+    Out.m_DependsOnTerm |= !Job.step(Number, Step)->m_StartRecorded;
+  Out.m_Jobs.push_back(
       {Id, Job.m_Partition, Job.m_State, Job.m_ChangeNumber,
        Progress.m_State != JobState::Queued, std::move(Progress.m_StartedSteps),
        !Progress.m_SuspectStarts.empty() || !Progress.m_Crashes.empty() ||
            !Progress.m_OtherPools.empty()});
-  return RecordsStart;
+  return true;
 }
 
 std::optional<ProgressWriter::Commit>
@@ -145,16 +165,23 @@
   if (m_Commits.size() >= MaxCommits || Now < m_RetryAt ||
       m_Core.jobs().dirty().empty() ||
       (m_Commits.empty() && Now < m_LastWrite + GroupCommitDelay &&
-       !m_Core.jobs().findUrgent()))
+       m_JobsToDivide == 0 && !m_Core.jobs().findUrgent()))
     return std::nullopt;
-  Commit Out;
-  Batch Jobs;
-  bool RecordsStarts = false;
+  Draft Next{Steps};
+  std::vector<LiveJob *> Left;
   for (LiveJob *Job : takeBatch(Now))
-    RecordsStarts |= addToBatch(*Job, Wall, Steps, Out.m_Txn, Jobs);
+    if (!addToBatch(*Job, Wall, Next))
+      Left.push_back(Job);
+  auto &Dirty = m_Core.jobs().dirty();
+  Dirty.insert(Dirty.begin(), Left.begin(), Left.end());
+  Batch &Jobs = Next.m_Jobs;
+  m_JobsToDivide -=
+      std::min(m_JobsToDivide, std::max<std::size_t>(1, Jobs.size()));
   if (Jobs.empty())
     return std::nullopt;
-  if (RecordsStarts)
+  Commit Out;
+  Out.m_Txn = std::move(Next.m_Txn);
+  if (Next.m_DependsOnTerm)
     Out.m_Txn.m_Conditions.push_back(m_TermCondition);
   for (const Pending &P : Jobs)
     m_PendingPartitions.insert(P.m_Partition);
@@ -176,7 +203,9 @@
   for (const Pending &P : Jobs)
     m_PendingPartitions.erase(P.m_Partition);
   if (!Outcome)
-    return onFailed(Jobs, Outcome.error(), Now);
+    return Outcome.error().m_Code == ErrorCode::InvalidArgument
+               ? onRefused(Jobs, Outcome.error(), Now)
+               : onFailed(Jobs, Outcome.error(), Now);
   m_Latency.onAnswer(m_LastLatency, Now);
   for (const Pending &P : Jobs)
     m_Backoffs.erase(P.m_Partition);
@@ -215,6 +244,39 @@
   delay(*Partitions.begin(), Now);
 }
 
+void ProgressWriter::onRefused(const Batch &Jobs, const Error &Why,
+                               TimePoint Now) {
+  ++m_Counters.m_Refused;
+  markBatchDirty(Jobs);
+  if (Jobs.size() > 1)
+    m_JobsToDivide += Jobs.size();
+  for (const Pending &P : Jobs) {
+    LiveJob *Job = m_Core.jobs().find(P.m_Job);
+    if (!Job)
+      continue;
+    Job->m_IsRecordedAlone = true;
+    // Another job of the transaction may be the cause.
+    if (Jobs.size() > 1)
+      continue;
+    ++Job->m_RecordRefusals;
+    Job->m_RecordRetryAt =
+        Now +
+        RefusedRetryDelay * std::min(Job->m_RecordRefusals, RefusalsToGiveUp);
+    logEvent(Event::RecordRefused,
+             {{"job", P.m_Job.m_Text},
+              {"refusals", std::to_string(Job->m_RecordRefusals)},
+              {"error", Why.describe()}});
+    if (Job->m_RecordRefusals < RefusalsToGiveUp || isFinal(Job->m_State))
+      continue;
+    // The row of a final state is small, and tells the callers.
+    Job->m_State = JobState::Failed;
+    Job->m_IsUnrecordable = true;
+    Job->m_RecordRetryAt = Now;
+    ++m_Counters.m_JobsGivenUp;
+    logEvent(Event::JobUnrecordable, {{"job", P.m_Job.m_Text}});
+  }
+}
+
 void ProgressWriter::delay(Partition P, TimePoint Now) {
   Backoff &B = m_Backoffs[P];
   B.m_RetryAt = Now + RetryDelay * std::min(++B.m_Failures, MaxBackoffFactor);
@@ -227,6 +289,8 @@
     if (!Job)
       continue;
     Job->m_StateVersion = Version;
+    Job->m_RecordRefusals = 0;
+    Job->m_IsRecordedAlone = false;
     m_Core.markRecorded(*Job, P.m_ChangeNumber);
     Job->m_IsRecordedAsRunning = P.m_IsRunning;
     JobRegistry::markStartsRecorded(*Job, P.m_StartedSteps);
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -21,12 +21,25 @@
 /// each partition gets its own transactions for a while, so that an unavailable
 /// partition does not delay the others. The same holds while the store is slow.
 /// Several partitions are written at the same time then.
+///
+/// A transaction that the store refuses for good, because a row is too large or
+/// malformed, is divided until each job has one of its own. Only the job whose
+/// transaction is refused then waits; after some more refusals it fails.
 class ProgressWriter {
 public:
+  /// Totals of one writer.
+  struct Counters {
+    /// Transactions that the store refused for good.
+    std::uint64_t m_Refused = 0;
+    /// Jobs that failed because their progress was refused.
+    std::uint64_t m_JobsGivenUp = 0;
+  };
+
   /// \p Core must outlive the writer.
   /// \p TermCondition holds while the scheduler's term is in effect.
   static std::unique_ptr<ProgressWriter> create(Scheduler &Core,
-                                                RowCondition TermCondition);
+                                                RowCondition TermCondition,
+                                                const StoreLimits &Limits = {});
 
   /// A transaction to commit.
   struct Commit {
@@ -49,10 +62,13 @@
   Duration latency(TimePoint Now) const;
   /// Describes for operators what the next record of \p Job waits for.
   std::string describeWait(const LiveJob &Job, TimePoint Now) const;
+  const Counters &counters() const { return m_Counters; }
 
 private:
-  ProgressWriter(Scheduler &Core, RowCondition TermCondition)
-      : m_Core(Core), m_TermCondition(std::move(TermCondition)) {}
+  ProgressWriter(Scheduler &Core, RowCondition TermCondition,
+                 const StoreLimits &Limits)
+      : m_Core(Core), m_TermCondition(std::move(TermCondition)),
+        m_Limits(Limits) {}
   /// One of jobPartitions().
   using Partition = const std::string *;
   struct Pending;
@@ -71,15 +87,16 @@
   bool isStoreSlow(TimePoint Now) const;
   /// Whether all that the row of \p Job lacks is a start.
   static bool onlyWantsStart(const LiveJob &Job);
-  /// Adds the state row of \p Job to \p Txn and to \p Jobs. Returns whether it
-  /// records a start.
-  bool addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
-                  JobRegistry::StartedSteps Steps, RowTransaction &Txn,
-                  Batch &Jobs);
+  /// A transaction that is being put together.
+  struct Draft;
+  /// Adds the rows of \p Job to \p Out. Returns false if they do not fit.
+  bool addToBatch(LiveJob &Job, std::chrono::milliseconds Wall, Draft &Out);
   /// Makes the jobs of the failed transaction due for the next one.
   void markBatchDirty(const Batch &Jobs);
   void onCommitted(const Batch &Jobs, RowVersion Version, TimePoint Now);
   void onFailed(const Batch &Jobs, const Error &Why, TimePoint Now);
+  /// The store has refused the transaction, and would do so again.
+  void onRefused(const Batch &Jobs, const Error &Why, TimePoint Now);
   void onConflicts(const std::vector<StoredRow> &Rows, TimePoint Now);
   /// Lets the jobs of \p P wait after a failed write.
   void delay(Partition P, TimePoint Now);
@@ -96,6 +113,13 @@
     /// of their step.
     bool m_MayHoldStarts;
   };
+  struct Draft {
+    JobRegistry::StartedSteps m_Steps;
+    RowTransaction m_Txn = {};
+    Batch m_Jobs = {};
+    std::size_t m_ValueBytes = 0;
+    bool m_DependsOnTerm = false;
+  };
   /// Retry state of a partition whose last transaction failed.
   struct Backoff {
     std::uint32_t m_Failures = 0;
@@ -104,6 +128,10 @@
 
   Scheduler &m_Core;
   RowCondition m_TermCondition;
+  StoreLimits m_Limits;
+  Counters m_Counters;
+  /// Jobs of a refused transaction that have not had one of their own yet.
+  std::size_t m_JobsToDivide = 0;
   /// A transaction whose result is not known yet.
   struct PendingCommit {
     Batch m_Jobs;
--- a/standins/jobs/job_platform.py
+++ b/standins/jobs/job_platform.py
@@ -10,7 +10,8 @@
 It prints one line of JSON with its addresses and serves until it is terminated.
 On the store's port, GET /faults?store=down|ok|lost|slow|late|no-config sets the fault mode of the
 store ("no-config": the operators' table is unavailable), GET /faults?runs=ok|hang|fail-once that of
-the runs ("fail-once": the first run of each task that ends fails), POST /expect declares a job, and
+the runs ("fail-once": the first run of each task that ends fails), GET /faults?crash=MACHINE ends the
+backend server of a machine, on which another one starts a second later, POST /expect declares a job, and
 GET /report returns what the backend servers have observed. The soak test imports this module and
 injects faults into the backend servers.
 """
@@ -27,11 +28,16 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from oracle import Oracle  # noqa: E402
 
+# Limits of the published protocol.
 ROW_LIMIT = 500
-# Run ends in one list.
+PAGE_BYTES = 1_000_000
+ROW_BYTES = 65536
+TRANSACTION_ENTRIES = 100
+TRANSACTION_BYTES = 1_000_000
 END_LIMIT = 500
 MAX_FEED_CHANGES = 20000
 MACHINE_OFFLINE_S = 0.3
+CRASH_OFFLINE_S = 1
 SLOW_STORE_S = 0.25
 CAPACITY = {"cpu": 8000, "mem-mb": 16000, "gpu": 0}
 TICKET_LIFETIME_MS = 3000
@@ -83,6 +89,7 @@
         self.rows, self.changes, self.version = {}, [], 1
         self.changed = asyncio.Condition()
         self.mode, self.rng, self.oldest_feed_version = "ok", rng, 0
+        self.refusals = 0
         self.http = Http(self.handle)
 
     @staticmethod
@@ -124,6 +131,8 @@
             self.mode = query.get("store", self.mode)
             if "runs" in query:
                 self.set_run_faults(query["runs"])
+            if "crash" in query:
+                asyncio.ensure_future(self.crash(query["crash"]))
             return 200, {}
         if path == "/report":
             return 200, self.report()
@@ -138,6 +147,9 @@
         if self.mode == "slow":
             await asyncio.sleep(SLOW_STORE_S)
         if path == "/rows-tx":
+            if not self.is_within_limits(body):
+                self.refusals += 1
+                return 400, {}
             if self.mode == "late" and self.rng.random() < 0.3:
                 asyncio.ensure_future(self.transact_later(json.loads(body)))
                 return None
@@ -149,6 +161,13 @@
             return await self.feed(query)
         return 404, {}
 
+    @staticmethod
+    def is_within_limits(body):
+        tx = json.loads(body)
+        entries = sum(len(tx.get(kind, ())) for kind in ("precondition", "puts", "remove"))
+        return (entries <= TRANSACTION_ENTRIES and len(body) <= TRANSACTION_BYTES
+                and all(len(base64.b64decode(e["value"])) <= ROW_BYTES for e in tx["puts"]))
+
     async def transact_later(self, tx):
         await asyncio.sleep(self.rng.uniform(1, 4))
         self.transact(tx)
@@ -177,8 +196,14 @@
         keys = sorted(k for k in self.rows if k[0] == query["table"]
                       and k[1] == query.get("part", "") and k[2] >= query.get("from", ""))
         limit = min(ROW_LIMIT, int(query.get("limit", ROW_LIMIT)))
-        return {"rows": [self.row_json(k, self.rows[k]) for k in keys[:limit]],
-                "has-more": len(keys) > limit, "ver": self.version, "now-ms": now_ms()}
+        rows, size = [], 0
+        for key in keys[:limit]:
+            size += len(self.rows[key][0])
+            if rows and size > PAGE_BYTES:
+                break
+            rows.append(self.row_json(key, self.rows[key]))
+        return {"rows": rows, "has-more": len(keys) > len(rows), "ver": self.version,
+                "now-ms": now_ms()}
 
     async def feed(self, query):
         deadline = time.monotonic() + int(query["wait-ms"]) / 1000
@@ -367,6 +392,7 @@
         self.store = Store(self.rng)
         self.store.report = self.report
         self.store.set_run_faults = self.set_run_faults
+        self.store.crash = lambda machine: self.restart_machine(machine, "down", CRASH_OFFLINE_S)
         self.store.expect = lambda *job: self.oracle.on_job(*job)
         self.cloud = Http(self.handle)
         self.machines, self.spare_pool = {}, "spare"
@@ -424,8 +450,9 @@
         tasks = self.oracle.tasks
         return {"starts": {n: len(t.starts) for n, t in tasks.items()},
                 "done": sorted(n for n in tasks if self.oracle.is_done(n)),
-                "breaches": self.oracle.breaches, "advice_calls": self.advice_calls,
+                "breaches": self.oracle.breaches, "refusals": self.store.refusals, "advice_calls": self.advice_calls,
                 "running": sorted(n for n, t in tasks.items() if t.running),
+                "runs": {m: len(e["server"].runs) for m, e in self.machines.items() if e["server"]},
                 "machines": {m: e["pool"] for m, e in self.machines.items()},
                 "upkeep": {m: e["upkeep"] for m, e in self.machines.items()}}
 
