Keep the tasks of large jobs in pages

A scheduled job of three steps stopped for good after some 1,100 occurrences without any disruption.

Cause: the state row lists each crash, failure and start of each task and each step of each occurrence, without a bound. The store takes 64 KB a row.

Change: a state row that would exceed 60 KB is replaced by one bit for each 64 tasks, and the tasks by pages, rows of 64 tasks with a bounded size. Only changed pages are written, under the term and the version of the state row, so that none can be carried out late; the state row refers to them once all are written. Earlier versions of the program refuse such a row instead of running its done tasks again, and rows of other jobs are as before.

--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -3,7 +3,6 @@
 #include "entry/Leader.h"
 #include "base/Log.h"
 #include "instances/WaveRows.h"
-#include "jobs/JobRows.h"
 #include "net/ProcessorTime.h"
 
 namespace pollenspool {
@@ -12,8 +11,6 @@
 
 /// Delay before a failed read is repeated.
 constexpr Duration RetryPause = std::chrono::milliseconds(100);
-/// How long one call of the live jobs' change feed may wait.
-constexpr Duration FeedWait = std::chrono::milliseconds(1000);
 /// Timeout of the write that tells whether starts are recorded. Starts wait for
 /// it when the store has become slow, and it may take over a second then.
 constexpr Duration StartRecordsTimeout = std::chrono::milliseconds(1500);
@@ -37,14 +34,8 @@
 constexpr Duration MinEventBatchDelay = std::chrono::milliseconds(2);
 constexpr Duration MaxEventBatchDelay = std::chrono::milliseconds(20);
 constexpr int DecisionPauseFactor = 4;
-/// How long the final state of a job is kept after callers can no longer query
-/// it.
-constexpr std::chrono::seconds RemovalMargin{60};
 /// Interval between two searches for unreachable servers without runs.
 constexpr Duration IdleServersInterval = std::chrono::milliseconds(100);
-/// Interval between two removals of old final states.
-constexpr Duration RemovalInterval = std::chrono::seconds(10);
-constexpr std::size_t MaxRemovalsPerTransaction = 90;
 
 } // namespace
 
@@ -82,9 +73,7 @@
 void Leader::start() {
   m_Ports.m_Backend.setResultListener(this);
   m_StartedAt = m_Loop.now();
-  m_StatePartitionsLeft = jobPartitions().size();
-  for (const std::string &Part : jobPartitions())
-    readJobStates({JobStatesTable, {}, Part});
+  readJobStates();
   readQueueRules({QueueRulesTable, {}, LeaderPartition});
   followJobs();
   readStartRecords();
@@ -131,21 +120,6 @@
       }));
 }
 
-void Leader::readJobStates(const RowAddress &From) {
-  readWithRetry(From, MaxPageRows, [this](RowPage &Page) {
-    for (StoredRow &Row : Page.m_Rows)
-      m_StatesAtStart[Row.m_At.m_Key] = Row;
-    if (Page.m_HasMore && !Page.m_Rows.empty()) {
-      RowAddress Next = Page.m_Rows.back().m_At;
-      Next.m_Key += '\0';
-      readJobStates(Next);
-    } else {
-      --m_StatePartitionsLeft;
-      onStatesRead();
-    }
-  });
-}
-
 void Leader::readQueueRules(const RowAddress &From) {
   readWithRetry(From, MaxPageRows, [this](RowPage &Page) {
     for (const StoredRow &Row : Page.m_Rows)
@@ -160,14 +134,6 @@
   });
 }
 
-void Leader::onStatesRead() {
-  if (!areStatesRead())
-    return;
-  for (const StoredRow &Row : std::exchange(m_LiveRowsAtStart, {}))
-    onLiveJobRow(Row);
-  finishLoadingJobs();
-}
-
 void Leader::recordQueueRules() {
   if (!m_Leadership.isValid(m_Loop.now()))
     return;
@@ -181,72 +147,6 @@
       }));
 }
 
-void Leader::followJobs() {
-  TableMirror::Listener RowListener;
-  RowListener.m_OnRow = [this](const StoredRow &Row) {
-    if (!areStatesRead())
-      m_LiveRowsAtStart.push_back(Row);
-    else
-      onLiveJobRow(Row);
-  };
-  RowListener.m_OnAnswer = [this] {
-    finishLoadingJobs();
-    scheduleTick();
-  };
-  m_LiveJobs = TableMirror::create(m_Loop, m_Ports.m_Store, LiveJobsTable,
-                                   jobPartitions(), CatchUp::ReadChanges,
-                                   FeedWait, std::move(RowListener));
-  m_LiveJobs->start();
-}
-
-void Leader::finishLoadingJobs() {
-  if (m_JobsLoaded || !areStatesRead() || !m_LiveJobs->isSynced())
-    return;
-  m_JobsLoaded = true;
-  // Jobs with a final state had ended before this term.
-  for (const auto &[Id, Row] : m_StatesAtStart)
-    if (auto P = decodeProgress(Row.m_Value); P && isFinal(P.value().m_State)) {
-      m_EndedAt[Id] = P.value().m_ChangedAt;
-      m_Scheduler->onEarlierEnd(JobId(Id), P.value().m_Organisation);
-    }
-  m_StatesAtStart.clear();
-  logEvent(Event::TermJobsLoaded,
-           {{"term", std::to_string(m_Leadership.term())},
-            {"jobs", std::to_string(m_Scheduler->jobs().all().size())},
-            {"ended_jobs", std::to_string(m_EndedAt.size())},
-            {"took_ms", std::to_string((m_Loop.now() - m_StartedAt) /
-                                       std::chrono::milliseconds(1))}});
-}
-
-void Leader::onLiveJobRow(const StoredRow &Row) {
-  JobId Id(Row.m_At.m_Key);
-  if (Row.m_IsDeleted) {
-    m_EndedAt[Id.m_Text] = wallNow();
-    m_Scheduler->onJobEnded(Id);
-    return;
-  }
-  auto Job = decodeJob(Row.m_Value);
-  if (!Job) {
-    logEvent(Event::JobUnreadable,
-             {{"job", Id.m_Text}, {"error", Job.error().describe()}});
-    return;
-  }
-  JobProgress Progress;
-  RowVersion StateVersion = Row.m_Version;
-  if (auto It = m_StatesAtStart.find(Id.m_Text); It != m_StatesAtStart.end()) {
-    auto Read = decodeProgress(It->second.m_Value);
-    if (!Read) {
-      logEvent(Event::JobUnreadable,
-               {{"job", Id.m_Text}, {"error", Read.error().describe()}});
-      return;
-    }
-    Progress = std::move(Read.value());
-    StateVersion = It->second.m_Version;
-  }
-  m_Scheduler->onJob(std::move(Job.value()), std::move(Progress), Row.m_Version,
-                     StateVersion, m_Loop.now(), wallNow());
-}
-
 bool Leader::isListDue(TimePoint Now) const {
   if (m_ListPending)
     return false;
@@ -415,38 +315,6 @@
       }));
 }
 
-void Leader::removeOldStates() {
-  TimePoint Now = m_Loop.now();
-  if (Now < m_NextRemovalAt)
-    return;
-  m_NextRemovalAt = Now + RemovalInterval;
-  auto Before = wallNow() - RemovalMargin -
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    m_Settings.m_StateRetention);
-  RowTransaction Txn;
-  for (auto It = m_EndedAt.begin();
-       It != m_EndedAt.end() &&
-       Txn.m_Deletes.size() < MaxRemovalsPerTransaction;) {
-    if (It->second >= Before) {
-      ++It;
-      continue;
-    }
-    Txn.m_Deletes.push_back(jobStateAddress(JobId(It->first)));
-    m_Scheduler->forgetEnded(JobId(It->first));
-    It = m_EndedAt.erase(It);
-  }
-  if (Txn.m_Deletes.empty())
-    return;
-  m_Ports.m_Store.commit(Txn, PlatformCallTimeout,
-                         [](Result<CommitOutcome> Outcome) {
-                           // The next leader finds and removes rows that
-                           // remain.
-                           if (!Outcome)
-                             logEvent(Event::RecordFailed,
-                                      {{"error", Outcome.error().describe()}});
-                         });
-}
-
 bool Leader::isSuperseded() const { return m_Scheduler->isSuperseded(); }
 
 RenewalRow Leader::renewal() {
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -8,6 +8,7 @@
 #include "entry/LoadMonitor.h"
 #include "instances/FleetPlanner.h"
 #include "instances/RecentOrders.h"
+#include "jobs/TaskPages.h"
 #include "lead/DelayMonitor.h"
 #include "lead/IdleServers.h"
 #include "lead/Leadership.h"
@@ -19,6 +20,7 @@
 #include "store/StoreClock.h"
 #include "store/TableMirror.h"
 #include <map>
+#include <set>
 
 namespace pollenspool {
 
@@ -85,18 +87,33 @@
   /// Reads a page of rows; repeats a failed read until it succeeds.
   void readWithRetry(const RowAddress &From, std::size_t Limit,
                      std::function<void(RowPage &)> Callback);
+  /// How long the final state of a job is kept.
+  static Duration finalStateRetention(const EntrySettings &Settings);
+
+  // Rows of jobs (LeaderJobs.cpp).
+  void readJobStates();
   void readJobStates(const RowAddress &From);
-  void readQueueRules(const RowAddress &From);
-  void recordQueueRules();
+  /// Reads the pages of \p Id below \p Prefix, from \p From on.
+  void readPages(const JobId &Id, const RowAddress &Prefix,
+                 const RowAddress &From);
+  /// Adds the pages that were read to \p Progress of \p Job. Returns whether
+  /// all could be decoded.
+  bool addPages(const JobSpec &Job, JobProgress &Progress);
+  /// Removes some of the pages of a job that has ended.
+  void removePages(const JobId &Id);
   /// Whether all that live jobs depend on has been read.
   bool areStatesRead() const {
-    return m_StatePartitionsLeft == 0 && m_QueueRulesRead;
+    return m_StateReadsLeft == 0 && m_QueueRulesRead;
   }
   /// Adds the jobs that arrived before areStatesRead().
   void onStatesRead();
   void followJobs();
   void finishLoadingJobs();
   void onLiveJobRow(const StoredRow &Row);
+  void removeOldStates();
+
+  void readQueueRules(const RowAddress &From);
+  void recordQueueRules();
   bool isListDue(TimePoint Now) const;
   void listInstances();
   void recordProgress();
@@ -107,7 +124,6 @@
   void runDecisions();
   void logDecisionsSuspended(bool IsSuspended);
   void scheduleTick();
-  void removeOldStates();
   void planInstanceOrders();
   std::size_t maxOrdersPerPlan() const;
   void announceOrders(std::vector<InstanceOrder> Orders);
@@ -153,7 +169,13 @@
   std::map<std::string, StoredRow> m_StatesAtStart;
   /// Wall time at which each job ended, for the removal of its state.
   std::map<std::string, std::chrono::milliseconds> m_EndedAt;
-  std::size_t m_StatePartitionsLeft = 0;
+  /// The pages of each job as read at the start.
+  std::map<std::string, std::vector<StoredRow>> m_PagesAtStart;
+  /// Ended jobs whose pages have to be removed before their state.
+  std::set<std::string> m_EndedWithPages;
+  bool m_PageRemovalPending = false;
+  /// Partitions of state rows, and jobs with pages, that have not been read.
+  std::size_t m_StateReadsLeft = 0;
   bool m_QueueRulesRead = false;
   bool m_ServersLoaded = false;
   bool m_JobsLoaded = false;
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -3,6 +3,8 @@
 #include "jobs/JobRows.h"
 #include "base/JsonWriter.h"
 #include "base/ReadJson.h"
+#include "jobs/TaskRecords.h"
+#include <charconv>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -14,13 +16,6 @@
 constexpr std::size_t UsualRowSize = 256;
 constexpr std::size_t UsualStepSize = 96;
 
-void writeNumbers(JsonWriter &Row, const std::vector<std::uint32_t> &Numbers) {
-  Row.beginArray();
-  for (std::uint32_t Number : Numbers)
-    Row.add(Number);
-  Row.endArray();
-}
-
 void writeStep(JsonWriter &Row, const StepSpec &S) {
   Row.beginArray()
       .add(S.m_Count)
@@ -70,76 +65,6 @@
   return S;
 }
 
-std::string bitsToText(const std::vector<bool> &Bits) {
-  std::string Text(Bits.size(), '0');
-  for (std::size_t N = 0; N < Bits.size(); ++N)
-    if (Bits[N])
-      Text[N] = '1';
-  return Text;
-}
-
-std::vector<bool> bitsFromText(std::string_view Text) {
-  std::vector<bool> Bits(Text.size());
-  for (std::size_t N = 0; N < Text.size(); ++N)
-    Bits[N] = Text[N] == '1';
-  return Bits;
-}
-
-JsonWriter &addKey(JsonWriter &Row, const TaskKey &Key) {
-  return Row.add(std::get<0>(Key)).add(std::get<1>(Key)).add(std::get<2>(Key));
-}
-
-template <typename V> TaskKey keyFromJson(const V &J) {
-  return {as<std::uint32_t>(J.at(0)), as<std::uint32_t>(J.at(1)),
-          as<std::uint32_t>(J.at(2))};
-}
-
-void writeCrashes(JsonWriter &Row, const std::vector<CrashedRun> &Runs) {
-  Row.beginArray();
-  for (const CrashedRun &R : Runs)
-    Row.beginArray()
-        .add(R.m_Number)
-        .add(R.m_WasAtWork)
-        .add(R.m_WasRecent)
-        .add(R.m_WasAlone)
-        .endArray();
-  Row.endArray();
-}
-
-template <typename V> std::vector<CrashedRun> crashesFromJson(const V &Rows) {
-  std::vector<CrashedRun> Runs;
-  for (const auto &R : Rows)
-    Runs.push_back({as<std::uint32_t>(R.at(0)), as<bool>(R.at(1)),
-                    as<bool>(R.at(2)), as<bool>(R.at(3))});
-  return Runs;
-}
-
-/// Writes the member \p Name, an array with an element for each of \p Entries,
-/// unless there are none. \p Write writes the content of an element.
-template <typename C, typename F>
-void writeRows(JsonWriter &Row, std::string_view Name, const C &Entries,
-               F Write) {
-  if (Entries.empty())
-    return;
-  Row.key(Name).beginArray();
-  for (const auto &[Key, Content] : Entries) {
-    Row.beginArray();
-    Write(Key, Content);
-    Row.endArray();
-  }
-  Row.endArray();
-}
-
-/// Passes each element of the array \p Name, which may be absent, to \p Read.
-template <typename V, typename F>
-void readRows(const V &J, const char *Name, F Read) {
-  if (!J.contains(Name))
-    return;
-  const auto &Rows = J.at(Name);
-  for (const auto &Row : Rows)
-    Read(Row);
-}
-
 /// With 64 partitions, a store that is 57 times slower than usual still applies
 /// some 370 transactions per second.
 constexpr std::size_t JobPartitionCount = 64;
@@ -215,6 +140,45 @@
       });
 }
 
+namespace {
+
+std::string finishProgress(JsonWriter &Row, const JobProgress &Progress) {
+  if (!Progress.m_OtherPools.empty()) {
+    Row.key("other_pools").beginArray();
+    for (const PoolName &Pool : Progress.m_OtherPools)
+      Row.add(Pool.m_Text);
+    Row.endArray();
+  }
+  return Row.endObject().take();
+}
+
+/// Four bits a digit, the first in the highest place.
+std::string bitsToHex(const std::vector<bool> &Bits) {
+  static constexpr char Digits[] = "0123456789abcdef";
+  std::string Hex;
+  for (std::size_t N = 0; N < Bits.size(); N += 4) {
+    unsigned Digit = 0;
+    for (std::size_t I = 0; I < 4; ++I)
+      Digit = Digit * 2 + (N + I < Bits.size() && Bits[N + I]);
+    Hex += Digits[Digit];
+  }
+  return Hex;
+}
+
+std::optional<std::vector<bool>> bitsFromHex(std::string_view Hex) {
+  std::vector<bool> Bits;
+  for (char C : Hex) {
+    unsigned Digit = 0;
+    if (std::from_chars(&C, &C + 1, Digit, 16).ec != std::errc())
+      return std::nullopt;
+    for (unsigned Bit = 8; Bit != 0; Bit /= 2)
+      Bits.push_back((Digit & Bit) != 0);
+  }
+  return Bits;
+}
+
+} // namespace
+
 std::string encodeProgress(const JobProgress &Progress) {
   JsonWriter Row(UsualRowSize + Progress.m_Done.size() * UsualStepSize);
   Row.beginObject()
@@ -224,64 +188,39 @@
     Row.add("crashed_servers", true);
   if (Progress.m_IsUnrecordable)
     Row.add("unrecordable", true);
+  if (Progress.m_HasPages)
+    Row.add("pages", true);
   if (!Progress.m_Organisation.empty())
     Row.add("organisation", Progress.m_Organisation.m_Text);
+  if (Progress.m_PageSize != 0) {
+    // Earlier versions of the program, which do not know of pages, expect an
+    // array and refuse the row instead of running the done tasks again.
+    Row.key("done")
+        .beginObject()
+        .add("page_size", Progress.m_PageSize)
+        .add("generation", Progress.m_PageGeneration)
+        .add("done_pages", bitsToHex(Progress.m_DonePages))
+        .endObject();
+    return finishProgress(Row, Progress);
+  }
   writeRows(Row, "done", Progress.m_Done,
             [&Row](const auto &Step, const std::vector<bool> &Bits) {
               Row.add(Step.first).add(Step.second).add(bitsToText(Bits));
             });
-  writeRows(Row, "failures", Progress.m_Failures,
-            [&Row](const TaskKey &Key, const std::vector<std::uint32_t> &Runs) {
-              writeNumbers(addKey(Row, Key), Runs);
-            });
-  writeRows(Row, "crashes", Progress.m_Crashes,
-            [&Row](const TaskKey &Key, const std::vector<CrashedRun> &Runs) {
-              addKey(Row.beginArray(), Key).endArray();
-              writeCrashes(Row, Runs);
-            });
-  writeRows(Row, "suspect_starts", Progress.m_SuspectStarts,
-            [&Row](const TaskKey &Key, const SuspectStart &Start) {
-              addKey(Row.beginArray(), Key).endArray();
-              Row.add(Start.m_Number)
-                  .add(Start.m_Server)
-                  .add(Start.m_ServerStartTimeMs);
-            });
-  writeRows(Row, "started", Progress.m_StartedSteps,
-            [&Row](std::uint32_t Occurrence, std::uint32_t Step) {
-              Row.add(Occurrence).add(Step);
-            });
-  if (!Progress.m_OtherPools.empty()) {
-    Row.key("other_pools").beginArray();
-    for (const PoolName &Pool : Progress.m_OtherPools)
-      Row.add(Pool.m_Text);
-    Row.endArray();
-  }
-  return Row.endObject().take();
+  writeTaskRecords(Row, Progress);
+  return finishProgress(Row, Progress);
 }
 
 namespace {
 
 /// Reads the tasks and steps of \p J into \p P.
 template <typename V> void readSteps(const V &J, JobProgress &P) {
-  readRows(J, "done", [&P](const auto &Row) {
-    P.m_Done[{as<std::uint32_t>(Row.at(0)), as<std::uint32_t>(Row.at(1))}] =
-        bitsFromText(as<std::string_view>(Row.at(2)));
-  });
-  readRows(J, "failures", [&P](const auto &Row) {
-    P.m_Failures[keyFromJson(Row)] = as<std::vector<std::uint32_t>>(Row.at(3));
-  });
-  readRows(J, "crashes", [&P](const auto &Row) {
-    P.m_Crashes[keyFromJson(Row.at(0))] = crashesFromJson(Row.at(1));
-  });
-  readRows(J, "suspect_starts", [&P](const auto &Row) {
-    P.m_SuspectStarts[keyFromJson(Row.at(0))] = {as<std::uint32_t>(Row.at(1)),
-                                                 as<std::string>(Row.at(2)),
-                                                 as<std::int64_t>(Row.at(3))};
-  });
-  readRows(J, "started", [&P](const auto &Row) {
-    P.m_StartedSteps.emplace(as<std::uint32_t>(Row.at(0)),
-                             as<std::uint32_t>(Row.at(1)));
-  });
+  if (!P.isPaged())
+    readRows(J, "done", [&P](const auto &Row) {
+      P.m_Done[{as<std::uint32_t>(Row.at(0)), as<std::uint32_t>(Row.at(1))}] =
+          bitsFromText(as<std::string_view>(Row.at(2)));
+    });
+  readTaskRecords(J, P);
   readRows(J, "other_pools", [&P](const auto &Name) {
     P.m_OtherPools.emplace(as<std::string>(Name));
   });
@@ -302,6 +241,17 @@
         P.m_HasCrashedServers = J.value("crashed_servers", false);
         P.m_IsUnrecordable = J.value("unrecordable", false);
         P.m_Organisation = OrganisationName(J.value("organisation", ""));
+        P.m_HasPages = J.value("pages", false);
+        if (J.contains("done") && isObject(J.at("done"))) {
+          const auto &Pages = J.at("done");
+          P.m_PageSize = as<std::uint32_t>(Pages.at("page_size"));
+          P.m_PageGeneration = as<std::uint64_t>(Pages.at("generation"));
+          auto Done = bitsFromHex(as<std::string_view>(Pages.at("done_pages")));
+          if (P.m_PageSize == 0 || !Done)
+            return makeError(ErrorCode::InvalidMessage, "decode job state", {},
+                             "malformed pages");
+          P.m_DonePages = std::move(*Done);
+        }
         readSteps(J, P);
         return P;
       });
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -67,9 +67,22 @@
   bool m_HasCrashedServers = false;
   /// Whether a failed job was given up because the store refused its progress.
   bool m_IsUnrecordable = false;
+  /// Whether pages of tasks may be left of a job that has ended.
+  bool m_HasPages = false;
   /// \see JobSpec::m_Organisation.
   OrganisationName m_Organisation;
-  /// By occurrence and step: whether each task is done, by task index.
+  /// Tasks of a page if the tasks are kept in pages, \see TaskPages.h; else 0.
+  std::uint32_t m_PageSize = 0;
+  /// Identifies the pages among those that earlier leaders began to write.
+  std::uint64_t m_PageGeneration = 0;
+  /// For each page, whether all its tasks are done. May have fewer or more
+  /// elements than there are pages.
+  std::vector<bool> m_DonePages;
+  /// The pages that were read, with their pageHash(). Not part of the row.
+  std::map<std::uint32_t, std::uint64_t> m_PageHashes;
+  /// By occurrence and step: whether each task is done, by task index. If the
+  /// tasks are kept in pages, this and what follows up to m_StartedSteps is not
+  /// part of the row.
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<bool>> m_Done;
   /// Numbers of the failed runs, by occurrence, step and task index. They are
   /// stored instead of a count so that a failure reported twice counts once.
@@ -84,6 +97,12 @@
   /// Pools beside JobSpec::m_Pool in which a leader may have started runs,
   /// since the queue's pool has changed. Written before the first start there.
   std::set<PoolName> m_OtherPools;
+
+  /// Whether the tasks of a job that has not ended are kept in pages.
+  bool isPaged() const { return m_PageSize != 0; }
+  bool isPageDone(std::uint32_t Page) const {
+    return Page < m_DonePages.size() && m_DonePages[Page];
+  }
 };
 
 /// Conversion to and from the values of the rows. Thread safe. Decoding errors:
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -23,6 +23,29 @@
 /// Capacity of the cache of final states; an entry takes about 100 bytes.
 constexpr std::size_t MaxCachedFinalStates = 20000;
 
+/// Bytes of a job's row beside its texts and steps, of a step beside its texts,
+/// and of a number of a preceding step; at most.
+constexpr std::size_t MaxRowFrame = 2000;
+constexpr std::size_t MaxStepFrame = 300;
+constexpr std::size_t MaxNumberSize = 11;
+/// Bytes that one byte of a text takes at most.
+constexpr std::size_t MaxEscapeSize = 6;
+
+/// Whether the row of \p Job is larger than the store accepts. Encodes only
+/// jobs that may be.
+bool exceedsRow(const JobSpec &Job) {
+  std::size_t Texts = Job.m_Text.size() + Job.m_Queue.m_Text.size() +
+                      Job.m_Pool.m_Text.size() +
+                      Job.m_Organisation.m_Text.size();
+  std::size_t Bytes = MaxRowFrame + Job.m_Steps.size() * MaxStepFrame;
+  for (const StepSpec &S : Job.m_Steps) {
+    Texts += S.m_RequiredLabel.size() + S.m_DataRack.size() + S.m_Image.size();
+    Bytes += S.m_After.size() * MaxNumberSize;
+  }
+  return Bytes + Texts * MaxEscapeSize > StoreLimits().m_RowBytes &&
+         encodeJob(Job).size() > StoreLimits().m_RowBytes;
+}
+
 } // namespace
 
 struct JobStore::Cancellation {
@@ -48,6 +71,8 @@
     return Callback(SubmitResult::StoreSlow);
   }
   Job.m_AcceptedAt = wallNow();
+  if (exceedsRow(Job))
+    return Callback(SubmitResult::TooLarge);
   SubmissionNumber Number = m_Batcher.add(Job);
   m_Waiters[Number] = {Now + TimeLimit, std::move(Callback)};
   m_Loop.after(
@@ -169,10 +194,9 @@
               {{"job", Id.m_Text}, {"error", Progress.error().describe()}});
           return Callback(Progress.error());
         }
-        JobStatus Status{Progress.value().m_State,
-                         Progress.value().m_HasCrashedServers,
-                         Progress.value().m_Organisation,
-                         Progress.value().m_IsUnrecordable};
+        JobStatus Status{
+            Progress.value().m_State, Progress.value().m_HasCrashedServers,
+            Progress.value().m_Organisation, Progress.value().m_IsUnrecordable};
         Self->cacheFinalStatus(Id, Status);
         Callback(std::optional<JobStatus>(Status));
       });
@@ -242,6 +266,7 @@
   CancelledProgress.m_State = JobState::Cancelled;
   CancelledProgress.m_ChangedAt = wallNow();
   CancelledProgress.m_Organisation = Progress.value().m_Organisation;
+  CancelledProgress.m_HasPages = Progress.value().isPaged();
   RowAddress StateAddress = jobStateAddress(C->m_Id);
   RowTransaction Txn;
   Txn.m_Conditions.push_back({StateAddress, Row.m_Version});
--- a/src/jobs/SubmissionBatcher.h
+++ b/src/jobs/SubmissionBatcher.h
@@ -22,6 +22,8 @@
   /// A job with this ID belongs to another organisation; this one is not
   /// stored.
   OtherOrganisation,
+  /// The row of the job would be larger than the store accepts.
+  TooLarge,
   /// The store would not have answered in time, so nothing was sent to it. The
   /// job is certainly not stored.
   StoreSlow,
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -55,8 +55,16 @@
   Job.m_RestoredProgress = std::move(Progress);
   Job.m_State = Job.m_RestoredProgress.m_State;
   Job.m_IsRecordedAsRunning = Job.m_State != JobState::Queued;
-  Job.m_HasBegun = !Job.m_RestoredProgress.m_Done.empty() ||
-                   !Job.m_RestoredProgress.m_Failures.empty();
+  const std::vector<bool> &DonePages = Job.m_RestoredProgress.m_DonePages;
+  Job.m_HasBegun =
+      !Job.m_RestoredProgress.m_Done.empty() ||
+      !Job.m_RestoredProgress.m_Failures.empty() ||
+      std::find(DonePages.begin(), DonePages.end(), true) != DonePages.end();
+  if (Job.m_RestoredProgress.isPaged())
+    Job.m_Pages.reset(new RecordedPages{
+        PageLayout(Job.m_Spec, Job.m_RestoredProgress.m_PageSize),
+        Job.m_RestoredProgress.m_PageGeneration,
+        Job.m_RestoredProgress.m_PageHashes, true});
   Job.m_OtherPools = Job.m_RestoredProgress.m_OtherPools;
   Job.m_HasEarlierSuspectStarts =
       !Job.m_RestoredProgress.m_SuspectStarts.empty();
@@ -86,6 +94,8 @@
         std::find(m_NewlyReady.begin(), m_NewlyReady.end(), Job));
   if (Job && Job->m_Dirty)
     m_Dirty.erase(std::find(m_Dirty.begin(), m_Dirty.end(), Job));
+  if (Job && Job->m_Pages)
+    m_RemovedWithPages.push_back(Id);
   m_Jobs.erase(Id);
 }
 
@@ -125,6 +135,13 @@
 }
 
 void JobRegistry::releaseRecorded(LiveJob &Job, const JobProgress &Recorded) {
+  if (Job.m_Pages)
+    for (std::size_t N = Recorded.m_DonePages.size(); N > 0; --N)
+      if (auto Page = static_cast<std::uint32_t>(N - 1);
+          Recorded.m_DonePages[Page] && Page < Job.m_Pages->m_Layout.count()) {
+        releaseThrough(Job, Job.m_Pages->m_Layout.lastOccurrenceOf(Page));
+        break;
+      }
   // The keys are ordered by occurrence.
   if (!Recorded.m_Done.empty())
     releaseThrough(Job, Recorded.m_Done.rbegin()->first.first);
@@ -141,9 +158,16 @@
     StepState S;
     S.m_Tasks.resize(Job.m_Spec.m_Steps[N].m_Count);
     auto Done = Job.m_RestoredProgress.m_Done.find({O.m_Number, N});
+    auto IsPageDone = [&](std::uint32_t I) {
+      if (!Job.m_RestoredProgress.isPaged())
+        return false;
+      const PageLayout &Layout = Job.m_Pages->m_Layout;
+      return Job.m_RestoredProgress.isPageDone(
+          Layout.pageOf(Layout.position({O.m_Number, N, I})));
+    };
     for (std::uint32_t I = 0; I < S.m_Tasks.size(); ++I) {
-      if (Done != Job.m_RestoredProgress.m_Done.end() &&
-          I < Done->second.size() && Done->second[I]) {
+      if (IsPageDone(I) || (Done != Job.m_RestoredProgress.m_Done.end() &&
+                            I < Done->second.size() && Done->second[I])) {
         S.m_Tasks[I].m_Done = true;
         ++S.m_DoneCount;
       }
@@ -161,11 +185,20 @@
   auto &Inserted = Job.m_Occurrences[O.m_Number] = std::move(O);
   if (Inserted.m_StepsDone == Inserted.m_Steps.size()) {
     ++Job.m_OccurrencesDone;
+    skipFinished(Job);
     return;
   }
   release(Job, Inserted);
 }
 
+void JobRegistry::skipFinished(LiveJob &Job) {
+  for (auto It = Job.m_Occurrences.find(Job.m_FirstUnfinished);
+       It != Job.m_Occurrences.end() && It->first == Job.m_FirstUnfinished &&
+       It->second.m_StepsDone == It->second.m_Steps.size();
+       ++It)
+    ++Job.m_FirstUnfinished;
+}
+
 void JobRegistry::release(LiveJob &Job, Occurrence &O) {
   for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N) {
     StepState &S = O.m_Steps[N];
@@ -249,10 +282,12 @@
   if (S.isDone()) {
     ++Job.m_ReadyChanges;
     ++O.m_StepsDone;
-    if (O.m_StepsDone == O.m_Steps.size())
-      ++Job.m_OccurrencesDone;
-    else
+    if (O.m_StepsDone != O.m_Steps.size()) {
       release(Job, O);
+    } else {
+      ++Job.m_OccurrencesDone;
+      skipFinished(Job);
+    }
   }
   if (Job.m_OccurrencesDone == Job.m_Spec.occurrences())
     Job.m_State = JobState::Completed;
@@ -374,24 +409,38 @@
   m_Dirty.push_back(&Job);
 }
 
-JobProgress JobRegistry::progressOf(const LiveJob &Job,
-                                    std::chrono::milliseconds Wall,
-                                    StartedSteps Steps) const {
-  const bool ShowsWanted = Steps == StartedSteps::Wanted;
+bool JobRegistry::showsStart(const LiveJob &Job, const Occurrence &O,
+                             std::uint32_t Step, StartedSteps Steps) {
+  const StepState &S = O.m_Steps[Step];
+  return S.m_StartRecorded || (Steps == StartedSteps::Wanted &&
+                               (S.m_StartWanted || mayStartSoon(Job, O, Step)));
+}
+
+JobProgress JobRegistry::stateOf(const LiveJob &Job,
+                                 std::chrono::milliseconds Wall) {
   JobProgress P;
   P.m_State = Job.m_State;
   P.m_ChangedAt = Wall;
   P.m_HasCrashedServers = Job.m_HasCrashedServers;
   P.m_IsUnrecordable = Job.m_IsUnrecordable;
   P.m_Organisation = Job.m_Spec.m_Organisation;
+  if (isFinal(Job.m_State))
+    P.m_HasPages = Job.m_Pages != nullptr;
+  else
+    P.m_OtherPools = Job.m_OtherPools;
+  return P;
+}
+
+JobProgress JobRegistry::progressOf(const LiveJob &Job,
+                                    std::chrono::milliseconds Wall,
+                                    StartedSteps Steps) const {
+  JobProgress P = stateOf(Job, Wall);
   if (isFinal(Job.m_State))
     return P;
-  P.m_OtherPools = Job.m_OtherPools;
   for (const auto &[Number, O] : Job.m_Occurrences)
     for (std::uint32_t N = 0; N < O.m_Steps.size(); ++N) {
       const StepState &S = O.m_Steps[N];
-      if (S.m_StartRecorded ||
-          (ShowsWanted && (S.m_StartWanted || mayStartSoon(Job, O, N))))
+      if (showsStart(Job, O, N, Steps))
         P.m_StartedSteps.insert({Number, N});
       if (S.m_DoneCount > 0) {
         auto &Bits = P.m_Done[{Number, N}];
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -3,7 +3,7 @@
 #ifndef POLLENSPOOL_SCHEDULING_JOBREGISTRY_H
 #define POLLENSPOOL_SCHEDULING_JOBREGISTRY_H
 
-#include "jobs/JobRows.h"
+#include "jobs/TaskPages.h"
 #include "scheduling/Messages.h"
 #include "scheduling/QueueRegistry.h"
 #include "scheduling/SchedulerTypes.h"
@@ -163,6 +163,19 @@
 
 class PlacementQueue;
 
+/// The pages of a job as recorded, \see TaskPages.h.
+struct RecordedPages {
+  PageLayout m_Layout;
+  /// \see JobProgress::m_PageGeneration.
+  std::uint64_t m_Generation = 0;
+  /// The pages that have a row, with its pageHash(); 0 if the row is unknown or
+  /// may not exist.
+  std::map<std::uint32_t, std::uint64_t> m_Hashes;
+  /// Whether the state row refers to the pages. Until all of them are written
+  /// it holds the tasks itself.
+  bool m_IsInUse = false;
+};
+
 /// A job that has not ended.
 struct LiveJob {
   JobSpec m_Spec;
@@ -180,6 +193,8 @@
   bool m_HasBegun = false;
   std::map<std::uint32_t, Occurrence> m_Occurrences;
   std::uint32_t m_OccurrencesDone = 0;
+  /// All occurrences up to this one, exclusively, are done.
+  std::uint32_t m_FirstUnfinished = 0;
   std::uint32_t m_NextOccurrence = 0;
   /// Ready tasks without a planned start. When tasks are added,
   /// JobRegistry::markNewlyReady() must be called.
@@ -235,6 +250,11 @@
   std::uint64_t m_ChangeNumber = 0;
   std::uint64_t m_RecordedChangeNumber = 0;
   std::vector<EndWaiter> m_EndWaiters;
+  /// Null while the state row holds the tasks.
+  std::unique_ptr<RecordedPages> m_Pages;
+  /// The state row as this leader recorded it, if the job has so many tasks
+  /// that they may have to be kept in pages.
+  std::string m_RecordedRow;
   /// The store has refused a transaction with the job's row, which is written
   /// in one of its own now: how often it has refused that one in a row, and
   /// when it is tried again.
@@ -364,7 +384,13 @@
     /// Also those that wait for the record, and those that may start soon.
     Wanted,
   };
-  /// The content for the job's state row at \p Wall.
+  /// Whether a state row shows that runs of the step may exist.
+  static bool showsStart(const LiveJob &Job, const Occurrence &O,
+                         std::uint32_t Step, StartedSteps Steps);
+  /// The content of the job's state row at \p Wall without its tasks.
+  static JobProgress stateOf(const LiveJob &Job,
+                             std::chrono::milliseconds Wall);
+  /// The content for the job's state row at \p Wall, if that holds the tasks.
   JobProgress progressOf(const LiveJob &Job, std::chrono::milliseconds Wall,
                          StartedSteps Steps = StartedSteps::Wanted) const;
 
@@ -378,6 +404,11 @@
   bool findUrgent();
   /// Jobs whose state row is out of date, in the order of their changes.
   std::vector<LiveJob *> &dirty() { return m_Dirty; }
+  /// Returns the jobs that have been removed since the last call and whose
+  /// pages are still in the store.
+  std::vector<JobId> takeRemovedWithPages() {
+    return std::exchange(m_RemovedWithPages, {});
+  }
 
 private:
   void release(LiveJob &Job, Occurrence &O);
@@ -388,8 +419,11 @@
   std::unordered_map<JobId, std::unique_ptr<LiveJob>> m_Jobs;
   /// Jobs with occurrences that are not released yet.
   std::set<JobId> m_RecurringJobs;
+  static void skipFinished(LiveJob &Job);
+
   std::vector<LiveJob *> m_NewlyReady;
   std::vector<LiveJob *> m_Dirty;
+  std::vector<JobId> m_RemovedWithPages;
   bool m_MayHaveUrgent = false;
 };
 
--- a/src/scheduling/ProgressWriter.cpp
+++ b/src/scheduling/ProgressWriter.cpp
@@ -40,9 +40,9 @@
 
 std::unique_ptr<ProgressWriter>
 ProgressWriter::create(Scheduler &Core, RowCondition TermCondition,
-                       const StoreLimits &Limits) {
+                       const StoreLimits &Limits, std::uint32_t PageSize) {
   return std::unique_ptr<ProgressWriter>(
-      new ProgressWriter(Core, std::move(TermCondition), Limits));
+      new ProgressWriter(Core, std::move(TermCondition), Limits, PageSize));
 }
 
 Duration ProgressWriter::pendingFor(TimePoint Now) const {
@@ -108,13 +108,13 @@
     const LiveJob &Job = **It;
     bool Waits = mustWait(Job.m_Partition, Now) || Now < Job.m_RecordRetryAt ||
                  (IsSlow && onlyWantsStart(Job)) ||
-                 (Job.m_IsRecordedAlone && !Taken.empty());
+                 (isWrittenAlone(Job) && !Taken.empty());
     if (!Waits && IsSplit) {
       if (!OnlyPartition)
         OnlyPartition = Job.m_Partition;
       Waits = Job.m_Partition != OnlyPartition;
     }
-    IsAlone = !Waits && Job.m_IsRecordedAlone;
+    IsAlone = !Waits && isWrittenAlone(Job);
     (Waits ? Remaining : Taken).push_back(*It);
   }
   Remaining.insert(Remaining.end(), It, Dirty.end());
@@ -122,25 +122,57 @@
   return Taken;
 }
 
+std::size_t ProgressWriter::maxRowWithTasks() const {
+  return m_Limits.m_RowBytes - m_Limits.m_RowBytes / 16;
+}
+
+bool ProgressWriter::mayNeedPages(const JobSpec &Job) const {
+  std::uint64_t Tasks = 0;
+  for (const StepSpec &Step : Job.m_Steps)
+    Tasks += Step.m_Count;
+  return Job.occurrences() * Tasks > m_PageSize;
+}
+
 bool ProgressWriter::addToBatch(LiveJob &Job, std::chrono::milliseconds Wall,
                                 Draft &Out) {
   const JobId &Id = Job.m_Spec.m_Id;
   const bool IsFinal = isFinal(Job.m_State);
-  JobProgress Progress = m_Core.jobs().progressOf(Job, Wall, Out.m_Steps);
-  std::string Row = encodeProgress(Progress);
-  const bool IsAlone = Job.m_IsRecordedAlone;
+  JobProgress Progress;
+  std::string Row;
+  if (!Job.m_Pages || IsFinal) {
+    Progress = m_Core.jobs().progressOf(Job, Wall, Out.m_Steps);
+    Row = encodeProgress(Progress);
+  }
+  if (!IsFinal && !Job.m_Pages && Row.size() > maxRowWithTasks()) {
+    Job.m_Pages.reset(new RecordedPages{PageLayout(Job.m_Spec, m_PageSize),
+                                        m_TermCondition.m_Version,
+                                        {},
+                                        false});
+    ++m_Counters.m_JobsPaged;
+    logEvent(Event::JobPaged,
+             {{"job", Id.m_Text},
+              {"row_bytes", std::to_string(Row.size())},
+              {"pages", std::to_string(Job.m_Pages->m_Layout.count())}});
+  }
+  const bool IsAlone = isWrittenAlone(Job);
   if (!Out.m_Jobs.empty() &&
-      (IsAlone || Out.m_ValueBytes + Row.size() > m_Limits.m_ValueBytes))
+      (IsAlone || Out.m_IsFull ||
+       Out.m_ValueBytes + Row.size() > m_Limits.m_ValueBytes))
     return false;
   Job.m_Dirty = false;
   // A start that the row does not show is left for a later transaction.
   Job.m_WantsStart &= Out.m_Steps == JobRegistry::StartedSteps::Recorded;
   if (Job.m_WantsStart)
     m_Core.jobs().markDirty(Job);
+  if (Job.m_Pages && !IsFinal) {
+    addPages(Job, Wall, Out);
+    m_Counters.m_PagesWritten += Out.m_Txn.m_Puts.size() - 1;
+    return true;
+  }
   RowAddress State = jobStateAddress(Id);
   Out.m_Txn.m_Conditions.push_back({State, Job.m_StateVersion});
+  Out.m_Txn.m_Puts.push_back({State, Row});
   Out.m_ValueBytes += Row.size();
-  Out.m_Txn.m_Puts.push_back({State, std::move(Row)});
   if (IsFinal)
     Out.m_Txn.m_Deletes.push_back(liveJobAddress(Id));
   Out.m_DependsOnTerm |= !Progress.m_SuspectStarts.empty() ||
@@ -152,6 +184,8 @@
        Progress.m_State != JobState::Queued, std::move(Progress.m_StartedSteps),
        !Progress.m_SuspectStarts.empty() || !Progress.m_Crashes.empty() ||
            !Progress.m_OtherPools.empty()});
+  if (mayNeedPages(Job.m_Spec))
+    Out.m_Jobs.back().m_Row = std::move(Row);
   return true;
 }
 
@@ -235,6 +269,11 @@
   for (const Pending &P : Jobs)
     Partitions.insert(P.m_Partition);
   markBatchDirty(Jobs);
+  // Whether the pages were written is unknown.
+  for (const Pending &P : Jobs)
+    if (LiveJob *Job = m_Core.jobs().find(P.m_Job); Job && Job->m_Pages)
+      for (const auto &[Page, Hash] : P.m_Pages)
+        Job->m_Pages->m_Hashes[Page] = 0;
   m_SplitUntil = Now + SplitTime;
   // It is unknown which of several partitions failed.
   if (Partitions.size() > 1) {
@@ -291,6 +330,12 @@
     Job->m_StateVersion = Version;
     Job->m_RecordRefusals = 0;
     Job->m_IsRecordedAlone = false;
+    markPagesWritten(*Job, P);
+    if (P.m_IsPartial) {
+      markBatchDirty({P});
+      continue;
+    }
+    Job->m_RecordedRow = P.m_Row;
     m_Core.markRecorded(*Job, P.m_ChangeNumber);
     Job->m_IsRecordedAsRunning = P.m_IsRunning;
     JobRegistry::markStartsRecorded(*Job, P.m_StartedSteps);
@@ -340,6 +385,15 @@
     // The row was written by an earlier leader, or by this one with the answer
     // lost. Servers may have forgotten the run ends that it contains.
     Job->m_StateVersion = Row.m_Version;
+    Job->m_RecordedRow = Row.m_Value;
+    // Only the leader that has written the pages may write them again. For
+    // another one the term has ended, on which these writes depend.
+    if (Stored.value().isPaged() && !Job->m_Pages)
+      Job->m_Pages.reset(
+          new RecordedPages{PageLayout(Job->m_Spec, Stored.value().m_PageSize),
+                            Stored.value().m_PageGeneration,
+                            {},
+                            true});
     Job->m_IsRecordedAsRunning = Stored.value().m_State != JobState::Queued;
     m_Core.mergeStoredProgress(*Job, Stored.value());
   }
--- a/src/scheduling/ProgressWriter.h
+++ b/src/scheduling/ProgressWriter.h
@@ -3,6 +3,7 @@
 #ifndef POLLENSPOOL_SCHEDULING_PROGRESSWRITER_H
 #define POLLENSPOOL_SCHEDULING_PROGRESSWRITER_H
 
+#include "scheduling/JobPages.h"
 #include "scheduling/Scheduler.h"
 #include "store/MetadataStore.h"
 #include "store/StoreLatency.h"
@@ -25,6 +26,11 @@
 /// A transaction that the store refuses for good, because a row is too large or
 /// malformed, is divided until each job has one of its own. Only the job whose
 /// transaction is refused then waits; after some more refusals it fails.
+///
+/// A job whose state row would become too large has its tasks in pages, \see
+/// TaskPages.h. Its transactions hold no other job and depend on the term, so
+/// that all pages are by the leader of one term at a time. Each of them writes
+/// the state row too, so that none can be carried out after a later one.
 class ProgressWriter {
 public:
   /// Totals of one writer.
@@ -33,13 +39,19 @@
     std::uint64_t m_Refused = 0;
     /// Jobs that failed because their progress was refused.
     std::uint64_t m_JobsGivenUp = 0;
+    /// Jobs whose tasks have been moved to pages.
+    std::uint64_t m_JobsPaged = 0;
+    /// Pages written.
+    std::uint64_t m_PagesWritten = 0;
   };
 
-  /// \p Core must outlive the writer.
-  /// \p TermCondition holds while the scheduler's term is in effect.
-  static std::unique_ptr<ProgressWriter> create(Scheduler &Core,
-                                                RowCondition TermCondition,
-                                                const StoreLimits &Limits = {});
+  /// \p Core must outlive the writer. \p TermCondition holds while the
+  /// scheduler's term is in effect. \p PageSize: tasks of a page in jobs that
+  /// this writer divides into pages.
+  static std::unique_ptr<ProgressWriter>
+  create(Scheduler &Core, RowCondition TermCondition,
+         const StoreLimits &Limits = {},
+         std::uint32_t PageSize = DefaultPageSize);
 
   /// A transaction to commit.
   struct Commit {
@@ -66,9 +78,9 @@
 
 private:
   ProgressWriter(Scheduler &Core, RowCondition TermCondition,
-                 const StoreLimits &Limits)
+                 const StoreLimits &Limits, std::uint32_t PageSize)
       : m_Core(Core), m_TermCondition(std::move(TermCondition)),
-        m_Limits(Limits) {}
+        m_Limits(Limits), m_PageSize(PageSize) {}
   /// One of jobPartitions().
   using Partition = const std::string *;
   struct Pending;
@@ -91,12 +103,33 @@
   struct Draft;
   /// Adds the rows of \p Job to \p Out. Returns false if they do not fit.
   bool addToBatch(LiveJob &Job, std::chrono::milliseconds Wall, Draft &Out);
+  /// Makes \p Out, which must be empty, a transaction of pages of \p Job.
+  void addPages(LiveJob &Job, std::chrono::milliseconds Wall, Draft &Out) const;
+  /// Adds the changed pages of \p Tasks as far as they fit. Returns whether all
+  /// did.
+  bool addChangedPages(const LiveJob &Job, const PagedTasks &Tasks,
+                       Draft &Out) const;
+  /// Adds the deletions of pages that need no row any more, as far as they fit.
+  void addDeletedPages(const LiveJob &Job, const PagedTasks &Tasks,
+                       Draft &Out) const;
+  /// Entries that pages may take of a transaction.
+  std::size_t pagesPerTransaction() const;
+  /// The largest state row that holds tasks.
+  std::size_t maxRowWithTasks() const;
+  /// Whether the job has more tasks than a page, so that a row may become too
+  /// small for them.
+  bool mayNeedPages(const JobSpec &Job) const;
+  /// Whether the job has a transaction to itself.
+  static bool isWrittenAlone(const LiveJob &Job) {
+    return Job.m_IsRecordedAlone || Job.m_Pages != nullptr;
+  }
   /// Makes the jobs of the failed transaction due for the next one.
   void markBatchDirty(const Batch &Jobs);
   void onCommitted(const Batch &Jobs, RowVersion Version, TimePoint Now);
   void onFailed(const Batch &Jobs, const Error &Why, TimePoint Now);
   /// The store has refused the transaction, and would do so again.
   void onRefused(const Batch &Jobs, const Error &Why, TimePoint Now);
+  static void markPagesWritten(LiveJob &Job, const Pending &P);
   void onConflicts(const std::vector<StoredRow> &Rows, TimePoint Now);
   /// Lets the jobs of \p P wait after a failed write.
   void delay(Partition P, TimePoint Now);
@@ -112,6 +145,14 @@
     /// Whether starts may wait for something in the row other than the record
     /// of their step.
     bool m_MayHoldStarts;
+    /// The pages written, with their pageHash(); 0 for one that is deleted.
+    std::map<std::uint32_t, std::uint64_t> m_Pages = {};
+    /// Whether further pages have to be written until the change is recorded.
+    bool m_IsPartial = false;
+    /// Whether the state row refers to the pages.
+    bool m_UsesPages = false;
+    /// The state row, for LiveJob::m_RecordedRow; empty if not needed there.
+    std::string m_Row = {};
   };
   struct Draft {
     JobRegistry::StartedSteps m_Steps;
@@ -119,6 +160,8 @@
     Batch m_Jobs = {};
     std::size_t m_ValueBytes = 0;
     bool m_DependsOnTerm = false;
+    /// Whether no other job may be added.
+    bool m_IsFull = false;
   };
   /// Retry state of a partition whose last transaction failed.
   struct Backoff {
@@ -129,6 +172,7 @@
   Scheduler &m_Core;
   RowCondition m_TermCondition;
   StoreLimits m_Limits;
+  std::uint32_t m_PageSize;
   Counters m_Counters;
   /// Jobs of a refused transaction that have not had one of their own yet.
   std::size_t m_JobsToDivide = 0;
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -38,7 +38,8 @@
     Options.m_EarlierLeaderTimeout = EarlierLeaderTimeout;
     m_Core = Scheduler::create(Options, *this, Simulation.m_Clock.m_Now);
     m_Writer = ProgressWriter::create(
-        *m_Core, {{"lead", TermRowKey, "lead"}, TermVersion});
+        *m_Core, {{"lead", TermRowKey, "lead"}, TermVersion},
+        Simulation.m_Settings.m_StoreLimits, Simulation.m_Settings.m_PageSize);
     m_QueueRecords = QueueRecords::create(
         m_Core->queues(), {{"lead", TermRowKey, "lead"}, TermVersion});
     // The simulated leaders record all starts from the first term on.
@@ -230,7 +231,7 @@
     m_Simulation.m_Clock.after(Late ? LateCommitDelay : CommitDelay, [=] {
       if (m_HasLostStore)
         return;
-      CommitOutcome Outcome = m_Simulation.apply(Txn);
+      Result<CommitOutcome> Outcome = m_Simulation.apply(Txn);
       if (!Lost && !Late && m_Alive)
         OnResult(Outcome);
     });
@@ -345,7 +346,7 @@
   Leader.m_Core->setServersWithoutEarlierRuns(Leader.m_IdleServers.inherited());
   Leader.m_Core->onConfig(m_KnownConfig);
   for (auto &[Id, Row] : m_LiveRows)
-    Leader.m_Core->onJob(Row.m_Spec, m_StateRows[Id].m_Progress, Row.m_Version,
+    Leader.m_Core->onJob(Row.m_Spec, readProgress(Row.m_Spec), Row.m_Version,
                          m_StateRows[Id].m_Version, m_Clock.m_Now, wall());
   for (const auto &[Id, Row] : m_StateRows)
     if (isFinal(Row.m_Progress.m_State))
@@ -418,7 +419,31 @@
   return {At, encodeProgress(Row.m_Progress), Row.m_Version, false};
 }
 
-CommitOutcome JobSimulation::apply(const RowTransaction &Txn) {
+JobProgress JobSimulation::readProgress(const JobSpec &Job) {
+  JobProgress Progress = m_StateRows[Job.m_Id.m_Text].m_Progress;
+  if (!Progress.isPaged())
+    return Progress;
+  const RowAddress Prefix = pagePrefix(Job.m_Id, Progress.m_PageGeneration);
+  for (auto It = m_PageRows.lower_bound(Prefix.m_Key);
+       It != m_PageRows.end() && hasPrefix({{}, It->first, {}}, Prefix); ++It)
+    if (!addPage(Progress, Job, pageNumber({{}, It->first, {}}, Prefix).value(),
+                 It->second))
+      throw std::runtime_error("unreadable page " + It->first);
+  return Progress;
+}
+
+Result<CommitOutcome> JobSimulation::apply(const RowTransaction &Txn) {
+  std::size_t ValueBytes = 0;
+  bool IsAccepted =
+      Txn.entries() <= m_Settings.m_StoreLimits.m_TransactionEntries;
+  for (const RowPut &P : Txn.m_Puts) {
+    IsAccepted &= P.m_Value.size() <= m_Settings.m_StoreLimits.m_RowBytes;
+    ValueBytes += P.m_Value.size();
+  }
+  if (!IsAccepted || ValueBytes > m_Settings.m_StoreLimits.m_ValueBytes * 2) {
+    ++m_Figures.m_Refused;
+    return makeError(ErrorCode::InvalidArgument, "commit");
+  }
   CommitOutcome Outcome;
   bool Holds = true;
   // A rejected transaction returns the rows of all its conditions.
@@ -437,12 +462,19 @@
                                                       m_Version, false};
       continue;
     }
+    if (P.m_At.m_Table == JobPagesTable) {
+      m_PageRows[P.m_At.m_Key] = P.m_Value;
+      ++m_Figures.m_PagesWritten;
+      continue;
+    }
     StateRow &Row = m_StateRows[P.m_At.m_Key];
     Row.m_Progress = decodeProgress(P.m_Value).value();
     Row.m_Version = m_Version;
   }
   for (const RowAddress &At : Txn.m_Deletes) {
     m_LeaderRows.erase({At.m_Table, At.m_Key});
+    if (At.m_Table == JobPagesTable)
+      m_PageRows.erase(At.m_Key);
     auto It = m_LiveRows.find(At.m_Key);
     if (It == m_LiveRows.end())
       continue;
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -58,6 +58,10 @@
   double m_RowWithoutRulesShare = 0;
   /// Ends that a server lists at most in one answer.
   std::size_t m_MaxListedEnds = 500;
+  /// What the store accepts. It refuses other transactions for good.
+  StoreLimits m_StoreLimits;
+  /// Tasks of a page, \see TaskPages.h.
+  std::uint32_t m_PageSize = DefaultPageSize;
   /// Whether the state of the leaders is checked with findInconsistency().
   bool m_ChecksState = false;
 };
@@ -78,6 +82,9 @@
   std::uint64_t m_CrashesByTasks = 0;
   std::uint64_t m_Terms = 0;
   std::uint64_t m_Cuts = 0;
+  /// Pages of tasks that were written, and transactions that were refused.
+  std::uint64_t m_PagesWritten = 0;
+  std::uint64_t m_Refused = 0;
   /// Servers that have left as planned.
   std::uint64_t m_ServersLeft = 0;
 };
@@ -212,7 +219,9 @@
   PoolName poolName(std::size_t Index) const;
   /// Draws a delay between the limits of the settings.
   Duration registrationDelay();
-  CommitOutcome apply(const RowTransaction &Txn);
+  Result<CommitOutcome> apply(const RowTransaction &Txn);
+  /// The progress of the job as a new leader reads it.
+  JobProgress readProgress(const JobSpec &Job);
   /// The row at \p At; one of version 0 if there is none.
   StoredRow currentRow(const RowAddress &At);
   std::chrono::milliseconds wall() const;
@@ -251,6 +260,8 @@
   RowVersion m_TermVersion = 0;
   /// The rows of IdleServers and QueueRecords, by table and key.
   std::map<std::pair<std::string, std::string>, StoredRow> m_LeaderRows;
+  /// Pages of tasks by key.
+  std::map<std::string, std::string> m_PageRows;
   bool m_HasDemand = false;
   TimePoint m_CutUntil{};
   SimulationStats m_Figures;
