Mark a cancelled ID that no job has

Callers were told that there is no such job, and then it ran: a client handed in a job that lasts, got 504, cancelled it at another instance with 410, and the store carried the submission out 4.3 s later.

Cause: JobStore answered 410 from a read of the state row and wrote nothing. The submission depends only on the absence of that row, which still held. The record shows two transactions with the job before the DELETE, none after it, and the late one applied.

Change: a cancellation that finds no job writes a final state row under the same condition, so that one of the two fails. The mark binds the organisations that wrote it; another one replaces it. A later submission is answered 409 with the reason cancelled, GET stays 410.

--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -81,6 +81,13 @@
     {"pollenspool_submission_batches_total", MetricType::Counter,
      "Transactions of submitted jobs, each of which may hold several.",
      [](const Sources &S) { return number(S.jobStore().m_SubmissionBatches); }},
+    {"pollenspool_cancellation_marks_total", MetricType::Counter,
+     "IDs marked as cancelled that no job had.",
+     [](const Sources &S) { return number(S.jobStore().m_CancellationMarks); }},
+    {"pollenspool_cancellation_marks_refused_total", MetricType::Counter,
+     "Cancellations refused because their organisation, or all together, had "
+     "cancelled too many IDs that no job had.",
+     [](const Sources &S) { return number(S.jobStore().m_MarksRefused); }},
     {"pollenspool_jobs_cancelled_total", MetricType::Counter,
      "Jobs cancelled through this instance.",
      [](const Sources &S) { return number(S.jobStore().m_Cancelled); }},
--- a/src/entry/Leader.cpp
+++ b/src/entry/Leader.cpp
@@ -43,7 +43,8 @@
                Leadership &Lead, LoadMonitor &Load)
     : m_Loop(Loop), m_Ports(Ports), m_Settings(Settings), m_Leadership(Lead),
       m_Load(Load), m_StartRecords(Lead.term(), Lead.termCondition()),
-      m_IdleServers(Lead.term(), Lead.termCondition()) {
+      m_IdleServers(Lead.term(), Lead.termCondition()),
+      m_Marks(CancellationMarks::create(finalStateRetention(Settings))) {
   SchedulerOptions Options;
   Options.m_Term = Lead.term();
   Options.m_TermVersion = Lead.termCondition().m_Version;
@@ -232,6 +233,7 @@
   m_Waits->update(Now);
   recordWaves();
   removeOldStates();
+  removeMarks();
   m_DecisionTime = m_Loop.now() - Now;
   m_Load.addDecisions(Timer.elapsed());
 }
--- a/src/entry/Leader.h
+++ b/src/entry/Leader.h
@@ -8,7 +8,7 @@
 #include "entry/LoadMonitor.h"
 #include "instances/FleetPlanner.h"
 #include "instances/RecentOrders.h"
-#include "jobs/TaskPages.h"
+#include "jobs/CancellationMarks.h"
 #include "lead/DelayMonitor.h"
 #include "lead/IdleServers.h"
 #include "lead/Leadership.h"
@@ -111,6 +111,7 @@
   void finishLoadingJobs();
   void onLiveJobRow(const StoredRow &Row);
   void removeOldStates();
+  void removeMarks();
 
   void readQueueRules(const RowAddress &From);
   void recordQueueRules();
@@ -148,6 +149,7 @@
   StartRecords m_StartRecords;
   IdleServers m_IdleServers;
   TimePoint m_NextIdleServersAt{};
+  std::unique_ptr<CancellationMarks> m_Marks;
   /// Progress of waves that earlier leaders recorded.
   std::map<WaveId, WaveProgress> m_RecordedWaves;
   /// Waves requested before the recorded progress was loaded.
--- a/src/entry/LeaderJobs.cpp
+++ b/src/entry/LeaderJobs.cpp
@@ -134,7 +134,8 @@
   m_JobsLoaded = true;
   // Jobs with a final state had ended before this term.
   for (const auto &[Id, Row] : m_StatesAtStart)
-    if (auto P = decodeProgress(Row.m_Value); P && isFinal(P.value().m_State)) {
+    if (auto P = decodeProgress(Row.m_Value);
+        P && isFinal(P.value().m_State) && P.value().m_CancelledBy.empty()) {
       m_EndedAt[Id] = P.value().m_ChangedAt;
       if (P.value().m_HasPages)
         m_EndedWithPages.insert(Id);
@@ -150,6 +151,8 @@
 }
 
 void Leader::onLiveJobRow(const StoredRow &Row) {
+  if (m_Marks->onLiveRow(Row, m_Loop.now()))
+    return;
   JobId Id(Row.m_At.m_Key);
   if (Row.m_IsDeleted) {
     m_EndedAt[Id.m_Text] = wallNow();
@@ -250,4 +253,21 @@
       });
 }
 
+void Leader::removeMarks() {
+  if (!m_JobsLoaded)
+    return;
+  auto Txn = m_Marks->next(m_Loop.now());
+  if (!Txn)
+    return;
+  m_Ports.m_Store.commit(
+      *Txn, PlatformCallTimeout,
+      whileLeading([this](const Result<CommitOutcome> &Outcome) {
+        if (!Outcome)
+          logEvent(Event::RecordFailed,
+                   {{"cancellation_marks", std::to_string(m_Marks->size())},
+                    {"error", Outcome.error().describe()}});
+        m_Marks->onResult(Outcome, m_Loop.now());
+      }));
+}
+
 } // namespace pollenspool
--- a/src/jobs/JobRows.cpp
+++ b/src/jobs/JobRows.cpp
@@ -192,6 +192,12 @@
     Row.add("pages", true);
   if (!Progress.m_Organisation.empty())
     Row.add("organisation", Progress.m_Organisation.m_Text);
+  if (!Progress.m_CancelledBy.empty()) {
+    Row.key("cancelled_by").beginArray();
+    for (const OrganisationName &Name : Progress.m_CancelledBy)
+      Row.add(Name.m_Text);
+    Row.endArray();
+  }
   if (Progress.m_PageSize != 0) {
     // Earlier versions of the program, which do not know of pages, expect an
     // array and refuse the row instead of running the done tasks again.
@@ -241,6 +247,9 @@
         P.m_HasCrashedServers = J.value("crashed_servers", false);
         P.m_IsUnrecordable = J.value("unrecordable", false);
         P.m_Organisation = OrganisationName(J.value("organisation", ""));
+        readRows(J, "cancelled_by", [&P](const auto &Name) {
+          P.m_CancelledBy.emplace(as<std::string>(Name));
+        });
         P.m_HasPages = J.value("pages", false);
         if (J.contains("done") && isObject(J.at("done"))) {
           const auto &Pages = J.at("done");
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -71,6 +71,10 @@
   bool m_HasPages = false;
   /// \see JobSpec::m_Organisation.
   OrganisationName m_Organisation;
+  /// Not empty in a cancellation mark, \see CancellationMarks: the callers that
+  /// cancelled the ID while no job had it. Callers without an organisation have
+  /// the empty name.
+  std::set<OrganisationName> m_CancelledBy;
   /// Tasks of a page if the tasks are kept in pages, \see TaskPages.h; else 0.
   std::uint32_t m_PageSize = 0;
   /// Identifies the pages among those that earlier leaders began to write.
@@ -105,6 +109,10 @@
   }
 };
 
+/// The value of the row of a cancellation mark in LiveJobsTable, which tells
+/// the leader of the mark. Its state row holds the rest.
+inline constexpr char CancellationMarkValue[] = R"({"mark":"cancelled"})";
+
 /// Conversion to and from the values of the rows. Thread safe. Decoding errors:
 /// InvalidMessage.
 std::string encodeJob(const JobSpec &Job);
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -54,6 +54,8 @@
   /// Owner of the job, once its state row has been read.
   OrganisationName m_Owner;
   TimePoint m_Deadline;
+  /// Whether the mark of the ID has been taken from the budget.
+  bool m_HasBudget = false;
   std::function<void(CancelResult)> m_Callback;
 };
 
@@ -194,6 +196,8 @@
               {{"job", Id.m_Text}, {"error", Progress.error().describe()}});
           return Callback(Progress.error());
         }
+        if (!Progress.value().m_CancelledBy.empty())
+          return Callback(std::optional<JobStatus>());
         JobStatus Status{
             Progress.value().m_State, Progress.value().m_HasCrashedServers,
             Progress.value().m_Organisation, Progress.value().m_IsUnrecordable};
@@ -234,9 +238,7 @@
       [Self = shared_from_this(), C](Result<std::optional<StoredRow>> Row) {
         if (!Row)
           return Self->retryCancel(C);
-        if (!Row.value())
-          return Self->finishCancel(C, CancelResult::Unknown);
-        Self->tryCancel(C, *Row.value());
+        Self->tryCancel(C, Row.value().value_or(StoredRow()));
       });
 }
 
@@ -249,12 +251,16 @@
 
 void JobStore::tryCancel(const std::shared_ptr<Cancellation> &C,
                          const StoredRow &Row) {
+  if (Row.m_Version == 0)
+    return markCancelled(C, 0, {});
   auto Progress = decodeProgress(Row.m_Value);
   if (!Progress) {
     logEvent(Event::JobUnreadable,
              {{"job", C->m_Id.m_Text}, {"error", Progress.error().describe()}});
     return finishCancel(C, CancelResult::Failed);
   }
+  if (!Progress.value().m_CancelledBy.empty())
+    return markCancelled(C, Row.m_Version, std::move(Progress.value()));
   C->m_Owner = Progress.value().m_Organisation;
   if (!mayAccessJob(C->m_Caller, C->m_Owner))
     return finishCancel(C, CancelResult::OtherOrganisation);
@@ -272,19 +278,44 @@
   Txn.m_Conditions.push_back({StateAddress, Row.m_Version});
   Txn.m_Puts.push_back({StateAddress, encodeProgress(CancelledProgress)});
   Txn.m_Deletes.push_back(liveJobAddress(C->m_Id));
-  m_Store.commit(Txn, remainingTime(*C),
-                 [Self = shared_from_this(), C](Result<CommitOutcome> Outcome) {
-                   if (Outcome && Outcome.value().m_Committed)
-                     return Self->finishCancel(C, CancelResult::Cancelled);
-                   // A conflict returns the current row, so the next attempt
-                   // needs no read. After a failed call the row is read again.
-                   if (Outcome)
-                     for (const StoredRow &Current :
-                          Outcome.value().m_Conflicts)
-                       if (Current.m_Version != 0)
-                         return Self->tryCancel(C, Current);
-                   Self->retryCancel(C);
-                 });
+  commitCancel(C, Txn, CancelResult::Cancelled);
+}
+
+void JobStore::markCancelled(const std::shared_ptr<Cancellation> &C,
+                             RowVersion Replaced, JobProgress Mark) {
+  if (Mark.m_CancelledBy.count(C->m_Caller) != 0)
+    return finishCancel(C, CancelResult::Unknown);
+  if (!C->m_HasBudget && !m_MarkBudget.take(C->m_Caller, m_Loop.now()))
+    return finishCancel(C, CancelResult::TooManyMarks);
+  C->m_HasBudget = true;
+  Mark.m_State = JobState::Cancelled;
+  Mark.m_ChangedAt = wallNow();
+  Mark.m_CancelledBy.insert(C->m_Caller);
+  RowAddress StateAddress = jobStateAddress(C->m_Id);
+  RowTransaction Txn;
+  Txn.m_Conditions.push_back({StateAddress, Replaced});
+  Txn.m_Puts.push_back({StateAddress, encodeProgress(Mark)});
+  Txn.m_Puts.push_back({liveJobAddress(C->m_Id), CancellationMarkValue});
+  commitCancel(C, Txn, CancelResult::Unknown);
+}
+
+void JobStore::commitCancel(const std::shared_ptr<Cancellation> &C,
+                            const RowTransaction &Txn, CancelResult R) {
+  m_Store.commit(
+      Txn, remainingTime(*C),
+      [Self = shared_from_this(), C, R](Result<CommitOutcome> Outcome) {
+        if (Outcome && Outcome.value().m_Committed) {
+          Self->m_Counters.m_CancellationMarks += R == CancelResult::Unknown;
+          return Self->finishCancel(C, R);
+        }
+        // A conflict returns the current row, so the next attempt needs no
+        // read. After a failed call the row is read again.
+        if (Outcome)
+          for (const StoredRow &Current : Outcome.value().m_Conflicts)
+            if (Current.m_Version != 0)
+              return Self->tryCancel(C, Current);
+        Self->retryCancel(C);
+      });
 }
 
 void JobStore::finishCancel(const std::shared_ptr<Cancellation> &C,
@@ -293,6 +324,7 @@
     ++m_Counters.m_Cancelled;
     cacheFinalStatus(C->m_Id, {JobState::Cancelled, false, C->m_Owner, false});
   }
+  m_Counters.m_MarksRefused += R == CancelResult::TooManyMarks;
   C->m_Callback(R);
 }
 
--- a/src/jobs/JobStore.h
+++ b/src/jobs/JobStore.h
@@ -3,6 +3,7 @@
 #ifndef POLLENSPOOL_JOBS_JOBSTORE_H
 #define POLLENSPOOL_JOBS_JOBSTORE_H
 
+#include "jobs/CancellationMarks.h"
 #include "jobs/SubmissionBatcher.h"
 #include "net/EventLoop.h"
 #include "store/MetadataStore.h"
@@ -19,8 +20,12 @@
   Cancelled,
   /// The job has completed or failed before.
   AlreadyFinished,
-  /// There is no job with this ID.
+  /// There is no job with this ID, and a submission of the caller's
+  /// organisation that the store carries out late will not make one.
   Unknown,
+  /// There is no job with this ID, and the organisation has cancelled so many
+  /// such IDs that this one was not marked. Nothing was done.
+  TooManyMarks,
   /// The job belongs to another organisation.
   OtherOrganisation,
   /// The job's state row could not be read, decoded or replaced; the job may
@@ -42,6 +47,10 @@
   /// Transactions with submissions; each may hold several.
   std::uint64_t m_SubmissionBatches = 0;
   std::uint64_t m_Cancelled = 0;
+  /// Cancellation marks written.
+  std::uint64_t m_CancellationMarks = 0;
+  /// \see CancelResult::TooManyMarks.
+  std::uint64_t m_MarksRefused = 0;
   std::uint64_t m_StateReads = 0;
   std::uint64_t m_StateCacheHits = 0;
 };
@@ -74,12 +83,14 @@
   /// may share a transaction.
   void submit(JobSpec Job, Duration TimeLimit,
               std::function<void(SubmitResult)> Callback);
-  /// Cancels the job for \p Caller unless it is in a final state. Retries
-  /// failed store calls for up to \p TimeLimit; a call that is under way then
-  /// may end later.
+  /// Cancels the job for \p Caller unless it is in a final state. If there is
+  /// no job, marks the ID as cancelled, so that a submission that is under way
+  /// has no effect. Retries failed store calls for up to \p TimeLimit; a call
+  /// that is under way then may end later.
   void cancel(const JobId &Id, const OrganisationName &Caller,
               Duration TimeLimit, std::function<void(CancelResult)> Callback);
-  /// Reads the job's status; std::nullopt if there is no such job. Retries
+  /// Reads the job's status; std::nullopt if there is no such job, also for an
+  /// ID that is marked as cancelled. Retries
   /// failed store calls for up to \p TimeLimit. Errors: those of
   /// MetadataStore::read(), and InvalidMessage if the row cannot be decoded.
   void status(const JobId &Id, Duration TimeLimit,
@@ -109,7 +120,15 @@
   /// Timeout of the next call of a cancellation, which keeps its deadline.
   Duration remainingTime(const Cancellation &C) const;
   void readForCancel(const std::shared_ptr<Cancellation> &C);
+  /// Cancels the job of \p Row, or marks the ID if that is a mark or the row
+  /// does not exist (version 0).
   void tryCancel(const std::shared_ptr<Cancellation> &C, const StoredRow &Row);
+  void markCancelled(const std::shared_ptr<Cancellation> &C,
+                     RowVersion Replaced, JobProgress Mark);
+  /// Commits \p Txn, which ends the cancellation with \p R unless a condition
+  /// fails.
+  void commitCancel(const std::shared_ptr<Cancellation> &C,
+                    const RowTransaction &Txn, CancelResult R);
   void retryCancel(const std::shared_ptr<Cancellation> &C);
   void finishCancel(const std::shared_ptr<Cancellation> &C, CancelResult R);
   void
@@ -122,6 +141,7 @@
   JobStoreCounters m_Counters;
   StoreLatency m_Latency;
   SubmissionBatcher m_Batcher;
+  MarkBudget m_MarkBudget;
   std::map<SubmissionNumber, Waiter> m_Waiters;
   /// Cached final states by job ID. A final state never changes, so it has to
   /// be read only once.
--- a/src/jobs/SubmissionBatcher.cpp
+++ b/src/jobs/SubmissionBatcher.cpp
@@ -82,7 +82,7 @@
     B.m_Number = ++m_LastBatch;
     for (const SubmissionPtr &S : Members) {
       S->m_MayBeStored = true;
-      B.m_Txn.m_Conditions.push_back({S->m_State.m_At, 0});
+      B.m_Txn.m_Conditions.push_back({S->m_State.m_At, S->m_ReplacedMark});
       B.m_Txn.m_Puts.push_back(S->m_State);
       B.m_Txn.m_Puts.push_back(S->m_Live);
     }
@@ -92,21 +92,30 @@
   return Batches;
 }
 
-bool SubmissionBatcher::decideConflict(const Submission &S,
+bool SubmissionBatcher::decideConflict(Submission &S,
                                        const CommitOutcome &Outcome,
                                        std::vector<Decision> &Out) {
-  auto Row = std::find_if(Outcome.m_Conflicts.begin(),
-                          Outcome.m_Conflicts.end(), [&](const StoredRow &R) {
-                            return R.m_At == S.m_State.m_At && R.m_Version != 0;
-                          });
-  if (Row == Outcome.m_Conflicts.end())
+  auto Row = std::find_if(
+      Outcome.m_Conflicts.begin(), Outcome.m_Conflicts.end(),
+      [&](const StoredRow &R) { return R.m_At == S.m_State.m_At; });
+  if (Row == Outcome.m_Conflicts.end() || Row->m_Version == S.m_ReplacedMark)
     return false;
-  auto Stored = decodeProgress(Row->m_Value);
-  bool IsOwn =
-      !Stored || mayAccessJob(S.m_Caller, Stored.value().m_Organisation);
-  Out.push_back(
-      {S.m_Number,
-       IsOwn ? SubmitResult::Accepted : SubmitResult::OtherOrganisation, true});
+  S.m_ReplacedMark = 0;
+  if (Row->m_Version == 0)
+    return false;
+  SubmitResult Result = SubmitResult::Accepted;
+  if (auto Stored = decodeProgress(Row->m_Value)) {
+    const auto &CancelledBy = Stored.value().m_CancelledBy;
+    if (CancelledBy.count(S.m_Caller) != 0) {
+      Result = SubmitResult::Cancelled;
+    } else if (!CancelledBy.empty()) {
+      S.m_ReplacedMark = Row->m_Version;
+      return false;
+    } else if (!mayAccessJob(S.m_Caller, Stored.value().m_Organisation)) {
+      Result = SubmitResult::OtherOrganisation;
+    }
+  }
+  Out.push_back({S.m_Number, Result, true});
   return true;
 }
 
@@ -118,18 +127,22 @@
   Partition &P = m_Partitions[Done.m_Partition];
   P.m_IsCommitting = false;
   std::vector<SubmissionPtr> Again;
+  bool IsMarkReplaced = false;
   for (const SubmissionPtr &S : Done.m_Members) {
     if (Outcome && Outcome.value().m_Committed) {
       Out.push_back({S->m_Number, SubmitResult::Accepted, false});
       continue;
     }
+    const RowVersion KnownMark = S->m_ReplacedMark;
     if (Outcome && decideConflict(*S, Outcome.value(), Out))
       continue;
+    IsMarkReplaced |= S->m_ReplacedMark != KnownMark;
     Again.push_back(S);
   }
-  // A conflict of another member shows that this one was not stored by this
-  // call, and after a failed call the store may need a pause.
-  bool IsRetriedAtOnce = Outcome && !Out.empty();
+  // A conflict of another member, or with a mark that this one replaces, shows
+  // that it was not stored by this call. After a failed call the store may need
+  // a pause.
+  bool IsRetriedAtOnce = Outcome && (!Out.empty() || IsMarkReplaced);
   bool IsRejected =
       !Outcome && Outcome.error().m_Code == ErrorCode::InvalidArgument;
   for (const SubmissionPtr &S : Again) {
--- a/src/jobs/SubmissionBatcher.h
+++ b/src/jobs/SubmissionBatcher.h
@@ -22,6 +22,9 @@
   /// A job with this ID belongs to another organisation; this one is not
   /// stored.
   OtherOrganisation,
+  /// The caller's organisation cancelled the ID before a job with it was
+  /// stored. The job is certainly not stored, and never will be.
+  Cancelled,
   /// The row of the job would be larger than the store accepts.
   TooLarge,
   /// The store would not have answered in time, so nothing was sent to it. The
@@ -75,6 +78,9 @@
     OrganisationName m_Caller;
     RowPut m_State;
     RowPut m_Live;
+    /// Version of the cancellation mark of another organisation that the job
+    /// replaces; 0 if there is none.
+    RowVersion m_ReplacedMark = 0;
     TimePoint m_NotBefore{};
     /// The store may have stored the job already, or may still do so, by the
     /// call in flight or by an earlier one.
@@ -103,8 +109,9 @@
 
   std::vector<SubmissionPtr> takeMembers(Partition &P, TimePoint Now);
   /// Decides a member of a transaction that had a conflict. Returns whether the
-  /// conflict was its own.
-  static bool decideConflict(const Submission &S, const CommitOutcome &Outcome,
+  /// conflict was its own. A mark of another organisation decides nothing; the
+  /// member then replaces it.
+  static bool decideConflict(Submission &S, const CommitOutcome &Outcome,
                              std::vector<Decision> &Out);
   std::map<std::string, Partition> m_Partitions;
   std::map<std::uint64_t, InFlight> m_InFlight;
--- a/tests/platform_limits_check.py
+++ b/tests/platform_limits_check.py
@@ -4,7 +4,8 @@
   platform_limits_check.py BUILD_DIR [--seed N]
 
 Checks with the stand-in of the platform: more ends than one list holds, while the leader
-changes; more progress than one row holds; and a job that is too large.
+changes; more progress than one row holds; a job that is too large; and a job that is
+cancelled before it is stored.
 """
 import http.client
 import pathlib
@@ -83,7 +84,26 @@
         assert status == 400 and "65536" in reply["field"], (status, reply)
         assert call(entry, "GET", "/asks/00000000000000ab")[0] == 410
 
-    STEPS = (refuses_a_job_that_no_row_holds,
+    # The store carried a submission out after its job had been cancelled with "no such job".
+    def a_cancelled_id_is_not_stored_later(self):
+        body = {"spec": "work", "steps": [{"count": 1, **TASK}]}
+        first, second = self.entries[0].callers, self.entries[1].callers
+        assert call(first, "DELETE", "/asks/00000000000000ac")[0] == 410
+        for entry in (first, second):
+            status, reply = call(entry, "POST", "/asks/00000000000000ac", body)
+            assert status == 409 and reply["reason"] == "cancelled", (status, reply)
+            assert call(entry, "GET", "/asks/00000000000000ac")[0] == 410
+            assert call(entry, "DELETE", "/asks/00000000000000ac")[0] == 410
+
+    def limits_cancellations_of_unknown_ids(self):
+        statuses = [call(self.entries[2].callers, "DELETE", f"/asks/{n:016x}")[0]
+                    for n in range(0xb000, 0xb000 + 400)]
+        assert statuses.count(410) >= 200 and 429 in statuses, statuses.count(410)
+        job = self.submit(steps=1)
+        assert call(self.entries[2].callers, "DELETE", f"/asks/{job}")[0] == 200
+
+    STEPS = (refuses_a_job_that_no_row_holds, a_cancelled_id_is_not_stored_later,
+             limits_cancellations_of_unknown_ids,
              starts_no_task_again_whose_end_is_held_back, records_more_than_one_row_holds)
 
 
