--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -475,11 +475,11 @@
                 child.wait()
 
 
-def main():
+def main(check_type=Check, name="jobs_check"):
     build = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else "build").resolve()
     seed = int(sys.argv[sys.argv.index("--seed") + 1]) if "--seed" in sys.argv else 1
     with tempfile.TemporaryDirectory() as folder:
-        check = Check(build, seed, pathlib.Path(folder))
+        check = check_type(build, seed, pathlib.Path(folder))
         try:
             check.run()
         except BaseException:
@@ -489,7 +489,7 @@
             raise
         finally:
             check.close()
-    print("jobs_check: ok")
+    print(f"{name}: ok")
 
 
 if __name__ == "__main__":
--- a/tests/platform_limits_check.py
+++ b/tests/platform_limits_check.py
@@ -10,11 +10,9 @@
 import http.client
 import pathlib
 import sys
-import tempfile
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from jobs_check import Check, call  # noqa: E402
+from jobs_check import Check, call, main  # noqa: E402
 
 LARGE_JOB_TASKS = 2000
 LIST_JOB_TASKS = 1500
@@ -107,23 +105,5 @@
              starts_no_task_again_whose_end_is_held_back, records_more_than_one_row_holds)
 
 
-def main():
-    build = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else "build").resolve()
-    seed = int(sys.argv[sys.argv.index("--seed") + 1]) if "--seed" in sys.argv else 1
-    began = time.monotonic()
-    with tempfile.TemporaryDirectory() as folder:
-        check = LimitsCheck(build, seed, pathlib.Path(folder))
-        try:
-            check.run()
-        except BaseException:
-            for entry in check.entries:
-                if entry.log.exists():
-                    print(f"--- {entry.name}\n{entry.log.read_text()[-3000:]}")
-            raise
-        finally:
-            check.close()
-    print(f"platform_limits_check: ok ({time.monotonic() - began:.0f} s)")
-
-
 if __name__ == "__main__":
-    main()
+    main(LimitsCheck, "platform_limits_check")
