--- a/src/jobs/TaskPages.h
+++ b/src/jobs/TaskPages.h
@@ -4,7 +4,7 @@
 // become larger than the store accepts. From then on the tasks are kept in
 // pages: rows of JobPagesTable, each with the same number of tasks, in the
 // order of occurrence, step and index. The state row then tells which pages
-// hold done tasks only; these have no row. A page has a bounded size, as each
+// hold done tasks only; these need no row. A page has a bounded size, as each
 // of its tasks has, so that a job fits however many tasks and occurrences it
 // has and whatever happens to them.
 //
