Hold a crash against a task only if its run has begun or may have

Cause: a start answered with 421 was still among the server's runs when onOtherIncarnation() counted these as lost in a crash. It also made the task a suspect, which went to the next such entry at once. Ruled out by the leader's log: real crashes (no run existed) and the limit of four. The same class: starts on their way to a server that is found to have ended, starts without an answer to a host that was silent before, changes of the leader beside a server that is down, and starts that an earlier leader recorded on a server that has left.

Change: StartEvidence says in one table what each result of a start shows, and in another what follows when the server has ended. A start without a result waits for it. Runs that are not known to have been ordered count once at most towards giving a task up. A 421 from a former address of a server says nothing about the server.

--- a/fuzz/SchedulerFuzz.cpp
+++ b/fuzz/SchedulerFuzz.cpp
@@ -9,13 +9,14 @@
 // checks every start, and the state of each leader must be consistent. After
 // the faults have ended, every job must end.
 //
-// Each seed plays four scenarios, one after the other: a busy one with short
+// Each seed plays five scenarios, one after the other: a busy one with short
 // tasks; a quiet one in which servers restart while they are idle, tasks
 // outlast leases, and the queue is moved between pools, gets other rules, is
 // removed and put back, of all of which the leaders learn late; one in which
 // leaders are cut off from the store and from a part of the servers, and
-// servers are moved or drain; and one with many short tasks in which the limits
-// of the platform are so small that they are met all the time.
+// servers are moved or drain; one with many short tasks in which the limits of
+// the platform are so small that they are met all the time; and one in which
+// servers crash for good and their addresses go to other servers.
 //
 //===----------------------------------------------------------------------===//
 
@@ -205,6 +206,46 @@
     throw OracleFailure(Wrong);
 }
 
+/// Few servers and many jobs that need a whole one, so that starts meet servers
+/// that have been replaced.
+SimulationSettings reuseSettingsFor(std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed * 11003);
+  SimulationSettings S;
+  S.m_Seed = Seed;
+  S.m_ChecksState = true;
+  S.m_LongRunningShare = 0.1;
+  S.m_Servers = 10 + Random() % 10;
+  S.m_Pools = 2;
+  S.m_CoresPerServer = 4;
+  S.m_Rate = 0.5 + 0.5 * static_cast<double>(Random() % 4);
+  S.m_MaxSteps = 2;
+  S.m_MaxTasksPerStep = 4;
+  S.m_MeanMilliCores = 2500;
+  S.m_MedianWork = milliseconds(300 + Random() % 900);
+  S.m_Faults.m_LostReplyShare = 0.03 * static_cast<double>(Random() % 3);
+  return S;
+}
+
+/// Replaces several servers at once, or injects another fault.
+void stepWithReuse(JobSimulation &Simulation, milliseconds MaxPause, bool) {
+  auto &Random = Simulation.random();
+  switch (Random() % 6) {
+  case 0:
+    Simulation.killLeader();
+    break;
+  case 1:
+    Simulation.crashServer(Random() % Simulation.servers());
+    break;
+  case 2:
+    Simulation.releaseTerm();
+    break;
+  default:
+    for (int N = 0; N < 5; ++N)
+      Simulation.replaceServer(Random() % Simulation.servers());
+  }
+  Simulation.run(milliseconds(Random() % MaxPause.count()));
+}
+
 /// Injects one fault of the scenario with cuts and lets some time pass.
 void stepWithCuts(JobSimulation &Simulation, milliseconds MaxPause, bool) {
   auto &Random = Simulation.random();
@@ -287,7 +328,8 @@
     StepFn m_StepOnce;
   } Others[] = {{"quiet", quietSettingsFor, stepOnce},
                 {"cut", cutSettingsFor, stepWithCuts},
-                {"limit", limitSettingsFor, stepOnce}};
+                {"limit", limitSettingsFor, stepOnce},
+                {"reuse", reuseSettingsFor, stepWithReuse}};
   for (const auto &Other : Others) {
     const std::string Name = std::string(Other.m_Name) + " scenario: ";
     try {
--- a/src/jobs/JobRows.h
+++ b/src/jobs/JobRows.h
@@ -40,6 +40,9 @@
   bool m_WasRecent = false;
   /// Whether the server had no run of another job.
   bool m_WasAlone = false;
+  /// Whether a leader is known to have ordered the run, rather than to have
+  /// recorded that it might.
+  bool m_WasOrdered = true;
 };
 
 /// A start of a task that is suspected of crashing its servers. Written before
--- a/src/jobs/TaskRecords.h
+++ b/src/jobs/TaskRecords.h
@@ -47,13 +47,16 @@
 
 inline void writeCrashes(JsonWriter &Row, const std::vector<CrashedRun> &Runs) {
   Row.beginArray();
-  for (const CrashedRun &R : Runs)
+  for (const CrashedRun &R : Runs) {
     Row.beginArray()
         .add(R.m_Number)
         .add(R.m_WasAtWork)
         .add(R.m_WasRecent)
-        .add(R.m_WasAlone)
-        .endArray();
+        .add(R.m_WasAlone);
+    if (!R.m_WasOrdered)
+      Row.add(false);
+    Row.endArray();
+  }
   Row.endArray();
 }
 
@@ -61,7 +64,8 @@
   std::vector<CrashedRun> Runs;
   for (const auto &R : Rows)
     Runs.push_back({as<std::uint32_t>(R.at(0)), as<bool>(R.at(1)),
-                    as<bool>(R.at(2)), as<bool>(R.at(3))});
+                    as<bool>(R.at(2)), as<bool>(R.at(3)),
+                    R.size() <= 4 || as<bool>(R.at(4))});
   return Runs;
 }
 
--- a/src/scheduling/JobRegistry.cpp
+++ b/src/scheduling/JobRegistry.cpp
@@ -13,7 +13,9 @@
 /// known to have been at work.
 constexpr std::ptrdiff_t CrashesToGiveUp = 2;
 /// Number of crashes after which a task is given up in any case.
-constexpr std::size_t MaxCrashes = 4;
+constexpr std::ptrdiff_t MaxCrashes = 4;
+/// How many of them may be of runs that are not known to have been ordered.
+constexpr std::ptrdiff_t MaxAssumedCrashes = 1;
 
 void restoreCrashes(const JobProgress &Recorded, const TaskKey &Key,
                     TaskState &T) {
@@ -41,7 +43,13 @@
   auto Certain =
       std::count_if(m_Runs.begin(), m_Runs.end(),
                     [](const CrashedRun &R) { return R.m_WasAtWork; });
-  return m_Runs.size() >= MaxCrashes ||
+  auto Ordered =
+      std::count_if(m_Runs.begin(), m_Runs.end(),
+                    [](const CrashedRun &R) { return R.m_WasOrdered; });
+  // Each change of the leader may add an assumed one to a task that waits.
+  auto Assumed = std::min<std::ptrdiff_t>(
+      static_cast<std::ptrdiff_t>(m_Runs.size()) - Ordered, MaxAssumedCrashes);
+  return Ordered + Assumed >= MaxCrashes ||
          (Certain >= CrashesToGiveUp && m_Runs.back().m_WasAtWork &&
           m_Runs.back().m_WasAlone);
 }
--- a/src/scheduling/JobRegistry.h
+++ b/src/scheduling/JobRegistry.h
@@ -44,7 +44,8 @@
   bool isSuspect() const;
   /// Whether the task has to be given up: two servers have crashed while it is
   /// known to have been at work, the latest of them without a run of another
-  /// job; or four crashes have been counted in all.
+  /// job; or four crashes have been counted, at most one of them under runs
+  /// that are not known to have been ordered.
   bool mustGiveUp() const;
 };
 
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -322,7 +322,14 @@
   m_UnacknowledgedPoolsChanged |= !Removable.empty();
 }
 
-void Scheduler::onOtherIncarnation(ServerState &S, TimePoint Now) {
+void Scheduler::onOtherIncarnation(ServerState &S, const std::string &Address,
+                                   TimePoint Now) {
+  // The server may have restarted at another address while the order was on its
+  // way.
+  if (Address != S.m_Registration.m_Address) {
+    S.m_NextPoll = Now;
+    return;
+  }
   ServerRegistry::excludeLateStarts(S);
   rescheduleAllRuns(S, S.lossAtEnd(), "another server answered at its address",
                     Now);
@@ -347,7 +354,7 @@
   if (R == OrderResult::NotAttempted)
     return;
   if (R == OrderResult::OtherIncarnation)
-    return onOtherIncarnation(*S, Now);
+    return onOtherIncarnation(*S, Order.m_Server.m_Address, Now);
   noteGrant(*S, Order.m_LeaseUntilMs, 0, Now);
   if (S->m_Reachable)
     logEvent(Event::BackendSilent,
--- a/src/scheduling/Scheduler.h
+++ b/src/scheduling/Scheduler.h
@@ -211,8 +211,10 @@
   void failJob(const LiveJob &Job, const RunId &Last);
   /// Releases the occurrences of which \p Reply names runs.
   void releaseReported(const PollReply &Reply);
-  /// Another server has answered at the address of \p S, which has ended.
-  void onOtherIncarnation(ServerState &S, TimePoint Now);
+  /// Another server has answered an order to \p S at \p Address. If that is
+  /// still the address of \p S, it has ended.
+  void onOtherIncarnation(ServerState &S, const std::string &Address,
+                          TimePoint Now);
   /// \p S has restarted, or may have. It gets no lease, no start and no
   /// acknowledgement of ends until it has answered a poll sent from now on.
   void suspectRestart(ServerState &S, TimePoint Now);
@@ -251,6 +253,9 @@
   /// Counts the runs of the previous incarnation of \p S that \p Reply does not
   /// list.
   void countCrashBefore(ServerState &S, const PollReply &Reply, TimePoint Now);
+  /// The start of \p Id has a result, which decides what became of the run if
+  /// \p S was found to have ended meanwhile.
+  void resolveLostStart(ServerState &S, const RunId &Id, TimePoint Now);
   /// \p S has listed a run of a suspected task, which proves the task sound
   /// after a while.
   void onListedSuspect(ServerState &S, const RunId &Id, ActiveRun &Run);
@@ -264,11 +269,6 @@
   /// earlier leader recorded ended in crashes.
   void resolveEarlierStarts(LiveJob &Job, const ReadyTask &Step);
   void resolveEarlierStart(LiveJob &Job, const TaskId &Id, TaskState &T);
-  /// How suitable a server is for a suspected task; lower is better: whether
-  /// other jobs have tasks there, whether it is not the server of the recorded
-  /// start, whether long-running or best-effort tasks run there, and how many
-  /// tasks do.
-  using IsolationScore = std::tuple<bool, bool, bool, std::size_t>;
   /// Empty if the server may not be used.
   static std::optional<IsolationScore> isolationScore(const ServerState &S,
                                                       const LiveJob &Job,
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -49,8 +49,12 @@
                            const char *Evidence, TimePoint Now) {
   LostRuns All = std::exchange(S.m_LapsedRuns, {});
   All.insert(Lost.begin(), Lost.end());
-  for (auto It = All.begin(); It != All.end();)
-    It = It->second.m_IsCrashCounted ? All.erase(It) : std::next(It);
+  for (auto It = All.begin(); It != All.end();) {
+    const ActiveRun &Run = It->second;
+    bool MayBeToBlame = verdictOn(Run.m_Start, RunLoss::ServerCrashed,
+                                  S.silence()) == LossVerdict::Crashed;
+    It = Run.m_IsCrashCounted || !MayBeToBlame ? All.erase(It) : std::next(It);
+  }
   for (auto &[Id, Run] : S.m_Runs)
     Run.m_IsCrashCounted |= All.count(Id) != 0;
   if (All.empty())
@@ -81,7 +85,7 @@
   if (!T || T->m_Done || isFinal(Job->m_State))
     return false;
   TimePoint LastAlive =
-      Run.m_HasBegun ? std::max(Run.m_SeenAt, S.m_AliveAt) : Run.m_SeenAt;
+      Run.hasBegun() ? std::max(Run.m_SeenAt, S.m_AliveAt) : Run.m_SeenAt;
   Duration Survived = std::max(Duration(0), LastAlive - Run.m_OrderedAt);
   // Such a task meets crashes of its servers that have other causes.
   if (Run.m_IsLongRunning && Survived >= SoundTime) {
@@ -89,7 +93,7 @@
     return false;
   }
   countCrashedRun(*Job, Id.m_Task,
-                  {Id.m_Number, Run.m_HasBegun && S.m_WasLostAbruptly,
+                  {Id.m_Number, Run.hasBegun() && S.m_WasLostAbruptly,
                    Survived < RecentStart, WasAlone},
                   S.m_Registration.m_Id.m_Text);
   return T->isSuspect();
@@ -106,6 +110,7 @@
                                {"server", Server},
                                {"crashes", Crashes},
                                {"at_work", Run.m_WasAtWork ? "yes" : "unsure"},
+                               {"ordered", Run.m_WasOrdered ? "yes" : "unsure"},
                                {"recent", Run.m_WasRecent ? "yes" : "no"},
                                {"alone", Run.m_WasAlone ? "yes" : "no"}});
   if (!isFinal(Job.m_State))
@@ -140,14 +145,27 @@
   // An order that is not answered yet may still reach the new incarnation, and
   // one that was carried out there late may have ended since then.
   auto MayHaveBegunSince = [&](const ActiveRun &Run) {
-    return Run.m_Phase == RunPhase::Starting ||
-           (Reply.m_HasMoreEnds && !Run.m_HasBegun);
+    return Run.m_Start == StartEvidence::Pending ||
+           (Reply.m_HasMoreEnds && !Run.hasBegun());
   };
   for (auto It = Lost.begin(); It != Lost.end();)
     It = MayHaveBegunSince(It->second) ? Lost.erase(It) : std::next(It);
   countCrash(S, Lost, "it answers with a later start time", Now);
 }
 
+void Scheduler::resolveLostStart(ServerState &S, const RunId &Id,
+                                 TimePoint Now) {
+  auto It = S.m_Runs.find(Id);
+  if (It == S.m_Runs.end() || !It->second.m_LostBy)
+    return;
+  const ActiveRun &Run = It->second;
+  if (verdictOn(Run.m_Start, *Run.m_LostBy, S.silence()) ==
+      LossVerdict::Crashed)
+    countCrash(S, {{Id, Run}}, "the result of a start came after it had ended",
+               Now);
+  rescheduleLostRuns(S, Now);
+}
+
 void Scheduler::onListedSuspect(ServerState &S, const RunId &Id,
                                 ActiveRun &Run) {
   if (Run.m_SeenAt - Run.m_OrderedAt < SoundTime)
@@ -179,7 +197,8 @@
     // suspects are recorded.
     if (T.m_Ready && T.m_LastRunNumber == 0 && !T.isSuspect())
       countCrashedRun(Job, {Job.m_Spec.m_Id, Step.m_Occurrence, Step.m_Step, I},
-                      {nextRunNumber({}) - 1, false, false, false}, "unknown");
+                      {nextRunNumber({}) - 1, false, false, false, false},
+                      "unknown");
   }
 }
 
@@ -205,9 +224,11 @@
        S->m_Registration.m_StartTimeMs == Start.m_ServerStartTimeMs);
   if (IsSameIncarnation)
     return m_Jobs.endSuspectStart(Job, T);
-  // Servers with runs are not moved, so the server has most likely crashed.
+  // Servers with runs are not moved, so the server has most likely crashed, if
+  // it had the run. One that is not registered any more may have drained.
   T.m_LastRunNumber = std::max(T.m_LastRunNumber, Start.m_Number);
-  countCrashedRun(Job, Id, {Start.m_Number, false, true, true}, Start.m_Server);
+  countCrashedRun(Job, Id, {Start.m_Number, false, true, true, S != nullptr},
+                  Start.m_Server);
 }
 
 bool Scheduler::isSuspectStartRecorded(const LiveJob &Job, const TaskState &T,
@@ -242,9 +263,10 @@
   S.m_ClearingUntil = {};
 }
 
-std::optional<Scheduler::IsolationScore>
-Scheduler::isolationScore(const ServerState &S, const LiveJob &Job,
-                          const CrashHistory &H, bool MayShare) {
+std::optional<IsolationScore> Scheduler::isolationScore(const ServerState &S,
+                                                        const LiveJob &Job,
+                                                        const CrashHistory &H,
+                                                        bool MayShare) {
   bool IsOwn = S.m_IsolatedFor == Job.m_Spec.m_Id;
   bool IsShared = !IsOwn && !S.isIdle();
   if ((!IsOwn && !S.m_IsolatedFor.empty()) || (IsShared && !MayShare))
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -111,21 +111,24 @@
   if (It == S->m_Runs.end())
     return;
   ActiveRun &Run = It->second;
+  if (!Run.hasBegun())
+    Run.m_Start = evidenceOf(R);
   if (R == OrderResult::Done) {
     if (Run.m_Phase == RunPhase::Starting)
       Run.m_Phase = RunPhase::Running;
     Run.m_ConfirmedAt = Now;
-    Run.m_HasBegun = true;
     S->m_AliveAt = std::max(S->m_AliveAt, Order.m_OrderedAt);
     S->m_NextPoll = std::min(S->m_NextPoll, Now);
     if (LiveJob *Job = m_Jobs.find(Order.m_Run.m_Task.m_Job))
       Job->m_HasBegun = true;
-    return;
+    return resolveLostStart(*S, Order.m_Run, Now);
   }
-  logEvent(Event::StartNotTaken, {{"run", runName(Order.m_Run)},
-                                  {"server", Order.m_Server.m_Id.m_Text},
-                                  {"term", std::to_string(Order.m_Term)},
-                                  {"result", std::string(orderResultName(R))}});
+  logEvent(Event::StartNotTaken,
+           {{"run", runName(Order.m_Run)},
+            {"server", Order.m_Server.m_Id.m_Text},
+            {"term", std::to_string(Order.m_Term)},
+            {"result", std::string(orderResultName(R))},
+            {"shows", std::string(startEvidenceName(evidenceOf(R)))}});
   switch (R) {
   case OrderResult::Unknown:
     ++m_Counters.m_UnconfirmedStarts;
@@ -135,9 +138,10 @@
       Run.m_Phase = RunPhase::Unconfirmed;
     noteSilence(*S, R, Now - Order.m_OrderedAt, StartAnswerTime, Now);
     S->m_NextPoll = Now;
-    return;
+    return resolveLostStart(*S, Order.m_Run, Now);
   case OrderResult::OtherIncarnation:
-    return onOtherIncarnation(*S, Now);
+    rescheduleRun(*S, Order.m_Run, RunLoss::NotStarted, Now);
+    return onOtherIncarnation(*S, Order.m_Server.m_Address, Now);
   case OrderResult::NoCapacity:
     ++m_Counters.m_StartsWithoutCapacity;
     S->m_SuspendedUntil = Now + RejectionDelay / 4;
@@ -256,7 +260,7 @@
   // A stop that the previous incarnation has answered excludes nothing in the
   // new one.
   for (auto &[Id, Run] : S.m_Runs)
-    if (!Run.m_HasBegun)
+    if (!Run.hasBegun())
       Run.m_ConfirmedAt = TimePoint::max();
 }
 
@@ -341,7 +345,8 @@
     if (!Run.m_IsListed)
       if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
         Job->m_HasBegun = true;
-    Run.m_IsListed = Run.m_HasBegun = true;
+    Run.m_IsListed = true;
+    Run.m_Start = StartEvidence::Begun;
     Run.m_LastListedIn = S.m_PollsAnswered;
     Run.m_LossIfUnlisted.reset();
     Run.m_SeenAt = Now;
@@ -410,7 +415,7 @@
   Run.m_ConfirmedAt = S.m_PollSentAt;
   Run.m_LastListedIn = S.m_PollsAnswered;
   Run.m_OrderedAt = Run.m_SeenAt = Now;
-  Run.m_HasBegun = true;
+  Run.m_Start = StartEvidence::Begun;
   Run.m_IsSuspect = T && T->isSuspect();
   bool Wanted = T && !T->m_Done && !isFinal(Job->m_State) && T->m_Runs.empty();
   if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
--- a/src/scheduling/SchedulerTypes.h
+++ b/src/scheduling/SchedulerTypes.h
@@ -5,6 +5,7 @@
 
 #include "scheduling/Messages.h"
 #include "store/MetadataStore.h"
+#include <tuple>
 
 namespace pollenspool {
 
@@ -25,6 +26,12 @@
   Duration m_CapacitySettlingTime = std::chrono::milliseconds(4500);
 };
 
+/// How suitable a server is for a suspected task; lower is better: whether
+/// other jobs have tasks there, whether it is not the server of the recorded
+/// start, whether long-running or best-effort tasks run there, and how many
+/// tasks do.
+using IsolationScore = std::tuple<bool, bool, bool, std::size_t>;
+
 /// What the leader may do at the moment, depending on how recently its term was
 /// confirmed.
 struct Authority {
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -78,7 +78,9 @@
 std::vector<RunId> ServerState::lostRuns(TimePoint Now) const {
   std::vector<RunId> Lost;
   for (const auto &[Id, Run] : m_Runs)
-    if (Run.m_LostBy && !Run.mayStillBegin(Now))
+    if (Run.m_LostBy && !Run.mayStillBegin(Now) &&
+        verdictOn(Run.m_Start, *Run.m_LostBy, silence()) !=
+            LossVerdict::AwaitResult)
       Lost.push_back(Id);
   return Lost;
 }
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -6,6 +6,7 @@
 #include "scheduling/DueServers.h"
 #include "scheduling/Messages.h"
 #include "scheduling/OrganisationLedger.h"
+#include "scheduling/StartEvidence.h"
 #include <boost/container/flat_map.hpp>
 #include <deque>
 #include <map>
@@ -49,8 +50,7 @@
   TimePoint m_OrderedAt{};
   /// When the server last listed the run; before m_OrderedAt if it has not.
   TimePoint m_SeenAt{};
-  /// Whether the server is known to have begun the run.
-  bool m_HasBegun = false;
+  StartEvidence m_Start = StartEvidence::Pending;
   /// Until then a run that has not begun may begin, or may have begun in an
   /// incarnation that has not answered and last there.
   TimePoint m_MayBeginUntil{};
@@ -93,10 +93,12 @@
   /// When that pace was ordered.
   TimePoint m_PacedAt{};
 
+  /// Whether the server is known to have begun the run.
+  bool hasBegun() const { return m_Start == StartEvidence::Begun; }
   /// Whether the start may still be carried out, whatever has become of the
   /// server.
   bool mayStillBegin(TimePoint Now) const {
-    return !m_HasBegun && Now < m_MayBeginUntil;
+    return !hasBegun() && Now < m_MayBeginUntil;
   }
 };
 
@@ -272,6 +274,9 @@
     bool IsPlanned = m_Registration.m_Draining || m_Reserved;
     return IsPlanned ? RunLoss::ServerEnded : RunLoss::ServerCrashed;
   }
+  ServerSilence silence() const {
+    return m_WasLostAbruptly ? ServerSilence::Abrupt : ServerSilence::TimedOut;
+  }
   /// Replaces what holds for one incarnation only, because another one has
   /// answered.
   void beginIncarnation() {
@@ -289,7 +294,8 @@
   /// Whether all its runs are lost, or kept only since their starts may be
   /// carried out late.
   bool hasOnlyLateStarts() const;
-  /// The lost runs whose starts cannot be carried out any more.
+  /// The lost runs whose starts have a result and cannot be carried out any
+  /// more.
   std::vector<RunId> lostRuns(TimePoint Now) const;
   /// Whether a poll is to be sent at m_NextPoll.
   bool needsPoll() const;
--- a/src/scheduling/testing/JobSimulation.cpp
+++ b/src/scheduling/testing/JobSimulation.cpp
@@ -127,6 +127,12 @@
         m_Core->onPollFailed(Order, OrderResult::Unknown,
                              m_Simulation.m_Clock.m_Now);
     });
+    if (isRefusedByOther(Order.m_Server))
+      return m_Simulation.m_Clock.after(2 * OneWayDelay, [=] {
+        if (!std::exchange(*Answered, true) && m_Alive)
+          m_Core->onPollFailed(Order, OrderResult::OtherIncarnation,
+                               m_Simulation.m_Clock.m_Now);
+      });
     if (!canReach(S))
       return;
     m_Simulation.m_Clock.after(OneWayDelay, [this, S, Order, Answered] {
@@ -182,9 +188,20 @@
     return S->m_UnreachableFrom.count(m_Number) != 0;
   }
 
+  /// Whether another server answers at the address of \p To.
+  bool isRefusedByOther(const ServerAddress &To) {
+    SimServer *Other = m_Simulation.serverAt(To.m_Address);
+    return Other && Other->m_Registration.m_Id != To.m_Id && canReach(Other);
+  }
+
   template <typename Order, typename ExecuteFn, typename ResultFn>
   void send(SimServer *S, const Order &O, ExecuteFn Execute,
             ResultFn OnResult) {
+    if (isRefusedByOther(O.m_Server))
+      return m_Simulation.m_Clock.after(2 * OneWayDelay, [=] {
+        if (m_Alive)
+          OnResult(O, OrderResult::OtherIncarnation);
+      });
     const SimFaults &Faults = m_Simulation.m_Settings.m_Faults;
     bool Late = m_Simulation.chance(Faults.m_DelayedOrderShare);
     bool Lost =
--- a/src/scheduling/testing/JobSimulation.h
+++ b/src/scheduling/testing/JobSimulation.h
@@ -115,6 +115,10 @@
   /// The server reports that it drains, leaves after 2 s to 4 s, and another
   /// one follows on its instance.
   void drainServer(std::size_t Index);
+  /// The server crashes for good. The leaders know its registration for up to
+  /// 4.5 s more. After 2 s its address belongs to a server of another instance,
+  /// in a random pool. Has no effect if too few servers would be left.
+  void replaceServer(std::size_t Index);
   /// Stops the leader at once and begins the next term after 1.5 s.
   void killLeader();
   /// Stops the leader and begins the next term at once. Orders that are under
@@ -205,6 +209,10 @@
   /// \p S leaves, and another server follows in \p Pool on its instance.
   void leave(SimServer &S, InstanceCondition Condition, const PoolName &Pool);
   void follow(SimServer &S, const PoolName &Pool);
+  /// Adds a server like \p R under a new ID, which the leaders learn of.
+  SimServer &addServer(ServerRegistration R);
+  /// The server that answers at \p Address; null if none does.
+  SimServer *serverAt(const std::string &Address);
   /// \p EarlierLeaderTimeout: \see SchedulerOptions.
   void startTerm(Duration EarlierLeaderTimeout);
   /// Calls \p Callback for each leader whose term is in effect.
--- a/src/scheduling/testing/SimulatedCuts.cpp
+++ b/src/scheduling/testing/SimulatedCuts.cpp
@@ -114,17 +114,22 @@
 void JobSimulation::follow(SimServer &S, const PoolName &Pool) {
   S.m_IsReplaced = true;
   ServerRegistration R = S.m_Registration;
-  R.m_Id = ServerId("s" + std::to_string(m_Servers.size()));
-  R.m_Address = R.m_Id.m_Text;
+  R.m_Address = "s" + std::to_string(m_Servers.size());
   R.m_Pool = Pool;
+  addServer(R).m_UnreachableFrom = S.m_UnreachableFrom;
+}
+
+SimServer &JobSimulation::addServer(ServerRegistration R) {
+  R.m_Id = ServerId("s" + std::to_string(m_Servers.size()));
   R.m_Draining = false;
   R.m_StartTimeMs = 1;
   m_Servers.push_back(
       std::make_unique<SimServer>(m_Clock, m_Random, m_Oracle, R));
-  m_Servers.back()->m_MaxListedEnds = m_Settings.m_MaxListedEnds;
-  m_Servers.back()->m_UnreachableFrom = S.m_UnreachableFrom;
+  SimServer &Added = *m_Servers.back();
+  Added.m_MaxListedEnds = m_Settings.m_MaxListedEnds;
   forEachLeader([&](Scheduler &Core) { Core.onServer(R, m_Clock.m_Now); });
   listInstances();
+  return Added;
 }
 
 } // namespace pollenspool
--- a/src/scheduling/testing/SimulatedServerFaults.cpp
+++ b/src/scheduling/testing/SimulatedServerFaults.cpp
@@ -13,6 +13,10 @@
 constexpr Duration ListDelay = milliseconds(500);
 constexpr Duration ListInterval = std::chrono::seconds(1);
 constexpr Duration RestartTime = std::chrono::seconds(3);
+/// When the address of a server that has crashed for good belongs to another
+/// one, and how long the registration may outlast the crash.
+constexpr Duration AddressReuseTime = std::chrono::seconds(2);
+constexpr milliseconds MaxExpiryTime{4500};
 
 } // namespace
 
@@ -53,6 +57,34 @@
   });
 }
 
+void JobSimulation::replaceServer(std::size_t Index) {
+  SimServer &S = *m_Servers[Index];
+  if (!mayLeave(S))
+    return;
+  ++m_Figures.m_ServersLeft;
+  S.crash();
+  S.m_IsUp = false;
+  S.m_HasLeft = true;
+  m_Clock.after(milliseconds(m_Random() % MaxExpiryTime.count()), [this, &S] {
+    forEachLeader([&](Scheduler &Core) {
+      Core.onServerUnregistered(S.m_Registration.m_Id, m_Clock.m_Now);
+    });
+  });
+  m_Clock.after(AddressReuseTime, [this, &S] {
+    ServerRegistration R = S.m_Registration;
+    R.m_Instance = InstanceId("i" + std::to_string(m_Servers.size()));
+    R.m_Pool = poolName(m_Random() % pools());
+    addServer(R);
+  });
+}
+
+SimServer *JobSimulation::serverAt(const std::string &Address) {
+  for (auto &S : m_Servers)
+    if (S->m_IsUp && S->m_Registration.m_Address == Address)
+      return S.get();
+  return nullptr;
+}
+
 void JobSimulation::slowServer(std::size_t Index, double Factor) {
   m_Servers[Index]->setSlowness(Factor);
 }
