Acknowledge ends of a job that has gone without waiting for a record

Cause: the first unrecorded end of a server belonged to a job that was removed, which moved its waiter to m_EndsToCheck. That list was only looked at after the next record. The server listed as many ends as it may, all unacknowledged, so that no other end arrived and nothing was recorded.

Change: a tick looks at the list too. Fuzz errors tell what is known of the runs of the first live job.

--- a/src/scheduling/IncompleteListTest.cpp
+++ b/src/scheduling/IncompleteListTest.cpp
@@ -221,3 +221,24 @@
   }
   CHECK_EQUAL(0u, W.m_Orders.m_Starts.size());
 }
+
+// Guards against ends that are never acknowledged because their job has gone
+// and nothing else is recorded: with a full list of them the server reported no
+// end of other jobs any more, which stood still (SchedulerFuzz.seed22).
+TEST(IncompleteList, EndsOfAJobThatHasGoneAreAcknowledgedWithoutARecord) {
+  SchedulerFixture W;
+  W.addServer("s1");
+  W.addJob("gone", {W.step(2)});
+  W.addJob("j", {W.step(1)});
+  W.tick();
+  for (std::size_t N = 0; N < 3; ++N)
+    W.answerStart(N);
+  W.tick();
+  W.answerPoll("s1", {}, {done(1, W.m_Orders.m_Starts[0].m_Run)}, true);
+  W.m_Core->onJobEnded(JobId("gone"));
+  W.advance(100ms);
+  W.tick();
+  W.advance(100ms);
+  W.tick();
+  CHECK_EQUAL(1u, W.m_Orders.m_Polls.back().m_AcknowledgedEndNumber);
+}
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -282,6 +282,9 @@
       m_Authority.m_IsTermConfirmed != Granted.m_IsTermConfirmed;
   m_Authority = Granted;
   m_Jobs.releaseDue(Wall);
+  // The job of an end may have gone, so that no record of it follows.
+  if (!m_EndsToCheck.empty())
+    onProgressRecorded(Now);
   expireLeases(Now);
   if (m_Config && !m_Superseded)
     placeReady(Now);
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -113,7 +113,16 @@
   LiveJob *Job = core().jobs().find(Id);
   if (!Job)
     return Id.m_Text + ": the leader does not know it";
-  return describeTasks(*Job);
+  std::string Text = describeTasks(*Job);
+  for (const auto &[Server, S] : core().servers().all())
+    for (const auto &[Run, State] : S.m_Runs)
+      if (Run.m_Task.m_Job == Id)
+        Text += "\n  " + runName(Run) + " on " + Server.m_Text + ": start " +
+                std::string(startEvidenceName(State.m_Start)) + ", phase " +
+                std::to_string(static_cast<int>(State.m_Phase)) +
+                (State.m_LostBy ? ", lost" : "") +
+                (S.m_Reachable ? ", reachable" : ", unreachable");
+  return Text;
 }
 
 void JobSimulation::setCaps(const std::vector<std::int64_t> &MilliCores) {
