Close the record of a start that is not counted as a crash

Cause: a suspect's start is recorded before it is ordered. Since starts without an answer to a silent host are not counted any more, nothing closed their record, and the next leader counted them from it. Now any verdict but a crash closes it.

Evidence: AddressReuse.AStartThatIsNotCountedLeavesNoRecord fails without the change.

--- a/src/scheduling/AddressReuseTest.cpp
+++ b/src/scheduling/AddressReuseTest.cpp
@@ -128,6 +128,31 @@
   CHECK_EQUAL(0u, W.crashesOf("j"));
 }
 
+// Guards against a start that this leader has not counted and the next one
+// does, from its record.
+TEST(AddressReuse, AStartThatIsNotCountedLeavesNoRecord) {
+  ReuseFixture W;
+  W.addServer("s1");
+  JobProgress Earlier;
+  Earlier.m_State = JobState::Running;
+  Earlier.m_StartedSteps = {{0, 0}};
+  Earlier.m_Crashes[{0, 0, 0}] = {{1, true, true, true}};
+  W.addJob("j", {W.step(1)}, Earlier);
+  W.tick();
+  W.record();
+  W.tick();
+  CHECK_EQUAL(1u, W.starts());
+  const CrashHistory &H = *W.job("j").task({JobId("j"), 0, 0, 0})->m_Crashes;
+  CHECK(H.m_Start.has_value());
+  W.advance(500ms);
+  W.answerStart(0, OrderResult::Unknown);
+  W.list("s1", InstanceCondition::Down);
+  W.advance(6s);
+  W.tick();
+  CHECK_EQUAL(1u, H.m_Runs.size());
+  CHECK_FALSE(H.m_Start.has_value());
+}
+
 // Guards against a sound server that counts as gone since an order to its
 // former address was refused there.
 TEST(AddressReuse, ARefusalAtAFormerAddressSaysNothingAboutTheServer) {
--- a/src/scheduling/SchedulerLostRuns.cpp
+++ b/src/scheduling/SchedulerLostRuns.cpp
@@ -17,9 +17,12 @@
 
 void Scheduler::rescheduleRun(ServerState &S, const RunId &Id, RunLoss Loss,
                               TimePoint Now) {
-  if (auto It = S.m_Runs.find(Id);
-      It != S.m_Runs.end() && Loss == RunLoss::LeaseExpired)
-    S.m_LapsedRuns[Id] = It->second;
+  LossVerdict Verdict = LossVerdict::Lost;
+  if (auto It = S.m_Runs.find(Id); It != S.m_Runs.end()) {
+    Verdict = verdictOn(It->second.m_Start, Loss, S.silence());
+    if (Loss == RunLoss::LeaseExpired)
+      S.m_LapsedRuns[Id] = It->second;
+  }
   ServerRegistry::removeRun(S, Id);
   LiveJob *Job = m_Jobs.find(Id.m_Task.m_Job);
   TaskState *T = Job ? Job->task(Id.m_Task) : nullptr;
@@ -32,7 +35,7 @@
     T->m_LostAt = TimePoint::max();
   else if (Loss != RunLoss::NotListed && Loss != RunLoss::NotStarted)
     T->m_LostAt = Now;
-  if (Loss != RunLoss::ServerCrashed)
+  if (Verdict != LossVerdict::Crashed)
     endSuspectStart(*Job, Id.m_Task);
   logEvent(Event::TaskAgain, {{"run", runName(Id)},
                               {"server", S.m_Registration.m_Id.m_Text},
