Keep few connections to a backend server, and no idle ones for long

Cause: a leader opened up to six connections to a server and kept them, idle or not. A server keeps those of a machine that is gone and accepts 64, so that the next leader got none.

Change: at most two connections to a server, one for a poll that is held and one for orders; an idle one is closed after 2 s (platform: 10 s), also by a former leader. 31 leaders may be lost in the life of a server now, instead of ten (docs/CAPACITY.md). ConnectionRefused and pollenspool_http_refused_total tell a refused connection from a lost one.

--- a/src/entry/ConnectionBudget.cpp
+++ b/src/entry/ConnectionBudget.cpp
@@ -19,9 +19,15 @@
 /// The platform has a store, an instance service and an adviser.
 constexpr std::size_t PlatformPeers = 3;
 /// Connections to one backend server: one for a poll that the server holds, the
-/// others for orders, which are answered within milliseconds. A server accepts
-/// 64 from all entry instances together.
-constexpr std::size_t BackendConnectionsPerPeer = 6;
+/// other for orders, which are answered within milliseconds. A server accepts
+/// 64 in all, and keeps those of a leader whose machine is lost for as long as
+/// it lives. \see docs/CAPACITY.md.
+constexpr std::size_t BackendConnectionsPerPeer = 2;
+/// An idle server is not called, so that its connections are closed before the
+/// next change of the leader. Orders follow each other faster on a busy one.
+constexpr Duration BackendIdleTime = std::chrono::seconds(2);
+/// Most calls to the platform recur within a second.
+constexpr Duration PlatformIdleTime = std::chrono::seconds(10);
 /// The store's largest reply has 1 MB of rows; Base64 and JSON increase this by
 /// about half. A reply of the change feed has no stated limit.
 constexpr std::size_t PlatformReplyBytes = 8u << 20;
@@ -48,14 +54,16 @@
   Budget.m_Platform = {PlatformConnectionsPerPeer,
                        std::min(PlatformConnectionsPerPeer * PlatformPeers,
                                 Limit / PlatformShareDivisor),
-                       PlatformReplyBytes, PlatformArrivingBytes};
+                       PlatformReplyBytes, PlatformArrivingBytes,
+                       PlatformIdleTime};
   Budget.m_Callers = Limit / CallersShareDivisor;
   Budget.m_Readiness = Budget.m_Operators = ProbeConnections;
   const std::size_t Taken = Budget.m_Callers + Budget.m_Readiness +
                             Budget.m_Operators + OwnDescriptors +
                             Budget.m_Platform.m_Total;
   Budget.m_Backends = {BackendConnectionsPerPeer, Limit - Taken,
-                       BackendReplyBytes, BackendArrivingBytes};
+                       BackendReplyBytes, BackendArrivingBytes,
+                       BackendIdleTime};
   return Budget;
 }
 
--- a/src/entry/ConnectionBudgetTest.cpp
+++ b/src/entry/ConnectionBudgetTest.cpp
@@ -40,6 +40,16 @@
   CHECK(divideDescriptors(4100).m_Backends.m_Total >= 2 * 1100);
 }
 
+// A server accepts 64 connections and keeps those of lost leaders. Guards
+// against a budget with which some ten losses shut out the next leader.
+TEST(ConnectionBudget, AServerHasRoomAfterThirtyLostLeaders) {
+  constexpr std::size_t AcceptedByServer = 64;
+  constexpr std::size_t LostLeaders = 30;
+  const ConnectionLimits Backends = divideDescriptors(4100).m_Backends;
+  CHECK(Backends.m_PerPeer >= 2);
+  CHECK((LostLeaders + 1) * Backends.m_PerPeer <= AcceptedByServer);
+}
+
 TEST(ConnectionBudget, KnowsTheLimitOfThisProcess) {
   CHECK(descriptorLimit() >= 256);
 }
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -226,6 +226,12 @@
     {"pollenspool_http_evicted_total", MetricType::Counter,
      "Idle connections closed to make place for others.",
      [](const Sources &S) { return number(S.http().m_Evicted); }},
+    {"pollenspool_http_expired_total", MetricType::Counter,
+     "Connections closed because they had been idle for too long.",
+     [](const Sources &S) { return number(S.http().m_Expired); }},
+    {"pollenspool_http_refused_total", MetricType::Counter,
+     "Connections that a peer refused, or ended before its first reply.",
+     [](const Sources &S) { return number(S.http().m_Refused); }},
     {"pollenspool_backend_connections", MetricType::Gauge,
      "Open connections to backend servers.",
      [](const Sources &S) {
--- a/src/net/ConnectionSlots.cpp
+++ b/src/net/ConnectionSlots.cpp
@@ -83,6 +83,17 @@
   return Number;
 }
 
+std::size_t ConnectionSlots::openTo(const std::string &Peer) const {
+  auto It = m_Peers.find(Peer);
+  return It == m_Peers.end() ? 0 : It->second.m_Open;
+}
+
+std::optional<ConnectionNumber> ConnectionSlots::longestIdle() const {
+  if (m_IdleByAge.empty())
+    return std::nullopt;
+  return m_IdleByAge.front();
+}
+
 bool ConnectionSlots::isTotalLimitBinding() const {
   return !m_Startable.empty() && m_IdleByAge.empty() &&
          m_Connections.size() >= m_Limits.m_Total;
--- a/src/net/ConnectionSlots.h
+++ b/src/net/ConnectionSlots.h
@@ -3,6 +3,7 @@
 #ifndef POLLENSPOOL_NET_CONNECTIONSLOTS_H
 #define POLLENSPOOL_NET_CONNECTIONSLOTS_H
 
+#include "base/Time.h"
 #include <boost/container/flat_map.hpp>
 #include <boost/container/flat_set.hpp>
 #include <cstddef>
@@ -26,6 +27,9 @@
   /// Bytes of all replies that are arriving, with the lengths that they
   /// announce. The largest of them is given up when they have more.
   std::size_t m_ArrivingBytes = 96u << 20;
+  /// How long a connection may be idle before it is closed. A peer keeps the
+  /// connections of a host that is lost without closing them.
+  Duration m_IdleTime = std::chrono::seconds(30);
 };
 
 /// Number of a call or of a connection, unique within one client.
@@ -72,6 +76,10 @@
   /// have to wait.
   std::optional<ConnectionAction> next();
 
+  /// Number of connections to \p Peer, idle ones included.
+  std::size_t openTo(const std::string &Peer) const;
+  /// The connection that has been idle for the longest time, if any is idle.
+  std::optional<ConnectionNumber> longestIdle() const;
   /// Whether a queued call waits only because of the limit of all connections.
   bool isTotalLimitBinding() const;
   std::size_t open() const { return m_Connections.size(); }
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -3,60 +3,25 @@
 #include "net/HttpClient.h"
 #include "base/Address.h"
 #include "base/Log.h"
-#include "net/CallDeadline.h"
 #include "net/HttpClientConnection.h"
+#include "net/PendingCall.h"
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/intrusive/set.hpp>
 #include <unordered_map>
 
 namespace pollenspool {
 
 namespace asio = boost::asio;
-namespace intrusive = boost::intrusive;
 using boost::system::error_code;
 
 namespace {
 
-/// Shortest interval between two log lines about a reached limit.
+/// Shortest interval between two log lines of one kind.
 constexpr Duration LimitLogInterval = std::chrono::seconds(1);
 
-using DeadlineHook =
-    intrusive::set_base_hook<intrusive::link_mode<intrusive::auto_unlink>>;
-
-/// A call that has not ended. Its hook is in the client's set of deadlines.
-struct Call : DeadlineHook {
-  CallNumber m_Number = 0;
-  std::string m_Peer;
-  std::string m_Target;
-  /// The serialized request.
-  std::string m_Request;
-  HttpClient::ReplyCallback m_Callback;
-  CallLimit m_Limit = CallLimit::Timeout;
-  CallDeadline m_Deadline;
-  /// When the client ends the call; no earlier than m_Deadline.
-  TimePoint m_ExpiresAt;
-  TimePoint m_StartedAt;
-  /// When a part of the reply had arrived, if not all at once.
-  std::optional<TimePoint> m_ReplyBegunAt;
-  /// 0 while the call waits for a connection.
-  ConnectionNumber m_Connection = 0;
-  bool m_IsSent = false;
-  /// Bytes of the reply that is arriving, as far as known.
-  std::size_t m_ArrivingBytes = 0;
-};
-
-struct EarlierDeadline {
-  bool operator()(const Call &Left, const Call &Right) const {
-    return Left.m_ExpiresAt < Right.m_ExpiresAt;
-  }
-};
-
-using DeadlineSet =
-    intrusive::multiset<Call, intrusive::compare<EarlierDeadline>,
-                        intrusive::constant_time_size<false>>;
+using Call = PendingCall;
 
 /// The end of the millisecond in which \p Time lies, so that calls of one
 /// millisecond end together.
@@ -65,25 +30,6 @@
   return std::chrono::floor<std::chrono::milliseconds>(Time) + Tick;
 }
 
-/// Whether an attempt to connect failed for lack of a resource of this process
-/// or system, which says nothing about the peer.
-bool isLocalFailure(const error_code &Failed) {
-  namespace errc = boost::system::errc;
-  return Failed == errc::too_many_files_open ||
-         Failed == errc::too_many_files_open_in_system ||
-         Failed == errc::no_buffer_space || Failed == errc::not_enough_memory ||
-         Failed == errc::address_not_available;
-}
-
-/// Whether a reply arrived that cannot be read: it is malformed or too long.
-bool isUnreadable(const error_code &Failed) {
-  namespace http = boost::beast::http;
-  return Failed.category() ==
-             http::make_error_code(http::error::bad_value).category() &&
-         Failed != http::error::end_of_stream &&
-         Failed != http::error::partial_message;
-}
-
 } // namespace
 
 struct HttpClient::Impl : HttpClientConnection::Listener,
@@ -105,17 +51,22 @@
   asio::steady_timer m_Timer;
   /// When the timer expires; no later than the first deadline.
   std::optional<TimePoint> m_TimerExpiry;
+  /// Expires no later than the first idle connection reaches its time limit.
+  asio::steady_timer m_IdleTimer;
+  bool m_IsIdleTimerArmed = false;
   /// Whether the client has been destroyed.
   bool m_IsAbandoned = false;
   HttpClientCounters m_Counters;
   CallNumber m_LastCall = 0;
+  /// When the next log line of each kind may be written.
   TimePoint m_NextLimitLog{};
+  TimePoint m_NextRefusalLog{};
   /// Sum over the calls.
   std::size_t m_ArrivingBytes = 0;
 
   Impl(EventLoop &Loop, std::string Name, const ConnectionLimits &Limits)
       : m_Loop(Loop), m_Name(std::move(Name)), m_Slots(Limits),
-        m_Timer(Loop.context()) {}
+        m_Timer(Loop.context()), m_IdleTimer(Loop.context()) {}
 
   void enqueue(std::unique_ptr<Call> C) {
     m_Deadlines.insert(*C);
@@ -152,6 +103,37 @@
     armTimer();
   }
 
+  void armIdleTimer() {
+    auto Oldest = m_Slots.longestIdle();
+    if (m_IsIdleTimerArmed || !Oldest)
+      return;
+    m_IsIdleTimerArmed = true;
+    m_IdleTimer.expires_after(idleLimitOf(*Oldest) - m_Loop.now());
+    m_IdleTimer.async_wait([Weak = weak_from_this()](const error_code &Failed) {
+      auto Self = Weak.lock();
+      if (Self && !Failed)
+        Self->onIdleTimer();
+    });
+  }
+
+  TimePoint idleLimitOf(ConnectionNumber Idle) const {
+    return m_Exchanges.at(Idle).m_Connection->idleSince() +
+           m_Slots.limits().m_IdleTime;
+  }
+
+  void onIdleTimer() {
+    m_IsIdleTimerArmed = false;
+    const TimePoint Now = m_Loop.now();
+    while (auto Oldest = m_Slots.longestIdle()) {
+      if (Now < idleLimitOf(*Oldest))
+        break;
+      m_Exchanges.erase(*Oldest);
+      m_Slots.close(*Oldest);
+      ++m_Counters.m_Expired;
+    }
+    armIdleTimer();
+  }
+
   void expire(const Call &C) {
     if (C.m_Connection == 0)
       return expireWaiting(C.m_Number);
@@ -218,13 +200,20 @@
       m_Slots.close(Unused.m_Connection);
   }
 
+  /// Whether a line may be written now. Moves \p Next if so.
+  bool mayLog(TimePoint &Next) const {
+    const TimePoint Now = m_Loop.now();
+    if (Now < Next)
+      return false;
+    Next = Now + LimitLogInterval;
+    return true;
+  }
+
   void logLimit() {
     if (!m_Slots.isTotalLimitBinding())
       return;
-    TimePoint Now = m_Loop.now();
-    if (Now < m_NextLimitLog)
+    if (!mayLog(m_NextLimitLog))
       return;
-    m_NextLimitLog = Now + LimitLogInterval;
     logEvent(Event::ConnectionLimitReached,
              {{"client", m_Name},
               {"open", std::to_string(m_Slots.open())},
@@ -271,6 +260,8 @@
 
   void onConnectFailed(HttpClientConnection &Connection,
                        const error_code &Failed) override {
+    if (!isLocalFailure(Failed))
+      noteRefusal(Connection, Failed);
     fail(Connection.number(),
          isLocalFailure(Failed) ? ErrorCode::ResourceExhausted
                                 : ErrorCode::ConnectFailed,
@@ -284,6 +275,7 @@
     if (IsReusable) {
       Connection.setIdleSince(m_Loop.now());
       m_Slots.release(Connection.number());
+      armIdleTimer();
     } else {
       m_Exchanges.erase(It);
       m_Slots.close(Connection.number());
@@ -335,10 +327,29 @@
 
   void onExchangeFailed(HttpClientConnection &Connection,
                         const error_code &Failed) override {
-    if (!isUnreadable(Failed))
-      return fail(Connection.number(), ErrorCode::ConnectionLost,
-                  Failed.message());
-    reject(Connection, Failed.message());
+    if (isUnreadable(Failed))
+      return reject(Connection, Failed.message());
+    if (Connection.idleSince() == TimePoint{} &&
+        Connection.bytesReceived() == 0)
+      noteRefusal(Connection, Failed);
+    fail(Connection.number(), ErrorCode::ConnectionLost, Failed.message());
+  }
+
+  /// The peer refused \p Connection, or ended it before its first reply. If
+  /// others to it are open, it most likely accepts no more.
+  void noteRefusal(const HttpClientConnection &Connection,
+                   const error_code &Failed) {
+    ++m_Counters.m_Refused;
+    if (!mayLog(m_NextRefusalLog))
+      return;
+    const std::string &Peer =
+        m_Exchanges.at(Connection.number()).m_Call->m_Peer;
+    logEvent(Event::ConnectionRefused,
+             {{"client", m_Name},
+              {"peer", Peer},
+              {"error", Failed.message()},
+              {"others_open", std::to_string(m_Slots.openTo(Peer) - 1)},
+              {"refused_in_all", std::to_string(m_Counters.m_Refused)}});
   }
 
   /// Ends the exchange on \p Connection because of its reply.
@@ -401,6 +412,8 @@
   m_Lost += Other.m_Lost;
   m_NoConnection += Other.m_NoConnection;
   m_Evicted += Other.m_Evicted;
+  m_Expired += Other.m_Expired;
+  m_Refused += Other.m_Refused;
   return *this;
 }
 
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -34,6 +34,22 @@
 
 } // namespace
 
+bool isLocalFailure(const boost::system::error_code &Failed) {
+  namespace errc = boost::system::errc;
+  return Failed == errc::too_many_files_open ||
+         Failed == errc::too_many_files_open_in_system ||
+         Failed == errc::no_buffer_space || Failed == errc::not_enough_memory ||
+         Failed == errc::address_not_available;
+}
+
+bool isUnreadable(const boost::system::error_code &Failed) {
+  namespace http = boost::beast::http;
+  return Failed.category() ==
+             http::make_error_code(http::error::bad_value).category() &&
+         Failed != http::error::end_of_stream &&
+         Failed != http::error::partial_message;
+}
+
 std::shared_ptr<HttpClientConnection>
 HttpClientConnection::create(asio::io_context &Context, Listener &Events,
                              ConnectionNumber Number,
--- a/src/net/HttpClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -18,6 +18,13 @@
 
 namespace pollenspool {
 
+/// Whether an attempt to connect failed for lack of a resource of this process
+/// or system, which says nothing about the peer. Thread safe.
+bool isLocalFailure(const boost::system::error_code &Failed);
+/// Whether a reply arrived that cannot be read: it is malformed or too long.
+/// Thread safe.
+bool isUnreadable(const boost::system::error_code &Failed);
+
 /// A connection that exchanges one request and reply at a time. It waits for
 /// data all the time, also between two exchanges, so that a close by the peer
 /// is seen without a system call of its own. Destroying it closes the socket
@@ -72,6 +79,8 @@
   std::size_t bytesExpected() const;
   /// Notes that the exchange has ended at \p Now.
   void setIdleSince(TimePoint Now) { m_IdleSince = Now; }
+  /// When the last exchange ended, which proves that the connection worked.
+  TimePoint idleSince() const { return m_IdleSince; }
   /// Returns whether the peer has closed the idle connection or sent
   /// unsolicited data on it, so that it must not be reused at \p Now.
   bool isStale(TimePoint Now);
--- a/src/net/testing/ScriptedServer.h
+++ b/src/net/testing/ScriptedServer.h
@@ -33,6 +33,8 @@
     return "127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
   }
 
+  int requests() const { return m_Requests; }
+
 private:
   void accept() {
     m_Sockets.emplace_back(m_Loop.context());
--- a/standins/jobs/job_platform.py
+++ b/standins/jobs/job_platform.py
@@ -11,7 +11,8 @@
 On the store's port, GET /faults?store=down|ok|lost|slow|late|no-config sets the fault mode of the
 store ("no-config": the operators' table is unavailable), GET /faults?runs=ok|hang|fail-once that of
 the runs ("fail-once": the first run of each task that ends fails), GET /faults?crash=MACHINE ends the
-backend server of a machine, on which another one starts a second later, POST /expect declares a job, and
+backend server of a machine, on which another one starts a second later, GET
+/faults?connections=silent silences the open connections to all backend servers, POST /expect declares a job, and
 GET /report returns what the backend servers have observed. The soak test imports this module and
 injects faults into the backend servers.
 """
@@ -26,6 +27,7 @@
 import urllib.parse
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from http_server import Http  # noqa: E402
 from oracle import Oracle  # noqa: E402
 
 # Limits of the published protocol.
@@ -38,6 +40,8 @@
 MAX_FEED_CHANGES = 20000
 MACHINE_OFFLINE_S = 0.3
 CRASH_OFFLINE_S = 1
+# Connections that a backend server accepts.
+CONNECTION_LIMIT = 64
 SLOW_STORE_S = 0.25
 CAPACITY = {"cpu": 8000, "mem-mb": 16000, "gpu": 0}
 TICKET_LIFETIME_MS = 3000
@@ -47,43 +51,6 @@
     return int(time.monotonic() * 1000)
 
 
-class Http:
-    """Minimal HTTP/1.1 server. It awaits handler(method, path, query, headers, body), which
-    returns (status, JSON value), or None to close the connection without a reply."""
-
-    def __init__(self, handler):
-        self.handler = handler
-        self.port = 0
-
-    async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                lines = head.split("\r\n")
-                method, target, _ = lines[0].split(" ")
-                headers = {k.lower(): v.strip() for k, v in
-                           (line.split(":", 1) for line in lines[1:] if ":" in line)}
-                body = await reader.readexactly(int(headers.get("content-length", 0)))
-                path, _, query = target.partition("?")
-                query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-                reply = await self.handler(method, path, query, headers, body)
-                if reply is None:  # Simulates a lost reply.
-                    break
-                status, value = reply
-                data = json.dumps(value).encode()
-                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                             f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            writer.close()
-
-
 class Store:
     def __init__(self, rng):
         self.rows, self.changes, self.version = {}, [], 1
@@ -131,6 +98,8 @@
             self.mode = query.get("store", self.mode)
             if "runs" in query:
                 self.set_run_faults(query["runs"])
+            if query.get("connections") == "silent":
+                self.silence_backends()
             if "crash" in query:
                 asyncio.ensure_future(self.crash(query["crash"]))
             return 200, {}
@@ -238,7 +207,7 @@
         # replies of half of the orders and executes these orders some seconds later.
         self.hangs, self.fails, self.late = False, False, False
         self.end_recorded = asyncio.Condition()
-        self.http, self.address = Http(self.handle), None
+        self.http, self.address = Http(self.handle, world.connection_limit), None
 
     def clock(self):
         """Milliseconds since the start of this incarnation, from 1."""
@@ -390,7 +359,9 @@
     def __init__(self, options):
         self.rng = random.Random(options.seed)
         self.store = Store(self.rng)
+        self.connection_limit = getattr(options, "connections", CONNECTION_LIMIT)
         self.store.report = self.report
+        self.store.silence_backends = self.silence_backends
         self.store.set_run_faults = self.set_run_faults
         self.store.crash = lambda machine: self.restart_machine(machine, "down", CRASH_OFFLINE_S)
         self.store.expect = lambda *job: self.oracle.on_job(*job)
@@ -446,12 +417,21 @@
                 if i in servers and (t := self.ticket(call["step"] + ".0", servers[i]))]
         return 200, {"good": good, "valid-ms": TICKET_LIFETIME_MS}
 
+    def backends(self):
+        return [(m, e["server"]) for m, e in self.machines.items() if e["server"]]
+
+    def silence_backends(self):
+        for _, server in self.backends():
+            server.http.silence()
+
     def report(self):
         tasks = self.oracle.tasks
         return {"starts": {n: len(t.starts) for n, t in tasks.items()},
                 "done": sorted(n for n in tasks if self.oracle.is_done(n)),
                 "breaches": self.oracle.breaches, "refusals": self.store.refusals, "advice_calls": self.advice_calls,
                 "running": sorted(n for n, t in tasks.items() if t.running),
+                "connections": {m: len(s.http.open) for m, s in self.backends()},
+                "connections_refused": sum(s.http.refused for _, s in self.backends()),
                 "runs": {m: len(e["server"].runs) for m, e in self.machines.items() if e["server"]},
                 "machines": {m: e["pool"] for m, e in self.machines.items()},
                 "upkeep": {m: e["upkeep"] for m, e in self.machines.items()}}
@@ -515,6 +495,8 @@
     parser.add_argument("--spare", type=int, default=2)
     parser.add_argument("--pools", default="desk")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--connections", type=int, default=CONNECTION_LIMIT,
+                        help="connections that a backend server accepts")
     parser.add_argument("--advice", action="store_true",
                         help="queues require tickets from the adviser")
     world = SimulatedPlatform(parser.parse_args())
--- /dev/null
+++ b/tests/connections_check.py
@@ -0,0 +1,82 @@
+#!/usr/bin/env python3
+"""Checks how leaders use the connections of backend servers, with real processes.
+
+  connections_check.py BUILD_DIR
+
+Leaders are lost for good one after the other, and their connections stay open at the
+servers, which accept few.
+"""
+import pathlib
+import signal
+import sys
+import tempfile
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+import jobs_check  # noqa: E402
+
+# Connections that a server accepts. Six leaders with two each leave room for the next.
+CONNECTION_LIMIT = 16
+LOSSES = 6
+# Tasks of a job, which are more than one server can start at the same time.
+TASKS = 24
+
+
+class ConnectionsCheck(jobs_check.Check):
+    def __init__(self, build, folder):
+        super().__init__(build, 1, folder, ["--connections", str(CONNECTION_LIMIT)])
+        self.build, self.folder = build, folder
+
+    def runs_of(self, job):
+        return [n for n in self.report()["running"] if n.startswith(job)]
+
+    def lose_leader(self):
+        """The leader's machine falls silent for good, and another instance is started."""
+        leader = self.leader()
+        leader.process.send_signal(signal.SIGSTOP)
+        self.entries.remove(leader)
+        self.lost.append(leader)
+        entry = jobs_check.Entry(self.build, self.folder, len(self.entries) + len(self.lost),
+                                 self.platform)
+        entry.start()
+        self.entries.append(entry)
+        self.until("the new instance is ready", lambda: self.is_ready(entry))
+
+    def work(self):
+        usable = next(e for e in self.entries if not e.is_leader())
+        self.wait_for(self.submit(steps=1, width=TASKS, entry=usable), "completed")
+
+    def lost_leaders(self):
+        lasting = self.submit(steps=1, width=2, spec="lasts", long_running=True)
+        self.until("the lasting tasks run", lambda: len(self.runs_of(lasting)) == 2)
+        for _ in range(LOSSES):
+            self.work()
+            self.lose_leader()
+        self.work()
+        self.until("the lasting tasks run again", lambda: len(self.runs_of(lasting)) == 2)
+        refused = self.report()["connections_refused"]
+        assert refused == 0, f"servers have refused {refused} connections"
+
+    def run(self):
+        self.lost = []
+        try:
+            self.start_all()
+            self.lost_leaders()
+            breaches = self.report()["breaches"]
+            assert not breaches, breaches
+        finally:
+            for entry in self.entries + self.lost:
+                if entry.is_up():
+                    entry.kill()
+            self.standin.kill()
+            self.standin.wait()
+
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        check = ConnectionsCheck(pathlib.Path(sys.argv[1]).resolve(), pathlib.Path(folder))
+        check.run()
+    print("ok")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/hostile_reply_check.py
+++ b/tests/hostile_reply_check.py
@@ -62,7 +62,7 @@
         self.current_writer.set(writer)
         await super().serve(reader, writer)
 
-    def __init__(self, handler):
+    def __init__(self, handler, limit=None):
         async def handle(method, path, query, headers, body):
             kind = type(handler.__self__).__name__
             if kind != HostileHttp.hostile_peer or path in ("/report", "/expect"):
@@ -76,7 +76,7 @@
                 HostileHttp.open_floods -= 1
                 HostileHttp.ended_floods += 1
             return None
-        super().__init__(handle)
+        super().__init__(handle, limit)
 
     @staticmethod
     async def answer_hostile(writer):
--- a/tests/jobs_check.py
+++ b/tests/jobs_check.py
@@ -109,11 +109,12 @@
 
 
 class Check:
-    def __init__(self, build, seed, folder):
+    def __init__(self, build, seed, folder, standin_options=()):
         self.random = random.Random(seed)
         self.tool = str(build / "pollenspool")
         self.standin = subprocess.Popen(
-            [sys.executable, str(ROOT / "standins/jobs/job_platform.py"), "--seed", str(seed)],
+            [sys.executable, str(ROOT / "standins/jobs/job_platform.py"), "--seed", str(seed),
+             *standin_options],
             stdout=subprocess.PIPE, text=True)
         self.platform = json.loads(self.standin.stdout.readline())
         self.entries = [Entry(build, folder, n, self.platform) for n in range(3)]
