Do not count servers out of reach as capacity of their pool

The servers of the pool were listed as up and did not answer the leader: lost leaders had used up their connections, or they were cut off.

Cause: FleetPlanner::collectPools() counted each instance that is not listed as down.

Change: an instance whose server has not answered for long, and whose runs are over, is no capacity, so that the pool gets a spare one. It counts again once its server answers. The size of a pool's servers is taken from all that are listed.

--- a/src/instances/FleetPlanner.cpp
+++ b/src/instances/FleetPlanner.cpp
@@ -145,6 +145,11 @@
   return S.m_HasListedAllRuns && S.m_Reachable;
 }
 
+bool FleetPlanner::isOutOfReach(const InstanceView &V) {
+  return V.m_Server && V.m_Server->isUnreachableForLong() &&
+         V.m_Server->isIdle() && !V.m_State->m_Pending && !V.m_State->m_Ordered;
+}
+
 FleetPlanner::Pools FleetPlanner::collectPools() {
   Pools All;
   if (const ServingConfig *C = m_Scheduler.config())
@@ -158,8 +163,12 @@
                     !V.m_State->m_ExpectedPool.empty();
     auto Pool =
         All.find(Expected ? V.m_State->m_ExpectedPool : V.m_Listing->m_Pool);
-    if (Pool != All.end())
-      Pool->second.m_Instances.push_back(&V);
+    if (Pool == All.end())
+      continue;
+    PoolView &P = Pool->second;
+    P.m_LargestCapacity = P.m_LargestCapacity.most(V.m_Listing->m_Capacity);
+    if (!isOutOfReach(V))
+      P.m_Instances.push_back(&V);
   }
   return All;
 }
@@ -174,17 +183,15 @@
     if (P.m_Spare)
       continue;
     const PoolDemand &D = P.m_Demand = Demand[Name];
-    Resources Largest{1, 0, 0};
     std::int64_t Draining = 0;
     m_Counters.m_InstancesExamined += P.m_Instances.size();
     for (const InstanceView *V : P.m_Instances) {
-      Largest = Largest.most(V->m_Listing->m_Capacity);
       Draining += V->m_State->m_DrainingSince.has_value();
       P.m_Arrived += hasArrived(Name, *V);
     }
-    double Instances =
-        HeadroomFactor *
-        instancesNeeded(updatePeak(m_PeakDemand[Name], D, Decay), Largest);
+    double Instances = HeadroomFactor *
+                       instancesNeeded(updatePeak(m_PeakDemand[Name], D, Decay),
+                                       P.m_LargestCapacity);
     P.m_MinSize = D.m_ServersForSpread + std::int64_t(1);
     P.m_TargetSize =
         std::max(P.m_MinSize, static_cast<std::int64_t>(std::ceil(Instances)));
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -161,7 +161,10 @@
   };
   /// A pool during one planning pass.
   struct PoolView {
+    /// Those that count as capacity.
     std::vector<const InstanceView *> m_Instances;
+    /// The most of each resource that an instance of the pool has.
+    Resources m_LargestCapacity{1, 0, 0};
     /// The instances before this index are not movable in this pass.
     std::size_t m_NextCandidate = 0;
     std::int64_t m_TargetSize = 0;
@@ -185,6 +188,9 @@
 
   // Pool sizing (FleetPlanner.cpp).
   Pools collectPools();
+  /// Whether no task can start on \p V although the platform lists it as up:
+  /// its server has not answered for long, and its runs are over.
+  static bool isOutOfReach(const InstanceView &V);
   /// Ends the orders whose effect an instance list requested at \p Asked shows.
   void endOrders(TimePoint Asked);
   void updateTargetSizes(Pools &All, TimePoint Now);
