Trust no idle connection to a peer after a call to it has timed out

Cause: a timeout closed the connection of its own call only. Each retry took the next idle connection, of six to a server, and found it silent by a timeout of its own; the lease lasts 5 s. Ruled out by the log: servers that were given up (they were called again and again) and new connections that fail (the seventh call was answered).

Change: a call that times out closes the idle connections to its peer without a reply since it was sent. Calls under way go on.

--- a/src/net/ConnectionSlots.cpp
+++ b/src/net/ConnectionSlots.cpp
@@ -83,6 +83,13 @@
   return Number;
 }
 
+std::vector<ConnectionNumber>
+ConnectionSlots::idleTo(const std::string &Peer) const {
+  auto It = m_Peers.find(Peer);
+  return It == m_Peers.end() ? std::vector<ConnectionNumber>()
+                             : It->second.m_Idle;
+}
+
 std::size_t ConnectionSlots::openTo(const std::string &Peer) const {
   auto It = m_Peers.find(Peer);
   return It == m_Peers.end() ? 0 : It->second.m_Open;
--- a/src/net/ConnectionSlots.h
+++ b/src/net/ConnectionSlots.h
@@ -76,6 +76,8 @@
   /// have to wait.
   std::optional<ConnectionAction> next();
 
+  /// The idle connections to \p Peer.
+  std::vector<ConnectionNumber> idleTo(const std::string &Peer) const;
   /// Number of connections to \p Peer, idle ones included.
   std::size_t openTo(const std::string &Peer) const;
   /// The connection that has been idle for the longest time, if any is idle.
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -18,7 +18,8 @@
 
 namespace {
 
-/// Shortest interval between two log lines of one kind.
+/// Shortest interval between two log lines about a reached limit, or about
+/// connections that may be silent.
 constexpr Duration LimitLogInterval = std::chrono::seconds(1);
 
 using Call = PendingCall;
@@ -60,6 +61,7 @@
   CallNumber m_LastCall = 0;
   /// When the next log line of each kind may be written.
   TimePoint m_NextLimitLog{};
+  TimePoint m_NextUnprovenLog{};
   TimePoint m_NextRefusalLog{};
   /// Sum over the calls.
   std::size_t m_ArrivingBytes = 0;
@@ -245,8 +247,9 @@
     });
   }
 
-  static void send(Exchange &E) {
+  void send(Exchange &E) {
     E.m_Call->m_IsSent = true;
+    E.m_Call->m_SentAt = m_Loop.now();
     E.m_Connection->send(std::move(E.m_Call->m_Request));
   }
 
@@ -379,9 +382,10 @@
     auto C = std::move(It->second.m_Call);
     m_Exchanges.erase(It);
     m_Slots.close(Number);
-    if (Code == ErrorCode::Timeout)
+    if (Code == ErrorCode::Timeout) {
       ++m_Counters.m_Timeouts;
-    else if (Code == ErrorCode::ResourceExhausted)
+      closeUnproven(C->m_Peer, C->m_SentAt);
+    } else if (Code == ErrorCode::ResourceExhausted)
       ++m_Counters.m_NoConnection;
     else
       ++m_Counters.m_Lost;
@@ -390,6 +394,31 @@
         makeError(Code, std::move(C->m_Target), std::move(C->m_Peer), Detail));
   }
 
+  /// A call to \p Peer that was sent at \p SentAt has timed out. What dropped
+  /// its packets may drop those of all connections that were open by then, so
+  /// that calls on them would time out one after the other. Closes the idle
+  /// ones without a reply since then. Calls that are under way go on.
+  void closeUnproven(const std::string &Peer, TimePoint SentAt) {
+    const std::uint64_t Before = m_Counters.m_Unproven;
+    for (ConnectionNumber Idle : m_Slots.idleTo(Peer)) {
+      auto It = m_Exchanges.find(Idle);
+      if (It->second.m_Connection->idleSince() >= SentAt)
+        continue;
+      m_Exchanges.erase(It);
+      m_Slots.close(Idle);
+      ++m_Counters.m_Unproven;
+    }
+    if (m_Counters.m_Unproven == Before || !mayLog(m_NextUnprovenLog))
+      return;
+    logEvent(Event::ConnectionsUnproven,
+             {{"client", m_Name},
+              {"peer", Peer},
+              {"closed", std::to_string(m_Counters.m_Unproven - Before)},
+              {"closed_in_all", std::to_string(m_Counters.m_Unproven)},
+              {"silent_ms", std::to_string((m_Loop.now() - SentAt) /
+                                           std::chrono::milliseconds(1))}});
+  }
+
   void end(Call &C, Result<HttpReply> Reply) {
     C.unlink();
     count(C, 0);
@@ -412,6 +441,7 @@
   m_Lost += Other.m_Lost;
   m_NoConnection += Other.m_NoConnection;
   m_Evicted += Other.m_Evicted;
+  m_Unproven += Other.m_Unproven;
   m_Expired += Other.m_Expired;
   m_Refused += Other.m_Refused;
   return *this;
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -25,6 +25,8 @@
   std::uint64_t m_NoConnection = 0;
   /// Idle connections that were closed to make place for others.
   std::uint64_t m_Evicted = 0;
+  /// Idle connections that were closed since a call to their peer timed out.
+  std::uint64_t m_Unproven = 0;
   /// Connections that were closed since they had been idle for too long.
   std::uint64_t m_Expired = 0;
   /// Connections that a peer refused, or ended before its first reply.
--- a/src/net/PendingCall.h
+++ b/src/net/PendingCall.h
@@ -29,6 +29,8 @@
   /// When the client ends the call; no earlier than m_Deadline.
   TimePoint m_ExpiresAt;
   TimePoint m_StartedAt;
+  /// When the request was sent. Only valid if m_IsSent.
+  TimePoint m_SentAt;
   /// When a part of the reply had arrived, if not all at once.
   std::optional<TimePoint> m_ReplyBegunAt;
   /// 0 while the call waits for a connection.
--- a/tests/connections_check.py
+++ b/tests/connections_check.py
@@ -3,13 +3,14 @@
 
   connections_check.py BUILD_DIR
 
-Leaders are lost for good one after the other, and their connections stay open at the
-servers, which accept few.
+First, leaders are lost for good one after the other, and their connections stay open at the
+servers, which accept few. Then all open connections to the servers fall silent.
 """
 import pathlib
 import signal
 import sys
 import tempfile
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import jobs_check  # noqa: E402
@@ -19,6 +20,8 @@
 LOSSES = 6
 # Tasks of a job, which are more than one server can start at the same time.
 TASKS = 24
+# The longest lease, and the time in which a lease that was not renewed has lapsed.
+WATCHED_S = 7
 
 
 class ConnectionsCheck(jobs_check.Check):
@@ -55,12 +58,27 @@
         self.until("the lasting tasks run again", lambda: len(self.runs_of(lasting)) == 2)
         refused = self.report()["connections_refused"]
         assert refused == 0, f"servers have refused {refused} connections"
+        return lasting
+
+    def silent_connections(self, lasting):
+        tasks = self.runs_of(lasting)
+        self.work()
+        before = {n: self.report()["starts"][n] for n in tasks}
+        jobs_check.call(self.platform["store"], "GET", "/faults?connections=silent")
+        end = time.monotonic() + WATCHED_S
+        while time.monotonic() < end:
+            report = self.report()
+            after = {n: report["starts"][n] for n in tasks}
+            assert after == before and set(tasks) <= set(report["running"]), (
+                f"tasks were lost with silent connections: {before}, {after}")
+            time.sleep(0.1)
+        self.work()
 
     def run(self):
         self.lost = []
         try:
             self.start_all()
-            self.lost_leaders()
+            self.silent_connections(self.lost_leaders())
             breaches = self.report()["breaches"]
             assert not breaches, breaches
         finally:
