Give the evidence about starts and the silenced connections one name each

Cause: m_Start stood for the evidence about a run and for the recorded start of a suspect; ServerSilence named a loss that is not silent; the stand-in, the soak and the tests had three names for connections that fall silent; two comments did not say why.

Change: m_StartEvidence, ContactLoss and silence_open_connections(); the field "shows" of StartNotTaken is called "start_evidence". Comments of the idle time, of servers out of reach and of connections_check say what they are for. No behaviour changes but that name in the log.

--- a/src/entry/ConnectionBudget.cpp
+++ b/src/entry/ConnectionBudget.cpp
@@ -23,8 +23,9 @@
 /// 64 in all, and keeps those of a leader whose machine is lost for as long as
 /// it lives. \see docs/CAPACITY.md.
 constexpr std::size_t BackendConnectionsPerPeer = 2;
-/// An idle server is not called, so that its connections are closed before the
-/// next change of the leader. Orders follow each other faster on a busy one.
+/// A server without runs is not called, so that soon no connection to it is
+/// left that the loss of this machine would leave behind. One with runs is
+/// called at least once a second.
 constexpr Duration BackendIdleTime = std::chrono::seconds(2);
 /// Most calls to the platform recur within a second.
 constexpr Duration PlatformIdleTime = std::chrono::seconds(10);
--- a/src/instances/FleetPlanner.h
+++ b/src/instances/FleetPlanner.h
@@ -189,7 +189,8 @@
   // Pool sizing (FleetPlanner.cpp).
   Pools collectPools();
   /// Whether no task can start on \p V although the platform lists it as up:
-  /// its server has not answered for long, and its runs are over.
+  /// its server has not answered for long, and its runs are over. An
+  /// instance with an order under way counts where it is ordered to.
   static bool isOutOfReach(const InstanceView &V);
   /// Ends the orders whose effect an instance list requested at \p Asked shows.
   void endOrders(TimePoint Asked);
--- a/src/net/testing/ScriptedServer.h
+++ b/src/net/testing/ScriptedServer.h
@@ -33,6 +33,7 @@
     return "127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
   }
 
+  /// Requests that have arrived.
   int requests() const { return m_Requests; }
 
 private:
--- a/src/scheduling/SchedulerCrashes.cpp
+++ b/src/scheduling/SchedulerCrashes.cpp
@@ -51,8 +51,8 @@
   All.insert(Lost.begin(), Lost.end());
   for (auto It = All.begin(); It != All.end();) {
     const ActiveRun &Run = It->second;
-    bool MayBeToBlame = verdictOn(Run.m_Start, RunLoss::ServerCrashed,
-                                  S.silence()) == LossVerdict::Crashed;
+    bool MayBeToBlame = verdictOn(Run.m_StartEvidence, RunLoss::ServerCrashed,
+                                  S.contactLoss()) == LossVerdict::Crashed;
     It = Run.m_IsCrashCounted || !MayBeToBlame ? All.erase(It) : std::next(It);
   }
   for (auto &[Id, Run] : S.m_Runs)
@@ -145,7 +145,7 @@
   // An order that is not answered yet may still reach the new incarnation, and
   // one that was carried out there late may have ended since then.
   auto MayHaveBegunSince = [&](const ActiveRun &Run) {
-    return Run.m_Start == StartEvidence::Pending ||
+    return Run.m_StartEvidence == StartEvidence::Pending ||
            (Reply.m_HasMoreEnds && !Run.hasBegun());
   };
   for (auto It = Lost.begin(); It != Lost.end();)
@@ -159,7 +159,7 @@
   if (It == S.m_Runs.end() || !It->second.m_LostBy)
     return;
   const ActiveRun &Run = It->second;
-  if (verdictOn(Run.m_Start, *Run.m_LostBy, S.silence()) ==
+  if (verdictOn(Run.m_StartEvidence, *Run.m_LostBy, S.contactLoss()) ==
       LossVerdict::Crashed)
     countCrash(S, {{Id, Run}}, "the result of a start came after it had ended",
                Now);
--- a/src/scheduling/SchedulerLostRuns.cpp
+++ b/src/scheduling/SchedulerLostRuns.cpp
@@ -19,7 +19,7 @@
                               TimePoint Now) {
   LossVerdict Verdict = LossVerdict::Lost;
   if (auto It = S.m_Runs.find(Id); It != S.m_Runs.end()) {
-    Verdict = verdictOn(It->second.m_Start, Loss, S.silence());
+    Verdict = verdictOn(It->second.m_StartEvidence, Loss, S.contactLoss());
     if (Loss == RunLoss::LeaseExpired)
       S.m_LapsedRuns[Id] = It->second;
   }
--- a/src/scheduling/SchedulerRuns.cpp
+++ b/src/scheduling/SchedulerRuns.cpp
@@ -112,7 +112,7 @@
     return;
   ActiveRun &Run = It->second;
   if (!Run.hasBegun())
-    Run.m_Start = evidenceOf(R);
+    Run.m_StartEvidence = evidenceOf(R);
   if (R == OrderResult::Done) {
     if (Run.m_Phase == RunPhase::Starting)
       Run.m_Phase = RunPhase::Running;
@@ -128,7 +128,7 @@
             {"server", Order.m_Server.m_Id.m_Text},
             {"term", std::to_string(Order.m_Term)},
             {"result", std::string(orderResultName(R))},
-            {"shows", std::string(startEvidenceName(evidenceOf(R)))}});
+            {"start_evidence", std::string(startEvidenceName(evidenceOf(R)))}});
   switch (R) {
   case OrderResult::Unknown:
     ++m_Counters.m_UnconfirmedStarts;
@@ -346,7 +346,7 @@
       if (LiveJob *Job = m_Jobs.find(Report.m_Run.m_Task.m_Job))
         Job->m_HasBegun = true;
     Run.m_IsListed = true;
-    Run.m_Start = StartEvidence::Begun;
+    Run.m_StartEvidence = StartEvidence::Begun;
     Run.m_LastListedIn = S.m_PollsAnswered;
     Run.m_LossIfUnlisted.reset();
     Run.m_SeenAt = Now;
@@ -415,7 +415,7 @@
   Run.m_ConfirmedAt = S.m_PollSentAt;
   Run.m_LastListedIn = S.m_PollsAnswered;
   Run.m_OrderedAt = Run.m_SeenAt = Now;
-  Run.m_Start = StartEvidence::Begun;
+  Run.m_StartEvidence = StartEvidence::Begun;
   Run.m_IsSuspect = T && T->isSuspect();
   bool Wanted = T && !T->m_Done && !isFinal(Job->m_State) && T->m_Runs.empty();
   if (Job && Task.m_Step < Job->m_Spec.m_Steps.size()) {
--- a/src/scheduling/ServerRegistry.cpp
+++ b/src/scheduling/ServerRegistry.cpp
@@ -79,7 +79,7 @@
   std::vector<RunId> Lost;
   for (const auto &[Id, Run] : m_Runs)
     if (Run.m_LostBy && !Run.mayStillBegin(Now) &&
-        verdictOn(Run.m_Start, *Run.m_LostBy, silence()) !=
+        verdictOn(Run.m_StartEvidence, *Run.m_LostBy, contactLoss()) !=
             LossVerdict::AwaitResult)
       Lost.push_back(Id);
   return Lost;
--- a/src/scheduling/ServerRegistry.h
+++ b/src/scheduling/ServerRegistry.h
@@ -50,7 +50,8 @@
   TimePoint m_OrderedAt{};
   /// When the server last listed the run; before m_OrderedAt if it has not.
   TimePoint m_SeenAt{};
-  StartEvidence m_Start = StartEvidence::Pending;
+  /// Whether the run has begun, as far as the server has told.
+  StartEvidence m_StartEvidence = StartEvidence::Pending;
   /// Until then a run that has not begun may begin, or may have begun in an
   /// incarnation that has not answered and last there.
   TimePoint m_MayBeginUntil{};
@@ -94,7 +95,7 @@
   TimePoint m_PacedAt{};
 
   /// Whether the server is known to have begun the run.
-  bool hasBegun() const { return m_Start == StartEvidence::Begun; }
+  bool hasBegun() const { return m_StartEvidence == StartEvidence::Begun; }
   /// Whether the start may still be carried out, whatever has become of the
   /// server.
   bool mayStillBegin(TimePoint Now) const {
@@ -274,8 +275,10 @@
     bool IsPlanned = m_Registration.m_Draining || m_Reserved;
     return IsPlanned ? RunLoss::ServerEnded : RunLoss::ServerCrashed;
   }
-  ServerSilence silence() const {
-    return m_WasLostAbruptly ? ServerSilence::Abrupt : ServerSilence::TimedOut;
+  /// How it became unreachable.
+  ContactLoss contactLoss() const {
+    return m_WasLostAbruptly ? ContactLoss::ConnectionEnded
+                             : ContactLoss::TimedOut;
   }
   /// Replaces what holds for one incarnation only, because another one has
   /// answered.
--- a/src/scheduling/StartEvidence.cpp
+++ b/src/scheduling/StartEvidence.cpp
@@ -42,8 +42,7 @@
   return "?";
 }
 
-LossVerdict verdictOn(StartEvidence Start, RunLoss Loss,
-                      ServerSilence Silence) {
+LossVerdict verdictOn(StartEvidence Start, RunLoss Loss, ContactLoss Contact) {
   switch (Start) {
   case StartEvidence::Pending:
     return LossVerdict::AwaitResult;
@@ -51,7 +50,7 @@
     return LossVerdict::NotStarted;
   case StartEvidence::MayHaveBegun:
     // The server may have been gone before it could receive the order.
-    if (Silence == ServerSilence::TimedOut)
+    if (Contact == ContactLoss::TimedOut)
       return LossVerdict::Lost;
     break;
   case StartEvidence::Begun:
--- a/src/scheduling/StartEvidence.h
+++ b/src/scheduling/StartEvidence.h
@@ -31,7 +31,8 @@
 /// The name of \p E in logs. Thread safe.
 std::string_view startEvidenceName(StartEvidence E);
 
-/// What becomes of a run whose server is over or out of touch.
+/// What becomes of a run that its server does not have any more, or that cannot
+/// be known to be there.
 enum class LossVerdict : std::uint8_t {
   /// The result of the start order decides.
   AwaitResult,
@@ -43,19 +44,19 @@
   Crashed,
 };
 
-/// How a server was lost.
-enum class ServerSilence : std::uint8_t {
+/// How a server became unreachable.
+enum class ContactLoss : std::uint8_t {
   /// Calls to it timed out. Its host or the network may have failed before it
   /// received them.
   TimedOut,
   /// Connections to it ended while they were in use, so that it was alive
   /// shortly before.
-  Abrupt,
+  ConnectionEnded,
 };
 
 /// The verdict on a run of which \p Start is known, given why it is over and,
 /// if its server has crashed, how that was noticed. Thread safe.
-LossVerdict verdictOn(StartEvidence Start, RunLoss Loss, ServerSilence Silence);
+LossVerdict verdictOn(StartEvidence Start, RunLoss Loss, ContactLoss Contact);
 
 } // namespace pollenspool
 
--- a/src/scheduling/StartEvidenceTest.cpp
+++ b/src/scheduling/StartEvidenceTest.cpp
@@ -32,7 +32,7 @@
   RunLoss m_Loss;
   /// If calls to the server timed out, and if connections to it ended.
   LossVerdict m_IfTimedOut;
-  LossVerdict m_IfAbrupt;
+  LossVerdict m_IfConnectionEnded;
 };
 
 constexpr VerdictRow VerdictRows[] = {
@@ -89,11 +89,12 @@
   for (const VerdictRow &Row : VerdictRows) {
     const std::string Name = std::string(startEvidenceName(Row.m_Start)) + " " +
                              std::string(runLossName(Row.m_Loss));
-    CHECK_TEXT(verdictOn(Row.m_Start, Row.m_Loss, ServerSilence::TimedOut) ==
+    CHECK_TEXT(verdictOn(Row.m_Start, Row.m_Loss, ContactLoss::TimedOut) ==
                    Row.m_IfTimedOut,
                Name.c_str());
-    CHECK_TEXT(verdictOn(Row.m_Start, Row.m_Loss, ServerSilence::Abrupt) ==
-                   Row.m_IfAbrupt,
-               Name.c_str());
+    CHECK_TEXT(
+        verdictOn(Row.m_Start, Row.m_Loss, ContactLoss::ConnectionEnded) ==
+            Row.m_IfConnectionEnded,
+        Name.c_str());
   }
 }
--- a/src/scheduling/testing/SimulatedJobs.cpp
+++ b/src/scheduling/testing/SimulatedJobs.cpp
@@ -118,8 +118,8 @@
     for (const auto &[Run, State] : S.m_Runs)
       if (Run.m_Task.m_Job == Id)
         Text += "\n  " + runName(Run) + " on " + Server.m_Text + ": start " +
-                std::string(startEvidenceName(State.m_Start)) + ", phase " +
-                std::to_string(static_cast<int>(State.m_Phase)) +
+                std::string(startEvidenceName(State.m_StartEvidence)) +
+                ", phase " + std::to_string(static_cast<int>(State.m_Phase)) +
                 (State.m_LostBy ? ", lost" : "") +
                 (S.m_Reachable ? ", reachable" : ", unreachable");
   return Text;
--- a/standins/jobs/http_server.py
+++ b/standins/jobs/http_server.py
@@ -18,7 +18,7 @@
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
 
-    def silence(self):
+    def silence_open_connections(self):
         """From now on the open connections stay open and are not read or answered."""
         self.silent |= self.open
 
--- a/standins/jobs/job_platform.py
+++ b/standins/jobs/job_platform.py
@@ -422,7 +422,7 @@
 
     def silence_backends(self):
         for _, server in self.backends():
-            server.http.silence()
+            server.http.silence_open_connections()
 
     def report(self):
         tasks = self.oracle.tasks
--- a/tests/connections_check.py
+++ b/tests/connections_check.py
@@ -20,7 +20,7 @@
 LOSSES = 6
 # Tasks of a job, which are more than one server can start at the same time.
 TASKS = 24
-# The longest lease, and the time in which a lease that was not renewed has lapsed.
+# Longer than a lease, which lasts 5 s.
 WATCHED_S = 7
 
 
@@ -28,6 +28,8 @@
     def __init__(self, build, folder):
         super().__init__(build, 1, folder, ["--connections", str(CONNECTION_LIMIT)])
         self.build, self.folder = build, folder
+        # Entry instances that are stopped for good, with their connections open.
+        self.lost = []
 
     def runs_of(self, job):
         return [n for n in self.report()["running"] if n.startswith(job)]
@@ -49,19 +51,19 @@
         self.wait_for(self.submit(steps=1, width=TASKS, entry=usable), "completed")
 
     def lost_leaders(self):
-        lasting = self.submit(steps=1, width=2, spec="lasts", long_running=True)
-        self.until("the lasting tasks run", lambda: len(self.runs_of(lasting)) == 2)
+        long_running = self.submit(steps=1, width=2, spec="lasts", long_running=True)
+        self.until("the long-running tasks run", lambda: len(self.runs_of(long_running)) == 2)
         for _ in range(LOSSES):
             self.work()
             self.lose_leader()
         self.work()
-        self.until("the lasting tasks run again", lambda: len(self.runs_of(lasting)) == 2)
+        self.until("the long-running tasks run again", lambda: len(self.runs_of(long_running)) == 2)
         refused = self.report()["connections_refused"]
         assert refused == 0, f"servers have refused {refused} connections"
-        return lasting
+        return long_running
 
-    def silent_connections(self, lasting):
-        tasks = self.runs_of(lasting)
+    def silent_connections(self, long_running):
+        tasks = self.runs_of(long_running)
         self.work()
         before = {n: self.report()["starts"][n] for n in tasks}
         jobs_check.call(self.platform["store"], "GET", "/faults?connections=silent")
@@ -75,7 +77,6 @@
         self.work()
 
     def run(self):
-        self.lost = []
         try:
             self.start_all()
             self.silent_connections(self.lost_leaders())
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -15,7 +15,7 @@
         """`rate`: bytes a second of all answers together; None: no limit."""
         self.target, self.mode, self.delay = target, "ok", 0.0
         self.rate, self.free_at = rate, 0.0
-        self.port, self.server, self.writers, self.forgotten = 0, None, set(), set()
+        self.port, self.server, self.writers, self.silenced = 0, None, set(), set()
         self.unblocked = asyncio.Event()
         self.unblocked.set()
 
@@ -38,9 +38,9 @@
             for writer in list(self.writers):
                 writer.transport.abort()
 
-    def forget_connections(self):
+    def silence_open_connections(self):
         """The open connections fall silent for good, without a reset; new ones work."""
-        self.forgotten |= self.writers
+        self.silenced |= self.writers
 
     def close(self):
         self.set("reset")
@@ -64,7 +64,7 @@
                                  self.pump(target_reader, writer, True))
         finally:
             self.writers -= pair
-            self.forgotten -= pair
+            self.silenced -= pair
             for end in pair:
                 end.close()
 
@@ -79,7 +79,7 @@
                     self.free_at = max(self.free_at, now) + len(data) / self.rate
                     await asyncio.sleep(self.free_at - now)
                 await self.unblocked.wait()
-                lost = (lost or writer in self.forgotten
+                lost = (lost or writer in self.silenced
                         or (is_answer and self.mode == "drop-answers"))
                 if not lost:
                     writer.write(data)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -291,18 +291,18 @@
             self.injected.append(f"{time.monotonic():.3f} {fault.__name__}")
             await fault(self, self.rng.uniform(0.2, 4))
 
-    async def forget_connections(self):
+    async def silence_open_connections(self):
         """From time to time all open connections to the servers fall silent, and at times those
         of an entry instance to the platform."""
         rng = random.Random(f"forgotten {self.seed}")
         while self.is_injecting:
             await asyncio.sleep(rng.uniform(1, 5))
             for server in self.world.servers():
-                self.world.link_of(server).forget_connections()
+                self.world.link_of(server).silence_open_connections()
             if rng.random() < 0.3:
                 for link in rng.choice(self.links).values():
-                    link.forget_connections()
-            self.injected.append(f"{time.monotonic():.3f} forget_connections")
+                    link.silence_open_connections()
+            self.injected.append(f"{time.monotonic():.3f} silence_open_connections")
 
     async def end_faults(self, injectors):
         self.is_injecting = self.is_submitting = False
@@ -354,7 +354,7 @@
         config_asker = asyncio.ensure_future(self.config_check.run())
         callers = [asyncio.ensure_future(c.run()) for c in self.clients]
         injectors = [asyncio.ensure_future(self.inject()) for _ in range(INJECTOR_COUNT)]
-        injectors.append(asyncio.ensure_future(self.forget_connections()))
+        injectors.append(asyncio.ensure_future(self.silence_open_connections()))
         if self.bulk:
             injectors.append(asyncio.ensure_future(
                 ConfigStorms(self, random.Random(f"storms {self.seed}")).run()))
